--- /dev/null
+++ b/src/dotterelplank/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancer for expert-parallel model groups."""
