--- /dev/null
+++ b/src/dotterelplank/configuration.py
@@ -0,0 +1,312 @@
+"""The configuration that operators publish: groups, rules, teams and limits.
+
+The text is JSON with comments. :func:`parse` is a pure function of the text, so that
+every process accepts or refuses a revision alike.
+"""
+
+import dataclasses
+import functools
+import typing as t
+
+import pydantic
+
+from . import defaults, jsontext, selectors
+from .errors import ConfigurationError, InputError
+
+_NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+Name = t.Annotated[str, pydantic.Field(pattern=_NAME)]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class ExpressionModel(_Model):
+    """An expression of a selector as operators write it."""
+
+    key: Name
+    operator: t.Literal["In", "NotIn", "Exists", "DoesNotExist"]
+    values: list[str] = []
+
+
+class SelectorModel(_Model):
+    """A selector as operators write it."""
+
+    match_labels: dict[Name, str] = {}
+    match_expressions: list[ExpressionModel] = []
+
+
+class GroupModel(_Model):
+    """A group of endpoints: a model's servers, or a plain service's.
+
+    :param repeatable_methods: methods of a service that may be run again safely.
+    """
+
+    name: Name
+    kind: t.Literal["model", "service"]
+    servers: SelectorModel
+    repeatable_methods: list[str] = ["GET", "HEAD", "OPTIONS"]
+    resumable: bool = True
+
+
+class ConditionModel(_Model):
+    """The condition of a rule as operators write it."""
+
+    targets: list[Name] = []
+    teams: list[Name] = []
+    methods: list[str] = []
+    priority_at_least: int | None = None
+
+
+class RuleModel(_Model):
+    """A rule as operators write it."""
+
+    name: Name
+    when: ConditionModel = ConditionModel()
+    servers: SelectorModel = SelectorModel()
+
+
+class TeamClassModel(_Model):
+    """Teams that have the same share each."""
+
+    name: Name
+    share: float = pydantic.Field(gt=0, le=1e6)
+    teams: list[Name] = []
+
+
+class KeyModel(_Model):
+    """A bearer key's SHA-256 digest in hexadecimal, and the team that holds it."""
+
+    sha256: str = pydantic.Field(pattern=r"^[0-9a-f]{64}$")
+    team: Name
+
+
+class LimitsModel(_Model):
+    """Bounds that hold for every request."""
+
+    deadline_ms: float = pydantic.Field(defaults.DEADLINE_MS, gt=0, le=3_600_000)
+    requests_per_entry: int = pydantic.Field(defaults.CALLER_THREADS, ge=1, le=4096)
+    body_size_bytes: int = pydantic.Field(
+        defaults.BODY_BOUND_BYTES, ge=1024, le=defaults.FRAME_BOUND_BYTES // 2
+    )
+
+
+class PolicyModel(_Model):
+    """Weights of the decisions.
+
+    :param skew_weight: 1 cares only for step-time skew, 0 only for the cost of
+        rebalancing.
+    """
+
+    skew_weight: float = pydantic.Field(0.5, ge=0, le=1)
+
+
+class ConfigurationModel(_Model):
+    """The whole configuration as operators write it."""
+
+    labels: dict[Name, list[str]]
+    groups: list[GroupModel] = pydantic.Field(min_length=1)
+    rules: list[RuleModel] = pydantic.Field(min_length=1)
+    team_classes: list[TeamClassModel] = pydantic.Field(min_length=1)
+    keys: list[KeyModel] = []
+    limits: LimitsModel = LimitsModel()
+    policy: PolicyModel = PolicyModel()
+
+
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """A group of endpoints that serve one target."""
+
+    name: str
+    is_model: bool
+    servers: selectors.Selector
+    repeatable_methods: frozenset[str]
+    resumable: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bounds that hold for every request."""
+
+    deadline_ms: float
+    requests_per_entry: int
+    body_size_bytes: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """A configuration that has been accepted.
+
+    :param share_by_team: weight of each team among all.
+    """
+
+    groups: t.Mapping[str, Group]
+    rules: tuple[selectors.Rule, ...]
+    share_by_team: t.Mapping[str, float]
+    team_by_key_sha256: t.Mapping[str, str]
+    limits: Limits
+    skew_weight: float
+
+
+def parse(text: str) -> Configuration:
+    """Return the configuration that ``text`` holds.
+
+    :raises ConfigurationError: with every fault found, each naming its path.
+    """
+    model = _read(text)
+    faults = list(_faults(model))
+    if faults:
+        raise ConfigurationError(faults)
+    return _build(model)
+
+
+def _read(text: str) -> ConfigurationModel:
+    size_bytes = len(text.encode())
+    if size_bytes > defaults.CONFIGURATION_BOUND_BYTES:
+        bound = f"at most {defaults.CONFIGURATION_BOUND_BYTES} bytes"
+        raise ConfigurationError([InputError("text", f"{size_bytes} bytes", bound)])
+    try:
+        return ConfigurationModel.model_validate(jsontext.decode(text))
+    except InputError as error:
+        raise ConfigurationError([error]) from error
+    except pydantic.ValidationError as error:
+        raise ConfigurationError(jsontext.input_errors(error)) from error
+
+
+def _faults(model: ConfigurationModel) -> t.Iterator[InputError]:
+    yield from _repeats("groups", [group.name for group in model.groups])
+    yield from _repeats("rules", [rule.name for rule in model.rules])
+    yield from _repeats("team_classes", [item.name for item in model.team_classes])
+    for index, group in enumerate(model.groups):
+        path = f"groups[{index}].servers"
+        yield from _selector_faults(path, group.servers, model.labels)
+    groups = {group.name for group in model.groups}
+    teams: dict[str, str] = {}
+    for index, team_class in enumerate(model.team_classes):
+        for place, team in enumerate(team_class.teams):
+            if team in teams:
+                path = f"team_classes[{index}].teams[{place}]"
+                yield InputError(path, f"{team} again", "each team once")
+            teams[team] = team_class.name
+    for index, rule in enumerate(model.rules):
+        yield from _rule_faults(f"rules[{index}]", rule, groups, set(teams))
+        path = f"rules[{index}].servers"
+        yield from _selector_faults(path, rule.servers, model.labels)
+    yield from _unreachable_rules(model)
+    for index, key in enumerate(model.keys):
+        if key.team not in teams:
+            yield InputError(f"keys[{index}].team", key.team, "a team of a class")
+
+
+def _repeats(path: str, names: t.Sequence[str]) -> t.Iterator[InputError]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield InputError(f"{path}[{index}].name", f"{name} again", "a name once")
+        seen.add(name)
+
+
+def _rule_faults(
+    path: str, rule: RuleModel, groups: set[str], teams: set[str]
+) -> t.Iterator[InputError]:
+    for index, target in enumerate(rule.when.targets):
+        if target not in groups:
+            where = f"{path}.when.targets[{index}]"
+            yield InputError(where, target, f"one of the groups {sorted(groups)}")
+    for index, team in enumerate(rule.when.teams):
+        if team not in teams:
+            yield InputError(f"{path}.when.teams[{index}]", team, "a team of a class")
+
+
+def _unreachable_rules(model: ConfigurationModel) -> t.Iterator[InputError]:
+    anything = ConditionModel()
+    for index, rule in enumerate(model.rules[:-1]):
+        if rule.when == anything:
+            path = f"rules[{index + 1}]"
+            yield InputError(path, f"a rule after {rule.name}, which takes all", "none")
+            return
+
+
+def _selector_faults(
+    path: str, model: SelectorModel, labels: t.Mapping[str, list[str]]
+) -> t.Iterator[InputError]:
+    for key, value in model.match_labels.items():
+        yield from _label_faults(f"{path}.match_labels.{key}", key, [value], labels)
+    for index, expression in enumerate(model.match_expressions):
+        where = f"{path}.match_expressions[{index}]"
+        yield from _label_faults(where, expression.key, expression.values, labels)
+        takes_values = expression.operator in ("In", "NotIn")
+        if takes_values != bool(expression.values):
+            wanted = "at least one" if takes_values else "none"
+            met = f"{len(expression.values)} values"
+            yield InputError(f"{where}.values", met, f"{wanted} with this operator")
+    reason = selectors.contradiction(_selector(model))
+    if reason is not None:
+        yield InputError(path, reason, "a selector that can select something")
+
+
+def _label_faults(
+    path: str, key: str, values: t.Sequence[str], labels: t.Mapping[str, list[str]]
+) -> t.Iterator[InputError]:
+    if key not in labels:
+        yield InputError(path, f"label {key}", f"one of the labels {sorted(labels)}")
+        return
+    for value in values:
+        if value not in labels[key]:
+            yield InputError(path, value, f"one of the values {sorted(labels[key])}")
+
+
+def _selector(model: SelectorModel) -> selectors.Selector:
+    labels = tuple(
+        selectors.Label(key, value) for key, value in model.match_labels.items()
+    )
+    expressions = tuple(
+        selectors.Expression(
+            item.key, selectors.Operator(item.operator), frozenset(item.values)
+        )
+        for item in model.match_expressions
+    )
+    return selectors.Selector(labels, expressions)
+
+
+def _build(model: ConfigurationModel) -> Configuration:
+    groups = {
+        item.name: Group(
+            item.name,
+            item.kind == "model",
+            _selector(item.servers),
+            frozenset(method.upper() for method in item.repeatable_methods),
+            item.resumable,
+        )
+        for item in model.groups
+    }
+    shares = {team: item.share for item in model.team_classes for team in item.teams}
+    limits = Limits(
+        model.limits.deadline_ms,
+        model.limits.requests_per_entry,
+        model.limits.body_size_bytes,
+    )
+    return Configuration(
+        groups=groups,
+        rules=tuple(_rule(item) for item in model.rules),
+        share_by_team=shares,
+        team_by_key_sha256={item.sha256: item.team for item in model.keys},
+        limits=limits,
+        skew_weight=model.policy.skew_weight,
+    )
+
+
+def _rule(model: RuleModel) -> selectors.Rule:
+    condition = selectors.Condition(
+        targets=frozenset(model.when.targets),
+        teams=frozenset(model.when.teams),
+        methods=frozenset(method.upper() for method in model.when.methods),
+        priority_at_least=model.when.priority_at_least,
+    )
+    return selectors.Rule(model.name, condition, _selector(model.servers))
+
+
+@functools.lru_cache(maxsize=4)
+def parse_cached(text: str) -> Configuration:
+    """Return :func:`parse` of ``text``, remembered for the last few texts."""
+    return parse(text)
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -76,3 +76,44 @@
     logging.CRITICAL,
     "A promise that must always hold was found broken; report it.",
 )
+
+# 110: links between the system's processes
+LINK_READY = _define(110, "link-ready", logging.INFO, "A peer has proved itself.")
+LINK_CLOSED = _define(111, "link-closed", logging.INFO, "A stream to a peer ended.")
+PEER_REFUSED = _define(
+    112,
+    "peer-refused",
+    logging.WARNING,
+    "A peer that is not of this system, or of another version, was turned away.",
+)
+FRAME_REFUSED = _define(
+    113, "frame-refused", logging.WARNING, "A peer sent bytes that are no valid frame."
+)
+ANSWER_DROPPED = _define(
+    114,
+    "answer-dropped",
+    logging.INFO,
+    "An answer came for a request that is over or unknown; it was dropped.",
+)
+
+# 120: requests
+REQUEST_ENDED = _define(
+    120, "request-ended", logging.INFO, "A caller's request has its final answer."
+)
+REQUEST_FAILED = _define(
+    121,
+    "request-failed",
+    logging.ERROR,
+    "A request ended by a fault in this process; the caller was told so.",
+)
+ENDPOINT_FAILED = _define(
+    122, "endpoint-failed", logging.WARNING, "The endpoint failed a call."
+)
+
+# 130: the platform
+PLATFORM_READ_FAILED = _define(
+    130,
+    "platform-read-failed",
+    logging.WARNING,
+    "A read of the configuration service or the host list failed.",
+)
--- /dev/null
+++ b/src/dotterelplank/exchanges.py
@@ -0,0 +1,354 @@
+"""The course of one request at an entry: attempts, relaying, giving up.
+
+:func:`decide` is a plain function of the time, the exchange and one event. Once a
+request may have left for an endpoint, another one is tried only if the request is
+idempotent or the endpoint proved that it did not run.
+"""
+
+import dataclasses
+import enum
+import typing as t
+
+from . import defaults, results
+from .errors import InvariantError
+from .messages import Begin, Chunk, End, Refuse
+
+
+class Phase(enum.Enum):
+    """How far an exchange has come."""
+
+    CHOOSING = "choosing"
+    SENT = "sent"
+    RELAYING = "relaying"
+    CANCELLING = "cancelling"
+    OVER = "over"
+
+
+@dataclasses.dataclass
+class Exchange:
+    """One caller's request, from admission to its last byte.
+
+    :param repeatable: it may run again (idempotent).
+    :param resumable: a stream of it can be continued from a token.
+    :param home: the only host that may run it, or ``None`` for any.
+    :param stream: the caller wants the answer as it comes.
+    :param tokens_relayed: whole tokens that the caller holds.
+    :param unproven: an attempt ended without proof that it did not run.
+    :param chunks_met: chunks of the present attempt.
+    """
+
+    repeatable: bool
+    resumable: bool
+    home: str | None
+    stream: bool
+    deadline_at_ms: float
+    attempts_bound: int = defaults.ATTEMPTS_PER_REQUEST
+    phase: Phase = Phase.CHOOSING
+    host: str | None = None
+    attempts: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    unproven: bool = False
+    head: Begin | None = None
+    head_relayed: bool = False
+    tokens_relayed: int = 0
+    chunks_met: int = 0
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+    cancel_until_ms: float = 0.0
+    duplicates_dropped: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Chosen:
+    """An endpoint was chosen; ``None`` if none is usable."""
+
+    host: str | None
+    retry_after_ms: float = defaults.RETRY_AFTER_MS
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The stream to the endpoint ended.
+
+    :param written: whether any byte of the request may have left.
+    """
+
+    written: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerGone:
+    """The caller hung up."""
+
+
+Event = Chosen | Lost | Tick | CallerGone | Begin | Chunk | End | Refuse
+
+
+@dataclasses.dataclass(frozen=True)
+class Choose:
+    """Choose an endpoint, not among ``excluded``; ``home`` if it is named.
+
+    :param is_retry: an earlier attempt failed; the retry budget has a say.
+    """
+
+    home: str | None
+    excluded: frozenset[str]
+    is_retry: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """Send the request to ``host``, to be continued after ``resume_from`` tokens."""
+
+    host: str
+    resume_from: int
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelAt:
+    """Ask ``host`` to stop the request."""
+
+    host: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayHead:
+    """Give the caller the status and headers."""
+
+    head: Begin
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayData:
+    """Give the caller a part of the body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Complete:
+    """The answer is whole; ``body`` is all of it unless it was streamed."""
+
+    head: Begin
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class GiveUp:
+    """End without a whole answer, with a result that tells what is known."""
+
+    result: results.Result
+    retry_after_ms: float
+
+
+Command = Choose | Send | CancelAt | RelayHead | RelayData | Complete | GiveUp
+
+_TRY_ELSEWHERE = frozenset(
+    {
+        results.ENDPOINT_LEAVING.number,
+        results.ENDPOINT_FULL.number,
+        results.ENDPOINT_UNREACHABLE.number,
+    }
+)
+
+
+def start(exchange: Exchange) -> t.Sequence[Command]:
+    """Return the first command of a new exchange."""
+    return [Choose(exchange.home, frozenset(), is_retry=False)]
+
+
+def decide(now_ms: float, exchange: Exchange, event: Event) -> t.Sequence[Command]:
+    """Return what to do next; nothing once the exchange is over."""
+    if exchange.phase is Phase.OVER:
+        return []
+    match event:
+        case Chosen():
+            return _on_chosen(now_ms, exchange, event)
+        case Begin():
+            return _on_begin(exchange, event)
+        case Chunk():
+            return _on_chunk(now_ms, exchange, event)
+        case End():
+            return _on_end(now_ms, exchange, event)
+        case Refuse():
+            return _on_refuse(now_ms, exchange, event)
+        case Lost():
+            return _on_lost(now_ms, exchange, event)
+        case Tick():
+            return _on_tick(now_ms, exchange)
+        case CallerGone():
+            return _on_caller_gone(exchange)
+    raise InvariantError(f"no such event: {event!r}")
+
+
+def next_wake_ms(exchange: Exchange) -> float:
+    """Return the time of the next :class:`Tick` that can matter."""
+    if exchange.phase is Phase.CANCELLING:
+        return exchange.cancel_until_ms
+    return exchange.deadline_at_ms
+
+
+def _on_chosen(now_ms: float, exchange: Exchange, event: Chosen) -> t.Sequence[Command]:
+    if exchange.phase is not Phase.CHOOSING:
+        raise InvariantError(f"an endpoint was chosen in phase {exchange.phase}")
+    if event.host is None:
+        return _nobody(exchange, event)
+    if exchange.home is not None and event.host != exchange.home:
+        raise InvariantError(f"{event.host} was chosen, its home is {exchange.home}")
+    if now_ms >= exchange.deadline_at_ms:
+        return _give_up(exchange, results.DEADLINE_BEFORE_START)
+    exchange.phase = Phase.SENT
+    exchange.host = event.host
+    exchange.tried.add(event.host)
+    exchange.attempts += 1
+    _forget_attempt(exchange)
+    return [Send(event.host, exchange.tokens_relayed)]
+
+
+def _nobody(exchange: Exchange, event: Chosen) -> t.Sequence[Command]:
+    if exchange.home is not None:
+        result = results.TICKET_HOME_UNREACHABLE
+        return _give_up(exchange, result, event.retry_after_ms)
+    return _give_up(exchange, results.NO_ENDPOINT, event.retry_after_ms)
+
+
+def _on_begin(exchange: Exchange, event: Begin) -> t.Sequence[Command]:
+    if exchange.phase is not Phase.SENT or exchange.head is not None:
+        return []
+    exchange.head = event
+    if not exchange.stream:
+        return []
+    exchange.phase = Phase.RELAYING
+    if exchange.head_relayed:
+        return []
+    exchange.head_relayed = True
+    return [RelayHead(event)]
+
+
+def _on_chunk(now_ms: float, exchange: Exchange, event: Chunk) -> t.Sequence[Command]:
+    if exchange.phase not in (Phase.SENT, Phase.RELAYING) or exchange.head is None:
+        return []
+    if event.sequence < exchange.chunks_met:
+        exchange.duplicates_dropped += 1
+        return []
+    if event.sequence > exchange.chunks_met:
+        return _lost_midway(now_ms, exchange, results.STREAM_CUT, cancel=True)
+    exchange.chunks_met += 1
+    if not exchange.stream:
+        exchange.body += event.data
+        return []
+    exchange.tokens_relayed += event.tokens
+    return [RelayData(event.data)]
+
+
+def _on_end(now_ms: float, exchange: Exchange, event: End) -> t.Sequence[Command]:
+    if exchange.phase is Phase.CANCELLING:
+        return _give_up(exchange, results.DEADLINE_AFTER_START)
+    if exchange.phase not in (Phase.SENT, Phase.RELAYING):
+        return []
+    if exchange.head is None or event.chunks != exchange.chunks_met:
+        return _lost_midway(now_ms, exchange, results.STREAM_CUT, cancel=False)
+    exchange.phase = Phase.OVER
+    return [Complete(exchange.head, bytes(exchange.body))]
+
+
+def _on_refuse(now_ms: float, exchange: Exchange, event: Refuse) -> t.Sequence[Command]:
+    result = results.by_number(event.result)
+    if exchange.phase is Phase.CANCELLING:
+        if result.outcome is results.Outcome.NOT_RUN:
+            return _give_up(exchange, results.DEADLINE_BEFORE_START)
+        return _give_up(exchange, results.DEADLINE_AFTER_START)
+    if exchange.phase not in (Phase.SENT, Phase.RELAYING):
+        return []
+    if result.outcome is results.Outcome.UNKNOWN:
+        return _lost_midway(now_ms, exchange, result, False, event.retry_after_ms)
+    if result.number in _TRY_ELSEWHERE and _may_try_again(exchange):
+        return _try_again(exchange)
+    return _give_up(exchange, result, event.retry_after_ms)
+
+
+def _on_lost(now_ms: float, exchange: Exchange, event: Lost) -> t.Sequence[Command]:
+    if exchange.phase is Phase.CANCELLING:
+        return _give_up(exchange, results.DEADLINE_AFTER_START)
+    if exchange.phase not in (Phase.SENT, Phase.RELAYING):
+        return []
+    if event.written:
+        return _lost_midway(now_ms, exchange, results.ENDPOINT_LOST, cancel=False)
+    if _may_try_again(exchange):
+        return _try_again(exchange)
+    return _give_up(exchange, results.ENDPOINT_UNREACHABLE)
+
+
+def _on_tick(now_ms: float, exchange: Exchange) -> t.Sequence[Command]:
+    if exchange.phase is Phase.CANCELLING:
+        if now_ms < exchange.cancel_until_ms:
+            return []
+        return _give_up(exchange, results.DEADLINE_AFTER_START)
+    if now_ms < exchange.deadline_at_ms:
+        return []
+    if exchange.phase is Phase.CHOOSING:
+        return _give_up(exchange, results.DEADLINE_BEFORE_START)
+    host = t.cast(str, exchange.host)
+    if exchange.phase is Phase.RELAYING or exchange.head is not None:
+        late = _give_up(exchange, results.DEADLINE_AFTER_START)
+        return [CancelAt(host), *late]
+    exchange.phase = Phase.CANCELLING
+    exchange.cancel_until_ms = now_ms + defaults.CANCEL_WAIT_MS
+    return [CancelAt(host)]
+
+
+def _on_caller_gone(exchange: Exchange) -> t.Sequence[Command]:
+    was_sent = exchange.phase in (Phase.SENT, Phase.RELAYING)
+    exchange.phase = Phase.OVER
+    if not was_sent:
+        return []
+    return [CancelAt(t.cast(str, exchange.host))]
+
+
+def _lost_midway(
+    now_ms: float,
+    exchange: Exchange,
+    result: results.Result,
+    cancel: bool,
+    retry_after_ms: float = defaults.RETRY_AFTER_MS,
+) -> t.Sequence[Command]:
+    exchange.unproven = True
+    cancels = [CancelAt(t.cast(str, exchange.host))] if cancel else []
+    can_continue = exchange.resumable or not exchange.head_relayed
+    if exchange.repeatable and can_continue and _may_try_again(exchange):
+        if now_ms < exchange.deadline_at_ms:
+            return [*cancels, *_try_again(exchange)]
+    return [*cancels, *_give_up(exchange, result, retry_after_ms)]
+
+
+def _may_try_again(exchange: Exchange) -> bool:
+    return exchange.home is None and exchange.attempts < exchange.attempts_bound
+
+
+def _try_again(exchange: Exchange) -> t.Sequence[Command]:
+    exchange.phase = Phase.CHOOSING
+    exchange.host = None
+    _forget_attempt(exchange)
+    return [Choose(None, frozenset(exchange.tried), is_retry=True)]
+
+
+def _forget_attempt(exchange: Exchange) -> None:
+    exchange.head = None
+    exchange.chunks_met = 0
+    exchange.body.clear()
+
+
+def _give_up(
+    exchange: Exchange,
+    result: results.Result,
+    retry_after_ms: float = defaults.RETRY_AFTER_MS,
+) -> t.Sequence[Command]:
+    """End the exchange; what an earlier attempt may have run is never "not run"."""
+    exchange.phase = Phase.OVER
+    if exchange.unproven and result.outcome is results.Outcome.NOT_RUN:
+        result = results.ENDPOINT_LOST
+    return [GiveUp(result, retry_after_ms)]
--- /dev/null
+++ b/src/dotterelplank/jobs.py
@@ -0,0 +1,102 @@
+"""Whether an agent takes a request, decided as a plain function."""
+
+import dataclasses
+
+from . import defaults, ledger as ledgers, results, tickets
+from .ledger import Ledger
+from .messages import Submit
+from .tickets import Ticket
+
+
+@dataclasses.dataclass
+class AgentState:
+    """What the decision reads and writes.
+
+    :param running: requests that hold a slot.
+    """
+
+    ledger: Ledger
+    secret: bytes = dataclasses.field(repr=False)
+    ledger_policy: ledgers.Policy = ledgers.Policy()
+    slots: int = defaults.AGENT_SLOTS
+    running: int = 0
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    """Hand the request to the endpoint; it holds a slot until :func:`end`."""
+
+    ticket: Ticket | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Give:
+    """Give the answer that was kept."""
+
+    answer: ledgers.Answer
+
+
+@dataclasses.dataclass(frozen=True)
+class TurnAway:
+    """Refuse the request."""
+
+    result: results.Result
+    retry_after_ms: float = defaults.RETRY_AFTER_MS
+
+
+Verdict = Start | Give | TurnAway
+
+
+def accept(
+    now_ms: float, state: AgentState, submit: Submit, request_digest: bytes
+) -> Verdict:
+    """Decide on ``submit``; a ticket that has been met is answered from the ledger.
+
+    An agent that is leaving or full still gives the answers that it has kept.
+    """
+    if not submit.ticket:
+        return _unless_closed(state) or _start(state, None)
+    ticket = tickets.read(submit.ticket.decode("ascii", "replace"), state.secret)
+    if ticket is None:
+        return TurnAway(results.TICKET_INVALID)
+    if ticket.team != submit.team:
+        return TurnAway(results.TICKET_OTHER_TEAM)
+    known = ledgers.look_up(
+        now_ms, state.ledger, ticket, request_digest, state.ledger_policy
+    )
+    if known is not None:
+        return _verdict(known)
+    closed = _unless_closed(state)
+    if closed is not None:
+        return closed
+    decision = ledgers.begin(
+        now_ms, state.ledger, ticket, request_digest, state.ledger_policy
+    )
+    if isinstance(decision, ledgers.Run):
+        return _start(state, ticket)
+    return _verdict(decision)
+
+
+def _verdict(known: ledgers.Repeat | ledgers.Refused) -> Verdict:
+    if isinstance(known, ledgers.Repeat):
+        return Give(known.answer)
+    return TurnAway(known.result)
+
+
+def _unless_closed(state: AgentState) -> TurnAway | None:
+    if state.is_leaving:
+        return TurnAway(results.ENDPOINT_LEAVING)
+    if state.running >= state.slots:
+        return TurnAway(results.ENDPOINT_FULL)
+    return None
+
+
+def _start(state: AgentState, ticket: Ticket | None) -> Start:
+    state.running += 1
+    return Start(ticket)
+
+
+def end(state: AgentState) -> None:
+    """Give back the slot of a request that :func:`accept` started."""
+    state.running -= 1
--- /dev/null
+++ b/src/dotterelplank/jsontext.py
@@ -0,0 +1,38 @@
+"""JSON with comments, as settings and configuration are written."""
+
+import typing as t
+
+import pydantic
+import pyjson5
+
+from .errors import InputError
+
+
+def decode(text: str) -> t.Any:
+    """Return the value that ``text`` holds.
+
+    :raises InputError: if it is no JSON with comments; the place is named.
+    """
+    try:
+        return pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        met = str(error.args[0]) if error.args else type(error).__name__
+        raise InputError("text", met, "JSON with comments") from error
+
+
+def input_errors(error: pydantic.ValidationError) -> t.Sequence[InputError]:
+    """Return one :class:`InputError` for each fault that pydantic found."""
+    faults = []
+    for detail in error.errors():
+        met = repr(detail.get("input"))
+        met = met if len(met) <= 60 else met[:57] + "..."
+        faults.append(InputError(path_text(detail["loc"]), met, detail["msg"]))
+    return faults
+
+
+def path_text(parts: t.Sequence[int | str]) -> str:
+    """Return the path ``parts`` as text, such as ``groups[2].name``."""
+    path = ""
+    for part in parts:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path.lstrip(".") or "text"
--- /dev/null
+++ b/src/dotterelplank/links.py
@@ -0,0 +1,402 @@
+"""Long-lived TCP streams between the system's processes, served by one thread.
+
+The thread accepts, connects, reads and flushes; any thread may send. A message counts
+as possibly sent from the moment that :meth:`Link.send` takes it.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import itertools
+import logging
+import secrets
+import selectors
+import socket
+import threading
+import time
+import typing as t
+
+from . import defaults, events, handshakes
+from .errors import LinkClosedError, PeerRefusedError, ProtocolError
+from .handshakes import Handshake, Side
+from .messages import PROTOCOL_VERSION, FrameReader, Hello, Message, encode
+
+log = logging.getLogger(__name__)
+
+_READ_SIZE_BYTES = 256 * 1024
+_OPENING_BOUND_BYTES = 4 * 1024
+_UNSENT_BOUND_BYTES = 8 * defaults.FRAME_BOUND_BYTES
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """What a process says of itself to its peers, and the secret they share."""
+
+    host: str
+    role: str
+    domain: str
+    incarnation: int
+    secret: bytes = dataclasses.field(repr=False)
+
+
+def new_incarnation(now_unix_ms: float, draw: int) -> int:
+    """Return a number that grows from one process of a host to the next.
+
+    :param draw: 16 random bits that tell two starts in one millisecond apart.
+    """
+    return (int(now_unix_ms) << 16) | (draw & 0xFFFF)
+
+
+class Link:
+    """One stream to one peer."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        handshake: Handshake,
+        want_write: t.Callable[["Link"], None],
+    ) -> None:
+        self._sock = sock
+        self._want_write = want_write
+        self._lock = threading.Lock()
+        self._unsent: collections.deque[bytes] = collections.deque()
+        self._unsent_size_bytes = 0
+        self._request_ids = itertools.count(1)
+        self.handshake = handshake
+        self.reader = FrameReader()
+        self.opened_ms = 0.0
+        self.heard_ms = 0.0
+        self.received_size_bytes = 0
+        self.sent_size_bytes = 0
+        self.messages_received = 0
+        self.is_open = True
+        self.connecting = False
+
+    @property
+    def peer(self) -> Hello:
+        """What the peer said of itself; only valid once the link is ready."""
+        return t.cast(Hello, self.handshake.peer)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the peer has proved that it belongs to this system."""
+        return self.is_open and self.handshake.ready
+
+    def next_request_id(self) -> int:
+        """Return a correlation id that this stream has never used."""
+        return next(self._request_ids)
+
+    def send(self, message: Message) -> None:
+        """Send ``message``, or keep it until the peer takes it.
+
+        :raises LinkClosedError: if the link is closed; nothing was sent.
+        """
+        frame = encode(message)
+        with self._lock:
+            if not self.is_open:
+                raise LinkClosedError("the link is closed", written=False)
+            self._unsent.append(frame)
+            self._unsent_size_bytes += len(frame)
+            if not self.connecting:
+                self._flush_locked()
+            is_left = bool(self._unsent)
+            is_over = self._unsent_size_bytes > _UNSENT_BOUND_BYTES
+        if is_over:
+            self.abort()
+        elif is_left:
+            self._want_write(self)
+
+    def flush(self) -> None:
+        """Send what waits, as far as the peer takes it."""
+        with self._lock:
+            if self.is_open and not self.connecting:
+                self._flush_locked()
+
+    def has_unsent(self) -> bool:
+        """Return whether anything waits to be sent."""
+        return bool(self._unsent)
+
+    def abort(self) -> None:
+        """Break the stream off; the serving thread then reports it as closed."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor, for a selector."""
+        return self._sock.fileno()
+
+    def receive(self) -> bytes:
+        """Return bytes that have arrived; empty once the stream ended."""
+        return self._sock.recv(_READ_SIZE_BYTES)
+
+    def connect_error(self) -> int:
+        """Return the error number of a connect that has finished."""
+        return self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def close(self) -> None:
+        """Close the socket."""
+        with self._lock:
+            self.is_open = False
+            self._unsent.clear()
+            self._sock.close()
+
+    def _flush_locked(self) -> None:
+        while self._unsent:
+            frame = self._unsent[0]
+            try:
+                count = self._sock.send(frame)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                self.abort()
+                return
+            self.sent_size_bytes += count
+            self._unsent_size_bytes -= count
+            if count < len(frame):
+                self._unsent[0] = frame[count:]
+                return
+            self._unsent.popleft()
+
+
+@dataclasses.dataclass(frozen=True)
+class Handlers:
+    """What the owner of the links does; all are called on the serving thread.
+
+    :param on_ready: a peer has proved itself.
+    :param on_message: a message came over a ready link.
+    :param on_closed: a link ended, ready or not; ``dialled`` is the host asked for.
+    :param on_tick: time has passed; called about every ``TICK_INTERVAL_MS``.
+    :param epoch: the ticket epoch to tell in a hello.
+    """
+
+    on_ready: t.Callable[[Link], None]
+    on_message: t.Callable[[Link, Message], None]
+    on_closed: t.Callable[[Link, str | None], None]
+    on_tick: t.Callable[[float], None]
+    epoch: t.Callable[[], int] = lambda: 0
+
+
+class LinkServer:
+    """Owns the links of one process and the thread that serves them."""
+
+    def __init__(self, identity: Identity, handlers: Handlers) -> None:
+        self._identity = identity
+        self._handlers = handlers
+        self._selector = selectors.DefaultSelector()
+        self._listener: socket.socket | None = None
+        self._dialled: dict[Link, str] = {}
+        self._links: set[Link] = set()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ)
+        self._calls: collections.deque[t.Callable[[], None]] = collections.deque()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._serve, name="links", daemon=True)
+
+    def listen(self, address: str, port: int) -> int:
+        """Accept peers at ``address`` and return the port that was bound."""
+        listener = socket.create_server(
+            (address, port), backlog=defaults.LISTEN_BACKLOG
+        )
+        listener.setblocking(False)
+        self._listener = listener
+        self._selector.register(listener, selectors.EVENT_READ)
+        return listener.getsockname()[1]
+
+    def start(self) -> None:
+        """Start the serving thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close all links and end the thread."""
+        self._stopping = True
+        self._wake()
+        self._thread.join()
+
+    def call(self, function: t.Callable[[], None]) -> None:
+        """Run ``function`` on the serving thread soon."""
+        self._calls.append(function)
+        self._wake()
+
+    def connect(self, host: str, address: str, port: int) -> None:
+        """Begin to connect to ``host``; on the serving thread only."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        link = self._open(sock, Side.CONNECTOR)
+        link.connecting = True
+        self._dialled[link] = host
+        try:
+            sock.connect((address, port))
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self._close(link, str(error))
+            return
+        self._selector.modify(link, selectors.EVENT_READ | selectors.EVENT_WRITE, link)
+
+    def _wake(self) -> None:
+        with contextlib.suppress(BlockingIOError, OSError):
+            self._wake_writer.send(b"w")
+
+    def _serve(self) -> None:
+        next_tick_ms = _now_ms()
+        while not self._stopping:
+            wait_ms = max(0.0, next_tick_ms - _now_ms())
+            ready = self._selector.select(wait_ms / 1000)
+            for key, mask in ready:
+                self._on_ready_socket(key, mask)
+            self._run_calls()
+            now_ms = _now_ms()
+            if now_ms >= next_tick_ms:
+                next_tick_ms = now_ms + defaults.TICK_INTERVAL_MS
+                self._drop_slow_openings(now_ms)
+                self._handlers.on_tick(now_ms)
+        self._shut()
+
+    def _on_ready_socket(self, key: selectors.SelectorKey, mask: int) -> None:
+        if key.fileobj is self._wake_reader:
+            with contextlib.suppress(BlockingIOError):
+                self._wake_reader.recv(4096)
+        elif key.fileobj is self._listener:
+            self._accept()
+        else:
+            self._on_link(key.data, mask)
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = t.cast(socket.socket, self._listener).accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        self._open(sock, Side.ACCEPTOR)
+
+    def _open(self, sock: socket.socket, side: Side) -> Link:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        own = Hello(
+            PROTOCOL_VERSION,
+            self._identity.host,
+            self._identity.role,
+            self._identity.domain,
+            self._identity.incarnation,
+            secrets.token_bytes(handshakes.NONCE_SIZE_BYTES),
+            self._handlers.epoch(),
+        )
+        link = Link(sock, Handshake(side, own, self._identity.secret), self._arm_soon)
+        link.opened_ms = link.heard_ms = _now_ms()
+        self._links.add(link)
+        self._selector.register(link, selectors.EVENT_READ, link)
+        return link
+
+    def _on_link(self, link: Link, mask: int) -> None:
+        if link not in self._links:
+            return
+        if link.connecting:
+            self._on_connected(link)
+            return
+        if mask & selectors.EVENT_WRITE:
+            link.flush()
+            self._watch(link)
+        if mask & selectors.EVENT_READ:
+            self._read(link)
+
+    def _on_connected(self, link: Link) -> None:
+        error = link.connect_error()
+        if error:
+            self._close(link, f"connect failed with error {error}")
+            return
+        link.connecting = False
+        self._watch(link)
+        for message in handshakes.opening(link.handshake):
+            link.send(message)
+
+    def _read(self, link: Link) -> None:
+        try:
+            data = link.receive()
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._close(link, str(error))
+            return
+        if not data:
+            self._close(link, "the peer closed it")
+            return
+        link.heard_ms = _now_ms()
+        link.received_size_bytes += len(data)
+        try:
+            for message in link.reader.feed(data):
+                self._on_message(link, message)
+            self._check_opening(link)
+        except PeerRefusedError as error:
+            events.emit(log, events.PEER_REFUSED, reason=str(error))
+            self._close(link, str(error))
+        except ProtocolError as error:
+            events.emit(log, events.FRAME_REFUSED, reason=str(error))
+            self._close(link, str(error))
+        except LinkClosedError as error:
+            self._close(link, str(error))
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        link.messages_received += 1
+        if link.handshake.ready:
+            self._handlers.on_message(link, message)
+            return
+        for reply in handshakes.advance(link.handshake, message):
+            link.send(reply)
+        if link.handshake.ready:
+            self._handlers.on_ready(link)
+
+    def _check_opening(self, link: Link) -> None:
+        if link.handshake.ready:
+            return
+        if link.received_size_bytes > _OPENING_BOUND_BYTES:
+            raise ProtocolError(
+                f"met {link.received_size_bytes} bytes before the handshake was over"
+            )
+
+    def _drop_slow_openings(self, now_ms: float) -> None:
+        for link in list(self._links):
+            if link.handshake.ready:
+                continue
+            if now_ms - link.opened_ms > defaults.HANDSHAKE_TIMEOUT_MS:
+                self._close(link, "the handshake took too long")
+
+    def _run_calls(self) -> None:
+        while self._calls:
+            self._calls.popleft()()
+
+    def _arm_soon(self, link: Link) -> None:
+        self.call(lambda: self._watch(link))
+
+    def _watch(self, link: Link) -> None:
+        if link not in self._links or link.connecting:
+            return
+        mask = selectors.EVENT_READ
+        if link.has_unsent():
+            mask |= selectors.EVENT_WRITE
+        self._selector.modify(link, mask, link)
+
+    def _close(self, link: Link, reason: str) -> None:
+        if link not in self._links:
+            return
+        self._links.discard(link)
+        self._selector.unregister(link)
+        link.close()
+        dialled = self._dialled.pop(link, None)
+        if link.handshake.ready:
+            events.emit(log, events.LINK_CLOSED, peer=link.peer.host, reason=reason)
+        self._handlers.on_closed(link, dialled)
+
+    def _shut(self) -> None:
+        for link in list(self._links):
+            link.flush()
+            self._close(link, "this process stops")
+        if self._listener is not None:
+            self._listener.close()
+        self._selector.close()
+        self._wake_reader.close()
+        self._wake_writer.close()
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
--- /dev/null
+++ b/src/dotterelplank/settings.py
@@ -0,0 +1,91 @@
+"""The settings of one process: its own addresses, failure domain and secret."""
+
+import pathlib
+import typing as t
+
+import pydantic
+
+from . import defaults, jsontext
+from .configuration import Name
+from .errors import InputError, SettingsError
+
+Port = t.Annotated[int, pydantic.Field(ge=0, le=65535)]
+Address = pydantic.IPvAnyAddress
+
+
+class _Settings(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    host: Name
+    domain: Name
+    address: Address
+    peer_port: Port
+    status_port: Port
+    platform_url: str = pydantic.Field(pattern=r"^http://")
+    secret_file: str | None = None
+    secret: str | None = pydantic.Field(None, min_length=16, repr=False)
+    log_format: t.Literal["json", "text"] = "json"
+    log_level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    trace_file: str | None = None
+    stop_bound_ms: float = pydantic.Field(defaults.STOP_BOUND_MS, gt=0)
+
+    @pydantic.model_validator(mode="after")
+    def _one_secret(self) -> t.Self:
+        if (self.secret is None) == (self.secret_file is None):
+            raise ValueError("exactly one of secret and secret_file")
+        return self
+
+    def secret_bytes(self) -> bytes:
+        """Return the secret that the system's processes share."""
+        if self.secret is not None:
+            return self.secret.encode()
+        return pathlib.Path(self.secret_file).read_bytes().strip()
+
+
+class EntrySettings(_Settings):
+    """The settings of an entry."""
+
+    caller_port: Port
+    caller_threads: int = pydantic.Field(defaults.CALLER_THREADS, ge=1, le=4096)
+    refusing_threads: int = pydantic.Field(defaults.REFUSING_THREADS, ge=1, le=512)
+    balancer_notice_ms: float = pydantic.Field(defaults.BALANCER_NOTICE_MS, ge=0)
+
+
+class AgentSettings(_Settings):
+    """The settings of an agent.
+
+    :param endpoint_url: the engine or plain service beside it.
+    """
+
+    endpoint_url: str = pydantic.Field(pattern=r"^http://")
+    endpoint_kind: t.Literal["model", "service"]
+    slots: int = pydantic.Field(defaults.AGENT_SLOTS, ge=1, le=4096)
+
+
+_Kind = t.TypeVar("_Kind", EntrySettings, AgentSettings)
+
+
+def load(kind: type[_Kind], path: pathlib.Path) -> _Kind:
+    """Return the settings that the file at ``path`` holds.
+
+    :raises SettingsError: if it can't be read; the first fault is named.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), str(error), "a readable file") from error
+    return parse(kind, text)
+
+
+def parse(kind: type[_Kind], text: str) -> _Kind:
+    """Return the settings that ``text`` holds.
+
+    :raises SettingsError: naming the first fault's path.
+    """
+    try:
+        return kind.model_validate(jsontext.decode(text))
+    except pydantic.ValidationError as error:
+        fault = jsontext.input_errors(error)[0]
+        raise SettingsError(fault.path, fault.met, fault.expected) from error
+    except InputError as error:
+        raise SettingsError(error.path, error.met, error.expected) from error
