Add stand-ins of the platform, the engine and a plain service

Ruled out: one class for state and transport, since tests want a clock of their own; state is pure with now_ms as an argument, and a thin cheroot layer serves it. Ruled out: a thread pool without reserve, since a frozen stand-in could then not be thawed; four threads are kept for control calls. Conclusion: usable; the engine has no tests of its own yet.

--- a/src/dotterelplank/errors.py
+++ b/src/dotterelplank/errors.py
@@ -77,3 +77,18 @@
 
 class InvariantError(DotterelplankError):
     """A promise that must always hold was found broken; the process stops the act."""
+
+
+class StandinRefusalError(DotterelplankError):
+    """A stand-in of an outside system refuses a call.
+
+    :param status: HTTP status of the answer.
+    :param code: numbered result code; ``docs/STANDINS.md`` lists them.
+    :param fields: further members of the answer's JSON body.
+    """
+
+    def __init__(self, status: int, code: int, message: str, **fields: t.Any) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.fields = fields
--- /dev/null
+++ b/src/dotterelplank/standin_cache.py
@@ -0,0 +1,90 @@
+"""The prefix cache of the stand-in engine, with late and lossy events."""
+
+import collections
+import dataclasses
+import random
+import typing as t
+
+KEPT_EVENTS = 10_000
+
+Operation = t.Literal["stored", "evicted"]
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheEvent:
+    """A change of the cache; a gap between sequences is a lost event."""
+
+    sequence: int
+    operation: Operation
+    block: str
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheEvents:
+    """Events after a sequence; ``last`` counts the lost ones too."""
+
+    events: t.Sequence[CacheEvent]
+    last: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Recorded:
+    event: CacheEvent
+    at_ms: float
+    lost: bool
+
+
+class PrefixCache:
+    """Blocks by recency of use, at most ``capacity_blocks`` of them.
+
+    :param seed: decides which events are lost.
+    """
+
+    def __init__(self, capacity_blocks: int, seed: int) -> None:
+        self.loss_share = 0.0
+        self._capacity_blocks = capacity_blocks
+        self._random = random.Random(seed)
+        self._blocks: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._recorded: collections.deque[_Recorded] = collections.deque(
+            maxlen=KEPT_EVENTS
+        )
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def cached_prefix(self, blocks: t.Sequence[str]) -> int:
+        """Return how many of the leading ``blocks`` are cached."""
+        for count, block in enumerate(blocks):
+            if block not in self._blocks:
+                return count
+        return len(blocks)
+
+    def use(self, blocks: t.Sequence[str], now_ms: float) -> None:
+        """Store ``blocks`` as the last used, and evict what no longer fits."""
+        # The shortest prefix is touched last, so that it is evicted last.
+        for block in reversed(blocks):
+            if block not in self._blocks:
+                self._record("stored", block, now_ms)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity_blocks:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._record("evicted", evicted, now_ms)
+
+    def events(self, after: int, now_ms: float, delay_ms: float) -> CacheEvents:
+        """Return the events after ``after`` that are at least ``delay_ms`` old."""
+        seen = [
+            recorded
+            for recorded in self._recorded
+            if recorded.at_ms <= now_ms - delay_ms and recorded.event.sequence > after
+        ]
+        last = seen[-1].event.sequence if seen else after
+        found = tuple(recorded.event for recorded in seen if not recorded.lost)
+        return CacheEvents(found, min(last, self._sequence))
+
+    def _record(self, operation: Operation, block: str, now_ms: float) -> None:
+        self._sequence += 1
+        lost = self._random.random() < self.loss_share
+        event = CacheEvent(self._sequence, operation, block)
+        self._recorded.append(_Recorded(event, now_ms, lost))
--- /dev/null
+++ b/src/dotterelplank/standin_engine_http.py
@@ -0,0 +1,322 @@
+"""The HTTP interface of the stand-in engine, and the thread that takes its steps."""
+
+import contextlib
+import dataclasses
+import queue
+import threading
+import typing as t
+
+import pydantic_core
+
+from . import events, standin_http as shell
+from .errors import StandinRefusalError
+from .standin_engine import (
+    ChatRequest,
+    Emission,
+    EngineFaults,
+    EngineOrder,
+    EngineSettings,
+    EngineState,
+)
+from .standin_tokens import prompt_text
+
+CHARS_PER_TOKEN = 4
+DONE = b"data: [DONE]\n\n"
+
+
+@dataclasses.dataclass(frozen=True)
+class Delta:
+    """What a chunk adds to the answer."""
+
+    content: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ChunkChoice:
+    """The one choice of a chunk."""
+
+    delta: Delta
+    finish_reason: str | None
+    index: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Chunk:
+    """One token of a streamed answer."""
+
+    id: str
+    model: str
+    choices: t.Sequence[ChunkChoice]
+    index_token: int
+    object: str = "chat.completion.chunk"
+    created: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerMessage:
+    """The message of a whole answer."""
+
+    content: str
+    role: str = "assistant"
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerChoice:
+    """The one choice of a whole answer."""
+
+    message: AnswerMessage
+    finish_reason: str
+    index: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """Size of a prompt and of its answer in tokens."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A whole answer."""
+
+    id: str
+    model: str
+    choices: t.Sequence[AnswerChoice]
+    usage: Usage
+    object: str = "chat.completion"
+    created: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class OrderReport:
+    """The answer to an order that was executed."""
+
+    executed: bool
+    highest_fence: int
+
+
+class Engine:
+    """An engine behind a lock; the object that an embedder works with."""
+
+    def __init__(self, settings: EngineSettings | None = None) -> None:
+        self.state = EngineState(settings)
+        self.changed = threading.Condition()
+        self.closed = False
+        self._outboxes: dict[int, queue.SimpleQueue[Emission]] = {}
+
+    def submit(self, request: ChatRequest, request_id: str) -> int:
+        """Queue a request and return the number of its generation."""
+        with self._thawed() as now_ms:
+            number = self.state.submit(request, request_id, now_ms)
+            self._outboxes[number] = queue.SimpleQueue()
+        return number
+
+    def next_emission(self, number: int) -> Emission:
+        """Wait for what the generation emits next."""
+        return self._outboxes[number].get()
+
+    def release(self, number: int) -> None:
+        """Forget a generation; one that hasn't ended is cancelled."""
+        with self.changed:
+            self._outboxes.pop(number, None)
+            self.state.abandon(number, shell.now_ms())
+            self.changed.notify_all()
+
+    def call(self, act: t.Callable[[float], t.Any]) -> t.Any:
+        """Run ``act`` with the present time, once the engine isn't frozen."""
+        with self._thawed() as now_ms:
+            return act(now_ms)
+
+    def order(self, order: EngineOrder) -> OrderReport:
+        """Take an order in and wait until it was executed."""
+        with self._thawed() as now_ms:
+            ticket = self.state.order(order, now_ms)
+            self.changed.notify_all()
+            while not ticket.done and not self.closed:
+                self.changed.wait()
+            ticket.check()
+            return OrderReport(ticket.done, self.state.orders.highest_fence)
+
+    def change_faults(self, changes: EngineFaults) -> EngineFaults:
+        """Change the faults that ``changes`` sets."""
+        with self.changed:
+            faults = shell.merged(self.state.faults, changes)
+            self.state.set_faults(faults, shell.now_ms())
+            self.changed.notify_all()
+        events.emit(shell.logger, events.STANDIN_FAULTS_SET, faults=faults)
+        return faults
+
+    def run_steps(self) -> None:
+        """Take steps and hand emissions out until the engine is closed."""
+        with self.changed:
+            while not self.closed:
+                self._deliver(self.state.advance(shell.now_ms()))
+                # Callers wait for orders that may have come due just now.
+                self.changed.notify_all()
+                self.changed.wait(self._idle_s())
+
+    def close(self) -> None:
+        """Stop the steps and let every waiting call end."""
+        with self.changed:
+            self.closed = True
+            for number, outbox in self._outboxes.items():
+                outbox.put(Emission(number, 0, None, "died"))
+            self.changed.notify_all()
+
+    @contextlib.contextmanager
+    def _thawed(self) -> t.Iterator[float]:
+        with self.changed:
+            while self.state.faults.freeze and not self.closed:
+                self.changed.wait()
+            if self.closed:
+                raise StandinRefusalError(503, shell.Code.DOWN, "the engine stops")
+            yield shell.now_ms()
+            self.changed.notify_all()
+
+    def _deliver(self, emissions: t.Sequence[Emission]) -> None:
+        for emission in emissions:
+            outbox = self._outboxes.get(emission.number)
+            if outbox is not None:
+                outbox.put(emission)
+
+    def _idle_s(self) -> float | None:
+        due_ms = self.state.next_due_ms()
+        if due_ms is None:
+            return None
+        return max(0.0, due_ms - shell.now_ms()) / 1000.0
+
+
+@contextlib.contextmanager
+def running(settings: EngineSettings | None = None) -> t.Iterator[Engine]:
+    """Yield an engine that takes its steps on a thread of its own."""
+    engine = Engine(settings)
+    thread = threading.Thread(target=engine.run_steps, daemon=True)
+    thread.start()
+    try:
+        yield engine
+    finally:
+        engine.close()
+        thread.join()
+
+
+def routes(engine: Engine) -> t.Sequence[shell.Route]:
+    """Return the HTTP interface of ``engine``."""
+
+    def chat(request: shell.Request) -> shell.Response:
+        call = request.read(ChatRequest)
+        return _chat(engine, request, call)
+
+    def cancel(request: shell.Request) -> shell.Response:
+        request_id = request.params["id"]
+        return shell.reply(
+            engine.call(lambda now_ms: engine.state.cancel(request_id, now_ms))
+        )
+
+    def load(_request: shell.Request) -> shell.Response:
+        return shell.reply(engine.call(engine.state.load))
+
+    def cache_events(request: shell.Request) -> shell.Response:
+        after = request.number("after", 0)
+        return shell.reply(
+            engine.call(lambda now_ms: engine.state.cache_events(after, now_ms))
+        )
+
+    def order(request: shell.Request) -> shell.Response:
+        return shell.reply(engine.order(request.read(EngineOrder)))
+
+    def orders(_request: shell.Request) -> shell.Response:
+        with engine.changed:
+            return shell.reply(engine.state.orders.executed)
+
+    def executions(_request: shell.Request) -> shell.Response:
+        with engine.changed:
+            return shell.reply(engine.state.executions())
+
+    def set_faults(request: shell.Request) -> shell.Response:
+        return shell.reply(engine.change_faults(request.read(EngineFaults)))
+
+    return [
+        shell.Route("POST", "/v1/chat/completions", chat),
+        shell.Route("DELETE", "/v1/requests/{id}", cancel),
+        shell.Route("GET", "/v1/load", load),
+        shell.Route("GET", "/v1/cache/events", cache_events),
+        shell.Route("POST", "/v1/orders", order),
+        shell.Route("GET", "/control/orders", orders),
+        shell.Route("GET", "/control/executions", executions),
+        shell.Route("POST", "/control/faults", set_faults),
+    ]
+
+
+def _chat(engine: Engine, request: shell.Request, call: ChatRequest) -> shell.Response:
+    request_id = request.headers.get("x-request-id", "")
+    number = engine.submit(call, request_id)
+    emissions = _emissions(engine, request, number)
+    # The status waits for the first token, so that a request which is cancelled
+    # before it began is refused and not answered with an empty stream.
+    first = next(emissions)
+    _check_not_cancelled(first)
+    if call.stream:
+        chunks = _stream(call, request_id, first, emissions)
+        return shell.Response(body=chunks, content_type="text/event-stream")
+    whole = [first, *emissions]
+    _check_not_cancelled(whole[-1])
+    return shell.reply(_answer(call, request_id, whole))
+
+
+def _check_not_cancelled(emission: Emission) -> None:
+    if emission.finish == "cancelled":
+        message = f"cancelled at token {emission.index_token}"
+        raise StandinRefusalError(409, shell.Code.CANCELLED, message)
+
+
+def _emissions(
+    engine: Engine, request: shell.Request, number: int
+) -> t.Iterator[Emission]:
+    """Yield what a generation emits up to its end, or tear the connection down."""
+    try:
+        finish = None
+        while finish is None:
+            emission = engine.next_emission(number)
+            finish = emission.finish
+            if finish == "died":
+                request.tear()
+            yield emission
+    finally:
+        engine.release(number)
+
+
+def _stream(
+    call: ChatRequest,
+    request_id: str,
+    first: Emission,
+    rest: t.Generator[Emission, None, None],
+) -> t.Iterator[bytes]:
+    with contextlib.closing(rest):
+        emission = first
+        while True:
+            yield _chunk(call, request_id, emission)
+            if emission.finish is not None:
+                break
+            emission = next(rest)
+    if emission.finish == "length":
+        yield DONE
+
+
+def _chunk(call: ChatRequest, request_id: str, emission: Emission) -> bytes:
+    choice = ChunkChoice(Delta(emission.token or ""), emission.finish)
+    chunk = Chunk(request_id, call.model, [choice], emission.index_token)
+    return b"data: " + pydantic_core.to_json(chunk) + b"\n\n"
+
+
+def _answer(
+    call: ChatRequest, request_id: str, emissions: t.Sequence[Emission]
+) -> Answer:
+    tokens = [emission.token for emission in emissions if emission.token is not None]
+    finish = emissions[-1].finish or "length"
+    choice = AnswerChoice(AnswerMessage("".join(tokens)), finish)
+    prompt_tokens = len(prompt_text(call.messages)) // CHARS_PER_TOKEN
+    usage = Usage(prompt_tokens, len(tokens), prompt_tokens + len(tokens))
+    return Answer(request_id, call.model, [choice], usage)
--- /dev/null
+++ b/src/dotterelplank/standin_http.py
@@ -0,0 +1,363 @@
+"""A small WSGI layer that the stand-ins of the outside systems share.
+
+A stand-in is a list of routes. Each handler takes a :class:`Request` and
+returns a :class:`Response`, or raises
+:class:`~dotterelplank.errors.StandinRefusalError` for a numbered JSON error.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+import errno
+import http
+import logging
+import re
+import socket
+import threading
+import time
+import typing as t
+import urllib.parse
+
+import cheroot.wsgi
+import pydantic
+import pydantic_core
+
+from . import events
+from .errors import StandinRefusalError
+
+LOOPBACK = "127.0.0.1"
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_WAIT_MS = 60_000
+IDLE_TIMEOUT_S = 300
+KEPT_CONNECTIONS = 4096
+LISTEN_BACKLOG = 128
+STOP_TIMEOUT_S = 2
+# Threads that only control calls may take, so that a stand-in whose callers
+# all hang can still be told to let them go.
+CONTROL_THREADS = 4
+
+logger = logging.getLogger(__name__)
+
+M = t.TypeVar("M", bound=pydantic.BaseModel)
+Chunks = collections.abc.Iterator[bytes]
+
+
+class Code(enum.IntEnum):
+    """Result codes of the stand-ins; ``docs/STANDINS.md`` explains each."""
+
+    MALFORMED = 6001
+    NO_SUCH_PATH = 6002
+    METHOD_NOT_ALLOWED = 6003
+    TOO_LARGE = 6004
+    BUSY = 6005
+    INTERNAL = 6006
+    DOWN = 6010
+    NO_SUCH_REVISION = 6011
+    NO_SUCH_HOST = 6012
+    OLD_FENCE = 6020
+    MODEL_NOT_LOADED = 6021
+    QUEUE_FULL = 6022
+    CANCELLED = 6023
+    PASSED = 6030
+    STAGED = 6031
+    UNKNOWN_BALLOT = 6032
+    HAS_MAP = 6033
+    NO_SUCH_RANK = 6034
+    RATE_LIMITED = 6040
+
+
+class StrictModel(pydantic.BaseModel):
+    """Base of the bodies that stand-ins accept; unknown members are refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """One HTTP request.
+
+    :param params: the values of the route's placeholders.
+    :param headers: by lower-case name.
+    """
+
+    method: str
+    path: str
+    params: t.Mapping[str, str]
+    query: t.Mapping[str, str]
+    headers: t.Mapping[str, str]
+    body: bytes
+    connection: socket.socket | None = None
+
+    def read(self, model: type[M]) -> M:
+        """Return the JSON body as ``model``; the refusal names each fault."""
+        try:
+            return model.model_validate_json(self.body or b"{}")
+        except pydantic.ValidationError as error:
+            raise malformed(_describe(error)) from None
+
+    def read_as(self, adapter: pydantic.TypeAdapter) -> t.Any:
+        """Return the JSON body as the type that ``adapter`` checks."""
+        try:
+            return adapter.validate_json(self.body)
+        except pydantic.ValidationError as error:
+            raise malformed(_describe(error)) from None
+
+    def number(self, name: str, default: int, maximum: int = 2**63) -> int:
+        """Return a whole number from the query, between 0 and ``maximum``."""
+        text = self.query.get(name)
+        if text is None:
+            return default
+        if not re.fullmatch("[0-9]{1,19}", text):
+            raise malformed(f"{name}: met {text!r}, expected a whole number")
+        return min(int(text), maximum)
+
+    def tear(self) -> t.NoReturn:
+        """Close the connection under the caller, without any further byte."""
+        events.emit(logger, events.STANDIN_CONNECTION_TORN, path=self.path)
+        if self.connection is not None:
+            with contextlib.suppress(OSError):
+                self.connection.shutdown(socket.SHUT_RDWR)
+        raise ConnectionResetError(errno.ECONNRESET, "torn down by a fault")
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """One HTTP response; ``body`` is whole, or chunks that are sent as they come."""
+
+    status: int = 200
+    body: bytes | Chunks = b""
+    content_type: str = "application/json"
+    headers: t.Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+Handler = t.Callable[[Request], Response]
+App = t.Callable[[dict, t.Callable], t.Iterable[bytes]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """A handler for a method and a path such as ``/v1/hosts/{host}``.
+
+    The method ``*`` stands for any; a ``{name:path}`` placeholder takes slashes.
+    """
+
+    method: str
+    pattern: str
+    handler: Handler
+
+    def match(self, path: str) -> t.Mapping[str, str] | None:
+        """Return the values of the placeholders, or None for another path."""
+        found = _compiled(self.pattern).fullmatch(path)
+        return None if found is None else found.groupdict()
+
+
+def malformed(message: str) -> StandinRefusalError:
+    """Return the refusal of a call that can't be understood."""
+    return StandinRefusalError(400, Code.MALFORMED, message)
+
+
+def reply(value: t.Any, status: int = 200) -> Response:
+    """Return ``value``, a model or a data class, as a JSON response."""
+    return Response(status, pydantic_core.to_json(value))
+
+
+def refuse(refusal: StandinRefusalError) -> Response:
+    """Return a refusal as a JSON response."""
+    body = {"code": int(refusal.code), "message": str(refusal), **refusal.fields}
+    headers = {}
+    if "retry_after_s" in refusal.fields:
+        headers["Retry-After"] = str(refusal.fields["retry_after_s"])
+    return Response(refusal.status, pydantic_core.to_json(body), headers=headers)
+
+
+def merged(settings: M, changes: M) -> M:
+    """Return ``settings`` with the members that the caller set in ``changes``."""
+    return settings.model_copy(update=changes.model_dump(exclude_unset=True))
+
+
+def now_ms() -> float:
+    """Return the present time of the monotonic clock in milliseconds."""
+    return time.monotonic() * 1000.0
+
+
+def make_app(routes: t.Sequence[Route], threads: int) -> App:
+    """Return a WSGI application that serves ``routes`` in their order.
+
+    All but :data:`CONTROL_THREADS` of the server's ``threads`` may be held by
+    calls; the next call is refused at once, unless it is a control call.
+    """
+    slots = threading.BoundedSemaphore(max(1, threads - CONTROL_THREADS))
+
+    def respond(environ: dict, start_response: t.Callable) -> t.Iterable[bytes]:
+        chunks = _send(_answer(routes, environ), start_response)
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else chunks
+
+    def app(environ: dict, start_response: t.Callable) -> t.Iterable[bytes]:
+        if environ["PATH_INFO"].startswith("/control/"):
+            return respond(environ, start_response)
+        if not slots.acquire(blocking=False):
+            busy = StandinRefusalError(503, Code.BUSY, "every thread is in use")
+            return _send(refuse(busy), start_response)
+        with contextlib.ExitStack() as held:
+            held.callback(slots.release)
+            chunks = respond(environ, start_response)
+            return _Body(chunks, held.pop_all())
+
+    return app
+
+
+@contextlib.contextmanager
+def serving(
+    app: App, address: str = LOOPBACK, port: int = 0, threads: int = 32
+) -> t.Iterator[int]:
+    """Serve ``app`` on threads of its own and yield the bound port."""
+    server = cheroot.wsgi.Server((address, port), app, numthreads=threads)
+    server.gateway = _Gateway
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
+    server.timeout = IDLE_TIMEOUT_S
+    server.request_queue_size = LISTEN_BACKLOG
+    server.shutdown_timeout = STOP_TIMEOUT_S
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    bound_port = server.bind_addr[1]
+    events.emit(logger, events.STANDIN_LISTENING, address=address, port=bound_port)
+    try:
+        yield bound_port
+    finally:
+        server.stop()
+        thread.join()
+        events.emit(logger, events.STANDIN_STOPPED, port=bound_port)
+
+
+class _Gateway(cheroot.wsgi.Gateway_10):
+    """Lets a handler reach the connection, which only a fault needs."""
+
+    def get_environ(self) -> dict:
+        environ = super().get_environ()
+        environ["standin.connection"] = self.req.conn.socket
+        return environ
+
+
+class _Body:
+    """Chunks of a response; closing them gives the held thread back."""
+
+    def __init__(self, chunks: t.Iterable[bytes], held: contextlib.ExitStack) -> None:
+        self._chunks = iter(chunks)
+        self._held = held
+
+    def __iter__(self) -> t.Iterator[bytes]:
+        return self._chunks
+
+    def close(self) -> None:
+        with self._held:
+            if isinstance(self._chunks, collections.abc.Generator):
+                self._chunks.close()
+
+
+def _compiled(pattern: str) -> re.Pattern:
+    regex = re.sub(r"\{(\w+):path\}", r"(?P<\1>.*)", pattern)
+    return re.compile(re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", regex))
+
+
+def _answer(routes: t.Sequence[Route], environ: dict) -> Response:
+    try:
+        return _dispatch(routes, environ)
+    except StandinRefusalError as refusal:
+        return refuse(refusal)
+    except ConnectionError:
+        raise
+    except Exception as error:
+        logger.debug("call failed", exc_info=True)
+        events.emit(logger, events.STANDIN_CALL_FAILED, error=repr(error))
+        failed = StandinRefusalError(500, Code.INTERNAL, type(error).__name__)
+        return refuse(failed)
+
+
+def _dispatch(routes: t.Sequence[Route], environ: dict) -> Response:
+    path = environ["PATH_INFO"]
+    method = environ["REQUEST_METHOD"]
+    methods = []
+    for route in routes:
+        params = route.match(path)
+        if params is None:
+            continue
+        if route.method in (method, "*"):
+            return route.handler(_request(environ, params))
+        methods.append(route.method)
+    if methods:
+        expected = " or ".join(methods)
+        message = f"{path}: met {method}, expected {expected}"
+        raise StandinRefusalError(405, Code.METHOD_NOT_ALLOWED, message)
+    raise StandinRefusalError(404, Code.NO_SUCH_PATH, f"{path}: no such path")
+
+
+def _request(environ: dict, params: t.Mapping[str, str]) -> Request:
+    query = urllib.parse.parse_qsl(environ["QUERY_STRING"], keep_blank_values=True)
+    return Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        params=params,
+        query=dict(query),
+        headers=_headers(environ),
+        body=_read_body(environ),
+        connection=environ.get("standin.connection"),
+    )
+
+
+def _headers(environ: dict) -> t.Mapping[str, str]:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return headers
+
+
+def _read_body(environ: dict) -> bytes:
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdecimal():
+        raise malformed("Content-Length: expected a whole number")
+    if environ.get("wsgi.input_terminated"):
+        body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    elif int(length) <= MAX_BODY_BYTES:
+        body = environ["wsgi.input"].read(int(length))
+    else:
+        raise too_large(int(length), MAX_BODY_BYTES)
+    if len(body) > MAX_BODY_BYTES:
+        raise too_large(len(body), MAX_BODY_BYTES)
+    return body
+
+
+def too_large(met_bytes: int, limit_bytes: int) -> StandinRefusalError:
+    """Return the refusal of a body or value over its limit."""
+    message = f"met {met_bytes} bytes, expected at most {limit_bytes}"
+    return StandinRefusalError(413, Code.TOO_LARGE, message)
+
+
+def _send(response: Response, start_response: t.Callable) -> t.Iterable[bytes]:
+    headers = [("Content-Type", response.content_type), *response.headers.items()]
+    if isinstance(response.body, bytes):
+        headers.append(("Content-Length", str(len(response.body))))
+    start_response(_status_line(response.status), headers)
+    if isinstance(response.body, bytes):
+        return [response.body]
+    return response.body
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    faults = error.errors(include_url=False, include_input=False)[:5]
+    return "; ".join(
+        f"{'.'.join(str(part) for part in fault['loc']) or 'body'}: {fault['msg']}"
+        for fault in faults
+    )
--- /dev/null
+++ b/src/dotterelplank/standin_orders.py
@@ -0,0 +1,96 @@
+"""Orders to a stand-in: fencing numbers, and orders that are still in flight."""
+
+import dataclasses
+import typing as t
+
+from . import standin_http as shell
+from .errors import StandinRefusalError
+
+KEPT_ORDERS = 10_000
+
+
+class Fenced(t.Protocol):
+    """An order that carries a fencing number."""
+
+    fence: int
+
+
+O = t.TypeVar("O", bound=Fenced)  # noqa: E741
+
+
+@dataclasses.dataclass
+class OrderTicket(t.Generic[O]):
+    """An order that was received; it is executed at ``due_ms``, also when the
+    caller has gone.
+
+    :param refusal: why it was refused when it came to its execution.
+    """
+
+    order: O
+    due_ms: float
+    done: bool = False
+    refusal: StandinRefusalError | None = None
+
+    def check(self) -> None:
+        """Raise the refusal that the order met, if any."""
+        if self.refusal is not None:
+            raise self.refusal
+
+
+class OrderDesk(t.Generic[O]):
+    """Receives orders and executes each when it is due.
+
+    :param refuses_old_fences: whether an order is refused when its fencing number
+        is below the highest that was seen; else such an order is executed.
+    :param execute: called with the order and the time; may raise a refusal.
+    """
+
+    def __init__(
+        self, refuses_old_fences: bool, execute: t.Callable[[O, float], None]
+    ) -> None:
+        self.highest_fence = 0
+        self.executed: list[O] = []
+        self._refuses_old_fences = refuses_old_fences
+        self._execute = execute
+        self._in_flight: list[OrderTicket[O]] = []
+
+    def receive(self, order: O, now_ms: float, delay_ms: float) -> OrderTicket[O]:
+        """Take an order in; it is executed ``delay_ms`` later."""
+        self._check_fence(order)
+        self.highest_fence = max(self.highest_fence, order.fence)
+        ticket = OrderTicket(order, now_ms + delay_ms)
+        self._in_flight.append(ticket)
+        self.run_due(now_ms)
+        return ticket
+
+    def run_due(self, now_ms: float) -> None:
+        """Execute every order that is due, the earliest first."""
+        due = [ticket for ticket in self._in_flight if ticket.due_ms <= now_ms]
+        for ticket in sorted(due, key=lambda ticket: ticket.due_ms):
+            self._in_flight.remove(ticket)
+            self._run(ticket)
+
+    def next_due_ms(self) -> float | None:
+        """Return when the next order in flight is due."""
+        return min((ticket.due_ms for ticket in self._in_flight), default=None)
+
+    def _run(self, ticket: OrderTicket[O]) -> None:
+        try:
+            self._check_fence(ticket.order)
+            self._execute(ticket.order, ticket.due_ms)
+        except StandinRefusalError as refusal:
+            ticket.refusal = refusal
+        else:
+            self.executed.append(ticket.order)
+            del self.executed[:-KEPT_ORDERS]
+        ticket.done = True
+
+    def _check_fence(self, order: O) -> None:
+        if self._refuses_old_fences and order.fence < self.highest_fence:
+            raise StandinRefusalError(
+                409,
+                shell.Code.OLD_FENCE,
+                f"fence: met {order.fence}, expected {self.highest_fence} or more",
+                reason="fence",
+                highest_fence=self.highest_fence,
+            )
--- /dev/null
+++ b/src/dotterelplank/standin_platform.py
@@ -0,0 +1,293 @@
+"""A stand-in of the platform: a watched configuration and a list of hosts.
+
+The state is pure and takes the present time as an argument; the application
+around it adds the lock, the long polls and the clock.
+"""
+
+import collections
+import dataclasses
+import threading
+import time
+import typing as t
+
+import pydantic
+
+from . import events, standin_http as shell
+from .errors import StandinRefusalError
+
+MAX_TEXT_BYTES = 1024 * 1024
+KEPT_REVISIONS = 32
+KEPT_HOST_LISTS = 1024
+WAIT_SLICE_MS = 50.0
+
+
+class HostEntry(shell.StrictModel):
+    """A host as the platform lists it; ``port`` is that of our daemon there."""
+
+    host: str = pydantic.Field(min_length=1, max_length=255)
+    address: str = shell.LOOPBACK
+    port: int = pydantic.Field(ge=1, le=65535)
+    domain: str = pydantic.Field(min_length=1, max_length=255)
+    role: t.Literal["entry", "agent"]
+    state: t.Literal["live", "leaving"] = "live"
+    labels: dict[str, str] = {}
+
+
+class ConfigurationText(shell.StrictModel):
+    """Body of a control call that publishes a configuration."""
+
+    text: str
+
+
+class PlatformFaults(shell.StrictModel):
+    """Faults of the platform; a control call changes those that it names.
+
+    :param down: every read is refused with 503.
+    :param delay_ms: wait before each answer.
+    :param serve_revision: the older revision that readers are given.
+    :param hosts_lag_ms: age of the list of hosts that readers are given.
+    """
+
+    down: bool = False
+    delay_ms: int = pydantic.Field(default=0, ge=0, le=shell.MAX_WAIT_MS)
+    serve_revision: int | None = pydantic.Field(default=None, ge=0)
+    hosts_lag_ms: int = pydantic.Field(default=0, ge=0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """A published configuration; revisions count up from 1, 0 is the empty one."""
+
+    revision: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Published:
+    """The answer to an operator who published a configuration."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class HostList:
+    """A version of the list of hosts."""
+
+    version: int
+    hosts: t.Sequence[HostEntry]
+
+
+@dataclasses.dataclass
+class ReadCounts:
+    """Read calls since the start; a waiting watch counts once."""
+
+    configuration: int = 0
+    hosts: int = 0
+
+
+class PlatformState:
+    """What the platform holds; not safe for use by several threads at once."""
+
+    def __init__(self) -> None:
+        self.faults = PlatformFaults()
+        self.counts = ReadCounts()
+        self._configurations = collections.deque(
+            [Configuration(0, "")], maxlen=KEPT_REVISIONS
+        )
+        self._host_lists = collections.deque(
+            [(float("-inf"), HostList(0, ()))], maxlen=KEPT_HOST_LISTS
+        )
+
+    def configuration(self) -> Configuration:
+        """Return the configuration that readers are given now."""
+        wanted = self.faults.serve_revision
+        if wanted is None:
+            return self._configurations[-1]
+        return self._find(wanted)
+
+    def publish(self, text: str) -> Published:
+        """Add a configuration as the next revision."""
+        size_bytes = len(text.encode("utf-8", "surrogatepass"))
+        if size_bytes > MAX_TEXT_BYTES:
+            raise shell.too_large(size_bytes, MAX_TEXT_BYTES)
+        revision = self._configurations[-1].revision + 1
+        self._configurations.append(Configuration(revision, text))
+        return Published(revision)
+
+    def hosts(self, now_ms: float) -> HostList:
+        """Return the list of hosts as it was ``hosts_lag_ms`` ago."""
+        seen_ms = now_ms - self.faults.hosts_lag_ms
+        for at_ms, hosts in reversed(self._host_lists):
+            if at_ms <= seen_ms:
+                return hosts
+        return self._host_lists[0][1]
+
+    def replace_hosts(self, hosts: t.Sequence[HostEntry], now_ms: float) -> HostList:
+        """Replace the whole list; two entries of one name are refused."""
+        names = collections.Counter(entry.host for entry in hosts)
+        twice = sorted(name for name, count in names.items() if count > 1)
+        if twice:
+            raise shell.malformed(f"hosts: met {twice[0]!r} twice")
+        latest = HostList(self._latest_hosts().version + 1, tuple(hosts))
+        self._host_lists.append((now_ms, latest))
+        return latest
+
+    def put_host(self, entry: HostEntry, now_ms: float) -> HostList:
+        """Add a host, or replace the entry of that name."""
+        others = self._others(entry.host)
+        return self.replace_hosts([*others, entry], now_ms)
+
+    def delete_host(self, host: str, now_ms: float) -> HostList:
+        """Remove a host; one that isn't listed is refused."""
+        others = self._others(host)
+        if len(others) == len(self._latest_hosts().hosts):
+            message = f"{host}: no such host"
+            raise StandinRefusalError(404, shell.Code.NO_SUCH_HOST, message)
+        return self.replace_hosts(others, now_ms)
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace the faults; a revision that is no longer held is refused."""
+        if faults.serve_revision is not None:
+            self._find(faults.serve_revision)
+        self.faults = faults
+
+    def _latest_hosts(self) -> HostList:
+        return self._host_lists[-1][1]
+
+    def _others(self, host: str) -> t.Sequence[HostEntry]:
+        return [entry for entry in self._latest_hosts().hosts if entry.host != host]
+
+    def _find(self, revision: int) -> Configuration:
+        for configuration in self._configurations:
+            if configuration.revision == revision:
+                return configuration
+        message = f"{revision}: no such revision is held"
+        raise StandinRefusalError(400, shell.Code.NO_SUCH_REVISION, message)
+
+
+class Platform:
+    """The platform behind a lock; the object that an embedder works with."""
+
+    def __init__(self, state: PlatformState | None = None) -> None:
+        self.state = state or PlatformState()
+        self.changed = threading.Condition()
+        self.closed = False
+
+    def publish(self, text: str) -> Published:
+        """Publish a configuration and wake its watchers."""
+        with self.changed:
+            published = self.state.publish(text)
+            self.changed.notify_all()
+        return published
+
+    def replace_hosts(self, hosts: t.Sequence[HostEntry]) -> HostList:
+        """Replace the list of hosts and wake its watchers."""
+        with self.changed:
+            latest = self.state.replace_hosts(hosts, shell.now_ms())
+            self.changed.notify_all()
+        return latest
+
+    def change_faults(self, changes: PlatformFaults) -> PlatformFaults:
+        """Change the faults that ``changes`` sets, and wake every watcher."""
+        with self.changed:
+            faults = shell.merged(self.state.faults, changes)
+            self.state.set_faults(faults)
+            self.changed.notify_all()
+        events.emit(shell.logger, events.STANDIN_FAULTS_SET, faults=faults)
+        return faults
+
+    def close(self) -> None:
+        """End every waiting watch."""
+        with self.changed:
+            self.closed = True
+            self.changed.notify_all()
+
+
+def routes(platform: Platform) -> t.Sequence[shell.Route]:
+    """Return the HTTP interface of ``platform``."""
+    host_list = pydantic.TypeAdapter(list[HostEntry])
+
+    def read_configuration(request: shell.Request) -> shell.Response:
+        with platform.changed:
+            platform.state.counts.configuration += 1
+        return _watch(
+            platform,
+            request,
+            lambda: platform.state.configuration(),
+            lambda found: found.revision,
+        )
+
+    def read_hosts(request: shell.Request) -> shell.Response:
+        with platform.changed:
+            platform.state.counts.hosts += 1
+        return _watch(
+            platform,
+            request,
+            lambda: platform.state.hosts(shell.now_ms()),
+            lambda found: found.version,
+        )
+
+    def publish(request: shell.Request) -> shell.Response:
+        return shell.reply(platform.publish(request.read(ConfigurationText).text))
+
+    def replace_hosts(request: shell.Request) -> shell.Response:
+        return shell.reply(platform.replace_hosts(request.read_as(host_list)))
+
+    def put_host(request: shell.Request) -> shell.Response:
+        entry = request.read(HostEntry)
+        if entry.host != request.params["host"]:
+            raise shell.malformed("host: the body names another host than the path")
+        with platform.changed:
+            latest = platform.state.put_host(entry, shell.now_ms())
+            platform.changed.notify_all()
+        return shell.reply(latest)
+
+    def delete_host(request: shell.Request) -> shell.Response:
+        with platform.changed:
+            host = request.params["host"]
+            latest = platform.state.delete_host(host, shell.now_ms())
+            platform.changed.notify_all()
+        return shell.reply(latest)
+
+    def counts(_request: shell.Request) -> shell.Response:
+        with platform.changed:
+            return shell.reply(platform.state.counts)
+
+    def set_faults(request: shell.Request) -> shell.Response:
+        return shell.reply(platform.change_faults(request.read(PlatformFaults)))
+
+    return [
+        shell.Route("GET", "/v1/configuration", read_configuration),
+        shell.Route("GET", "/v1/hosts", read_hosts),
+        shell.Route("GET", "/control/counts", counts),
+        shell.Route("POST", "/control/configuration", publish),
+        shell.Route("PUT", "/control/hosts", replace_hosts),
+        shell.Route("PUT", "/control/hosts/{host}", put_host),
+        shell.Route("DELETE", "/control/hosts/{host}", delete_host),
+        shell.Route("POST", "/control/faults", set_faults),
+    ]
+
+
+def _watch(
+    platform: Platform,
+    request: shell.Request,
+    read: t.Callable[[], t.Any],
+    number: t.Callable[[t.Any], int],
+) -> shell.Response:
+    """Answer at once, or as soon as the number passes ``after``."""
+    after = request.number("after", -1)
+    wait_ms = request.number("wait_ms", 0, shell.MAX_WAIT_MS)
+    end_ms = shell.now_ms() + wait_ms
+    time.sleep(platform.state.faults.delay_ms / 1000.0)
+    with platform.changed:
+        while True:
+            if platform.state.faults.down or platform.closed:
+                raise StandinRefusalError(503, shell.Code.DOWN, "the platform is down")
+            found = read()
+            if number(found) > after:
+                return shell.reply(found)
+            left_ms = end_ms - shell.now_ms()
+            if left_ms <= 0:
+                return shell.Response(204)
+            # A lagging list changes without a notice, so the wait is sliced.
+            platform.changed.wait(min(left_ms, WAIT_SLICE_MS) / 1000.0)
--- /dev/null
+++ b/src/dotterelplank/standin_service.py
@@ -0,0 +1,171 @@
+"""A stand-in of a plain service that looks records up and executes orders."""
+
+import collections
+import dataclasses
+import hashlib
+import threading
+import time
+import typing as t
+
+import pydantic
+
+from . import events, standin_http as shell
+
+EXECUTING_METHODS = frozenset({"POST", "PUT", "PATCH", "DELETE"})
+KEPT_EXECUTIONS = 100_000
+NO_KEY = ""
+
+
+class ServiceFaults(shell.StrictModel):
+    """Faults of the service; a control call changes those that it names.
+
+    :param delay_ms: wait between the execution and the answer.
+    :param fail_after_execute: the execution counts, then the connection is torn.
+    :param freeze: calls wait, not yet executed, until this is off again.
+    """
+
+    delay_ms: int = pydantic.Field(default=0, ge=0, le=shell.MAX_WAIT_MS)
+    fail_after_execute: bool = False
+    freeze: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Execution:
+    """One execution; ``key`` is the caller's ``X-Request-Id``, or empty."""
+
+    key: str
+    method: str
+    path: str
+    body_sha256: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ExecutionReport:
+    """Executions since the start, by key and in their order."""
+
+    by_key: t.Mapping[str, int]
+    total: int
+    log: t.Sequence[Execution]
+
+
+@dataclasses.dataclass(frozen=True)
+class Echo:
+    """The answer to a call; ``record`` depends on nothing but the path."""
+
+    method: str
+    path: str
+    record: str
+    headers: t.Mapping[str, str]
+    body_sha256: str
+
+
+class ServiceState:
+    """What the service has executed; the oldest executions are forgotten."""
+
+    def __init__(self) -> None:
+        self.faults = ServiceFaults()
+        self._log: collections.deque[Execution] = collections.deque()
+        self._by_key: collections.Counter[str] = collections.Counter()
+        self._total = 0
+
+    def execute(self, execution: Execution) -> None:
+        """Count an execution."""
+        self._total += 1
+        self._log.append(execution)
+        self._by_key[execution.key] += 1
+        if len(self._log) > KEPT_EXECUTIONS:
+            self._forget(self._log.popleft().key)
+
+    def report(self) -> ExecutionReport:
+        """Return the executions that are remembered."""
+        return ExecutionReport(dict(self._by_key), self._total, tuple(self._log))
+
+    def _forget(self, key: str) -> None:
+        self._by_key[key] -= 1
+        if not self._by_key[key]:
+            del self._by_key[key]
+
+
+class Service:
+    """The service behind a lock; the object that an embedder works with."""
+
+    def __init__(self) -> None:
+        self.state = ServiceState()
+        self.changed = threading.Condition()
+        self.closed = False
+
+    def change_faults(self, changes: ServiceFaults) -> ServiceFaults:
+        """Change the faults that ``changes`` sets, and wake the frozen calls."""
+        with self.changed:
+            faults = shell.merged(self.state.faults, changes)
+            self.state.faults = faults
+            self.changed.notify_all()
+        events.emit(shell.logger, events.STANDIN_FAULTS_SET, faults=faults)
+        return faults
+
+    def report(self) -> ExecutionReport:
+        """Return the executions that are remembered."""
+        with self.changed:
+            return self.state.report()
+
+    def close(self) -> None:
+        """Tear the frozen calls down."""
+        with self.changed:
+            self.closed = True
+            self.changed.notify_all()
+
+
+def record_of(path: str) -> str:
+    """Return the record that a lookup of ``path`` finds."""
+    return hashlib.sha256(path.encode("utf-8", "surrogatepass")).hexdigest()[:16]
+
+
+def routes(service: Service) -> t.Sequence[shell.Route]:
+    """Return the HTTP interface of ``service``."""
+
+    def executions(_request: shell.Request) -> shell.Response:
+        return shell.reply(service.report())
+
+    def set_faults(request: shell.Request) -> shell.Response:
+        return shell.reply(service.change_faults(request.read(ServiceFaults)))
+
+    def call(request: shell.Request) -> shell.Response:
+        return _call(service, request, 200)
+
+    def call_with_status(request: shell.Request) -> shell.Response:
+        status = request.params["status"]
+        if not status.isdecimal() or not 200 <= int(status) <= 599:
+            raise shell.malformed(f"status: met {status!r}, expected 200 to 599")
+        return _call(service, request, int(status))
+
+    return [
+        shell.Route("GET", "/control/executions", executions),
+        shell.Route("POST", "/control/faults", set_faults),
+        shell.Route("*", "/status/{status}", call_with_status),
+        shell.Route("*", "/{path:path}", call),
+    ]
+
+
+def _call(service: Service, request: shell.Request, status: int) -> shell.Response:
+    digest = hashlib.sha256(request.body).hexdigest()
+    faults = _execute(service, request, digest)
+    time.sleep(faults.delay_ms / 1000.0)
+    if faults.fail_after_execute and request.method in EXECUTING_METHODS:
+        request.tear()
+    if status in (204, 205, 304):
+        return shell.Response(status)
+    record = record_of(request.path)
+    echo = Echo(request.method, request.path, record, request.headers, digest)
+    return shell.reply(echo, status)
+
+
+def _execute(service: Service, request: shell.Request, digest: str) -> ServiceFaults:
+    key = request.headers.get("x-request-id", NO_KEY)
+    with service.changed:
+        while service.state.faults.freeze and not service.closed:
+            service.changed.wait()
+        if service.closed:
+            request.tear()
+        if request.method in EXECUTING_METHODS:
+            service.state.execute(Execution(key, request.method, request.path, digest))
+        return service.state.faults
--- /dev/null
+++ b/tests/standin_client.py
@@ -0,0 +1,45 @@
+"""A small HTTP client for the tests of the stand-ins."""
+
+import concurrent.futures
+import dataclasses
+import json
+import typing as t
+
+import urllib3
+
+CONNECTIONS = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    status: int
+    body: bytes
+    headers: t.Mapping[str, str]
+
+    @property
+    def json(self):
+        return json.loads(self.body)
+
+
+class Client:
+    def __init__(self, port):
+        self.root = f"http://127.0.0.1:{port}"
+        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False)
+        self._threads = concurrent.futures.ThreadPoolExecutor(CONNECTIONS)
+
+    def call(self, method, path, body=None, **headers):
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        response = self._pool.request(
+            method, self.root + path, json=body, headers=names
+        )
+        return Answer(response.status, response.data, response.headers)
+
+    def start(self, method, path, body=None, **headers):
+        """Call on a thread and return a future."""
+        return self._threads.submit(self.call, method, path, body, **headers)
+
+    def stream(self, path, body, **headers):
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self._pool.request(
+            "POST", self.root + path, json=body, headers=names, preload_content=False
+        )
