Add routing, admission and retries as pure decision functions

Cause: the entry needs an API to start against. choose() follows a likely cached prefix within a load bound and else draws in proportion to the room below the level to which the expected requests fill all endpoints; admit() holds teams to a weighted max-min level worked out from exchanged digests; decide() spends a budget that successes earn.

Ruled out before writing: the least reported load for all entries (they see the same old report and herd), and a wait queue in admission (a request that is given up on has to be answered at once).

--- /dev/null
+++ b/src/dotterelplank/endpoint_view.py
@@ -0,0 +1,271 @@
+"""What one entry knows about one endpoint, and how each event changes it.
+
+The functions change the view that they are given and nothing else. All times are
+milliseconds on the entry's monotonic clock.
+"""
+
+import collections
+import dataclasses
+import enum
+import math
+import typing as t
+
+from . import prefixes
+
+INDEX_CAPACITY_BLOCKS = 16_384
+FAILURE_HALF_LIFE_MS = 5_000.0
+LATENCY_WEIGHT = 0.2
+MAX_CHANGES = 4_096
+STALL_SILENCE_MS = 600.0
+
+
+class Liveness(enum.Enum):
+    """What the host list and the endpoint's own word say about it."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The load of an endpoint as its agent measured it.
+
+    :param running: requests that hold a place in the batch.
+    :param waiting: requests that wait for one.
+    :param kv_share: part of the KV cache in use, 0 to 1.
+    :param step_ms: time of one decoding step.
+    :param token_rate_per_s: tokens generated a second, over all requests.
+    """
+
+    running: int
+    waiting: int
+    kv_share: float
+    step_ms: float
+    token_rate_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Blocks that an engine says it stored in, or removed from, its prefix cache.
+
+    :param stored: one chain, first block first.
+    :param removed: blocks in any order.
+    :param cleared: whether the whole cache was dropped first.
+    """
+
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+    cleared: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """A request of this entry that the endpoint holds."""
+
+    sent_ms: float
+    blocks: tuple[int, ...]
+    is_probe: bool
+    first_token_ms: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointView:
+    """One endpoint as this entry sees it.
+
+    ``net_since_report`` is the number of own requests sent less those finished
+    since the last report was measured; ``sent_since_report`` counts the sends.
+    ``is_stalled`` is set when a request was given up on after a silence of
+    :data:`STALL_SILENCE_MS`, and holds until the endpoint answers again.
+    """
+
+    host: str
+    domain: str
+    liveness: Liveness = Liveness.ALIVE
+    report: LoadReport | None = None
+    measured_ms: float = 0.0
+    in_flight: dict[str, Sent] = dataclasses.field(default_factory=dict)
+    unanswered: int = 0
+    answered_ms: float = 0.0
+    is_stalled: bool = False
+    last_probe_ms: float = -math.inf
+    failure_score: float = 0.0
+    failure_ms: float = 0.0
+    first_token_mean_ms: float = 0.0
+    net_since_report: int = 0
+    sent_since_report: int = 0
+    changes: "collections.deque[tuple[float, int]]" = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_CHANGES)
+    )
+    index: prefixes.PrefixIndex = dataclasses.field(
+        default_factory=lambda: prefixes.PrefixIndex(INDEX_CAPACITY_BLOCKS)
+    )
+    host_hash: int = 0
+
+    def __post_init__(self) -> None:
+        self.host_hash = prefixes.hash_text(self.host)
+
+
+def note_sent(
+    view: EndpointView,
+    now_ms: float,
+    request_id: str,
+    blocks: tuple[int, ...],
+    is_probe: bool = False,
+) -> None:
+    """Record that a request left for the endpoint, which will cache its blocks."""
+    if not view.in_flight:
+        view.answered_ms = now_ms
+    view.in_flight[request_id] = Sent(now_ms, blocks, is_probe)
+    view.unanswered += 1
+    view.index.add(now_ms, blocks)
+    _note_change(view, now_ms, 1)
+    if is_probe:
+        view.last_probe_ms = now_ms
+
+
+def note_progress(view: EndpointView, now_ms: float) -> None:
+    """Record that anything came back, such as a token of any stream."""
+    view.answered_ms = max(view.answered_ms, now_ms)
+    view.is_stalled = False
+
+
+def note_first_token(
+    view: EndpointView,
+    now_ms: float,
+    request_id: str,
+    cached_blocks: int | None = None,
+) -> None:
+    """Record a first token.
+
+    :param cached_blocks: how many blocks the engine says it found in its cache,
+        where it says so. The blocks beyond were computed now.
+    """
+    note_progress(view, now_ms)
+    sent = view.in_flight.get(request_id)
+    if sent is None or sent.first_token_ms is not None:
+        return
+    sent.first_token_ms = now_ms
+    view.unanswered -= 1
+    elapsed_ms = now_ms - sent.sent_ms
+    if view.first_token_mean_ms == 0.0:
+        view.first_token_mean_ms = elapsed_ms
+    view.first_token_mean_ms += LATENCY_WEIGHT * (elapsed_ms - view.first_token_mean_ms)
+    if cached_blocks is not None:
+        view.index.add(now_ms, sent.blocks)
+
+
+def note_finished(view: EndpointView, now_ms: float, request_id: str) -> None:
+    """Record that a request got its whole answer."""
+    note_progress(view, now_ms)
+    _forget(view, now_ms, request_id)
+
+
+def note_cancelled(view: EndpointView, now_ms: float, request_id: str) -> None:
+    """Record that a request was given up on, by its caller or its deadline."""
+    if silence_ms(view, now_ms) > STALL_SILENCE_MS:
+        view.is_stalled = True
+    _forget(view, now_ms, request_id)
+
+
+def note_failure(view: EndpointView, now_ms: float, request_id: str) -> None:
+    """Record that a request failed at the endpoint or on the way to it."""
+    if silence_ms(view, now_ms) > STALL_SILENCE_MS:
+        view.is_stalled = True
+    view.failure_score = failure_score(view, now_ms) + 1.0
+    view.failure_ms = now_ms
+    sent = view.in_flight.get(request_id)
+    if sent is not None and sent.first_token_ms is None:
+        view.index.remove(sent.blocks)
+    _forget(view, now_ms, request_id)
+
+
+def note_report(
+    view: EndpointView, now_ms: float, report: LoadReport, age_ms: float
+) -> None:
+    """Take in a load report that was measured ``age_ms`` ago.
+
+    A report older than the one held is dropped.
+    """
+    measured_ms = now_ms - age_ms
+    if view.report is not None and measured_ms < view.measured_ms:
+        return
+    view.report = report
+    view.measured_ms = measured_ms
+    while view.changes and view.changes[0][0] <= measured_ms:
+        _, change = view.changes.popleft()
+        view.net_since_report -= change
+        view.sent_since_report -= change > 0
+
+
+def note_cache_event(
+    view: EndpointView, now_ms: float, event: CacheEvent, age_ms: float
+) -> None:
+    """Take in a cache event that the engine published ``age_ms`` ago.
+
+    A block seen after the event was published isn't removed by it.
+    """
+    published_ms = now_ms - age_ms
+    seen_ms = view.index.seen_ms
+    if event.cleared:
+        view.index.clear()
+    view.index.remove(
+        block for block in event.removed if seen_ms.get(block, 0.0) <= published_ms
+    )
+    if event.stored:
+        view.index.add(published_ms, event.stored)
+
+
+def failure_score(view: EndpointView, now_ms: float) -> float:
+    """Return the number of recent failures, each halved every half-life."""
+    if not view.failure_score:
+        return 0.0
+    age_ms = max(0.0, now_ms - view.failure_ms)
+    return view.failure_score * math.pow(0.5, age_ms / FAILURE_HALF_LIFE_MS)
+
+
+def held_requests(view: EndpointView, live_entries: int) -> float:
+    """Return the requests that the endpoint is believed to hold, at least 0.
+
+    Without a report the own requests stand for those of all the entries.
+    """
+    if view.report is None:
+        return float(len(view.in_flight) * live_entries)
+    reported = view.report.running + view.report.waiting
+    return float(max(0, reported + view.net_since_report))
+
+
+def silence_ms(view: EndpointView, now_ms: float) -> float:
+    """Return for how long the endpoint owes this entry an answer, else 0."""
+    if not view.in_flight:
+        return 0.0
+    return max(0.0, now_ms - view.answered_ms)
+
+
+def oldest_unanswered(view: EndpointView) -> t.Optional[Sent]:
+    """Return the longest-waiting request that has had no first token."""
+    if not view.unanswered:
+        return None
+    for sent in view.in_flight.values():
+        if sent.first_token_ms is None:
+            return sent
+    return None
+
+
+def _note_change(view: EndpointView, now_ms: float, change: int) -> None:
+    if len(view.changes) == MAX_CHANGES:
+        _, dropped = view.changes[0]
+        view.net_since_report -= dropped
+        view.sent_since_report -= dropped > 0
+    view.changes.append((now_ms, change))
+    view.net_since_report += change
+    view.sent_since_report += change > 0
+
+
+def _forget(view: EndpointView, now_ms: float, request_id: str) -> None:
+    sent = view.in_flight.pop(request_id, None)
+    if sent is None:
+        return
+    if sent.first_token_ms is None:
+        view.unanswered -= 1
+    _note_change(view, now_ms, -1)
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -76,3 +76,44 @@
     logging.CRITICAL,
     "A promise that must always hold was found broken; report it.",
 )
+
+# 300: routing, limits and retries
+ENDPOINT_AVOIDED = _define(
+    300,
+    "endpoint-avoided",
+    logging.WARNING,
+    "An endpoint owes answers for too long or fails; it gets rare probes only.",
+)
+ENDPOINT_TAKEN_BACK = _define(
+    301, "endpoint-taken-back", logging.INFO, "An avoided endpoint answers again."
+)
+NO_ENDPOINT = _define(
+    302, "no-endpoint", logging.ERROR, "No endpoint was left that may take a request."
+)
+OTHER_DOMAIN_USED = _define(
+    303,
+    "other-domain-used",
+    logging.WARNING,
+    "The endpoints of the own failure domain are full or gone; others take requests.",
+)
+OVERLOAD_STARTED = _define(
+    310,
+    "overload-started",
+    logging.WARNING,
+    "More is asked for than the endpoints can do; teams are held to fair parts.",
+)
+OVERLOAD_ENDED = _define(
+    311, "overload-ended", logging.INFO, "All that is asked for is let in again."
+)
+ENTRY_DIGEST_LOST = _define(
+    312,
+    "entry-digest-lost",
+    logging.WARNING,
+    "No demand was heard from an entry; the limits no longer count it.",
+)
+RETRY_BUDGET_SPENT = _define(
+    320,
+    "retry-budget-spent",
+    logging.WARNING,
+    "Failures came faster than successes pay for; they are no longer retried.",
+)
--- /dev/null
+++ b/src/dotterelplank/retries.py
@@ -0,0 +1,178 @@
+"""Deciding whether a failed request is tried again, within a budget.
+
+Only the entry retries. Retries are paid for by successes: each earns
+:data:`EARNED_PER_SUCCESS` of a retry. Of what was earned longer than
+:data:`WINDOW_MS` ago at most :data:`KEPT_RETRIES` are kept, which lets an entry
+with few requests retry too, and keeps a fault from spending an old fortune.
+"""
+
+import collections
+import dataclasses
+import enum
+import random
+import typing as t
+
+EARNED_PER_SUCCESS = 0.08
+KEPT_RETRIES = 2.0
+WINDOW_MS = 10_000.0
+BUCKET_MS = 500.0
+FIRST_DELAY_MS = 20.0
+MAX_DELAY_MS = 1_000.0
+MAX_ATTEMPTS = 3
+COME_BACK_MIN_MS = 500.0
+COME_BACK_MAX_MS = 5_000.0
+
+
+class Proof(enum.Enum):
+    """What a failure proves about the attempt."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RUN = "run"
+
+
+class GiveUpReason(enum.Enum):
+    """Why a request isn't tried again."""
+
+    MAY_HAVE_RUN = "may-have-run"
+    DEADLINE = "deadline"
+    BUDGET = "budget"
+    ATTEMPTS = "attempts"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A failed attempt.
+
+    :param proof: whether it is proved that the endpoint did not run it.
+    :param is_refusal: the endpoint refused it at once, as one that is leaving
+        does; the first other try then needs no delay.
+    :param retry_after_ms: when the endpoint wants to be asked again, if it said.
+    """
+
+    proof: Proof
+    is_refusal: bool = False
+    retry_after_ms: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryRequest:
+    """What the decision needs to know of a request.
+
+    :param attempts: attempts made so far, the failed one too.
+    :param deadline_ms: when the caller gives up, on the clock of ``now_ms``.
+    :param expected_ms: time that another attempt needs to be of use.
+    """
+
+    request_id: str
+    is_idempotent: bool
+    attempts: int
+    deadline_ms: float
+    expected_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retry:
+    """Try again, on another endpoint where there is one, after ``after_ms``."""
+
+    after_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Answer the caller now.
+
+    :param retry_after_ms: when the caller may come back; spread over callers.
+    """
+
+    reason: GiveUpReason
+    retry_after_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    started_ms: float
+    successes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RetryBudget:
+    """What one entry has earned, and its successes in the last :data:`WINDOW_MS`."""
+
+    balance: float = 1.0
+    successes: int = 0
+    buckets: "collections.deque[_Bucket]" = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+def note_success(now_ms: float, budget: RetryBudget) -> None:
+    """Record that a request was answered, which earns a part of a retry."""
+    _expire(now_ms, budget)
+    if not budget.buckets or now_ms - budget.buckets[-1].started_ms >= BUCKET_MS:
+        budget.buckets.append(_Bucket(now_ms))
+    budget.buckets[-1].successes += 1
+    budget.successes += 1
+    budget.balance += EARNED_PER_SUCCESS
+    budget.balance = left(now_ms, budget)
+
+
+def left(now_ms: float, budget: RetryBudget) -> float:
+    """Return how many retries the budget still pays for."""
+    _expire(now_ms, budget)
+    return min(budget.balance, _most(budget))
+
+
+def decide(
+    now_ms: float, budget: RetryBudget, failure: Failure, request: RetryRequest
+) -> Retry | GiveUp:
+    """Decide on a failed attempt, and spend from ``budget`` if it is retried.
+
+    The jitter comes from the request's id, so the same call gives the same answer.
+    """
+    rng = random.Random(f"{request.request_id}/{request.attempts}")
+    refused = _refusal(now_ms, failure, request)
+    delay_ms = _delay_ms(failure, request, rng)
+    if refused is None and now_ms + delay_ms + request.expected_ms > (
+        request.deadline_ms
+    ):
+        refused = GiveUpReason.DEADLINE
+    if refused is None and left(now_ms, budget) < 1.0:
+        refused = GiveUpReason.BUDGET
+    if refused is not None:
+        return GiveUp(refused, _come_back_ms(failure, rng))
+    budget.balance = left(now_ms, budget) - 1.0
+    return Retry(delay_ms)
+
+
+def _refusal(
+    now_ms: float, failure: Failure, request: RetryRequest
+) -> t.Optional[GiveUpReason]:
+    if failure.proof is not Proof.NOT_RUN and not request.is_idempotent:
+        return GiveUpReason.MAY_HAVE_RUN
+    if request.attempts >= MAX_ATTEMPTS:
+        return GiveUpReason.ATTEMPTS
+    if now_ms >= request.deadline_ms:
+        return GiveUpReason.DEADLINE
+    return None
+
+
+def _delay_ms(failure: Failure, request: RetryRequest, rng: random.Random) -> float:
+    if failure.is_refusal and request.attempts == 1:
+        return 0.0
+    limit_ms = min(MAX_DELAY_MS, FIRST_DELAY_MS * 2.0**request.attempts)
+    return rng.uniform(FIRST_DELAY_MS / 2.0, limit_ms)
+
+
+def _come_back_ms(failure: Failure, rng: random.Random) -> float:
+    spread_ms = rng.uniform(COME_BACK_MIN_MS, COME_BACK_MAX_MS)
+    return spread_ms + (failure.retry_after_ms or 0.0)
+
+
+def _most(budget: RetryBudget) -> float:
+    return max(KEPT_RETRIES, EARNED_PER_SUCCESS * budget.successes)
+
+
+def _expire(now_ms: float, budget: RetryBudget) -> None:
+    while budget.buckets and now_ms - budget.buckets[0].started_ms >= WINDOW_MS:
+        budget.successes -= budget.buckets.popleft().successes
--- /dev/null
+++ b/src/dotterelplank/routing.py
@@ -0,0 +1,314 @@
+"""Choosing an endpoint for a request from late and partial knowledge.
+
+The loads that entries see are old, and all entries see the same ones, so the least
+loaded endpoint must not be everybody's choice. Each entry instead draws in
+proportion to the room that each endpoint had below the level to which the
+requests expected since then would fill them all. An endpoint that likely caches
+the request's prefix goes before the drawn one while it is not loaded far above
+that level.
+"""
+
+import dataclasses
+import enum
+import random
+import typing as t
+
+from . import endpoint_view, prefixes
+from .endpoint_view import (  # noqa: F401
+    CacheEvent,
+    EndpointView,
+    Liveness,
+    LoadReport,
+    note_cache_event,
+    note_cancelled,
+    note_failure,
+    note_finished,
+    note_first_token,
+    note_progress,
+    note_report,
+    note_sent,
+)
+
+HASH_MASK = (1 << 64) - 1
+HASH_MULTIPLIER = 0x9E3779B97F4A7C15
+MAX_PROBE_INTERVAL_MS = 60_000.0
+MIN_SPEED = 0.1
+MIN_ROOM_REQUESTS = 1.0
+
+
+class Reason(enum.Enum):
+    """Why an endpoint was chosen."""
+
+    PREFIX = "prefix"
+    LOAD = "load"
+    PROBE = "probe"
+    OTHER_DOMAIN = "other-domain"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What routing needs to know of a request.
+
+    :param blocks: hash chain of the message text, see :func:`prefixes.chain`.
+    :param expected_tokens: tokens that it will likely generate.
+    :param priority: higher goes first; 0 is usual. Requests above 0 never probe.
+    :param domain: failure domain of this entry.
+    """
+
+    request_id: str
+    blocks: tuple[int, ...]
+    expected_tokens: int
+    priority: int
+    domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingPolicy:
+    """The settings of routing.
+
+    :param live_entries: entries that choose in the same domain, this one too.
+    :param full_requests: requests held by an endpoint, on average over the
+        domain, from which on other domains are asked too.
+    :param silence_limit_ms: an endpoint that owes an answer for longer is frozen.
+    :param probe_interval_ms: time between two probes by all entries together.
+    """
+
+    live_entries: int = 9
+    full_requests: float = 60.0
+    prefill_tokens_per_s: float = 8_000.0
+    cache_half_life_ms: float = 60_000.0
+    affinity_slack: float = 0.25
+    drawn_endpoints: int = 1
+    silence_limit_ms: float = 600.0
+    first_token_limit_ms: float = 1_500.0
+    failure_limit: float = 2.0
+    probe_interval_ms: float = 2_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The endpoint to send a request to.
+
+    :param expected_cached_blocks: blocks of its prefix likely cached there.
+    """
+
+    host: str
+    domain: str
+    expected_cached_blocks: float
+    reason: Reason
+
+
+@dataclasses.dataclass(slots=True)
+class _Candidate:
+    view: EndpointView
+    speed: float
+    held: float
+    room: float = 0.0
+
+
+def choose(
+    now_ms: float,
+    request: RouteRequest,
+    endpoints: t.Sequence[EndpointView],
+    policy: RoutingPolicy,
+    rng: random.Random,
+) -> Choice | None:
+    """Choose the endpoint for ``request``, or None if none may take it.
+
+    ``endpoints`` are those that the selector left. An endpoint that is leaving is
+    never chosen; one that seems frozen only as a rare probe, or when every other
+    one seems frozen too. The views aren't changed: tell them with
+    :func:`note_sent` what was sent.
+    """
+    present = [view for view in endpoints if view.liveness is not Liveness.LEAVING]
+    if not present:
+        return None
+    usable = [view for view in present if not is_avoided(view, now_ms, policy)]
+    probed = _probe(now_ms, request, present, usable, policy)
+    if probed is not None:
+        return Choice(probed.host, probed.domain, 0.0, Reason.PROBE)
+    own = [view for view in usable if view.domain == request.domain]
+    others = [view for view in usable if view.domain != request.domain]
+    if not own and not others:
+        return _last_resort(now_ms, request, present, policy, rng)
+    candidates = _candidates(own, policy)
+    if others and _is_full(candidates, policy):
+        return _choose_with_others(now_ms, request, candidates, others, policy, rng)
+    return _choose_among(now_ms, request, candidates, policy, rng)
+
+
+def is_avoided(view: EndpointView, now_ms: float, policy: RoutingPolicy) -> bool:
+    """Return whether ``view`` seems frozen, failing or gone."""
+    if view.is_stalled or view.liveness is Liveness.SUSPECT:
+        return True
+    if endpoint_view.silence_ms(view, now_ms) > policy.silence_limit_ms:
+        return _owes_an_answer(view, now_ms, policy)
+    if view.failure_score >= policy.failure_limit:
+        return endpoint_view.failure_score(view, now_ms) >= policy.failure_limit
+    return False
+
+
+def _owes_an_answer(view: EndpointView, now_ms: float, policy: RoutingPolicy) -> bool:
+    if view.unanswered < len(view.in_flight):
+        return True
+    oldest = endpoint_view.oldest_unanswered(view)
+    if oldest is None:
+        return False
+    return now_ms - oldest.sent_ms > policy.first_token_limit_ms
+
+
+def _probe(
+    now_ms: float,
+    request: RouteRequest,
+    present: t.Sequence[EndpointView],
+    usable: t.Sequence[EndpointView],
+    policy: RoutingPolicy,
+) -> EndpointView | None:
+    if request.priority > 0 or len(usable) == len(present):
+        return None
+    interval_ms = policy.probe_interval_ms * policy.live_entries
+    interval_ms = min(interval_ms, MAX_PROBE_INTERVAL_MS)
+    for view in present:
+        if view.domain != request.domain:
+            continue
+        if not is_avoided(view, now_ms, policy):
+            continue
+        started_ms = max(view.last_probe_ms, view.failure_ms, view.answered_ms)
+        if now_ms - started_ms >= interval_ms:
+            return view
+    return None
+
+
+def _last_resort(
+    now_ms: float,
+    request: RouteRequest,
+    present: t.Sequence[EndpointView],
+    policy: RoutingPolicy,
+    rng: random.Random,
+) -> Choice:
+    own = [view for view in present if view.domain == request.domain]
+    candidates = _candidates(own or present, policy)
+    return _choose_among(now_ms, request, candidates, policy, rng)
+
+
+def _candidates(
+    views: t.Sequence[EndpointView], policy: RoutingPolicy
+) -> list[_Candidate]:
+    step_times_ms = sorted(view.report.step_ms for view in views if view.report)
+    usual_ms = step_times_ms[len(step_times_ms) // 2] if step_times_ms else 0.0
+    live_entries = policy.live_entries
+    candidates = []
+    for view in views:
+        speed = 1.0
+        if view.report and view.report.step_ms > usual_ms:
+            speed = max(MIN_SPEED, usual_ms / view.report.step_ms)
+        held = endpoint_view.held_requests(view, live_entries)
+        candidates.append(_Candidate(view, speed, held))
+    return candidates
+
+
+def _is_full(candidates: t.Sequence[_Candidate], policy: RoutingPolicy) -> bool:
+    if not candidates:
+        return True
+    held = sum(candidate.held for candidate in candidates)
+    places = policy.full_requests * sum(candidate.speed for candidate in candidates)
+    return held >= places
+
+
+def _choose_with_others(
+    now_ms: float,
+    request: RouteRequest,
+    own: t.Sequence[_Candidate],
+    others: t.Sequence[EndpointView],
+    policy: RoutingPolicy,
+    rng: random.Random,
+) -> Choice:
+    candidates = _candidates(others, policy)
+    if own and _is_full(candidates, policy):
+        return _choose_among(now_ms, request, own, policy, rng)
+    choice = _choose_among(now_ms, request, candidates, policy, rng)
+    return dataclasses.replace(choice, reason=Reason.OTHER_DOMAIN)
+
+
+def _choose_among(
+    now_ms: float,
+    request: RouteRequest,
+    candidates: t.Sequence[_Candidate],
+    policy: RoutingPolicy,
+    rng: random.Random,
+) -> Choice:
+    level = _fill_level(candidates, policy)
+    for candidate in candidates:
+        candidate.room = max(0.0, level * candidate.speed - candidate.held)
+    drawn = _draw(candidates, rng)
+    if not request.blocks:
+        return Choice(drawn.view.host, drawn.view.domain, 0.0, Reason.LOAD)
+    limit = level * (1.0 + policy.affinity_slack)
+    holder, blocks = _best_holder(now_ms, request, candidates, limit, policy)
+    drawn_blocks = _likely_blocks(now_ms, request, drawn, policy)
+    if holder is None or drawn_blocks >= blocks:
+        return Choice(drawn.view.host, drawn.view.domain, drawn_blocks, Reason.LOAD)
+    return Choice(holder.view.host, holder.view.domain, blocks, Reason.PREFIX)
+
+
+def _fill_level(candidates: t.Sequence[_Candidate], policy: RoutingPolicy) -> float:
+    """Return the load for each unit of speed that the expected requests fill to."""
+    sent = sum(candidate.view.sent_since_report for candidate in candidates)
+    expected = max(sent * policy.live_entries, MIN_ROOM_REQUESTS * len(candidates))
+    ordered = sorted((item.held / item.speed, item.speed) for item in candidates)
+    filled = expected
+    speeds = 0.0
+    level = 0.0
+    for position, (load, speed) in enumerate(ordered):
+        filled += load * speed
+        speeds += speed
+        level = filled / speeds
+        if position + 1 == len(ordered) or ordered[position + 1][0] >= level:
+            break
+    return level
+
+
+def _draw(candidates: t.Sequence[_Candidate], rng: random.Random) -> _Candidate:
+    left = rng.random() * sum(candidate.room for candidate in candidates)
+    for candidate in candidates:
+        left -= candidate.room
+        if left < 0.0:
+            return candidate
+    return candidates[-1]
+
+
+def _likely_blocks(
+    now_ms: float, request: RouteRequest, candidate: _Candidate, policy: RoutingPolicy
+) -> float:
+    match = candidate.view.index.match(request.blocks)
+    return prefixes.likely_blocks(match, now_ms, policy.cache_half_life_ms)
+
+
+def _best_holder(
+    now_ms: float,
+    request: RouteRequest,
+    candidates: t.Sequence[_Candidate],
+    limit: float,
+    policy: RoutingPolicy,
+) -> tuple[_Candidate | None, float]:
+    """Return the holder of the longest likely prefix that is below ``limit``."""
+    best = None
+    best_blocks = 0.0
+    best_rank = 0
+    family = request.blocks[0]
+    for candidate in candidates:
+        if candidate.held >= limit * candidate.speed:
+            continue
+        blocks = _likely_blocks(now_ms, request, candidate, policy)
+        if blocks <= 0.0 or blocks < best_blocks - 1.0:
+            continue
+        rank = _rank(family, candidate.view.host_hash)
+        if blocks > best_blocks + 1.0 or rank > best_rank:
+            best, best_blocks, best_rank = candidate, blocks, rank
+    return best, best_blocks
+
+
+def _rank(family: int, host_hash: int) -> int:
+    """Return a rank of a host for a prefix family that all entries agree on."""
+    mixed = (family ^ host_hash) * HASH_MULTIPLIER & HASH_MASK
+    return mixed ^ mixed >> 32
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,124 @@
+"""Tests of admission."""
+
+from hypothesis import given, strategies as st
+
+from dotterelplank import demands, limits
+
+POLICY = limits.LimitPolicy({"large": 0.6, "small": 0.1}, 0.1)
+
+
+def make_request(number, team="large", cost=10.0, priority=0, deadline_ms=1e12):
+    return limits.LimitRequest(f"{team}/{number}", team, cost, priority, deadline_ms)
+
+
+def offer(state, team, per_s, start_s, stop_s, cost=10.0, priority=0):
+    """Offer a steady load; return the requests let in and those shed."""
+    admitted, shed = [], []
+    for number in range(int(start_s * per_s), int(stop_s * per_s)):
+        now_ms = 1_000.0 * number / per_s
+        request = make_request(number, team, cost, priority)
+        answer = limits.admit(now_ms, state, request, POLICY)
+        if isinstance(answer, limits.Admitted):
+            admitted.append(answer)
+            limits.release(now_ms, state, answer.ticket, limits.Outcome.DONE)
+        else:
+            shed.append(answer)
+    return admitted, shed
+
+
+def test_all_is_let_in_below_the_capacity():
+    state = limits.LimitState("0", 1_000.0)
+    assert not offer(state, "large", 80, 0, 10)[1]
+
+
+def test_a_team_over_its_share_is_held_to_the_capacity():
+    state = limits.LimitState("0", 1_000.0)
+    offer(state, "large", 500, 0, 10)
+    admitted, shed = offer(state, "large", 500, 10, 20)
+    assert 850 <= len(admitted) <= 1_100
+    assert len({answer.retry_after_ms for answer in shed}) > len(shed) / 2
+
+
+def test_a_small_team_gets_its_share_beside_a_large_one():
+    state = limits.LimitState("0", 1_000.0)
+    shed = 0
+    for number in range(10_000):
+        team = "large" if number % 50 else "small"
+        request = make_request(number, team)
+        answer = limits.admit(2.0 * number, state, request, POLICY)
+        shed += team == "small" and isinstance(answer, limits.Shed)
+    assert shed == 0
+
+
+def test_what_misses_its_deadline_is_shed_at_once():
+    state = limits.LimitState("0", 1_000.0)
+    limits.on_load(0.0, state, 1_000.0, backlog_ms=500.0)
+    answer = limits.admit(0.0, state, make_request(0, deadline_ms=400.0), POLICY)
+    assert answer.reason is limits.ShedReason.DEADLINE
+
+
+def test_low_priority_is_shed_before_high():
+    state = limits.LimitState("0", 1_000.0)
+    counts = {2: 0, -2: 0}
+    for number in range(4_000):
+        priority = 2 if number % 2 else -2
+        request = make_request(number, priority=priority)
+        answer = limits.admit(5.0 * number, state, request, POLICY)
+        counts[priority] += isinstance(answer, limits.Admitted)
+    assert counts[2] > 1_900
+    assert counts[-2] < 500
+
+
+def test_an_entry_takes_its_part_beside_a_peer_with_the_same_demand():
+    state = limits.LimitState("0", 1_000.0)
+    peer = demands.DemandDigest(
+        "1", 5_000.0, 500.0, (demands.TeamDemand("large", 5_000.0),), ()
+    )
+    admitted = 0
+    for second in range(20):
+        limits.on_digest(1_000.0 * second, state, peer)
+        count = len(offer(state, "large", 500, second, second + 1)[0])
+        admitted += count if second >= 10 else 0
+    assert 425 <= admitted <= 550
+
+
+def test_a_digest_is_bounded_however_many_teams_there_are():
+    state = limits.LimitState("0", 1e6)
+    for number in range(limits.MAX_TEAMS + 500):
+        request = make_request(number, team=f"team-{number}")
+        limits.admit(float(number), state, request, POLICY)
+    assert len(state.teams) <= limits.MAX_TEAMS
+    digest = limits.digest(9_000.0, state, POLICY)
+    assert len(digest.named) <= demands.MAX_NAMED_TEAMS
+    assert len(digest.tail) <= demands.TAIL_BUCKETS
+
+
+def test_idle_teams_are_forgotten():
+    state = limits.LimitState("0", 1e6)
+    limits.admit(0.0, state, make_request(0), POLICY)
+    limits.digest(limits.IDLE_MS + 1.0, state, POLICY)
+    assert not state.teams
+
+
+claims = st.lists(
+    st.builds(demands.Claim, st.floats(0.0, 1e4), st.floats(0.01, 1.0)), max_size=30
+)
+
+
+@given(claims, st.floats(1.0, 1e5))
+def test_the_fair_level_gives_out_the_capacity_and_no_more(given_claims, capacity):
+    level = demands.fair_level(given_claims, capacity)
+    given_out = sum(min(one.demand_per_s, one.share * level) for one in given_claims)
+    wanted = min(capacity, sum(one.demand_per_s for one in given_claims))
+    assert abs(given_out - wanted) <= 1e-6 * capacity
+
+
+@given(st.lists(st.integers(0, 20), min_size=1, max_size=200))
+def test_tickets_are_given_back_once(numbers):
+    state = limits.LimitState("0", 1e9)
+    for number in numbers:
+        answer = limits.admit(0.0, state, make_request(number), POLICY)
+        assert isinstance(answer, limits.Admitted)
+        for _ in range(2):
+            limits.release(0.0, state, answer.ticket, limits.Outcome.DONE)
+    assert state.in_flight_cost == 0.0
