--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -116,33 +116,8 @@
     "platform-read-failed",
     logging.WARNING,
     "A read of the configuration service or the host list failed.",
-# 600: stand-ins of the outside systems
-STANDIN_LISTENING = _define(
-    600, "standin-listening", logging.INFO, "A stand-in accepts connections."
-)
-STANDIN_STOPPED = _define(
-    601, "standin-stopped", logging.INFO, "A stand-in has closed its port."
-)
-STANDIN_CALL_FAILED = _define(
-    602,
-    "standin-call-failed",
-    logging.ERROR,
-    "A stand-in met an unexpected error; the caller was answered with status 500.",
-)
-STANDIN_FAULTS_SET = _define(
-    603, "standin-faults-set", logging.INFO, "The faults of a stand-in were changed."
-)
-STANDIN_CONNECTION_TORN = _define(
-    604,
-    "standin-connection-torn",
-    logging.INFO,
-    "A stand-in tore a caller's connection down, as its faults ask for.",
 )
-STANDIN_MAPS_DIFFER = _define(
-    605,
-    "standin-maps-differ",
-    logging.CRITICAL,
-    "Ranks of a group took one step with different expert maps.",
+
 # 300: routing, limits and retries
 ENDPOINT_AVOIDED = _define(
     300,
@@ -183,3 +158,32 @@
     logging.WARNING,
     "Failures came faster than successes pay for; they are no longer retried.",
 )
+
+# 600: stand-ins of the outside systems
+STANDIN_LISTENING = _define(
+    600, "standin-listening", logging.INFO, "A stand-in accepts connections."
+)
+STANDIN_STOPPED = _define(
+    601, "standin-stopped", logging.INFO, "A stand-in has closed its port."
+)
+STANDIN_CALL_FAILED = _define(
+    602,
+    "standin-call-failed",
+    logging.ERROR,
+    "A stand-in met an unexpected error; the caller was answered with status 500.",
+)
+STANDIN_FAULTS_SET = _define(
+    603, "standin-faults-set", logging.INFO, "The faults of a stand-in were changed."
+)
+STANDIN_CONNECTION_TORN = _define(
+    604,
+    "standin-connection-torn",
+    logging.INFO,
+    "A stand-in tore a caller's connection down, as its faults ask for.",
+)
+STANDIN_MAPS_DIFFER = _define(
+    605,
+    "standin-maps-differ",
+    logging.CRITICAL,
+    "Ranks of a group took one step with different expert maps.",
+)
