Serve a request from end to end: entry, agent, command line and demo

An entry reads a caller's request, chooses by rule, load and prefix, and hands it over a long-lived stream to the agent, the only process that calls the endpoint. Conclusion: drafts, streams resumed on another engine, lookups, and an order that is repeated through two entries and runs once.

--- /dev/null
+++ b/src/dotterelplank/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with ``python -m dotterelplank``."""
+
+from .cli import app
+
+app()
--- /dev/null
+++ b/src/dotterelplank/agent.py
@@ -0,0 +1,296 @@
+"""The agent: the only process that hands work to the endpoint beside it."""
+
+import concurrent.futures
+import hashlib
+import logging
+import threading
+import time
+
+from . import answers, defaults, events, jobs, ledger as ledgers, results
+from .answers import Ended, Job
+from .daemon import Daemon
+from .endpoint_calls import EndpointClient, EndpointLoad
+from .errors import LinkClosedError, UpstreamError
+from .jobs import AgentState
+from .ledger import Ledger
+from .links import Handlers, Link
+from .messages import Cancel, Credit, Message, Report, Submit
+from .results import Result
+from .settings import AgentSettings
+from .tickets import Ticket
+
+log = logging.getLogger(__name__)
+
+_CANCEL_THREADS = 8
+
+
+class Agent:
+    """One agent's state, threads and links."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        self._settings = settings
+        self.daemon = Daemon(settings, "agent", self._handlers(), self.in_flight)
+        self._is_model = settings.endpoint_kind == "model"
+        identity = self.daemon.identity
+        now_ms = _now_ms()
+        ledger = Ledger(identity.host, identity.incarnation, epoch_started_ms=now_ms)
+        self.state = AgentState(ledger, identity.secret, slots=settings.slots)
+        self._lock = threading.Lock()
+        self._jobs: dict[tuple[Link, int], Job] = {}
+        self._client = EndpointClient(settings.endpoint_url, settings.slots)
+        self._workers = concurrent.futures.ThreadPoolExecutor(
+            max_workers=settings.slots, thread_name_prefix="job"
+        )
+        # Cancels must not wait behind the work that they end.
+        self._cancels = concurrent.futures.ThreadPoolExecutor(
+            max_workers=_CANCEL_THREADS, thread_name_prefix="cancel"
+        )
+        self._load = EndpointLoad()
+        self._load_read_ms = now_ms
+        self._report_sequence = 0
+        self._next_report_ms = now_ms
+        self._idle = threading.Condition(self._lock)
+
+    def _handlers(self) -> Handlers:
+        return Handlers(
+            on_ready=self._on_ready,
+            on_message=self._on_message,
+            on_closed=self._on_closed,
+            on_tick=self._on_tick,
+            on_pause=self._on_pause,
+            epoch=lambda: self.state.ledger.epoch,
+        )
+
+    def start(self) -> None:
+        """Serve entries from now on."""
+        self.daemon.start()
+        if self._is_model:
+            threading.Thread(target=self._watch_load, name="load", daemon=True).start()
+
+    def stop(self) -> bool:
+        """Leave gracefully: no new work, then finish what is in progress.
+
+        :returns: whether all of it was finished within the bound.
+        """
+        self.daemon.begin_stop()
+        with self._lock:
+            self.state.is_leaving = True
+        self.daemon.links.call(lambda: self._send_reports(_now_ms()))
+        whole = self._wait_idle(self._settings.stop_bound_ms)
+        if not whole:
+            self._cut_off()
+        self._workers.shutdown(wait=whole, cancel_futures=True)
+        self._cancels.shutdown(wait=whole, cancel_futures=True)
+        self.daemon.finish_stop()
+        return whole
+
+    def in_flight(self) -> int:
+        """Return how many requests hold a slot."""
+        return self.state.running
+
+    def _wait_idle(self, bound_ms: float) -> bool:
+        with self._idle:
+            return self._idle.wait_for(
+                lambda: self.state.running == 0, timeout=bound_ms / 1000
+            )
+
+    def _cut_off(self) -> None:
+        with self._lock:
+            cut = list(self._jobs.values())
+        events.emit(log, events.STOP_BOUND_REACHED, requests_cut=len(cut))
+        for job in cut:
+            self._tell(job, results.STOP_BOUND)
+            job.cancel()
+
+    def _on_ready(self, link: Link) -> None:
+        self.daemon.on_ready(link)
+        self._send_report(link, _now_ms())
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        match message:
+            case Submit():
+                self._on_submit(link, message)
+            case Cancel(request_id):
+                self._on_cancel(link, request_id)
+            case Credit(request_id, size_bytes):
+                job = self._jobs.get((link, request_id))
+                if job is not None:
+                    job.add_credit(size_bytes)
+            case _:
+                self.daemon.on_message(link, message)
+
+    def _on_closed(self, link: Link, dialled: str | None) -> None:
+        self.daemon.on_closed(link, dialled)
+        with self._lock:
+            orphans = [job for (owner, _), job in self._jobs.items() if owner is link]
+        for job in orphans:
+            # The caller may come back for what runs under a ticket.
+            if job.ticket is None:
+                self._cancels.submit(self._stop_job, job)
+
+    def _on_pause(self, late_ms: float) -> None:
+        self.daemon.links.abort_all()
+
+    def _on_tick(self, now_ms: float) -> None:
+        self.daemon.on_tick(now_ms)
+        own = self.daemon.own_host()
+        with self._lock:
+            ledgers.advance(now_ms, self.state.ledger, self.state.ledger_policy)
+            if own is not None and own.is_leaving:
+                self.state.is_leaving = True
+        if now_ms >= self._next_report_ms:
+            self._next_report_ms = now_ms + defaults.REPORT_INTERVAL_MS
+            self._send_reports(now_ms)
+
+    def _send_reports(self, now_ms: float) -> None:
+        for link in self.daemon.entry_links():
+            self._send_report(link, now_ms)
+
+    def _send_report(self, link: Link, now_ms: float) -> None:
+        self._report_sequence += 1
+        load = self._load
+        report = Report(
+            self._report_sequence,
+            self.state.is_leaving,
+            self.state.ledger.epoch,
+            load.running if self._is_model else self.state.running,
+            load.waiting,
+            load.kv_used_share,
+            load.step_ms,
+            now_ms - self._load_read_ms + load.measured_ms_ago,
+        )
+        try:
+            link.send(report)
+        except LinkClosedError:
+            return
+
+    def _watch_load(self) -> None:
+        while not self.daemon.stopped.wait(defaults.REPORT_INTERVAL_MS / 1000):
+            try:
+                self._load = self._client.load()
+                self._load_read_ms = _now_ms()
+            except UpstreamError as error:
+                events.emit(log, events.ENDPOINT_FAILED, reason=str(error))
+
+    def _on_submit(self, link: Link, submit: Submit) -> None:
+        key = (link, submit.request_id)
+        if key in self._jobs:
+            link.abort()
+            return
+        digest = _request_digest(submit)
+        with self._lock:
+            verdict = jobs.accept(_now_ms(), self.state, submit, digest)
+            if isinstance(verdict, jobs.Start):
+                job = Job(link, submit, verdict.ticket, self._job_name(link, submit))
+                self._jobs[key] = job
+        try:
+            match verdict:
+                case jobs.Start():
+                    self._workers.submit(self._run, key, job)
+                case jobs.Give(answer):
+                    answers.give(link, submit.request_id, answer)
+                case jobs.TurnAway(result, wait_ms):
+                    answers.refuse(link, submit.request_id, result, wait_ms)
+        except LinkClosedError:
+            return
+
+    def _job_name(self, link: Link, submit: Submit) -> str:
+        if submit.ticket:
+            return hashlib.sha256(submit.ticket).hexdigest()[:32]
+        return f"{link.peer.host}-{link.peer.incarnation}-{submit.request_id}"
+
+    def _run(self, key: tuple[Link, int], job: Job) -> None:
+        started_ms = _now_ms()
+        try:
+            with self.daemon.tracer.span("agent", job.submit.traceparent) as span:
+                ended = self._call(job, span.traceparent)
+                span.note("result", ended.result.name)
+            self._finish(job, ended)
+        except Exception:
+            events.emit(log, events.REQUEST_FAILED, job=job.name)
+            log.exception("job failed")
+            self._finish(job, Ended(results.ENDPOINT_LOST))
+        finally:
+            with self._idle:
+                del self._jobs[key]
+                jobs.end(self.state)
+                self._idle.notify_all()
+            self.daemon.metrics.observe_job(_now_ms() - started_ms)
+
+    def _call(self, job: Job, traceparent: str) -> Ended:
+        with self._lock:
+            if job.cancelled.is_set():
+                return Ended(results.DEADLINE_BEFORE_START)
+            job.sent_to_endpoint = True
+        timeout_ms = job.submit.deadline_ms
+        if job.ticket is not None:
+            # The caller may come back for the answer after its own deadline.
+            timeout_ms = max(timeout_ms, defaults.TICKET_CALL_BOUND_MS)
+        if job.submit.stream and self._is_model:
+            ended = answers.stream(job, self._client, traceparent, timeout_ms)
+        else:
+            ended = answers.collect(job, self._client, traceparent, timeout_ms)
+        return answers.judge_model_answer(ended) if self._is_model else ended
+
+    def _finish(self, job: Job, ended: Ended) -> None:
+        if job.ticket is not None:
+            self._remember(job.ticket, ended)
+        if ended.answer is not None:
+            self._give(job, ended)
+        elif ended.result is not results.DONE:
+            self._tell(job, ended.result)
+
+    def _remember(self, ticket: Ticket, ended: Ended) -> None:
+        now_ms = _now_ms()
+        policy = self.state.ledger_policy
+        with self._lock:
+            ledger = self.state.ledger
+            if ended.answer is not None:
+                ledgers.finish(now_ms, ledger, ticket, ended.answer, policy)
+            elif ended.result is results.DEADLINE_BEFORE_START:
+                ledgers.withdraw(now_ms, ledger, ticket, policy)
+                ledgers.cancel(now_ms, ledger, ticket, policy)
+            elif ended.result is results.ENDPOINT_UNREACHABLE:
+                ledgers.withdraw(now_ms, ledger, ticket, policy)
+            else:
+                ledgers.lose(now_ms, ledger, ticket, policy)
+
+    def _give(self, job: Job, ended: Ended) -> None:
+        try:
+            answers.give(job.link, job.submit.request_id, ended.answer)
+        except LinkClosedError:
+            return
+
+    def _tell(self, job: Job, result: Result) -> None:
+        wait_ms = defaults.RETRY_AFTER_MS
+        try:
+            answers.refuse(job.link, job.submit.request_id, result, wait_ms)
+        except LinkClosedError:
+            return
+
+    def _on_cancel(self, link: Link, request_id: int) -> None:
+        job = self._jobs.get((link, request_id))
+        if job is None:
+            return
+        with self._lock:
+            is_unsent = not job.sent_to_endpoint
+            job.cancel()
+        if not is_unsent and self._is_model:
+            self._cancels.submit(self._stop_job, job)
+
+    def _stop_job(self, job: Job) -> None:
+        job.cancel()
+        if self._is_model and self._client.cancel(job.name):
+            self._tell(job, results.DEADLINE_BEFORE_START)
+
+
+def _request_digest(submit: Submit) -> bytes:
+    digest = hashlib.sha256()
+    for part in (submit.target, submit.method, submit.path):
+        digest.update(part.encode() + b"\0")
+    digest.update(submit.body)
+    return digest.digest()
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
--- /dev/null
+++ b/src/dotterelplank/answers.py
@@ -0,0 +1,166 @@
+"""How an agent hands a request to the endpoint and its answer to the entry."""
+
+import dataclasses
+import threading
+import typing as t
+
+import urllib3
+
+from . import defaults, endpoint_calls, results, sse
+from .endpoint_calls import EndpointClient
+from .errors import LinkClosedError, UpstreamError
+from .ledger import Answer
+from .links import Link
+from .messages import Begin, Chunk, End, Refuse, Submit
+from .tickets import Ticket
+
+_BUSY_STATUSES = frozenset({429, 503})
+_FAILED_STATUSES = frozenset({500, 502, 504})
+_PIECE_SIZE_BYTES = 256 * 1024
+
+
+class Job:
+    """One request that holds a slot at an agent.
+
+    :ivar sent_to_endpoint: the endpoint may have received it.
+    """
+
+    def __init__(self, link: Link, submit: Submit, ticket: Ticket | None, name: str):
+        self.link = link
+        self.submit = submit
+        self.ticket = ticket
+        self.name = name
+        self.sent_to_endpoint = False
+        self.cancelled = threading.Event()
+        self._credit_bytes = defaults.CREDIT_BYTES
+        self._changed = threading.Condition()
+
+    def add_credit(self, size_bytes: int) -> None:
+        """Let ``size_bytes`` more of the answer be sent."""
+        with self._changed:
+            self._credit_bytes += size_bytes
+            self._changed.notify()
+
+    def cancel(self) -> None:
+        """Stop the job as soon as it looks."""
+        self.cancelled.set()
+        with self._changed:
+            self._changed.notify()
+
+    def spend_credit(self, size_bytes: int) -> bool:
+        """Wait for credit and take it; return ``False`` once the job was cancelled."""
+        with self._changed:
+            while self._credit_bytes <= 0 and not self.cancelled.is_set():
+                self._changed.wait(timeout=1.0)
+                if not self.link.is_open:
+                    return False
+            self._credit_bytes -= size_bytes
+        return not self.cancelled.is_set()
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """How a job ended at the endpoint.
+
+    :param result: the result code; ``DONE`` for a whole answer.
+    :param answer: the whole answer where it was collected.
+    """
+
+    result: results.Result
+    answer: Answer | None = None
+
+
+def stream(
+    job: Job, client: EndpointClient, traceparent: str, timeout_ms: float
+) -> Ended:
+    """Relay the engine's token stream to the entry as it comes."""
+    call = endpoint_calls.call_of(job.submit, job.name, traceparent, timeout_ms)
+    try:
+        with client.opened(call) as response:
+            if response.status != 200:
+                return _collected(response)
+            return _relay(job, response)
+    except UpstreamError as error:
+        return Ended(results.ENDPOINT_LOST if error.sent else _UNSENT)
+    except LinkClosedError:
+        return Ended(results.STREAM_CUT)
+
+
+_UNSENT = results.ENDPOINT_UNREACHABLE
+
+
+def _relay(job: Job, response: urllib3.BaseHTTPResponse) -> Ended:
+    request_id = job.submit.request_id
+    job.link.send(Begin(request_id, 200, endpoint_calls.headers_of(response)))
+    splitter = sse.EventSplitter()
+    sequence = 0
+    for piece in endpoint_calls.pieces(response):
+        whole = splitter.feed(piece)
+        if whole is None:
+            continue
+        if not job.spend_credit(len(whole.data)):
+            return Ended(results.STREAM_CUT)
+        job.link.send(Chunk(request_id, sequence, whole.tokens, whole.data))
+        sequence += 1
+        if whole.is_last:
+            job.link.send(End(request_id, sequence))
+            return Ended(results.DONE)
+    return Ended(results.STREAM_CUT)
+
+
+def collect(
+    job: Job, client: EndpointClient, traceparent: str, timeout_ms: float
+) -> Ended:
+    """Call the endpoint and return its whole answer."""
+    call = endpoint_calls.call_of(job.submit, job.name, traceparent, timeout_ms)
+    try:
+        with client.opened(call) as response:
+            return _collected(response)
+    except UpstreamError as error:
+        return Ended(results.ENDPOINT_LOST if error.sent else _UNSENT)
+
+
+def _collected(response: urllib3.BaseHTTPResponse) -> Ended:
+    body = response.read()
+    headers = endpoint_calls.headers_of(response)
+    return Ended(results.DONE, Answer(response.status, headers, body))
+
+
+def judge_model_answer(ended: Ended) -> Ended:
+    """Turn a model engine's refusals and failures into result codes.
+
+    A plain service's answer is its own, whatever its status.
+    """
+    if ended.answer is None:
+        return ended
+    if ended.answer.http_status in _BUSY_STATUSES:
+        return Ended(results.ENDPOINT_FULL)
+    if ended.answer.http_status in _FAILED_STATUSES:
+        return Ended(results.ENDPOINT_LOST)
+    return ended
+
+
+def give(link: Link, request_id: int, answer: Answer) -> None:
+    """Send a whole answer to the entry.
+
+    :raises LinkClosedError: if the entry is gone.
+    """
+    link.send(Begin(request_id, answer.http_status, answer.headers))
+    count = 0
+    for piece in _split(answer.body):
+        link.send(Chunk(request_id, count, 0, piece))
+        count += 1
+    link.send(End(request_id, count))
+
+
+def _split(body: bytes) -> t.Iterator[bytes]:
+    for start in range(0, len(body), _PIECE_SIZE_BYTES):
+        yield body[start : start + _PIECE_SIZE_BYTES]
+
+
+def refuse(link: Link, request_id: int, result: results.Result, wait_ms: float) -> None:
+    """Tell the entry that a request ended without a whole answer.
+
+    :raises LinkClosedError: if the entry is gone.
+    """
+    link.send(Refuse(request_id, result.number, wait_ms))
--- /dev/null
+++ b/src/dotterelplank/cli.py
@@ -0,0 +1,185 @@
+"""The command line."""
+
+import dataclasses
+import json
+import pathlib
+import signal
+import threading
+import typing as t
+
+import pydantic
+import typer
+import urllib3
+
+from . import (
+    configuration,
+    demo as demo_module,
+    explain as explaining,
+    logs,
+    settings as settings_module,
+)
+from .agent import Agent
+from .entry import Entry
+from .errors import ConfigurationError, InputError
+from .platform_client import parse_host_list
+from .selectors import Work
+from .settings import AgentSettings, EntrySettings
+from .standins import app as standins_app
+
+app = typer.Typer(
+    help="Load balancer for expert-parallel model groups.", no_args_is_help=True
+)
+app.add_typer(standins_app, name="standin")
+
+_BAD_INPUT = 2
+_CUT_OFF = 3
+
+SettingsPath = t.Annotated[
+    pathlib.Path, typer.Argument(help="Settings of the process.")
+]
+Json = t.Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+@app.command()
+def entry(path: SettingsPath) -> None:
+    """Run an entry until SIGTERM or SIGINT."""
+    loaded = _load(EntrySettings, path)
+    logs.configure(loaded.host, loaded.log_format, loaded.log_level)
+    daemon = Entry(loaded)
+    _run(
+        daemon,
+        lambda: {
+            "caller_port": daemon.caller_port,
+            "peer_port": daemon.daemon.peer_port,
+            "status_port": daemon.daemon.status_port,
+        },
+    )
+
+
+@app.command()
+def agent(path: SettingsPath) -> None:
+    """Run an agent until SIGTERM or SIGINT."""
+    loaded = _load(AgentSettings, path)
+    logs.configure(loaded.host, loaded.log_format, loaded.log_level)
+    daemon = Agent(loaded)
+    _run(
+        daemon,
+        lambda: {
+            "peer_port": daemon.daemon.peer_port,
+            "status_port": daemon.daemon.status_port,
+        },
+    )
+
+
+def _run(daemon: Entry | Agent, ports: t.Callable[[], dict[str, int]]) -> None:
+    """Run until the first signal; further ones change nothing."""
+    told_to_stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told_to_stop.set())
+    daemon.start()
+    typer.echo(json.dumps(ports()))
+    told_to_stop.wait()
+    if not daemon.stop():
+        raise typer.Exit(_CUT_OFF)
+
+
+_Kind = t.TypeVar("_Kind", EntrySettings, AgentSettings)
+
+
+def _load(kind: type[_Kind], path: pathlib.Path) -> _Kind:
+    try:
+        return settings_module.load(kind, path)
+    except InputError as error:
+        typer.echo(f"{path}: {error}", err=True)
+        raise typer.Exit(_BAD_INPUT) from error
+
+
+def _read_configuration(path: pathlib.Path) -> configuration.Configuration:
+    try:
+        return configuration.parse(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        typer.echo(f"{path}: {error}", err=True)
+        raise typer.Exit(_BAD_INPUT) from error
+    except ConfigurationError as error:
+        for fault in error.faults:
+            typer.echo(f"{path}: {fault}", err=True)
+        raise typer.Exit(_BAD_INPUT) from error
+
+
+@app.command()
+def check(
+    path: t.Annotated[pathlib.Path, typer.Argument(help="Configuration to check.")],
+    as_json: Json = False,
+) -> None:
+    """Check a configuration as every process would."""
+    found = _read_configuration(path)
+    summary = {
+        "groups": len(found.groups),
+        "rules": len(found.rules),
+        "teams": len(found.share_by_team),
+    }
+    if as_json:
+        typer.echo(json.dumps(summary))
+    else:
+        counts = ", ".join(f"{count} {name}" for name, count in summary.items())
+        typer.echo(f"{path}: accepted: {counts}")
+
+
+@app.command()
+def explain(
+    config: t.Annotated[pathlib.Path, typer.Option(help="Configuration.")],
+    target: t.Annotated[str, typer.Option(help="Model or service asked for.")],
+    team: t.Annotated[str, typer.Option(help="Team that asks.")],
+    priority: t.Annotated[int, typer.Option(help="Priority, 0 to 9.")] = 0,
+    method: t.Annotated[str, typer.Option(help="HTTP method.")] = "POST",
+    hosts: t.Annotated[
+        pathlib.Path | None, typer.Option(help="Host list as the platform gives it.")
+    ] = None,
+    as_json: Json = False,
+) -> None:
+    """Say which rule takes a request, why, and which endpoints remain."""
+    found = _read_configuration(config)
+    known = _read_hosts(hosts) if hosts else []
+    try:
+        explained = explaining.explain(
+            found, known, Work(target, team, priority, method)
+        )
+    except InputError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(_BAD_INPUT) from error
+    if as_json:
+        typer.echo(json.dumps(dataclasses.asdict(explained)))
+    else:
+        typer.echo(explaining.as_text(explained), nl=False)
+
+
+def _read_hosts(path: pathlib.Path) -> list[t.Any]:
+    try:
+        return list(parse_host_list(path.read_text(encoding="utf-8")).values())
+    except (OSError, ValueError, pydantic.ValidationError) as error:
+        typer.echo(f"{path}: {error}", err=True)
+        raise typer.Exit(_BAD_INPUT) from error
+
+
+@app.command()
+def status(
+    address: t.Annotated[str, typer.Argument(help="Status address, IP:PORT.")],
+    as_json: Json = False,
+) -> None:
+    """Print the status of a running process."""
+    suffix = "" if as_json else "?format=text"
+    try:
+        response = urllib3.request(
+            "GET", f"http://{address}/status{suffix}", retries=False, timeout=5.0
+        )
+    except urllib3.exceptions.HTTPError as error:
+        typer.echo(f"{address}: {error}", err=True)
+        raise typer.Exit(_BAD_INPUT) from error
+    typer.echo(response.data.decode(), nl=False)
+
+
+@app.command()
+def demo() -> None:
+    """Run the whole path on loopback inside one process and check what comes out."""
+    if not demo_module.run(typer.echo):
+        raise typer.Exit(1)
--- a/src/dotterelplank/configuration.py
+++ b/src/dotterelplank/configuration.py
@@ -82,10 +82,14 @@
 
 
 class LimitsModel(_Model):
-    """Bounds that hold for every request."""
+    """Bounds that hold for every request.
+
+    :param endpoint_tokens_per_s: tokens that one model endpoint reads and generates.
+    """
 
     deadline_ms: float = pydantic.Field(defaults.DEADLINE_MS, gt=0, le=3_600_000)
     requests_per_entry: int = pydantic.Field(defaults.CALLER_THREADS, ge=1, le=4096)
+    endpoint_tokens_per_s: float = pydantic.Field(defaults.ENDPOINT_TOKENS_PER_S, gt=0)
     body_size_bytes: int = pydantic.Field(
         defaults.BODY_BOUND_BYTES, ge=1024, le=defaults.FRAME_BOUND_BYTES // 2
     )
@@ -130,6 +134,7 @@
 
     deadline_ms: float
     requests_per_entry: int
+    endpoint_tokens_per_s: float
     body_size_bytes: int
 
 
@@ -137,13 +142,14 @@
 class Configuration:
     """A configuration that has been accepted.
 
-    :param share_by_team: weight of each team among all.
+    :param share_by_team: part of the capacity that each team is entitled to, of 1.
     """
 
     groups: t.Mapping[str, Group]
     rules: tuple[selectors.Rule, ...]
     share_by_team: t.Mapping[str, float]
     team_by_key_sha256: t.Mapping[str, str]
+    teams_with_keys: frozenset[str]
     limits: Limits
     skew_weight: float
 
@@ -284,6 +290,7 @@
     limits = Limits(
         model.limits.deadline_ms,
         model.limits.requests_per_entry,
+        model.limits.endpoint_tokens_per_s,
         model.limits.body_size_bytes,
     )
     return Configuration(
@@ -291,6 +298,7 @@
         rules=tuple(_rule(item) for item in model.rules),
         share_by_team=shares,
         team_by_key_sha256={item.sha256: item.team for item in model.keys},
+        teams_with_keys=frozenset(item.team for item in model.keys),
         limits=limits,
         skew_weight=model.policy.skew_weight,
     )
--- /dev/null
+++ b/src/dotterelplank/conversations.py
@@ -0,0 +1,168 @@
+"""Carries out the course of one request: the shell around :mod:`exchanges`."""
+
+import queue
+import time
+import typing as t
+
+from . import defaults, exchanges
+from .errors import LinkClosedError
+from .exchanges import (
+    CallerGone,
+    CancelAt,
+    Choose,
+    Chosen,
+    Command,
+    Complete,
+    Event,
+    Exchange,
+    GiveUp,
+    Lost,
+    Phase,
+    RelayData,
+    RelayHead,
+    Send,
+    Tick,
+)
+from .links import Link
+from .messages import Cancel, Chunk, Credit
+
+Effect = RelayHead | RelayData | Complete | GiveUp
+
+_EVENTS_PER_TURN = 64
+
+
+class Conversation:
+    """One request in progress at an entry.
+
+    Events come from any thread through :meth:`post`; the caller's own thread drives
+    it by iterating over :meth:`effects`.
+
+    :param choose: finds an endpoint for a :class:`Choose` command; it may sleep
+        before a retry.
+    :param send: sends the request to a host and returns the link and the request id.
+    :param is_caller_gone: looks whether the caller hung up.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        choose: t.Callable[[Choose], Chosen],
+        send: t.Callable[["Conversation", Send], tuple[Link, int]],
+        is_caller_gone: t.Callable[[], bool],
+    ) -> None:
+        self.exchange = exchange
+        self._choose = choose
+        self._send = send
+        self._is_caller_gone = is_caller_gone
+        self._events: queue.SimpleQueue[tuple[int, Event]] = queue.SimpleQueue()
+        self._attempt = 0
+        self._link: Link | None = None
+        self._request_id = 0
+        self._owed_credit_bytes = 0
+
+    def post(self, attempt: int, event: Event) -> None:
+        """Hand in an event of an attempt; those of earlier attempts are dropped."""
+        self._events.put((attempt, event))
+
+    def effects(self) -> t.Iterator[Effect]:
+        """Yield what the caller must be given, until the exchange is over."""
+        commands = exchanges.start(self.exchange)
+        while self.exchange.phase is not Phase.OVER or commands:
+            yield from self._carry_out(commands)
+            if self.exchange.phase is Phase.OVER:
+                return
+            commands = self._next_commands()
+
+    def close(self) -> None:
+        """End the exchange if the caller hung up before it was over."""
+        for command in exchanges.decide(_now_ms(), self.exchange, CallerGone()):
+            if isinstance(command, CancelAt):
+                self._cancel()
+
+    def _carry_out(self, commands: t.Sequence[Command]) -> t.Iterator[Effect]:
+        pending = list(commands)
+        while pending:
+            command = pending.pop(0)
+            match command:
+                case Choose():
+                    chosen = self._choose(command)
+                    pending += exchanges.decide(_now_ms(), self.exchange, chosen)
+                case Send():
+                    pending += self._try_send(command)
+                case CancelAt():
+                    self._cancel()
+                case RelayData(data):
+                    yield command
+                    self._give_credit(len(data))
+                case _:
+                    yield command
+
+    def _try_send(self, command: Send) -> t.Sequence[Command]:
+        self._attempt += 1
+        try:
+            self._link, self._request_id = self._send(self, command)
+        except LinkClosedError as error:
+            lost = Lost(error.written)
+            return exchanges.decide(_now_ms(), self.exchange, lost)
+        return []
+
+    @property
+    def attempt(self) -> int:
+        """Number of the present attempt, from 1."""
+        return self._attempt
+
+    def _cancel(self) -> None:
+        if self._link is None:
+            return
+        try:
+            self._link.send(Cancel(self._request_id))
+        except LinkClosedError:
+            return
+
+    def _give_credit(self, size_bytes: int) -> None:
+        self._owed_credit_bytes += size_bytes
+        if self._owed_credit_bytes < defaults.CREDIT_STEP_BYTES or self._link is None:
+            return
+        try:
+            self._link.send(Credit(self._request_id, self._owed_credit_bytes))
+        except LinkClosedError:
+            return
+        self._owed_credit_bytes = 0
+
+    def _next_commands(self) -> list[Command]:
+        """Wait for events and return what they ask for, with pieces of data joined."""
+        commands: list[Command] = []
+        for event in self._wait():
+            for command in exchanges.decide(_now_ms(), self.exchange, event):
+                _append(commands, command)
+            if isinstance(event, Chunk) and not self.exchange.stream:
+                self._give_credit(len(event.data))
+        return commands
+
+    def _wait(self) -> t.Iterator[Event]:
+        wake_ms = exchanges.next_wake_ms(self.exchange)
+        wait_ms = min(wake_ms - _now_ms(), defaults.CALLER_CHECK_INTERVAL_MS)
+        try:
+            attempt, event = self._events.get(timeout=max(0.0, wait_ms) / 1000)
+        except queue.Empty:
+            yield CallerGone() if self._is_caller_gone() else Tick()
+            return
+        arrived = [(attempt, event)]
+        while len(arrived) < _EVENTS_PER_TURN and not self._events.empty():
+            arrived.append(self._events.get())
+        for attempt, event in arrived:
+            if attempt == self._attempt:
+                yield event
+        yield Tick()
+
+
+def _append(commands: list[Command], command: Command) -> None:
+    is_joined = commands and isinstance(command, RelayData)
+    if is_joined and isinstance(commands[-1], RelayData):
+        commands[-1] = RelayData(commands[-1].data + command.data)
+    else:
+        commands.append(command)
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
--- /dev/null
+++ b/src/dotterelplank/demo.py
@@ -0,0 +1,197 @@
+"""The demo: drafts, lookups and orders through a fleet, one engine killed midway."""
+
+import dataclasses
+import json
+import pathlib
+import typing as t
+
+import urllib3
+
+from . import fleet as fleets, platform_client, sse
+from .fleet import Fleet, Plan
+from .standin_engine import EngineFaults, EngineSettings
+from .standin_tokens import expected_tokens
+
+EXAMPLES = pathlib.Path("examples")
+_TOKENS = 12
+_TOKENS_BEFORE_DEATH = 3
+_MODEL = "drafting"
+_SERVICE = "crew-operations"
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One request of the demo."""
+
+    what: str
+    expected: str
+    met: str
+
+    @property
+    def is_as_expected(self) -> bool:
+        """Whether it came out as it should."""
+        return self.expected == self.met
+
+
+def run(echo: t.Callable[[str], None], examples: pathlib.Path = EXAMPLES) -> bool:
+    """Run the demo, print its table, and return whether all was as expected."""
+    with fleets.running(_plan(examples)) as fleet:
+        rows = list(_rows(fleet))
+    _print(echo, rows)
+    good = sum(row.is_as_expected for row in rows)
+    echo(f"demo: {good} of {len(rows)} as expected")
+    return good == len(rows)
+
+
+def _plan(examples: pathlib.Path) -> Plan:
+    folder = examples / "kaplan"
+    hosts = platform_client.parse_host_list((folder / "hosts.json").read_text("utf-8"))
+    return Plan(
+        configuration_text=(folder / "configuration.json").read_text("utf-8"),
+        hosts=tuple(hosts.values()),
+        model_label="drafting",
+        engine=EngineSettings(base_step_ms=5.0),
+    )
+
+
+def _rows(fleet: Fleet) -> t.Iterator[Row]:
+    pool = urllib3.PoolManager(retries=False, timeout=20.0)
+    entries = list(fleet.entries)
+    for number, team in enumerate(("crew-north", "compliance", "audit")):
+        yield _draft(pool, fleet.caller_url(entries[number]), team, stream=False)
+        yield _draft(pool, fleet.caller_url(entries[number]), team, stream=True)
+    yield _draft_with_a_kill(pool, fleet, fleet.caller_url(entries[0]))
+    yield _lookup(pool, fleet.caller_url(entries[1]))
+    yield from _order(pool, fleet, entries)
+    yield _unknown_team(pool, fleet.caller_url(entries[2]))
+
+
+def _messages(text: str) -> list[dict[str, str]]:
+    return [{"role": "user", "content": text}]
+
+
+def _draft(pool: urllib3.PoolManager, url: str, team: str, stream: bool) -> Row:
+    kind = "stream" if stream else "unary"
+    text = _draft_text(pool, url, team, f"wet-grip run of {team}", stream)
+    return Row(f"draft for {team}, {kind}", _wanted(f"wet-grip run of {team}"), text)
+
+
+def _wanted(prompt: str) -> str:
+    return "".join(expected_tokens(_MODEL, _messages(prompt), _TOKENS))
+
+
+def _chat_body(prompt: str, stream: bool) -> dict[str, t.Any]:
+    return {
+        "model": _MODEL,
+        "messages": _messages(prompt),
+        "max_tokens": _TOKENS,
+        "stream": stream,
+    }
+
+
+def _draft_text(
+    pool: urllib3.PoolManager, url: str, team: str, prompt: str, stream: bool
+) -> str:
+    response = pool.request(
+        "POST",
+        f"{url}/v1/chat/completions",
+        json=_chat_body(prompt, stream),
+        headers={"Dotterelplank-Team": team},
+    )
+    if response.status != 200:
+        return f"{response.status} {response.data.decode()}"
+    if not stream:
+        return response.json()["choices"][0]["message"]["content"]
+    return stream_text(response.data)
+
+
+def stream_text(data: bytes) -> str:
+    """Return the text of a whole token stream; an error event shows as itself."""
+    text = ""
+    for payload in sse.events(data):
+        if payload == b"[DONE]":
+            return text
+        value = json.loads(payload)
+        if "error" in value:
+            return f"cut after {text!r}: {value['error']['type']}"
+        text += value["choices"][0]["delta"].get("content", "")
+    return f"cut after {text!r}"
+
+
+def _draft_with_a_kill(pool: urllib3.PoolManager, fleet: Fleet, url: str) -> Row:
+    """Tear the stream down at its engine after some tokens; another one goes on."""
+    prompt = "a draft whose engine dies"
+    _set_deaths(fleet, _TOKENS_BEFORE_DEATH)
+    response = pool.request(
+        "POST",
+        f"{url}/v1/chat/completions",
+        json=_chat_body(prompt, stream=True),
+        headers={"Dotterelplank-Team": "crew-south"},
+        preload_content=False,
+    )
+    data = b""
+    for piece in response.stream():
+        data += piece
+        _set_deaths(fleet, None)
+    return Row("draft whose engine dies midway", _wanted(prompt), stream_text(data))
+
+
+def _set_deaths(fleet: Fleet, after_tokens: int | None) -> None:
+    for engine in fleet.engines.values():
+        engine.change_faults(EngineFaults(die_after_tokens=after_tokens))
+
+
+def _lookup(pool: urllib3.PoolManager, url: str) -> Row:
+    response = pool.request(
+        "GET",
+        f"{url}/services/{_SERVICE}/surveys/a7",
+        headers={"Dotterelplank-Team": "planning"},
+    )
+    return Row("lookup of a survey record", "200", str(response.status))
+
+
+def _order(
+    pool: urllib3.PoolManager, fleet: Fleet, entries: list[str]
+) -> t.Iterator[Row]:
+    path = f"/services/{_SERVICE}/closures"
+    headers = {"Dotterelplank-Team": "crew-north"}
+    order = {"lane": 2, "from": "22:00"}
+
+    def book(entry: str, key: str) -> urllib3.BaseHTTPResponse:
+        sent = {**headers, "Idempotency-Key": key} if key else headers
+        url = fleet.caller_url(entry) + path
+        return pool.request("POST", url, json=order, headers=sent)
+
+    first = book(entries[0], "")
+    yield Row("lane closure without a ticket", "205 not-run", _result(first))
+    key = first.headers.get("Idempotency-Key", "")
+    second = book(entries[0], key)
+    yield Row("the same with the ticket", "100 done", _result(second))
+    third = book(entries[5], key)
+    yield Row("repeated through another entry", "100 done", _result(third))
+    same = "the same answer" if second.data == third.data else "another answer"
+    yield Row("both answers", "the same answer", same)
+    count = sum(service.report().total for service in fleet.services.values())
+    yield Row("lane closures booked", "1", str(count))
+
+
+def _result(response: urllib3.BaseHTTPResponse) -> str:
+    number = response.headers.get("Dotterelplank-Result", "none").split()[0]
+    return f"{number} {response.headers.get('Dotterelplank-Outcome')}"
+
+
+def _unknown_team(pool: urllib3.PoolManager, url: str) -> Row:
+    response = pool.request(
+        "GET",
+        f"{url}/services/{_SERVICE}/surveys/a7",
+        headers={"Dotterelplank-Team": "nobody"},
+    )
+    return Row("lookup of an unknown team", "202 not-run", _result(response))
+
+
+def _print(echo: t.Callable[[str], None], rows: t.Sequence[Row]) -> None:
+    width = max(len(row.what) for row in rows)
+    for row in rows:
+        mark = "as expected" if row.is_as_expected else f"expected {row.expected!r}"
+        met = row.met if len(row.met) <= 40 else row.met[:37] + "..."
+        echo(f"{row.what:<{width}}  {met:<40}  {mark}")
--- a/src/dotterelplank/endpoint_calls.py
+++ b/src/dotterelplank/endpoint_calls.py
@@ -60,11 +60,13 @@
     return tuple(item for item in headers if item.name.lower() not in _HOP_HEADERS)
 
 
-def call_of(submit: Submit, request_id: str, timeout_ms: float) -> Call:
+def call_of(
+    submit: Submit, request_id: str, traceparent: str, timeout_ms: float
+) -> Call:
     """Return the call that ``submit`` asks for."""
     headers = end_to_end(submit.headers)
     headers += (Header("X-Request-Id", request_id),)
-    headers += (Header("traceparent", submit.traceparent),)
+    headers += (Header("traceparent", traceparent),)
     body = submit.body
     if submit.resume_from:
         body = _resumed(body, submit.resume_from)
--- /dev/null
+++ b/src/dotterelplank/endpoints.py
@@ -0,0 +1,46 @@
+"""Which endpoints may take a request, by the rules and by what is known of them."""
+
+import typing as t
+
+from . import selectors
+from .blackboard import Blackboard, Host
+from .configuration import Configuration, Group
+from .endpoint_view import EndpointView, Liveness
+from .selectors import Rule, Work
+
+
+def taking_rule(configuration: Configuration, work: Work) -> Rule | None:
+    """Return the first rule that takes ``work``, or ``None``."""
+    return selectors.first_match(configuration.rules, work)
+
+
+def selected(
+    hosts: t.Iterable[Host], group: Group, rule: Rule
+) -> t.Iterator[tuple[Host, str | None]]:
+    """Yield each endpoint host, with why it isn't selected or ``None``."""
+    for host in hosts:
+        if host.role != "agent":
+            continue
+        reason = selectors.selector_reason(group.servers, host.labels)
+        if reason is not None:
+            yield host, f"not of group {group.name}: {reason}"
+            continue
+        yield host, selectors.selector_reason(rule.servers, host.labels)
+
+
+def usable_views(
+    board: Blackboard, group: Group, rule: Rule, excluded: t.Collection[str]
+) -> list[EndpointView]:
+    """Return the views of the endpoints that may take new work now."""
+    views = []
+    for host, reason in selected(board.hosts.hosts.values(), group, rule):
+        if reason is not None or host.host in excluded:
+            continue
+        view = board.endpoints.get(host.host)
+        if view is None or host.host not in board.peers:
+            continue
+        if host.is_leaving or board.peers[host.host].is_leaving:
+            continue
+        if view.liveness is not Liveness.LEAVING:
+            views.append(view)
+    return views
--- a/src/dotterelplank/links.py
+++ b/src/dotterelplank/links.py
@@ -166,6 +166,8 @@
     :param on_message: a message came over a ready link.
     :param on_closed: a link ended, ready or not; ``dialled`` is the host asked for.
     :param on_tick: time has passed; called about every ``TICK_INTERVAL_MS``.
+    :param on_pause: this process was paused for so many milliseconds; called before
+        anything that arrived meanwhile is read.
     :param epoch: the ticket epoch to tell in a hello.
     """
 
@@ -173,6 +175,7 @@
     on_message: t.Callable[[Link, Message], None]
     on_closed: t.Callable[[Link, str | None], None]
     on_tick: t.Callable[[float], None]
+    on_pause: t.Callable[[float], None]
     epoch: t.Callable[[], int] = lambda: 0
 
 
@@ -214,6 +217,11 @@
         self._wake()
         self._thread.join()
 
+    def abort_all(self) -> None:
+        """Break every link off, with what has arrived and was not read."""
+        for link in list(self._links):
+            self._close(link, "what it held may be out of date")
+
     def call(self, function: t.Callable[[], None]) -> None:
         """Run ``function`` on the serving thread soon."""
         self._calls.append(function)
@@ -242,8 +250,10 @@
     def _serve(self) -> None:
         next_tick_ms = _now_ms()
         while not self._stopping:
-            wait_ms = max(0.0, next_tick_ms - _now_ms())
+            before_ms = _now_ms()
+            wait_ms = max(0.0, next_tick_ms - before_ms)
             ready = self._selector.select(wait_ms / 1000)
+            self._notice_pause(_now_ms() - before_ms - wait_ms)
             for key, mask in ready:
                 self._on_ready_socket(key, mask)
             self._run_calls()
@@ -254,6 +264,15 @@
                 self._handlers.on_tick(now_ms)
         self._shut()
 
+    def _notice_pause(self, late_ms: float) -> None:
+        if late_ms < defaults.PAUSE_BOUND_MS:
+            return
+        events.emit(log, events.PAUSE_NOTICED, late_ms=late_ms)
+        now_ms = _now_ms()
+        for link in self._links:
+            link.heard_ms = now_ms
+        self._handlers.on_pause(late_ms)
+
     def _on_ready_socket(self, key: selectors.SelectorKey, mask: int) -> None:
         if key.fileobj is self._wake_reader:
             with contextlib.suppress(BlockingIOError):
--- /dev/null
+++ b/src/dotterelplank/platform_client.py
@@ -0,0 +1,117 @@
+"""Reads of the platform: the configuration service and the host list.
+
+The platform is only ever read. Each call counts there, a waiting watch as one.
+"""
+
+import dataclasses
+import json
+import typing as t
+
+import pydantic
+import urllib3
+
+from . import defaults
+from .blackboard import Host
+from .errors import UpstreamError
+
+
+class _HostModel(pydantic.BaseModel):
+    host: str
+    address: str
+    port: int
+    domain: str
+    role: t.Literal["entry", "agent"]
+    state: t.Literal["live", "leaving"]
+    labels: dict[str, str] = {}
+
+
+class _HostListModel(pydantic.BaseModel):
+    version: int
+    hosts: list[_HostModel]
+
+
+class _RevisionModel(pydantic.BaseModel):
+    revision: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Revision:
+    """A revision of a document of the platform."""
+
+    number: int
+    text: str
+
+
+class PlatformClient:
+    """A connection to the platform for one reader."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(maxsize=2, retries=False)
+
+    def configuration(self, after: int, wait_ms: int) -> Revision | None:
+        """Wait for a configuration above ``after``; ``None`` if none came.
+
+        :raises UpstreamError: if the platform can't be read.
+        """
+        data = self._get("/v1/configuration", after, wait_ms)
+        if data is None:
+            return None
+        try:
+            model = _RevisionModel.model_validate_json(data)
+        except pydantic.ValidationError as error:
+            raise UpstreamError(str(error), sent=True) from error
+        return Revision(model.revision, model.text)
+
+    def host_list(self, after: int, wait_ms: int) -> Revision | None:
+        """Wait for a host list above ``after``; ``None`` if none came.
+
+        :raises UpstreamError: if the platform can't be read.
+        """
+        data = self._get("/v1/hosts", after, wait_ms)
+        if data is None:
+            return None
+        try:
+            version = _HostListModel.model_validate_json(data).version
+        except pydantic.ValidationError as error:
+            raise UpstreamError(str(error), sent=True) from error
+        return Revision(version, data.decode())
+
+    def _get(self, path: str, after: int, wait_ms: int) -> bytes | None:
+        read_s = (wait_ms + defaults.PLATFORM_TIMEOUT_MS) / 1000
+        connect_s = defaults.CONNECT_TIMEOUT_MS / 1000
+        try:
+            response = self._pool.request(
+                "GET",
+                f"{self._url}{path}",
+                fields={"after": str(after), "wait_ms": str(wait_ms)},
+                timeout=urllib3.Timeout(connect=connect_s, read=read_s),
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise UpstreamError(repr(error), sent=True) from error
+        if response.status == 204:
+            return None
+        if response.status != 200:
+            raise UpstreamError(f"{path} answered {response.status}", sent=True)
+        return response.data
+
+
+def parse_host_list(text: str) -> t.Mapping[str, Host]:
+    """Return the hosts that a host list holds, by name.
+
+    :raises pydantic.ValidationError: if it is malformed.
+    """
+    model = _HostListModel.model_validate(json.loads(text))
+    return {
+        item.host: Host(
+            item.host,
+            item.address,
+            item.port,
+            item.domain,
+            item.role,
+            item.state == "leaving",
+            dict(item.labels),
+        )
+        for item in model.hosts
+    }
--- /dev/null
+++ b/src/dotterelplank/replies.py
@@ -0,0 +1,87 @@
+"""What a caller gets: the endpoint's answer, or a result that says what is known."""
+
+import http
+import json
+import math
+import typing as t
+
+from . import endpoint_calls, results, sse
+from .http_server import StartResponse
+from .messages import Begin
+
+RESULT_HEADER = "Dotterelplank-Result"
+OUTCOME_HEADER = "Dotterelplank-Outcome"
+RETRY_AFTER_MS_HEADER = "Dotterelplank-Retry-After-Ms"
+KEY_HEADER = "Idempotency-Key"
+
+HeaderList = list[tuple[str, str]]
+
+
+def status_line(http_status: int) -> str:
+    """Return the status as WSGI wants it."""
+    try:
+        return f"{http_status} {http.HTTPStatus(http_status).phrase}"
+    except ValueError:
+        return f"{http_status} Status"
+
+
+def result_headers(result: results.Result) -> HeaderList:
+    """Return the headers that carry a result code and its outcome."""
+    return [
+        (RESULT_HEADER, f"{result.number} {result.name}"),
+        (OUTCOME_HEADER, result.outcome.value),
+    ]
+
+
+def error_text(
+    result: results.Result, detail: str, retry_after_ms: float | None
+) -> str:
+    """Return the JSON text that says what became of a request."""
+    error = {
+        "code": result.number,
+        "type": result.name,
+        "outcome": result.outcome.value,
+        "message": detail or result.meaning,
+    }
+    if retry_after_ms is not None:
+        error["retry_after_ms"] = round(retry_after_ms)
+    return json.dumps({"error": error})
+
+
+def give_error(
+    start_response: StartResponse,
+    result: results.Result,
+    detail: str = "",
+    retry_after_ms: float | None = None,
+    key: str = "",
+    extra: t.Sequence[tuple[str, str]] = (),
+) -> t.Iterable[bytes]:
+    """Answer with a result and, where it helps, a time to come back.
+
+    :param key: the ticket to send the request again with, or empty.
+    """
+    body = error_text(result, detail, retry_after_ms).encode() + b"\n"
+    headers = [("Content-Type", "application/json"), *result_headers(result), *extra]
+    headers.append(("Content-Length", str(len(body))))
+    if retry_after_ms is not None:
+        headers.append(("Retry-After", str(math.ceil(retry_after_ms / 1000))))
+        headers.append((RETRY_AFTER_MS_HEADER, str(round(retry_after_ms))))
+    if key:
+        headers.append((KEY_HEADER, key))
+    start_response(status_line(result.http_status), headers)
+    return [body]
+
+
+def begin_answer(start_response: StartResponse, head: Begin, extra: HeaderList) -> None:
+    """Pass on the status and headers of an endpoint's answer."""
+    headers = [
+        (header.name, header.value)
+        for header in endpoint_calls.end_to_end(head.headers)
+    ]
+    headers += result_headers(results.DONE)
+    start_response(status_line(head.http_status), headers + extra)
+
+
+def stream_error(result: results.Result, retry_after_ms: float) -> bytes:
+    """Return the event that ends a stream which could not be finished."""
+    return sse.error_event(error_text(result, "", retry_after_ms))
--- /dev/null
+++ b/src/dotterelplank/status.py
@@ -0,0 +1,186 @@
+"""The pages for operators: health, metrics and status, apart from callers' traffic."""
+
+import dataclasses
+import json
+import time
+import typing as t
+
+from . import metrics as metrics_module
+from .blackboard import Blackboard, Host
+from .endpoint_view import EndpointView, held_requests
+from .http_server import Application, StartResponse
+from .metrics import Metrics
+from .settings import AgentSettings, EntrySettings
+
+
+@dataclasses.dataclass(frozen=True)
+class HostStatus:
+    """What this process knows of a host.
+
+    :param state: ``linked``, ``leaving`` or ``out-of-reach``.
+    :param heard_ms_ago: age of the last word from it; ``None`` without a link.
+    """
+
+    host: str
+    domain: str
+    role: str
+    state: str
+    labels: t.Mapping[str, str]
+    heard_ms_ago: float | None
+    load_measured_ms_ago: float | None
+    held_requests: float | None
+    own_in_flight: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Status:
+    """The status of one process."""
+
+    host: str
+    role: str
+    domain: str
+    uptime_ms: float
+    stopping: bool
+    configuration_revision: int
+    configuration_digest: str
+    refused_revision: int
+    refused_why: str
+    host_list_version: int
+    in_flight: int
+    hosts: tuple[HostStatus, ...]
+
+
+def read(
+    now_ms: float,
+    role: str,
+    settings: EntrySettings | AgentSettings,
+    board: Blackboard,
+    in_flight: int,
+) -> Status:
+    """Return the status that ``board`` holds."""
+    hosts = board.hosts.hosts
+    part = board.configuration
+    return Status(
+        settings.host,
+        role,
+        settings.domain,
+        now_ms - board.lifecycle.started_ms,
+        board.lifecycle.stopping,
+        part.revision,
+        part.digest.hex()[:12],
+        part.refused_revision,
+        part.refused_why,
+        board.hosts.version,
+        in_flight,
+        tuple(_host(now_ms, board, hosts[name]) for name in sorted(hosts)),
+    )
+
+
+def _host(now_ms: float, board: Blackboard, host: Host) -> HostStatus:
+    peer = board.peers.get(host.host)
+    view = board.endpoints.get(host.host)
+    state = "out-of-reach"
+    if peer is not None:
+        state = "leaving" if peer.is_leaving or host.is_leaving else "linked"
+    return HostStatus(
+        host.host,
+        host.domain,
+        host.role,
+        state,
+        dict(host.labels),
+        None if peer is None else now_ms - peer.link.heard_ms,
+        _load_age_ms(now_ms, view),
+        None if view is None or view.report is None else held_requests(view, 1),
+        0 if view is None else len(view.in_flight),
+    )
+
+
+def _load_age_ms(now_ms: float, view: EndpointView | None) -> float | None:
+    if view is None or view.report is None:
+        return None
+    return now_ms - view.measured_ms
+
+
+def as_json(status: Status) -> bytes:
+    """Return ``status`` as JSON."""
+    return json.dumps(dataclasses.asdict(status), indent=2).encode() + b"\n"
+
+
+def as_text(status: Status) -> bytes:
+    """Return ``status`` as a page for people."""
+    lines = [
+        f"{status.role} {status.host} in {status.domain}, "
+        f"up {status.uptime_ms / 1000:.0f} s"
+        + (", shutting down" if status.stopping else ""),
+        f"configuration: revision {status.configuration_revision} in force "
+        f"({status.configuration_digest or 'none'})",
+    ]
+    if status.refused_revision:
+        lines.append(f"refused: revision {status.refused_revision}")
+        lines.append(f"  because: {status.refused_why}")
+    lines.append(f"host list: version {status.host_list_version}")
+    lines.append(f"in flight: {status.in_flight}")
+    lines.append(f"{'host':<20}{'domain':<12}{'role':<8}{'state':<14}heard  load")
+    lines.extend(_host_line(host) for host in status.hosts)
+    return ("\n".join(lines) + "\n").encode()
+
+
+def _host_line(host: HostStatus) -> str:
+    heard = "-" if host.heard_ms_ago is None else f"{host.heard_ms_ago:.0f} ms"
+    load = "-"
+    if host.held_requests is not None:
+        load = f"{host.held_requests:.0f} held, {host.load_measured_ms_ago:.0f} ms old"
+    return (
+        f"{host.host:<20}{host.domain:<12}{host.role:<8}{host.state:<14}{heard}  {load}"
+    )
+
+
+def application(
+    role: str,
+    settings: EntrySettings | AgentSettings,
+    board: Blackboard,
+    metrics: Metrics,
+    in_flight: t.Callable[[], int],
+) -> Application:
+    """Return the WSGI application of the operators' pages."""
+
+    def respond(
+        environ: dict[str, t.Any], start_response: StartResponse
+    ) -> t.Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if path == "/healthz":
+            return _health(board, start_response)
+        if path == "/metrics":
+            headers = list(metrics_module.content_type().items())
+            start_response("200 OK", headers)
+            return [metrics.render()]
+        if path == "/status":
+            status = read(_now_ms(), role, settings, board, in_flight())
+            wants_text = "format=text" in environ.get("QUERY_STRING", "")
+            kind = "text/plain; charset=utf-8" if wants_text else "application/json"
+            start_response("200 OK", [("Content-Type", kind)])
+            return [as_text(status) if wants_text else as_json(status)]
+        start_response("404 Not Found", [("Content-Type", "text/plain")])
+        return [b"met another path, expected /healthz, /metrics or /status\n"]
+
+    return respond
+
+
+def _health(board: Blackboard, start_response: StartResponse) -> t.Iterable[bytes]:
+    reason = unhealthy_reason(board)
+    status = "200 OK" if reason is None else "503 Service Unavailable"
+    start_response(status, [("Content-Type", "text/plain")])
+    return [(reason or "ok").encode() + b"\n"]
+
+
+def unhealthy_reason(board: Blackboard) -> str | None:
+    """Return why this process should get no traffic, or ``None``."""
+    if board.lifecycle.stopping:
+        return "shutting down"
+    if board.configuration.configuration is None:
+        return "no configuration accepted yet"
+    return None
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
