Add stand-ins of the ranks, the weight store and a faulty network

Cause: map changes, rebalancing and partitions need a group in lock-step, a store with a rate limit and a proxy that cuts, holds, delays and loses. Ruled out: two threads a proxied connection, since a delay would then throttle the stream; one selector thread with queues of due bytes moves all of them. Ruled out: closing the proxy's port on a cut, since another process could take it; a bound socket that never listens keeps it, so callers are refused. Ruled out: passing later bytes on after swallowed ones, which TCP never shows; such a connection is reset when the rule ends, and "hold" delivers late instead. Ruled out: waiting for cheroot's half-second poll at each stop; the port is touched until the stop is noticed. Also mends: an unknown control path of the plain service was executed as a call.

--- /dev/null
+++ b/src/dotterelplank/standin_connection.py
@@ -0,0 +1,159 @@
+"""A connection through the fault-injecting proxy: two sockets and two pipes."""
+
+import dataclasses
+import errno
+import selectors
+import socket
+import struct
+import typing as t
+
+from .standin_pipe import Direction, Pipe, ProxyRules
+
+CHUNK_BYTES = 64 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass
+class ProxyCounts:
+    """What the proxy has met since its start."""
+
+    connections: int = 0
+    open: int = 0
+    reset: int = 0
+    up_bytes: int = 0
+    down_bytes: int = 0
+    swallowed_bytes: int = 0
+
+    def add(self, direction: Direction, passed_bytes: int) -> None:
+        """Count bytes that passed."""
+        if direction == "up":
+            self.up_bytes += passed_bytes
+        else:
+            self.down_bytes += passed_bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """Where a proxy connects to."""
+
+    address: str
+    port: int
+
+
+class _Flow:
+    """One pipe between the two sockets of a connection."""
+
+    def __init__(
+        self,
+        pipe: Pipe,
+        source: socket.socket,
+        sink: socket.socket,
+        counts: ProxyCounts,
+    ) -> None:
+        self.pipe = pipe
+        self.source = source
+        self.sink = sink
+        self.blocked = False
+        self.shut = False
+        self._counts = counts
+
+    def read(self, rules: ProxyRules, now_ms: float) -> None:
+        swallowed = rules.swallows(self.pipe.direction)
+        try:
+            data = self.source.recv(CHUNK_BYTES)
+        except BlockingIOError:
+            return
+        except ConnectionError:
+            if not swallowed:
+                raise
+            data = b""
+        self.pipe.receive(data, rules, now_ms)
+        self._counts.swallowed_bytes += len(data) if swallowed else 0
+
+    def write(self, rules: ProxyRules, now_ms: float) -> None:
+        self.blocked = False
+        while data := self.pipe.due_bytes(rules, now_ms):
+            try:
+                sent_bytes = self.sink.send(data)
+            except BlockingIOError:
+                self.blocked = True
+                return
+            self.pipe.sent(sent_bytes)
+            self._counts.add(self.pipe.direction, sent_bytes)
+        if self.pipe.finished() and not self.shut:
+            self.sink.shutdown(socket.SHUT_WR)
+            self.shut = True
+
+
+class Connection:
+    """A caller's socket, the target's, and the flows between them."""
+
+    def __init__(
+        self, caller: socket.socket, share: float, counts: ProxyCounts, target: Target
+    ) -> None:
+        self.caller = caller
+        self.target = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        for end in (self.caller, self.target):
+            end.setblocking(False)
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connecting = True
+        error = self.target.connect_ex((target.address, target.port))
+        self._connect_error = 0 if error == errno.EINPROGRESS else error
+        self.flows = (
+            _Flow(Pipe("up", share), self.caller, self.target, counts),
+            _Flow(Pipe("down", share), self.target, self.caller, counts),
+        )
+
+    @property
+    def ends(self) -> t.Sequence[socket.socket]:
+        """Both sockets."""
+        return (self.caller, self.target)
+
+    def mask(self, end: socket.socket, rules: ProxyRules) -> int:
+        """Return the readiness that ``end`` is to be watched for."""
+        if self.connecting:
+            return selectors.EVENT_WRITE if end is self.target else 0
+        mask = 0
+        for flow in self.flows:
+            if flow.source is end and flow.pipe.wants_bytes(rules):
+                mask |= selectors.EVENT_READ
+            if flow.sink is end and flow.blocked:
+                mask |= selectors.EVENT_WRITE
+        return mask
+
+    def move(self, ready: t.Container[int], rules: ProxyRules, now_ms: float) -> bool:
+        """Move what can be moved; return whether the connection goes on."""
+        if self.connecting:
+            self._finish_connecting(ready)
+            return True
+        for flow in self.flows:
+            if flow.source.fileno() in ready and flow.pipe.wants_bytes(rules):
+                flow.read(rules, now_ms)
+            flow.write(rules, now_ms)
+        if self.spoilt(rules):
+            raise ConnectionResetError("reset by a rule")
+        return not all(flow.shut for flow in self.flows)
+
+    def spoilt(self, rules: ProxyRules) -> bool:
+        """Return whether the connection can't go on under ``rules``."""
+        return any(flow.pipe.spoilt(rules) for flow in self.flows)
+
+    def next_due_ms(self) -> float | None:
+        """Return when the next bytes may leave, None without any."""
+        due = [flow.pipe.next_due_ms() for flow in self.flows if not flow.blocked]
+        return min((at_ms for at_ms in due if at_ms is not None), default=None)
+
+    def close(self, reset: bool) -> None:
+        """Close both sockets, with a reset instead of an end on request."""
+        for end in self.ends:
+            if reset:
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            end.close()
+
+    def _finish_connecting(self, ready: t.Container[int]) -> None:
+        if self.target.fileno() in ready:
+            late_error = self.target.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            error = self._connect_error or late_error
+            if error:
+                raise ConnectionRefusedError(error, "the target can't be reached")
+            self.connecting = False
--- a/src/dotterelplank/standin_engine_http.py
+++ b/src/dotterelplank/standin_engine_http.py
@@ -3,7 +3,6 @@
 import contextlib
 import dataclasses
 import queue
-import threading
 import typing as t
 
 import pydantic_core
@@ -18,6 +17,7 @@
     EngineSettings,
     EngineState,
 )
+from .standin_steps import Stepping, driven
 from .standin_tokens import prompt_text
 
 CHARS_PER_TOKEN = 4
@@ -103,8 +103,7 @@
 
     def __init__(self, settings: EngineSettings | None = None) -> None:
         self.state = EngineState(settings)
-        self.changed = threading.Condition()
-        self.closed = False
+        self.stepping = Stepping(self._advance, self.state.next_due_ms)
         self._outboxes: dict[int, queue.SimpleQueue[Emission]] = {}
 
     def submit(self, request: ChatRequest, request_id: str) -> int:
@@ -120,10 +119,10 @@
 
     def release(self, number: int) -> None:
         """Forget a generation; one that hasn't ended is cancelled."""
-        with self.changed:
+        with self.stepping.changed:
             self._outboxes.pop(number, None)
             self.state.abandon(number, shell.now_ms())
-            self.changed.notify_all()
+            self.stepping.changed.notify_all()
 
     def call(self, act: t.Callable[[float], t.Any]) -> t.Any:
         """Run ``act`` with the present time, once the engine isn't frozen."""
@@ -134,72 +133,43 @@
         """Take an order in and wait until it was executed."""
         with self._thawed() as now_ms:
             ticket = self.state.order(order, now_ms)
-            self.changed.notify_all()
-            while not ticket.done and not self.closed:
-                self.changed.wait()
+            self.stepping.changed.notify_all()
+            self.stepping.wait_while(lambda: not ticket.done)
             ticket.check()
-            return OrderReport(ticket.done, self.state.orders.highest_fence)
+            return OrderReport(True, self.state.orders.highest_fence)
 
     def change_faults(self, changes: EngineFaults) -> EngineFaults:
         """Change the faults that ``changes`` sets."""
-        with self.changed:
+        with self.stepping.changed:
             faults = shell.merged(self.state.faults, changes)
             self.state.set_faults(faults, shell.now_ms())
-            self.changed.notify_all()
+            self.stepping.changed.notify_all()
         events.emit(shell.logger, events.STANDIN_FAULTS_SET, faults=faults)
         return faults
 
-    def run_steps(self) -> None:
-        """Take steps and hand emissions out until the engine is closed."""
-        with self.changed:
-            while not self.closed:
-                self._deliver(self.state.advance(shell.now_ms()))
-                # Callers wait for orders that may have come due just now.
-                self.changed.notify_all()
-                self.changed.wait(self._idle_s())
-
     def close(self) -> None:
         """Stop the steps and let every waiting call end."""
-        with self.changed:
-            self.closed = True
+        self.stepping.close()
+        with self.stepping.changed:
             for number, outbox in self._outboxes.items():
                 outbox.put(Emission(number, 0, None, "died"))
-            self.changed.notify_all()
-
-    @contextlib.contextmanager
-    def _thawed(self) -> t.Iterator[float]:
-        with self.changed:
-            while self.state.faults.freeze and not self.closed:
-                self.changed.wait()
-            if self.closed:
-                raise StandinRefusalError(503, shell.Code.DOWN, "the engine stops")
-            yield shell.now_ms()
-            self.changed.notify_all()
-
-    def _deliver(self, emissions: t.Sequence[Emission]) -> None:
-        for emission in emissions:
+
+    def _thawed(self) -> t.ContextManager[float]:
+        return self.stepping.acting(lambda: self.state.faults.freeze)
+
+    def _advance(self, now_ms: float) -> None:
+        for emission in self.state.advance(now_ms):
             outbox = self._outboxes.get(emission.number)
             if outbox is not None:
                 outbox.put(emission)
 
-    def _idle_s(self) -> float | None:
-        due_ms = self.state.next_due_ms()
-        if due_ms is None:
-            return None
-        return max(0.0, due_ms - shell.now_ms()) / 1000.0
-
 
 @contextlib.contextmanager
 def running(settings: EngineSettings | None = None) -> t.Iterator[Engine]:
     """Yield an engine that takes its steps on a thread of its own."""
     engine = Engine(settings)
-    thread = threading.Thread(target=engine.run_steps, daemon=True)
-    thread.start()
-    try:
+    with driven(engine.stepping):
         yield engine
-    finally:
-        engine.close()
-        thread.join()
 
 
 def routes(engine: Engine) -> t.Sequence[shell.Route]:
@@ -228,11 +198,11 @@
         return shell.reply(engine.order(request.read(EngineOrder)))
 
     def orders(_request: shell.Request) -> shell.Response:
-        with engine.changed:
+        with engine.stepping.changed:
             return shell.reply(engine.state.orders.executed)
 
     def executions(_request: shell.Request) -> shell.Response:
-        with engine.changed:
+        with engine.stepping.changed:
             return shell.reply(engine.state.executions())
 
     def set_faults(request: shell.Request) -> shell.Response:
--- a/src/dotterelplank/standin_http.py
+++ b/src/dotterelplank/standin_http.py
@@ -33,6 +33,7 @@
 KEPT_CONNECTIONS = 4096
 LISTEN_BACKLOG = 128
 STOP_TIMEOUT_S = 2
+POKE_S = 0.02
 # Threads that only control calls may take, so that a stand-in whose callers
 # all hang can still be told to let them go.
 CONTROL_THREADS = 4
@@ -62,8 +63,10 @@
     PASSED = 6030
     STAGED = 6031
     UNKNOWN_BALLOT = 6032
-    HAS_MAP = 6033
-    NO_SUCH_RANK = 6034
+    RESOLVED = 6033
+    HAS_MAP = 6034
+    NO_MAP = 6035
+    NO_SUCH_RANK = 6036
     RATE_LIMITED = 6040
 
 
@@ -226,11 +229,22 @@
     try:
         yield bound_port
     finally:
-        server.stop()
+        _stop(server, address, bound_port)
         thread.join()
         events.emit(logger, events.STANDIN_STOPPED, port=bound_port)
 
 
+def _stop(server: cheroot.wsgi.Server, address: str, port: int) -> None:
+    """Stop a server without waiting for its next look at idle connections."""
+    stopper = threading.Thread(target=server.stop)
+    stopper.start()
+    while stopper.is_alive():
+        # The server notices a stop only when its selector wakes up.
+        with contextlib.suppress(OSError):
+            socket.create_connection((address, port), STOP_TIMEOUT_S).close()
+        stopper.join(POKE_S)
+
+
 class _Gateway(cheroot.wsgi.Gateway_10):
     """Lets a handler reach the connection, which only a fault needs."""
 
@@ -332,6 +346,12 @@
     return body
 
 
+def no_such_path(request: Request) -> t.NoReturn:
+    """Refuse a call to a path that isn't served."""
+    message = f"{request.path}: no such path"
+    raise StandinRefusalError(404, Code.NO_SUCH_PATH, message)
+
+
 def too_large(met_bytes: int, limit_bytes: int) -> StandinRefusalError:
     """Return the refusal of a body or value over its limit."""
     message = f"met {met_bytes} bytes, expected at most {limit_bytes}"
--- /dev/null
+++ b/src/dotterelplank/standin_proxy.py
@@ -0,0 +1,216 @@
+"""A TCP proxy that injects faults between two processes.
+
+One thread moves the bytes of every connection; the rules can be changed at any
+time from inside the process or over HTTP.
+"""
+
+import contextlib
+import dataclasses
+import selectors
+import socket
+import threading
+import typing as t
+
+from . import events, standin_http as shell
+from .standin_connection import Connection, ProxyCounts, Target
+from .standin_pipe import ProxyRules, delay_share
+
+WAKE_BYTES = 4096
+
+
+class Proxy:
+    """A running proxy; :func:`proxying` starts and stops it.
+
+    :param seed: decides the further delay of each connection.
+    """
+
+    def __init__(self, target: Target, address: str, port: int, seed: int) -> None:
+        self._target = target
+        self._seed = seed
+        self._rules = ProxyRules()
+        self._counts = ProxyCounts()
+        self._lock = threading.Lock()
+        self._applied = threading.Condition(self._lock)
+        self._applied_rules = self._rules
+        self._closed = False
+        self._connections: list[Connection] = []
+        self._selector = selectors.DefaultSelector()
+        self._waker, self._woken = socket.socketpair()
+        self._woken.setblocking(False)
+        self._selector.register(self._woken, selectors.EVENT_READ)
+        # This socket never listens: it keeps the port while the proxy refuses.
+        self._reservation = _bound(address, port)
+        self.address = address
+        self.port = self._reservation.getsockname()[1]
+        self._listener: socket.socket | None = None
+        self._listen(True)
+
+    def change_rules(self, changes: ProxyRules) -> ProxyRules:
+        """Change the rules that ``changes`` sets, and return once they are in force."""
+        with self._lock:
+            rules = shell.merged(self._rules, changes)
+            self._rules = rules
+            self._wake()
+            while self._applied_rules is not rules and self._rules is rules:
+                if self._closed:
+                    break
+                self._applied.wait()
+        events.emit(shell.logger, events.STANDIN_FAULTS_SET, faults=rules)
+        return rules
+
+    def counts(self) -> ProxyCounts:
+        """Return what the proxy has met so far."""
+        with self._lock:
+            return dataclasses.replace(self._counts)
+
+    def run(self) -> None:
+        """Move bytes until the proxy is closed."""
+        while True:
+            with self._lock:
+                if self._closed:
+                    break
+                self._apply(self._rules)
+                timeout_s = self._watch()
+            ready = {key.fd for key, _ in self._selector.select(timeout_s)}
+            with self._lock:
+                self._drain_wakes()
+                self._accept(ready)
+                self._move(ready)
+
+    def close(self) -> None:
+        """Tell :meth:`run` to return."""
+        with self._lock:
+            self._closed = True
+            self._applied.notify_all()
+            self._wake()
+
+    def dispose(self) -> None:
+        """Close every socket, after :meth:`run` has returned."""
+        for connection in self._connections:
+            connection.close(reset=True)
+        self._listen(False)
+        self._selector.close()
+        for end in (self._reservation, self._waker, self._woken):
+            end.close()
+
+    def _apply(self, rules: ProxyRules) -> None:
+        if rules.cut:
+            self._listen(False)
+        else:
+            self._listen(True)
+        for connection in list(self._connections):
+            if rules.cut or connection.spoilt(rules):
+                self._drop(connection, reset=True)
+        self._applied_rules = rules
+        self._applied.notify_all()
+
+    def _listen(self, listening: bool) -> None:
+        if listening and self._listener is None:
+            self._listener = _bound(self.address, self.port)
+            self._listener.setblocking(False)
+            self._listener.listen(shell.LISTEN_BACKLOG)
+            self._selector.register(self._listener, selectors.EVENT_READ)
+        if not listening and self._listener is not None:
+            self._selector.unregister(self._listener)
+            self._listener.close()
+            self._listener = None
+
+    def _watch(self) -> float | None:
+        """Watch each socket for what it waits for; return the longest wait."""
+        due = []
+        for connection in self._connections:
+            for end in connection.ends:
+                self._watch_end(end, connection.mask(end, self._rules))
+            due.append(connection.next_due_ms())
+        due_ms = min((at_ms for at_ms in due if at_ms is not None), default=None)
+        if due_ms is None:
+            return None
+        return max(0.0, due_ms - shell.now_ms()) / 1000.0
+
+    def _watch_end(self, end: socket.socket, mask: int) -> None:
+        key = self._selector.get_map().get(end)
+        if key is not None and not mask:
+            self._selector.unregister(end)
+        elif key is not None and key.events != mask:
+            self._selector.modify(end, mask)
+        elif key is None and mask:
+            self._selector.register(end, mask)
+
+    def _accept(self, ready: t.Container[int]) -> None:
+        if self._listener is None or self._listener.fileno() not in ready:
+            return
+        with contextlib.suppress(OSError):
+            caller, _ = self._listener.accept()
+            share = delay_share(self._seed, self._counts.connections)
+            connection = Connection(caller, share, self._counts, self._target)
+            self._connections.append(connection)
+            self._counts.connections += 1
+            self._counts.open += 1
+
+    def _move(self, ready: t.Container[int]) -> None:
+        now_ms = shell.now_ms()
+        for connection in list(self._connections):
+            try:
+                if not connection.move(ready, self._rules, now_ms):
+                    self._drop(connection, reset=False)
+            except OSError:
+                self._drop(connection, reset=True)
+
+    def _drop(self, connection: Connection, reset: bool) -> None:
+        for end in connection.ends:
+            self._watch_end(end, 0)
+        connection.close(reset)
+        self._connections.remove(connection)
+        self._counts.open -= 1
+        self._counts.reset += reset
+
+    def _wake(self) -> None:
+        with contextlib.suppress(OSError):
+            self._waker.send(b"\0")
+
+    def _drain_wakes(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self._woken.recv(WAKE_BYTES)
+
+
+@contextlib.contextmanager
+def proxying(
+    target: Target, address: str = shell.LOOPBACK, port: int = 0, seed: int = 0
+) -> t.Iterator[Proxy]:
+    """Run a proxy in front of ``target`` on a thread of its own."""
+    proxy = Proxy(target, address, port, seed)
+    thread = threading.Thread(target=proxy.run, daemon=True)
+    thread.start()
+    try:
+        yield proxy
+    finally:
+        proxy.close()
+        thread.join()
+        proxy.dispose()
+
+
+def routes(proxy: Proxy) -> t.Sequence[shell.Route]:
+    """Return the HTTP interface that controls ``proxy``."""
+
+    def change_rules(request: shell.Request) -> shell.Response:
+        return shell.reply(proxy.change_rules(request.read(ProxyRules)))
+
+    def counts(_request: shell.Request) -> shell.Response:
+        return shell.reply(proxy.counts())
+
+    return [
+        shell.Route("POST", "/control/rules", change_rules),
+        shell.Route("GET", "/control/counts", counts),
+    ]
+
+
+def _bound(address: str, port: int) -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        bound.bind((address, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- /dev/null
+++ b/src/dotterelplank/standin_rank.py
@@ -0,0 +1,235 @@
+"""One rank of a stand-in group: its map, its orders and its faults."""
+
+import dataclasses
+import typing as t
+
+import pydantic
+
+from . import standin_http as shell
+from .errors import StandinRefusalError
+from .standin_orders import OrderDesk
+
+Ballot = tuple[int, str, int]
+ExpertMap = dict[str, t.Any]
+
+
+class RankFaults(shell.StrictModel):
+    """Faults of a rank; a control call changes those that it names.
+
+    :param stalled: the rank ends no step and begins none.
+    :param freeze: as ``stalled``, and the rank answers no call either.
+    :param speed: 1.0 is the speed of a sound rank.
+    :param order_delay_ms: time between an order's arrival and its execution.
+    """
+
+    stalled: bool = False
+    freeze: bool = False
+    speed: float = pydantic.Field(default=1.0, gt=0, le=1e6)
+    order_delay_ms: float = pydantic.Field(default=0.0, ge=0, le=shell.MAX_WAIT_MS)
+
+
+class _Order(shell.StrictModel):
+    fence: int = pydantic.Field(ge=0, lt=2**63)
+
+
+class StageOrder(_Order):
+    """Stage a map, and hold the rank before ``hold_step`` until it is resolved."""
+
+    kind: t.Literal["map_stage"]
+    ballot: Ballot
+    map_version: int
+    map: ExpertMap
+    hold_step: int = pydantic.Field(ge=1)
+
+
+class ResolveOrder(_Order):
+    """Use the staged map from its ``hold_step`` on, or drop it."""
+
+    kind: t.Literal["map_resolve"]
+    ballot: Ballot
+    commit: bool
+
+
+class InstallOrder(_Order):
+    """Give a map to a rank that has none."""
+
+    kind: t.Literal["map_install"]
+    map_version: int
+    map: ExpertMap
+
+
+RankOrder = t.Annotated[
+    StageOrder | ResolveOrder | InstallOrder, pydantic.Field(discriminator="kind")
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionedMap:
+    """An expert map, and the version that its proposer gave it."""
+
+    map_version: int
+    map: ExpertMap
+
+
+@dataclasses.dataclass(frozen=True)
+class StagedReport:
+    """A map that is staged and not yet resolved."""
+
+    ballot: Ballot
+    map_version: int
+    hold_step: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ResolvedReport:
+    """The ballot that was resolved last."""
+
+    ballot: Ballot
+    commit: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class RankReport:
+    """The state of one rank.
+
+    :param step: the last step that was begun.
+    :param map_version: version of the map in use, None without a map.
+    :param step_ms: the rank's own time for its last step.
+    :param tokens_by_expert: tokens that this rank handled since its start.
+    :param incarnation: 1, and one more each time that the rank was replaced.
+    """
+
+    rank: int
+    step: int
+    map_version: int | None
+    staged: StagedReport | None
+    resolved: ResolvedReport | None
+    highest_fence: int
+    step_ms: float
+    tokens_by_expert: t.Sequence[int]
+    speed: float
+    incarnation: int
+
+
+class Rank:
+    """One rank; what it holds is lost when it is replaced."""
+
+    def __init__(
+        self, number: int, incarnation: int, experts: int, refuses_old_fences: bool
+    ) -> None:
+        self.number = number
+        self.incarnation = incarnation
+        self.faults = RankFaults()
+        self.step = 0
+        self.step_ms = 0.0
+        self.current: VersionedMap | None = None
+        self.staged: StageOrder | None = None
+        self.resolved: ResolveOrder | None = None
+        self.committed: dict[int, VersionedMap] = {}
+        self.tokens_by_expert = [0.0] * experts
+        self.orders: OrderDesk[RankOrder] = OrderDesk(refuses_old_fences, self._execute)
+
+    def ready(self, step: int) -> bool:
+        """Return whether the rank may begin ``step``."""
+        if self.halted():
+            return False
+        if self.staged is not None and self.staged.hold_step <= step:
+            return False
+        return self.current is not None
+
+    def begin(self, step: int) -> None:
+        """Begin a step, with the map that was committed for it."""
+        for hold_step in sorted(self.committed):
+            if hold_step <= step:
+                self.current = self.committed.pop(hold_step)
+        self.step = step
+
+    def report(self) -> RankReport:
+        """Return the state of the rank."""
+        return RankReport(
+            rank=self.number,
+            step=self.step,
+            map_version=None if self.current is None else self.current.map_version,
+            staged=_staged_report(self.staged),
+            resolved=_resolved_report(self.resolved),
+            highest_fence=self.orders.highest_fence,
+            step_ms=self.step_ms,
+            tokens_by_expert=[round(tokens) for tokens in self.tokens_by_expert],
+            speed=self.faults.speed,
+            incarnation=self.incarnation,
+        )
+
+    def halted(self) -> bool:
+        """Return whether a fault keeps the rank from ending its step."""
+        return self.faults.stalled or self.faults.freeze
+
+    def next_due_ms(self) -> float | None:
+        """Return when the next order is due; a frozen rank executes none."""
+        return None if self.faults.freeze else self.orders.next_due_ms()
+
+    def run_due(self, now_ms: float) -> None:
+        """Execute the orders that are due, unless the rank is frozen."""
+        if not self.faults.freeze:
+            self.orders.run_due(now_ms)
+
+    def _execute(self, order: RankOrder, _now_ms: float) -> None:
+        if isinstance(order, StageOrder):
+            self._stage(order)
+        elif isinstance(order, ResolveOrder):
+            self._resolve(order)
+        else:
+            self._install(order)
+
+    def _stage(self, order: StageOrder) -> None:
+        if self.staged is not None and self.staged.ballot == order.ballot:
+            return
+        if self.resolved is not None and self.resolved.ballot == order.ballot:
+            raise _conflict(shell.Code.RESOLVED, "resolved", "the ballot is resolved")
+        if self.staged is not None:
+            message = f"ballot {self.staged.ballot} is staged and unresolved"
+            raise _conflict(shell.Code.STAGED, "staged", message)
+        if self.current is None:
+            raise _conflict(shell.Code.NO_MAP, "no_map", "the rank has no map yet")
+        if self.step >= order.hold_step:
+            message = f"hold_step: met {order.hold_step}, the rank is at {self.step}"
+            raise _conflict(shell.Code.PASSED, "passed", message)
+        self.staged = order
+
+    def _resolve(self, order: ResolveOrder) -> None:
+        if self.staged is not None and self.staged.ballot == order.ballot:
+            self._settle(self.staged, order)
+            return
+        if self.resolved is None or self.resolved.ballot != order.ballot:
+            message = "the ballot is neither staged nor the last resolved"
+            raise _conflict(shell.Code.UNKNOWN_BALLOT, "unknown", message)
+        if self.resolved.commit != order.commit:
+            message = f"the ballot was resolved with commit {self.resolved.commit}"
+            raise _conflict(shell.Code.RESOLVED, "resolved", message)
+
+    def _settle(self, staged: StageOrder, order: ResolveOrder) -> None:
+        if order.commit:
+            versioned = VersionedMap(staged.map_version, staged.map)
+            self.committed[staged.hold_step] = versioned
+        self.staged = None
+        self.resolved = order
+
+    def _install(self, order: InstallOrder) -> None:
+        if self.current is not None:
+            raise _conflict(shell.Code.HAS_MAP, "has_map", "the rank has a map")
+        self.current = VersionedMap(order.map_version, order.map)
+
+
+def _staged_report(staged: StageOrder | None) -> StagedReport | None:
+    if staged is None:
+        return None
+    return StagedReport(staged.ballot, staged.map_version, staged.hold_step)
+
+
+def _resolved_report(resolved: ResolveOrder | None) -> ResolvedReport | None:
+    if resolved is None:
+        return None
+    return ResolvedReport(resolved.ballot, resolved.commit)
+
+
+def _conflict(code: shell.Code, reason: str, message: str) -> StandinRefusalError:
+    return StandinRefusalError(409, code, message, reason=reason)
--- a/src/dotterelplank/standin_service.py
+++ b/src/dotterelplank/standin_service.py
@@ -141,6 +141,7 @@
     return [
         shell.Route("GET", "/control/executions", executions),
         shell.Route("POST", "/control/faults", set_faults),
+        shell.Route("*", "/control/{path:path}", shell.no_such_path),
         shell.Route("*", "/status/{status}", call_with_status),
         shell.Route("*", "/{path:path}", call),
     ]
--- /dev/null
+++ b/src/dotterelplank/standin_store.py
@@ -0,0 +1,166 @@
+"""A stand-in of the weight store, whose rate is limited by a token bucket.
+
+A fetch is answered with a receipt after the time that its bytes take; the bytes
+themselves aren't sent.
+"""
+
+import dataclasses
+import math
+import threading
+import typing as t
+
+import pydantic
+
+from . import events, standin_http as shell
+from .errors import StandinRefusalError
+
+MAX_FETCH_BYTES = 1 << 40
+
+
+class StoreLimits(shell.StrictModel):
+    """Limits of the store; a control call changes those that it names.
+
+    :param max_queue_ms: a fetch is refused when those before it take longer.
+    :param down: every fetch is refused with 503.
+    """
+
+    rate_bytes_per_s: float = pydantic.Field(default=1e9, gt=0)
+    burst_bytes: float = pydantic.Field(default=1e8, ge=0)
+    max_queue_ms: float = pydantic.Field(default=2000.0, ge=0)
+    down: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Receipt:
+    """The answer to a fetch; ``wait_ms`` is the time that it was held back."""
+
+    model: str
+    layer: int
+    expert: int
+    bytes: int
+    wait_ms: float
+
+
+@dataclasses.dataclass
+class StoreCounts:
+    """What the store has served since its start."""
+
+    fetches: int = 0
+    bytes: int = 0
+    refused: int = 0
+
+
+class StoreState:
+    """A token bucket that may go into debt for the fetches that wait."""
+
+    def __init__(self, limits: StoreLimits | None = None) -> None:
+        self.limits = limits or StoreLimits()
+        self.counts = StoreCounts()
+        self._tokens_bytes = self.limits.burst_bytes
+        self._filled_at_ms: float | None = None
+
+    def take(self, size_bytes: int, now_ms: float) -> float:
+        """Reserve ``size_bytes`` and return the wait until they are served."""
+        self._fill(now_ms)
+        queue_ms = self._debt_ms()
+        if queue_ms > self.limits.max_queue_ms:
+            self.counts.refused += 1
+            raise _rate_limited(queue_ms - self.limits.max_queue_ms)
+        self._tokens_bytes -= size_bytes
+        self.counts.fetches += 1
+        self.counts.bytes += size_bytes
+        return self._debt_ms()
+
+    def set_limits(self, limits: StoreLimits, now_ms: float) -> None:
+        """Replace the limits; what is in the bucket or owed stays."""
+        self._fill(now_ms)
+        self.limits = limits
+        self._tokens_bytes = min(self._tokens_bytes, limits.burst_bytes)
+
+    def _fill(self, now_ms: float) -> None:
+        if self._filled_at_ms is not None:
+            passed_s = (now_ms - self._filled_at_ms) / 1000.0
+            filled = self._tokens_bytes + passed_s * self.limits.rate_bytes_per_s
+            self._tokens_bytes = min(filled, self.limits.burst_bytes)
+        self._filled_at_ms = now_ms
+
+    def _debt_ms(self) -> float:
+        return max(0.0, -self._tokens_bytes) / self.limits.rate_bytes_per_s * 1000.0
+
+
+class Store:
+    """The store behind a lock; the object that an embedder works with."""
+
+    def __init__(self, limits: StoreLimits | None = None) -> None:
+        self.state = StoreState(limits)
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+
+    def fetch(self, size_bytes: int) -> float:
+        """Wait until ``size_bytes`` are served and return the wait."""
+        with self._lock:
+            if self.state.limits.down or self._closed.is_set():
+                raise StandinRefusalError(503, shell.Code.DOWN, "the store is down")
+            wait_ms = self.state.take(size_bytes, shell.now_ms())
+        if self._closed.wait(wait_ms / 1000.0):
+            raise StandinRefusalError(503, shell.Code.DOWN, "the store stops")
+        return wait_ms
+
+    def change_limits(self, changes: StoreLimits) -> StoreLimits:
+        """Change the limits that ``changes`` sets."""
+        with self._lock:
+            limits = shell.merged(self.state.limits, changes)
+            self.state.set_limits(limits, shell.now_ms())
+        events.emit(shell.logger, events.STANDIN_FAULTS_SET, faults=limits)
+        return limits
+
+    def counts(self) -> StoreCounts:
+        """Return what was served so far."""
+        with self._lock:
+            return dataclasses.replace(self.state.counts)
+
+    def close(self) -> None:
+        """End the fetches that wait."""
+        self._closed.set()
+
+
+def routes(store: Store) -> t.Sequence[shell.Route]:
+    """Return the HTTP interface of ``store``."""
+
+    def fetch(request: shell.Request) -> shell.Response:
+        model = request.params["model"]
+        layer = _whole(request, "layer")
+        expert = _whole(request, "expert")
+        size_bytes = request.number("bytes", 0)
+        if size_bytes > MAX_FETCH_BYTES:
+            raise shell.too_large(size_bytes, MAX_FETCH_BYTES)
+        wait_ms = store.fetch(size_bytes)
+        return shell.reply(Receipt(model, layer, expert, size_bytes, wait_ms))
+
+    def counts(_request: shell.Request) -> shell.Response:
+        return shell.reply(store.counts())
+
+    def change_limits(request: shell.Request) -> shell.Response:
+        return shell.reply(store.change_limits(request.read(StoreLimits)))
+
+    return [
+        shell.Route("GET", "/v1/weights/{model}/{layer}/{expert}", fetch),
+        shell.Route("GET", "/control/counts", counts),
+        shell.Route("POST", "/control/limits", change_limits),
+    ]
+
+
+def _whole(request: shell.Request, name: str) -> int:
+    text = request.params[name]
+    if not (text.isascii() and text.isdecimal() and len(text) <= 9):
+        raise shell.malformed(f"{name}: met {text!r}, expected a whole number")
+    return int(text)
+
+
+def _rate_limited(wait_ms: float) -> StandinRefusalError:
+    return StandinRefusalError(
+        429,
+        shell.Code.RATE_LIMITED,
+        "the store's queue is full",
+        retry_after_s=max(1, math.ceil(wait_ms / 1000.0)),
+    )
--- a/src/dotterelplank/standins.py
+++ b/src/dotterelplank/standins.py
@@ -18,11 +18,19 @@
     standin_engine_http,
     standin_http as shell,
     standin_platform,
+    standin_proxy,
+    standin_ranks_http,
     standin_service,
+    standin_store,
 )
+from .standin_connection import Target
 from .standin_engine import EngineFaults, EngineSettings
+from .standin_ranks import GroupSettings
+from .standin_store import StoreLimits
 
 THREADS = 64
+RANK_THREADS = 12
+PROXY_THREADS = 8
 
 app = typer.Typer(
     help="Stand-ins of the outside systems, for trials.", no_args_is_help=True
@@ -69,6 +77,59 @@
         yield service, bound_port
 
 
+@contextlib.contextmanager
+def serving_ranks(
+    settings: GroupSettings | None = None,
+    address: str = shell.LOOPBACK,
+    port: int = 0,
+    threads: int = RANK_THREADS,
+) -> t.Iterator[tuple[standin_ranks_http.Ranks, t.Sequence[int]]]:
+    """Serve a group of ranks inside this process; yield it and its ports.
+
+    :param port: port of rank 0, those of the others follow; 0 takes free ones.
+    :param threads: threads of each rank.
+    """
+    with contextlib.ExitStack() as stack:
+        ranks = stack.enter_context(standin_ranks_http.running(settings))
+        ports = []
+        for number in range(ranks.group.settings.ranks):
+            routes = standin_ranks_http.routes(ranks, number)
+            wanted = port + number if port else 0
+            served = _served(routes, address, wanted, threads, ranks.close)
+            ports.append(stack.enter_context(served))
+        yield ranks, ports
+
+
+@contextlib.contextmanager
+def serving_store(
+    limits: StoreLimits | None = None,
+    address: str = shell.LOOPBACK,
+    port: int = 0,
+    threads: int = THREADS,
+) -> t.Iterator[tuple[standin_store.Store, int]]:
+    """Serve a weight store inside this process; yield it and its port."""
+    store = standin_store.Store(limits)
+    routes = standin_store.routes(store)
+    with _served(routes, address, port, threads, store.close) as bound_port:
+        yield store, bound_port
+
+
+@contextlib.contextmanager
+def serving_proxy(
+    target: Target,
+    address: str = shell.LOOPBACK,
+    port: int = 0,
+    control_port: int = 0,
+    seed: int = 0,
+) -> t.Iterator[tuple[standin_proxy.Proxy, int]]:
+    """Run a proxy inside this process; yield it and its control port."""
+    with standin_proxy.proxying(target, address, port, seed) as proxy:
+        application = shell.make_app(standin_proxy.routes(proxy), PROXY_THREADS)
+        serving = shell.serving(application, address, control_port, PROXY_THREADS)
+        with serving as bound_port:
+            yield proxy, bound_port
+
+
 @app.command()
 def platform(
     address: Address = shell.LOOPBACK,
@@ -112,6 +173,51 @@
         _wait_for_stop(address, bound_port)
 
 
+@app.command()
+def ranks(
+    address: Address = shell.LOOPBACK,
+    port: Port = 0,
+    threads: Threads = RANK_THREADS,
+    settings: t.Annotated[
+        str, typer.Option(help="JSON object of GroupSettings.")
+    ] = "{}",
+) -> None:
+    """Serve a group of ranks in lock-step, one port a rank."""
+    checked = _option(GroupSettings, settings)
+    with serving_ranks(checked, address, port, threads) as (_, ports):
+        served = [f"{address}:{bound_port}" for bound_port in ports]
+        _wait_for_stop(address, ports[0], ranks=served)
+
+
+@app.command()
+def store(
+    address: Address = shell.LOOPBACK,
+    port: Port = 0,
+    threads: Threads = THREADS,
+    limits: t.Annotated[str, typer.Option(help="JSON object of StoreLimits.")] = "{}",
+) -> None:
+    """Serve a weight store with a rate limit."""
+    checked = _option(StoreLimits, limits)
+    with serving_store(checked, address, port, threads) as (_, bound_port):
+        _wait_for_stop(address, bound_port)
+
+
+@app.command()
+def proxy(
+    target: t.Annotated[str, typer.Option(help="ADDRESS:PORT to connect to.")],
+    address: Address = shell.LOOPBACK,
+    port: Port = 0,
+    control_port: t.Annotated[int, typer.Option(help="Port of the rules.")] = 0,
+    seed: t.Annotated[int, typer.Option(help="Seed of the random delays.")] = 0,
+) -> None:
+    """Run a fault-injecting TCP proxy."""
+    checked = _target(target)
+    running = serving_proxy(checked, address, port, control_port, seed)
+    with running as (served, bound_control_port):
+        control = f"{address}:{bound_control_port}"
+        _wait_for_stop(address, served.port, control=control)
+
+
 M = t.TypeVar("M", bound=pydantic.BaseModel)
 
 
@@ -122,6 +228,13 @@
         raise typer.BadParameter(str(error)) from None
 
 
+def _target(text: str) -> Target:
+    address, _, port = text.rpartition(":")
+    if not address or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise typer.BadParameter(f"target: met {text!r}, expected ADDRESS:PORT")
+    return Target(address, int(port))
+
+
 @contextlib.contextmanager
 def _served(
     routes: t.Sequence[shell.Route],
@@ -139,9 +252,10 @@
             close()
 
 
-def _wait_for_stop(address: str, bound_port: int) -> None:
+def _wait_for_stop(address: str, bound_port: int, **more: t.Any) -> None:
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    print(json.dumps({"listening": f"{address}:{bound_port}"}), flush=True)
+    line = {"listening": f"{address}:{bound_port}", **more}
+    print(json.dumps(line), flush=True)
     stopped.wait()
--- /dev/null
+++ b/tests/test_standin_proxy.py
@@ -0,0 +1,121 @@
+import socket
+
+import testtools
+import urllib3
+from standin_client import Client
+
+from dotterelplank import standins
+from dotterelplank.standin_connection import Target
+from dotterelplank.standin_pipe import Pipe, ProxyRules, delay_share
+
+FAILURES = (urllib3.exceptions.ProtocolError, urllib3.exceptions.NewConnectionError)
+
+
+class PipeTests(testtools.TestCase):
+    def test_bytes_leave_in_their_order_after_the_delay(self):
+        pipe = Pipe("up", delay_share=0.5)
+        pipe.receive(b"a", ProxyRules(delay_ms=10, reorder_ms=20), now_ms=0)
+        pipe.receive(b"b", ProxyRules(), now_ms=1)
+        self.assertEqual(b"", pipe.due_bytes(ProxyRules(), now_ms=19))
+        self.assertEqual(b"a", pipe.due_bytes(ProxyRules(), now_ms=20))
+        pipe.sent(1)
+        self.assertEqual(b"b", pipe.due_bytes(ProxyRules(), now_ms=20))
+
+    def test_the_byte_after_the_limit_breaks_the_connection(self):
+        rules = ProxyRules(drop_after_up_bytes=2)
+        pipe = Pipe("up", delay_share=0)
+        pipe.receive(b"abc", rules, now_ms=0)
+        self.assertEqual(b"ab", pipe.due_bytes(rules, now_ms=0))
+        pipe.sent(2)
+        self.assertFalse(pipe.spoilt(rules))
+        self.assertEqual(b"", pipe.due_bytes(rules, now_ms=0))
+        self.assertTrue(pipe.spoilt(rules))
+
+    def test_lost_bytes_spoil_the_connection_once_the_rule_ends(self):
+        rules = ProxyRules(half_open="up")
+        pipe = Pipe("up", delay_share=0)
+        pipe.receive(b"abc", rules, now_ms=0)
+        self.assertEqual(b"", pipe.due_bytes(rules, now_ms=0))
+        self.assertFalse(pipe.spoilt(rules))
+        self.assertTrue(pipe.spoilt(ProxyRules()))
+
+    def test_the_delay_of_a_connection_follows_from_the_seed(self):
+        shares = [delay_share(seed, 1) for seed in (1, 1, 2)]
+        self.assertEqual(shares[0], shares[1])
+        self.assertNotEqual(shares[0], shares[2])
+
+
+class ProxyTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        service = standins.serving_service()
+        self.service, port = service.__enter__()
+        self.addCleanup(service.__exit__, None, None, None)
+        proxy = standins.serving_proxy(Target("127.0.0.1", port))
+        self.proxy, control_port = proxy.__enter__()
+        self.addCleanup(proxy.__exit__, None, None, None)
+        self.client = Client(self.proxy.port)
+        self.control = Client(control_port)
+
+    def _rules(self, **rules):
+        answer = self.control.call("POST", "/control/rules", rules)
+        self.assertEqual(200, answer.status)
+
+    def _executions(self):
+        return self.service.report().total
+
+    def test_calls_pass(self):
+        self._rules(delay_ms=1, reorder_ms=2)
+        calls = [self.client.start("POST", "/a", "x" * 300_000) for _ in range(8)]
+        self.assertEqual({200}, {call.result().status for call in calls})
+        self.assertEqual(8, self._executions())
+
+    def test_a_cut_resets_what_stands_and_refuses_what_is_new(self):
+        stands = socket.create_connection(("127.0.0.1", self.proxy.port))
+        self.addCleanup(stands.close)
+        self.client.call("GET", "/a")
+        while self.proxy.counts().open < 2:
+            pass
+        self._rules(cut=True)
+        self.assertRaises(ConnectionResetError, stands.recv, 1)
+        self.assertRaises(
+            ConnectionRefusedError,
+            socket.create_connection,
+            ("127.0.0.1", self.proxy.port),
+        )
+        self._rules(cut=False)
+        self.assertEqual(200, Client(self.proxy.port).call("GET", "/a").status)
+
+    def test_a_reply_can_be_lost_after_the_execution(self):
+        self._rules(drop_after_down_bytes=0)
+        self.assertRaises(FAILURES[0], self.client.call, "POST", "/a", {})
+        self.assertEqual(1, self._executions())
+
+    def test_a_half_open_direction_swallows_the_call_silently(self):
+        self._rules(half_open="up")
+        call = self.client.start("POST", "/a", {})
+        while not self.proxy.counts().swallowed_bytes:
+            pass
+        self.assertFalse(call.done())
+        self._rules(half_open="none")
+        self.assertIsInstance(call.exception(), FAILURES)
+        self.assertEqual(0, self._executions())
+
+    def test_what_is_held_back_arrives_late(self):
+        self._rules(hold="down")
+        call = self.client.start("POST", "/a", {})
+        while not self._executions():
+            pass
+        self.assertFalse(call.done())
+        self._rules(hold="none")
+        self.assertEqual(200, call.result().status)
+
+    def test_an_unreachable_target_resets_the_caller(self):
+        with standins.serving_proxy(Target("127.0.0.1", 1)) as (proxy, _):
+            client = Client(proxy.port)
+            self.assertRaises(FAILURES[0], client.call, "GET", "/a")
+
+    def test_bad_rules_are_refused_by_number(self):
+        for rules in ({"cut": 5}, {"half_open": "sideways"}, {"delay_ms": -1}):
+            answer = self.control.call("POST", "/control/rules", rules)
+            self.assertEqual((400, 6001), (answer.status, answer.json["code"]))
--- /dev/null
+++ b/tests/test_standin_ranks.py
@@ -0,0 +1,181 @@
+import testtools
+from standin_client import Client
+
+from dotterelplank import errors, standins
+from dotterelplank.standin_popularity import Popularity, Workload, placed_by_list
+from dotterelplank.standin_rank import (
+    InstallOrder,
+    RankFaults,
+    ResolveOrder,
+    StageOrder,
+    VersionedMap,
+)
+from dotterelplank.standin_ranks import GroupSettings, RankGroup
+
+BALLOT = (1, "host-a", 1)
+RANKS = 3
+STEP_MS = 10
+
+
+def _stage(ballot=BALLOT, hold_step=5, fence=1, version=2):
+    return StageOrder(
+        kind="map_stage",
+        fence=fence,
+        ballot=ballot,
+        map_version=version,
+        map={},
+        hold_step=hold_step,
+    )
+
+
+def _resolve(commit, ballot=BALLOT):
+    return ResolveOrder(kind="map_resolve", fence=1, ballot=ballot, commit=commit)
+
+
+class RankGroupTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        settings = GroupSettings(ranks=RANKS, base_step_ms=STEP_MS, token_ms=0)
+        self.group = RankGroup(settings)
+        self.group.advance(now_ms=0)
+
+    def _order(self, rank, order, now_ms):
+        self.group.order(rank, order, now_ms).check()
+
+    def _refusal(self, rank, order, now_ms):
+        refusal = self.assertRaises(
+            errors.StandinRefusalError, self._order, rank, order, now_ms
+        )
+        return refusal.fields["reason"]
+
+    def _maps(self, now_ms):
+        tail = self.group.group_report(now_ms).maps_by_step_tail
+        return {maps.step: list(maps.map_versions) for maps in tail}
+
+    def test_a_committed_map_is_in_use_from_its_step_on(self):
+        for rank in range(RANKS):
+            self._order(rank, _stage(), now_ms=0)
+        self.assertEqual(4, self.group.report(0, now_ms=500).step)
+        for rank in range(RANKS):
+            self._order(rank, _resolve(commit=True), now_ms=500)
+        maps = self._maps(now_ms=520)
+        self.assertEqual(([1], [2]), (maps[4], maps[5]))
+        report = self.group.group_report(now_ms=520)
+        self.assertEqual((0, 460), (report.violations, report.waiting_ms))
+
+    def test_an_aborted_map_is_never_used(self):
+        for rank in range(RANKS):
+            self._order(rank, _stage(), now_ms=0)
+            self._order(rank, _resolve(commit=False), now_ms=0)
+        self.assertEqual([1], self._maps(now_ms=100)[5])
+
+    def test_ranks_that_resolve_apart_are_a_violation(self):
+        for rank in range(RANKS):
+            self._order(rank, _stage(), now_ms=0)
+            self._order(rank, _resolve(commit=rank == 0), now_ms=0)
+        self.assertLess(0, self.group.group_report(now_ms=100).violations)
+
+    def test_a_stage_order_is_refused_with_its_reason(self):
+        other = (2, "host-b", 1)
+        self._order(0, _stage(hold_step=90), now_ms=0)
+        self._order(0, _stage(hold_step=90), now_ms=0)
+        self.assertEqual("staged", self._refusal(0, _stage(other, 90), now_ms=0))
+        self.assertEqual("passed", self._refusal(1, _stage(hold_step=5), now_ms=100))
+        self._order(2, _stage(hold_step=90, fence=7), now_ms=100)
+        self.assertEqual("fence", self._refusal(2, _stage(fence=6), now_ms=100))
+
+    def test_a_resolution_is_idempotent_and_final(self):
+        self._order(0, _stage(), now_ms=0)
+        for _ in range(2):
+            self._order(0, _resolve(commit=True), now_ms=0)
+        self.assertEqual("resolved", self._refusal(0, _resolve(commit=False), now_ms=0))
+        self.assertEqual("resolved", self._refusal(0, _stage(), now_ms=0))
+        unknown = _resolve(commit=True, ballot=(9, "host-c", 1))
+        self.assertEqual("unknown", self._refusal(0, unknown, now_ms=0))
+
+    def test_a_stalled_rank_holds_the_whole_group(self):
+        self.group.change_rank(1, RankFaults(stalled=True), now_ms=25)
+        self.assertEqual(3, self.group.report(0, now_ms=500).step)
+        self.group.change_rank(1, RankFaults(stalled=False), now_ms=500)
+        self.assertEqual(4, self.group.report(0, now_ms=500).step)
+
+    def test_the_slowest_rank_sets_the_pace(self):
+        self.group.change_rank(1, RankFaults(speed=0.5), now_ms=5)
+        reports = [self.group.report(rank, now_ms=30) for rank in range(RANKS)]
+        self.assertEqual([10, 20, 10], [report.step_ms for report in reports])
+        self.assertEqual(3, reports[0].step)
+
+    def test_a_replaced_rank_stops_the_group_until_it_has_a_map(self):
+        self.group.replace_rank(2, now_ms=15)
+        self.assertIsNone(self.group.report(2, now_ms=500).map_version)
+        self.assertEqual("no_map", self._refusal(2, _stage(hold_step=9), now_ms=500))
+        install = InstallOrder(kind="map_install", fence=1, map_version=1, map={})
+        self._order(2, install, now_ms=500)
+        self.assertEqual(3, self.group.report(0, now_ms=500).step)
+        self.assertEqual("has_map", self._refusal(2, install, now_ms=500))
+
+    def test_an_order_in_flight_is_executed_late_and_dies_with_its_rank(self):
+        for rank in (0, 1):
+            self.group.change_rank(rank, RankFaults(order_delay_ms=50), now_ms=0)
+        tickets = [
+            self.group.order(rank, _stage(hold_step=90), now_ms=0) for rank in (0, 1)
+        ]
+        self.group.replace_rank(1, now_ms=40)
+        self.assertIsNone(self.group.report(0, now_ms=49).staged)
+        self.assertIsNotNone(self.group.report(0, now_ms=50).staged)
+        self.assertEqual([True, False], [ticket.done for ticket in tickets])
+
+    def test_tokens_follow_popularity_and_placement(self):
+        placed = {"experts_by_rank": [[0, 1], [1], []]}
+        workload = Workload(3, 3, tokens_per_step=100, experts_of=placed_by_list)
+        workload.set_popularity(Popularity(weights=[1, 2, 1]))
+        tokens = [workload.tokens(VersionedMap(1, placed), rank) for rank in range(3)]
+        self.assertEqual([{0: 25, 1: 25}, {1: 25}, {2: 25}], tokens)
+
+
+class RanksHttpTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        context = standins.serving_ranks(GroupSettings(ranks=2, base_step_ms=2))
+        _, ports = context.__enter__()
+        self.addCleanup(context.__exit__, None, None, None)
+        self.clients = [Client(port) for port in ports]
+
+    def _orders(self, order):
+        return [client.call("POST", "/v1/orders", order) for client in self.clients]
+
+    def test_a_map_changes_in_one_step_over_http(self):
+        ballot = [1, "host-a", 1]
+        stage = {"kind": "map_stage", "fence": 1, "ballot": ballot, "map_version": 2}
+        hold_step = self.clients[0].call("GET", "/v1/rank").json["step"] + 10**6
+        stage.update(map={"a": 1}, hold_step=hold_step)
+        staged = [answer.json for answer in self._orders(stage)]
+        self.assertEqual([{"staged": True}] * 2, staged)
+        resolve = {"kind": "map_resolve", "fence": 1, "ballot": ballot, "commit": True}
+        self.assertEqual({200}, {answer.status for answer in self._orders(resolve)})
+        report = self.clients[1].call("GET", "/v1/rank").json
+        self.assertEqual({"ballot": ballot, "commit": True}, report["resolved"])
+
+    def test_a_replaced_rank_is_given_the_map_of_another(self):
+        self.clients[0].call("POST", "/control/ranks/1/replace")
+        self.assertEqual(404, self.clients[1].call("GET", "/v1/rank/map").status)
+        current = self.clients[0].call("GET", "/v1/rank/map").json
+        install = {"kind": "map_install", "fence": 1, **current}
+        answers = self._orders(install)
+        self.assertEqual([409, 200], [answer.status for answer in answers])
+        group = self.clients[0].call("GET", "/control/group").json
+        self.assertEqual(0, group["violations"])
+
+    def test_a_frozen_rank_answers_control_alone(self):
+        path = "/control/ranks/0/faults"
+        self.clients[0].call("POST", path, {"freeze": True})
+        report = self.clients[0].start("GET", "/v1/rank")
+        self.clients[0].call("POST", path, {"freeze": False})
+        self.assertEqual(200, report.result().status)
+
+    def test_bad_orders_are_refused_by_number(self):
+        for order in ({}, {"kind": "unheard_of", "fence": 1}, [1]):
+            answer = self.clients[0].call("POST", "/v1/orders", order)
+            self.assertEqual((400, 6001), (answer.status, answer.json["code"]))
+        answer = self.clients[0].call("POST", "/control/ranks/9/replace")
+        self.assertEqual(404, answer.status)
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,52 @@
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import testtools
+from standin_client import Client
+
+SOURCE = pathlib.Path(__file__).resolve().parent.parent / "src"
+START = "from dotterelplank.standins import app; app()"
+
+
+class CommandTests(testtools.TestCase):
+    def _start(self, *arguments):
+        process = subprocess.Popen(
+            [sys.executable, "-c", START, *arguments],
+            stdout=subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": str(SOURCE)},
+        )
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process, json.loads(process.stdout.readline())
+
+    def _port(self, place):
+        address, port = place.split(":")
+        self.assertEqual("127.0.0.1", address)
+        return int(port)
+
+    def test_each_command_says_where_it_listens_and_stops_on_sigterm(self):
+        commands = [
+            ("platform",),
+            ("engine", "--settings", '{"models": ["m"]}'),
+            ("ranks", "--settings", '{"ranks": 2}'),
+            ("store",),
+            ("service",),
+            ("proxy", "--target", "127.0.0.1:1"),
+        ]
+        started = [self._start(*command) for command in commands]
+        for (process, line), command in zip(started, commands):
+            place = line.get("control", line["listening"])
+            answer = Client(self._port(place)).call("GET", "/control/unheard-of")
+            self.assertEqual((404, 6002), (answer.status, answer.json["code"]))
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(0, process.wait(), command)
+
+    def test_a_group_lists_the_ports_of_its_ranks(self):
+        _, line = self._start("ranks", "--settings", '{"ranks": 3}')
+        self.assertEqual(3, len({self._port(place) for place in line["ranks"]}))
+        self.assertEqual(line["listening"], line["ranks"][0])
