--- /dev/null
+++ b/src/dotterelplank/bench_traffic.py
@@ -0,0 +1,106 @@
+"""Traffic for the benches: requests that share prefixes, at seeded random times."""
+
+import bisect
+import dataclasses
+import itertools
+import random
+import typing as t
+
+from . import prefixes
+from .fake_engine import Job
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrafficOptions:
+    """The shape of the traffic.
+
+    :param families: prompts that many requests begin with.
+    :param skew: exponent of the Zipf law of their popularity.
+    :param follow_up_share: part of the requests that go on with an earlier one.
+    :param output_tokens: mean number of tokens generated.
+    """
+
+    families: int = 200
+    skew: float = 0.9
+    family_blocks_min: int = 4
+    family_blocks_max: int = 10
+    follow_up_share: float = 0.3
+    tail_tokens_max: int = 500
+    output_tokens: int = 400
+    kept_sessions: int = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reaches an entry.
+
+    :param entry: number of the entry in its domain.
+    """
+
+    at_ms: float
+    domain: str
+    entry: int
+    job: Job
+
+
+def zipf_weights(count: int, skew: float) -> list[float]:
+    """Return the cumulated weights of ``count`` ranks, the most popular first."""
+    weights = (1.0 / rank**skew for rank in range(1, count + 1))
+    return list(itertools.accumulate(weights))
+
+
+def pick(rng: random.Random, cumulated: t.Sequence[float]) -> int:
+    """Return a rank drawn by its weight."""
+    return bisect.bisect_left(cumulated, rng.random() * cumulated[-1])
+
+
+def arrivals(
+    rng: random.Random,
+    options: TrafficOptions,
+    domain: str,
+    entries: int,
+    per_s: float,
+    duration_ms: float,
+) -> t.Iterator[Arrival]:
+    """Yield the requests of one domain in order of time."""
+    family_rng = random.Random("families")
+    families = [
+        _random_blocks(
+            family_rng,
+            family_rng.randint(options.family_blocks_min, options.family_blocks_max),
+        )
+        for _ in range(options.families)
+    ]
+    weights = zipf_weights(options.families, options.skew)
+    sessions: list[tuple[int, ...]] = []
+    now_ms = rng.expovariate(per_s) * 1_000.0
+    for number in itertools.count():
+        if now_ms >= duration_ms:
+            return
+        blocks = families[pick(rng, weights)]
+        if sessions and rng.random() < options.follow_up_share:
+            blocks = rng.choice(sessions)
+        blocks = (blocks + _random_blocks(rng, 1))[: prefixes.MAX_CHAIN_BLOCKS]
+        sessions.append(blocks)
+        if len(sessions) > options.kept_sessions:
+            sessions.pop(0)
+        job = _make_job(rng, options, f"{domain}/{number}", blocks)
+        yield Arrival(now_ms, domain, rng.randrange(entries), job)
+        now_ms += rng.expovariate(per_s) * 1_000.0
+
+
+def _random_blocks(rng: random.Random, count: int) -> tuple[int, ...]:
+    return tuple(rng.getrandbits(64) for _ in range(count))
+
+
+def _make_job(
+    rng: random.Random,
+    options: TrafficOptions,
+    request_id: str,
+    blocks: tuple[int, ...],
+) -> Job:
+    tail_tokens = rng.randint(1, options.tail_tokens_max)
+    prompt_tokens = len(blocks) * prefixes.BLOCK_TOKENS + tail_tokens
+    mean = options.output_tokens
+    output_tokens = min(4 * mean, 1 + int(rng.expovariate(1.0 / mean)))
+    return Job(request_id, blocks, prompt_tokens, output_tokens)
--- a/src/dotterelplank/prefixes.py
+++ b/src/dotterelplank/prefixes.py
@@ -4,15 +4,15 @@
 all the text before it too, so that equal hashes mean equal prefixes.
 """
 
-import collections
 import dataclasses
 import hashlib
+import itertools
 import math
 import typing as t
 
-BLOCK_SIZE_BYTES = 256
-BLOCK_TOKENS = 64
-MAX_CHAIN_BLOCKS = 64
+BLOCK_SIZE_BYTES = 1_024
+BLOCK_TOKENS = 256
+MAX_CHAIN_BLOCKS = 32
 HASH_SIZE_BYTES = 8
 GAP_BLOCKS = 2
 
@@ -63,24 +63,27 @@
     """
 
     capacity_blocks: int
-    seen_ms: "collections.OrderedDict[int, float]" = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
+    seen_ms: dict[int, float] = dataclasses.field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self.seen_ms)
 
-    def add(self, now_ms: float, blocks: t.Sequence[int]) -> None:
+    def add(self, now_ms: float, blocks: t.Sequence[int]) -> tuple[int, ...]:
         """Record that ``blocks`` of one chain, first block first, were cached.
 
         The last block of a chain leaves first, as it does in an engine that
-        frees the leaves of its prefix tree.
+        frees the leaves of its prefix tree. Returns the blocks pushed out.
         """
+        seen_ms = self.seen_ms
         for block in reversed(blocks):
-            self.seen_ms[block] = now_ms
-            self.seen_ms.move_to_end(block)
-        while len(self.seen_ms) > self.capacity_blocks:
-            self.seen_ms.popitem(last=False)
+            seen_ms.pop(block, None)
+            seen_ms[block] = now_ms
+        excess = len(seen_ms) - self.capacity_blocks
+        if excess <= 0:
+            return ()
+        pushed_out = tuple(itertools.islice(seen_ms, excess))
+        self.remove(pushed_out)
+        return pushed_out
 
     def remove(self, blocks: t.Iterable[int]) -> None:
         """Forget ``blocks``; those that aren't known are passed over."""
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -4,11 +4,11 @@
 
 from dotterelplank import prefixes
 
-TEXT = bytes(range(256)) * 8
+TEXT = bytes(range(256)) * 32
 
 
 def test_equal_prefixes_have_equal_hashes():
-    other = TEXT[: 4 * prefixes.BLOCK_SIZE_BYTES] + b"x" * 1_000
+    other = TEXT[: 4 * prefixes.BLOCK_SIZE_BYTES] + b"x" * 4_096
     assert prefixes.chain(TEXT)[:4] == prefixes.chain(other)[:4]
     assert prefixes.chain(TEXT)[4] != prefixes.chain(other)[4]
 
