Add the decisions on revisions and membership with a stable interface

A revision has to reach every process without the platform's calls growing with the fleet, and a death has to be noticed within a second without every process watching every other. Both are decision functions of (time, state, event, policy) that return typed commands.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -76,3 +76,110 @@
     logging.CRITICAL,
     "A promise that must always hold was found broken; report it.",
 )
+
+
+# 200: configuration and host list revisions
+REVISION_ADOPTED = _define(
+    200, "revision-adopted", logging.INFO, "A newer revision is in force here."
+)
+REVISION_REFUSED = _define(
+    201,
+    "revision-refused",
+    logging.ERROR,
+    "A published revision is invalid and changed nothing; publish a mended one.",
+)
+REVISION_CONFLICT = _define(
+    202,
+    "revision-conflict",
+    logging.ERROR,
+    "One revision was seen with two texts; the one held stays. Publish a newer one.",
+)
+STALE_READ = _define(
+    203,
+    "stale-read",
+    logging.WARNING,
+    "The platform answered with an older revision than the one in force.",
+)
+READER_STARTED = _define(
+    204, "reader-started", logging.INFO, "This process now watches the platform."
+)
+READER_STOPPED = _define(
+    205, "reader-stopped", logging.INFO, "This process watches the platform no more."
+)
+PLATFORM_UNREAD = _define(
+    206,
+    "platform-unread",
+    logging.WARNING,
+    "The platform can't be read; what is in force stays in force.",
+)
+REFUSED_ELSEWHERE = _define(
+    207,
+    "refused-elsewhere",
+    logging.WARNING,
+    "A peer refused a newer published revision.",
+)
+JOIN_FINISHED = _define(
+    208,
+    "join-finished",
+    logging.INFO,
+    "The peers were asked for their revision; reads are trusted from now on.",
+)
+PULL_FAILED = _define(
+    209, "pull-failed", logging.WARNING, "A peer didn't hand over an offered revision."
+)
+
+# 250: membership
+MEMBER_ALIVE = _define(
+    250, "member-alive", logging.INFO, "A process is heard and may be used."
+)
+MEMBER_SUSPECT = _define(
+    251,
+    "member-suspect",
+    logging.WARNING,
+    "A process isn't heard by its watcher and answered no probe.",
+)
+MEMBER_DEAD = _define(
+    252, "member-dead", logging.ERROR, "The watchers of a process agree that it died."
+)
+MEMBER_LEAVING = _define(
+    253, "member-leaving", logging.INFO, "A process gets no new work from now on."
+)
+MEMBER_REPLACED = _define(
+    254, "member-replaced", logging.INFO, "A new process runs on a known host."
+)
+MEMBER_UNHEARD = _define(
+    255,
+    "member-unheard",
+    logging.WARNING,
+    "This process has no fresh word of another and gives it no new work.",
+)
+MEMBER_UNLISTED = _define(
+    256,
+    "member-unlisted",
+    logging.INFO,
+    "A process proved its membership before the host list shows it.",
+)
+MEMBER_DROPPED = _define(
+    257,
+    "member-dropped",
+    logging.WARNING,
+    "The host list dropped a process that still sends heartbeats.",
+)
+OWN_PAUSE = _define(
+    258,
+    "own-pause",
+    logging.WARNING,
+    "This process was paused or starved; it judges its peers from now on afresh.",
+)
+CLOCK_WENT_BACK = _define(
+    259,
+    "clock-went-back",
+    logging.ERROR,
+    "The monotonic clock went back; what was heard before counts as unheard.",
+)
+PROCESS_SUPERSEDED = _define(
+    260,
+    "process-superseded",
+    logging.CRITICAL,
+    "A newer process runs under this host's name; this one must stop.",
+)
--- /dev/null
+++ b/src/dotterelplank/member_state.py
@@ -0,0 +1,291 @@
+"""What one process knows of the others, and the policy by which it judges them."""
+
+import dataclasses
+import random
+import typing as t
+
+from . import events
+from .member_messages import (
+    Command,
+    DomainDigest,
+    Heartbeat,
+    Intent,
+    Load,
+    MemberChanged,
+    MemberStatus,
+    Report,
+)
+from .peers import Peer, Role, highest
+from .revision_messages import Offer
+
+PPM = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipPolicy:
+    """Bounds and periods of membership.
+
+    :param agent_watch_ms: period of an agent's heartbeats to its watchers.
+    :param agent_mesh_ms: period in which an agent reaches each entry of its domain.
+    :param misses: heartbeats that may be missed before a watcher probes.
+    :param lease_ms: how old a sign of life may be for new work to be given.
+    :param pause_ms: a gap between two events that means a pause of this process.
+    :param settle_ms: how long after its start a process may raise its incarnation.
+    """
+
+    tick_ms: int = 50
+    watchers: int = 3
+    accusers: int = 2
+    agent_watch_ms: int = 250
+    entry_watch_ms: int = 500
+    agent_mesh_ms: int = 2_400
+    entry_mesh_ms: int = 20_000
+    misses: int = 2
+    slack_ms: int = 60
+    probes: int = 3
+    probe_interval_ms: int = 50
+    lease_ms: int = 2_900
+    lease_probe_ms: int = 2_500
+    lease_scan_ms: int = 100
+    unheard_probe_ms: int = 1_200
+    probes_per_scan: int = 48
+    accusation_ms: int = 2_000
+    entry_silence_ms: int = 70_000
+    pause_ms: int = 250
+    settle_ms: int = 10_000
+    forget_ms: int = 60_000
+    leave_rounds: int = 4
+    leave_interval_ms: int = 200
+    follow_probe_ms: int = 800
+    follow_max: int = 4
+    prober_ms: int = 5_000
+    ask_interval_ms: int = 1_000
+    question_ms: int = 2_000
+    digest_interval_ms: int = 1_000
+    digest_fanout: int = 2
+    digest_sample: int = 4
+    digest_age_ms: int = 15_000
+    drift_ppm: int = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """Another process.
+
+    :param heard_ms: when it surely lived, on the own clock; ``None`` for never.
+    :param offset_ms: least difference seen between its clock and the own one.
+    :param received_ms: when its last heartbeat was taken in.
+    :param watched: whether it counts this process among its watchers.
+    :param checked: whether a peer's suspicion made this process probe it.
+    :param withdrawn: whether the host list takes it out of use.
+    :param unlisted_ms: since when the host list doesn't show it, if it doesn't.
+    """
+
+    peer: Peer
+    incarnation: int = 0
+    sequence: int = -1
+    intent: Intent = Intent.SERVING
+    status: MemberStatus = MemberStatus.ALIVE
+    load: Load | None = None
+    heard_ms: int | None = None
+    offset_ms: float | None = None
+    received_ms: int = 0
+    watched: bool = False
+    checked: bool = False
+    withdrawn: bool = False
+    unlisted_ms: int | None = None
+    usable: bool = False
+    probes: int = 0
+    next_probe_ms: int = 0
+    accusers: dict[str, int] = dataclasses.field(default_factory=dict)
+    corrected_ms: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Question:
+    """A probe or a question to a peer that is still open."""
+
+    subject: str
+    asked_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class HeldDigest:
+    """A digest of another domain and when it was made, on the own clock."""
+
+    digest: DomainDigest
+    made_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class MembershipState:
+    """All that membership holds; its decision function is the only writer.
+
+    Make it with :func:`start`.
+
+    :param judge_from_ms: silence before this time is not held against anyone.
+    :param members: the other processes of the domain and those followed elsewhere.
+    :param mesh: hosts that a heartbeat reaches in turn.
+    :param probers: when a host outside the mesh last probed this process.
+    """
+
+    own: Peer
+    incarnation: int
+    draw: random.Random
+    started_ms: int
+    last_ms: int
+    judge_from_ms: int
+    intent: Intent = Intent.SERVING
+    superseded: bool = False
+    sequence: int = 0
+    nonce: int = 0
+    load: Load | None = None
+    offers: tuple[Offer, ...] = ()
+    list_version: int = 0
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    elsewhere: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    elsewhere_entries: tuple[tuple[str, ...], ...] = ()
+    followed: tuple[str, ...] = ()
+    watchers: tuple[str, ...] = ()
+    mesh: tuple[str, ...] = ()
+    mesh_at: int = 0
+    mesh_round: int = 0
+    mesh_due: float = 0.0
+    mesh_ms: int = 0
+    next_watch_ms: int = 0
+    next_scan_ms: int = 0
+    leave_rounds_left: int = 0
+    next_leave_ms: int = 0
+    introduced: bool = False
+    peers_changed: bool = True
+    questions: dict[int, Question] = dataclasses.field(default_factory=dict)
+    asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    probers: dict[str, int] = dataclasses.field(default_factory=dict)
+    digests: dict[str, HeldDigest] = dataclasses.field(default_factory=dict)
+    digest_turn: int = 0
+    next_digest_ms: int = 0
+
+
+def start(now_ms: int, own: Peer, incarnation: int, seed: int) -> MembershipState:
+    """Return the state of a process that has just started and has heard of nobody.
+
+    :param incarnation: higher than that of the host's last process, if it can be;
+        the wall clock at the start in milliseconds serves.
+    :param seed: makes the choice of peers differ between processes.
+    """
+    return MembershipState(
+        own=own,
+        incarnation=incarnation,
+        draw=random.Random(seed),
+        started_ms=now_ms,
+        last_ms=now_ms,
+        judge_from_ms=now_ms,
+        mesh_ms=now_ms,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Turn:
+    """One call of the decision function and the commands that it has gathered."""
+
+    now_ms: int
+    state: MembershipState
+    policy: MembershipPolicy
+    commands: list[Command] = dataclasses.field(default_factory=list)
+
+    def add(self, command: Command) -> None:
+        """Add ``command`` to those returned."""
+        self.commands.append(command)
+
+    def report(self, event: events.Event, host: str, detail: str = "") -> None:
+        """Add a report about the process on ``host``."""
+        self.commands.append(Report(event, host, detail))
+
+    def ask(self, subject: str) -> int:
+        """Return the nonce of a new question about ``subject``."""
+        self.state.nonce += 1
+        self.state.questions[self.state.nonce] = Question(subject, self.now_ms)
+        return self.state.nonce
+
+    def heartbeat(self, **fields: t.Any) -> Heartbeat:
+        """Return the next heartbeat of this process."""
+        self.state.sequence += 1
+        return Heartbeat(
+            host=self.state.own.host,
+            incarnation=self.state.incarnation,
+            sequence=self.state.sequence,
+            sent_ms=self.now_ms,
+            intent=self.state.intent,
+            **fields,
+        )
+
+
+def is_usable(now_ms: int, member: Member, policy: MembershipPolicy) -> bool:
+    """Return whether new work may go to ``member`` at ``now_ms``.
+
+    Ask again for each piece of work: a sign of life ages without any event.
+    """
+    if member.status is not MemberStatus.ALIVE or member.heard_ms is None:
+        return False
+    return now_ms - member.heard_ms <= policy.lease_ms
+
+
+def live_entries(state: MembershipState) -> list[str]:
+    """Return the entries of the domain that can watch others, this one with them."""
+    hosts = [
+        host
+        for host, member in state.members.items()
+        if member.peer.role is Role.ENTRY
+        and member.peer.domain == state.own.domain
+        and member.status <= MemberStatus.SUSPECT
+    ]
+    if state.own.role is Role.ENTRY and state.intent is Intent.SERVING:
+        hosts.append(state.own.host)
+    return hosts
+
+
+def watchers_of(
+    state: MembershipState, host: str, policy: MembershipPolicy
+) -> tuple[str, ...]:
+    """Return the entries that watch ``host``, as this process sees the domain."""
+    candidates = (entry for entry in live_entries(state) if entry != host)
+    return highest(f"watch:{host}", candidates, policy.watchers)
+
+
+def overdue_ms(member: Member, policy: MembershipPolicy) -> int:
+    """Return the silence after which a watcher probes ``member``."""
+    if member.peer.role is Role.AGENT:
+        period_ms = policy.agent_watch_ms
+    else:
+        period_ms = policy.entry_watch_ms
+    return policy.misses * period_ms + policy.slack_ms
+
+
+def silence_ms(turn: Turn, member: Member) -> int:
+    """Return the silence of ``member`` that can be held against it."""
+    if member.heard_ms is None:
+        return turn.now_ms - turn.state.judge_from_ms
+    return turn.now_ms - max(member.heard_ms, turn.state.judge_from_ms)
+
+
+def settle(turn: Turn, member: Member, status: MemberStatus) -> None:
+    """Hold ``status`` true of ``member`` and tell what has changed by it."""
+    before = (member.status, member.usable)
+    if member.status is not status:
+        member.status = status
+        turn.report(_STATUS_EVENTS[status], member.peer.host)
+        turn.state.peers_changed = True
+    member.usable = is_usable(turn.now_ms, member, turn.policy)
+    if before == (member.status, member.usable):
+        return
+    turn.add(
+        MemberChanged(member.peer, member.incarnation, member.status, member.usable)
+    )
+
+
+_STATUS_EVENTS = {
+    MemberStatus.ALIVE: events.MEMBER_ALIVE,
+    MemberStatus.SUSPECT: events.MEMBER_SUSPECT,
+    MemberStatus.DEAD: events.MEMBER_DEAD,
+    MemberStatus.LEAVING: events.MEMBER_LEAVING,
+}
--- /dev/null
+++ b/src/dotterelplank/revision_state.py
@@ -0,0 +1,198 @@
+"""State of one document in one process, and the policy that bounds it."""
+
+import dataclasses
+import hashlib
+import random
+import typing as t
+
+from . import events
+from .peers import Peer
+from .revision_messages import Command, Document, Offer, Report
+
+DIGEST_BYTES = 8
+TEXT_BYTES_MAX = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A revision in force.
+
+    :param packed: the text, compressed once by its reader and passed on as it is.
+    :param validated: what the validation returned for the text.
+    """
+
+    revision: int
+    digest: bytes
+    packed: bytes
+    validated: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A published revision that the validation refused, as operators see it."""
+
+    revision: int
+    digest: bytes
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RevisionPolicy:
+    """Bounds and periods of one document.
+
+    :param validate: pure function of the text; it returns what it made of the text
+        or raises :class:`~dotterelplank.errors.ConfigurationError`.
+    :param join_wait_ms: how long a new process waits for its peers' offers.
+    :param join_alone_ms: how long it waits when it knows no peer at all.
+    """
+
+    validate: t.Callable[[str], object]
+    tick_ms: int = 50
+    readers_per_domain: int = 3
+    read_wait_ms: int = 30_000
+    read_grace_ms: int = 5_000
+    read_pause_min_ms: int = 100
+    read_pause_max_ms: int = 1_600
+    join_wait_ms: int = 1_000
+    join_alone_ms: int = 3_000
+    join_retry_ms: int = 200
+    offer_fanout: int = 4
+    offer_rounds: int = 4
+    offer_interval_ms: int = 100
+    elsewhere_interval_ms: int = 500
+    answer_interval_ms: int = 500
+    pull_timeout_ms: int = 800
+    pull_retry_ms: int = 50
+    sends_at_once: int = 4
+    send_timeout_ms: int = 2_000
+
+
+@dataclasses.dataclass(slots=True)
+class Read:
+    """A watch in progress."""
+
+    read_id: int
+    deadline_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Pull:
+    """A text that was asked of a peer."""
+
+    host: str
+    offer: Offer
+    deadline_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class RevisionState:
+    """What one process knows of one document; :func:`decide` is its only writer.
+
+    Make it with :func:`start`.
+
+    :param offers: revisions above the held one, by the host that holds them.
+    :param answered: hosts that have told what they hold since the start.
+    :param declined: hosts not to be asked for a text again just now.
+    :param sends: deadlines of the texts on their way out, by host.
+    :param told_ms: when a peer that is behind was last told so, by host.
+    """
+
+    document: Document
+    own: Peer
+    draw: random.Random
+    join_deadline_ms: int
+    joined: bool = False
+    held: Held | None = None
+    refused: Refusal | None = None
+    refused_elsewhere: int = 0
+    domain: tuple[Peer, ...] = ()
+    elsewhere: tuple[tuple[str, ...], ...] = ()
+    elsewhere_turn: int = 0
+    offers: dict[str, Offer] = dataclasses.field(default_factory=dict)
+    answered: set[str] = dataclasses.field(default_factory=set)
+    next_join_ms: int = 0
+    reader: bool = False
+    read: Read | None = None
+    read_count: int = 0
+    next_read_ms: int = 0
+    read_pause_ms: int = 0
+    trouble: events.Event | None = None
+    pull: Pull | None = None
+    next_pull_ms: int = 0
+    declined: set[str] = dataclasses.field(default_factory=set)
+    offer_rounds_left: int = 0
+    next_offer_ms: int = 0
+    next_elsewhere_ms: int = 0
+    told_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    sends: dict[str, int] = dataclasses.field(default_factory=dict)
+    conflict: tuple[int, bytes] | None = None
+
+
+def start(
+    now_ms: int, document: Document, own: Peer, seed: int, policy: RevisionPolicy
+) -> RevisionState:
+    """Return the state of a process that has just started and holds nothing.
+
+    :param seed: makes the choice of peers differ between processes.
+    """
+    return RevisionState(
+        document=document,
+        own=own,
+        draw=random.Random(seed),
+        join_deadline_ms=now_ms + policy.join_alone_ms,
+    )
+
+
+def digest_of(text: str) -> bytes:
+    """Return the digest by which peers tell two texts of one revision apart."""
+    raw = text.encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(raw, digest_size=DIGEST_BYTES).digest()
+
+
+def revision_of(state: RevisionState) -> int:
+    """Return the revision in force, 0 when there is none."""
+    return state.held.revision if state.held else 0
+
+
+def offer_of(state: RevisionState) -> Offer:
+    """Return what ``state`` holds, to be carried by a heartbeat."""
+    refused = state.refused.revision if state.refused else 0
+    if refused <= revision_of(state):
+        refused = 0
+    digest = state.held.digest if state.held else b""
+    return Offer(state.document, revision_of(state), digest, refused)
+
+
+def floor_of(state: RevisionState) -> int:
+    """Return the lowest revision that may be adopted.
+
+    A process that holds none must not fall behind what its peers have offered: it
+    may have held that before a restart.
+    """
+    if state.held is not None:
+        return state.held.revision + 1
+    revisions = (offer.revision for offer in state.offers.values())
+    return max(revisions, default=0)
+
+
+def known_hosts(state: RevisionState) -> t.Iterator[str]:
+    """Yield every host that can be asked, those of the own domain first."""
+    for peer in state.domain:
+        yield peer.host
+    for hosts in state.elsewhere:
+        yield from hosts
+
+
+@dataclasses.dataclass(slots=True)
+class Turn:
+    """One call of the decision function and the commands that it has gathered."""
+
+    now_ms: int
+    state: RevisionState
+    policy: RevisionPolicy
+    commands: list[Command] = dataclasses.field(default_factory=list)
+
+    def report(self, event: events.Event, revision: int, detail: str = "") -> None:
+        """Add a report about ``revision`` of the document."""
+        report = Report(event, self.state.document, revision, detail)
+        self.commands.append(report)
