Decide when a group of ranks gets a new expert map

Experts' popularity drifts and ranks differ in speed, while a step waits for the slowest rank. The decision takes one window of reports and answers with a map or nothing. A new split of tokens over existing replicas costs no bytes and comes first; moves follow where the split can't even out the ranks, and only if the fall in step time over the horizon outweighs the bytes.

Ruled out: taking the best single move by its exact effect, since each trial needs a new split of the layer and 128 ranks need about a hundred moves after a jump. Batches that are halved when they bring nothing need ten trials.

A stall of a rank of 8 leaves the step 2.5 times as long for a quarter of an hour; that is open.

--- /dev/null
+++ b/src/dotterelplank/fake_group.py
@@ -0,0 +1,162 @@
+"""A stand-in for a group of ranks on a virtual clock, for the bench and tests.
+
+Popularity is Zipf-like, drifts over a day, swings between two brands overnight and
+jumps; ranks differ in speed, one stalls and recovers, another is slow for hours.
+"""
+
+import dataclasses
+import typing as t
+
+import numpy as np
+
+from .experts import ExpertMap, Observation
+
+DAY_MS: t.Final = 86_400_000.0
+HOUR_MS: t.Final = 3_600_000.0
+MINUTE_MS: t.Final = 60_000.0
+NIGHT_HOURS: t.Final = (0.0, 6.0)
+BRAND_PERIOD_MS: t.Final = 80 * MINUTE_MS
+BRAND_RAMP_MS: t.Final = 3 * MINUTE_MS
+
+
+@dataclasses.dataclass(frozen=True)
+class Workload:
+    """The size and the habits of a group.
+
+    :param tokens_per_rank: tokens that enter a step for each rank.
+    :param experts_per_token: experts that each token visits in each layer.
+    :param zipf_exponent: 0 for equal popularity, higher for fewer hot experts.
+    :param drift: amplitude of the daily drift of the logarithm of popularity.
+    :param brand_boost: factor by which a brand's experts gain while it is busy.
+    :param step_ms: time between two steps.
+    :param timing_noise: relative error of a reported busy time.
+    """
+
+    ranks: int
+    experts: int
+    layers: int = 4
+    tokens_per_rank: int = 256
+    experts_per_token: int = 8
+    zipf_exponent: float = 0.7
+    drift: float = 0.5
+    brand_boost: float = 2.5
+    brand_part: float = 0.2
+    speed_spread: float = 0.1
+    step_ms: float = 27.0
+    timing_noise: float = 0.005
+    jump_hours: tuple[float, ...] = (3.3, 9.1, 14.6, 19.2)
+    jump_part: float = 0.08
+    stall_hours: tuple[float, float] = (11.0, 11.5)
+    stall_factor: float = 0.05
+    slow_hours: tuple[float, float] = (16.0, 20.5)
+    slow_factor: float = 0.6
+
+    @property
+    def step_tokens(self) -> int:
+        """Return the visits to experts in one layer of one step."""
+        return self.ranks * self.tokens_per_rank * self.experts_per_token
+
+    @property
+    def sudden_ms(self) -> t.Sequence[float]:
+        """Return the times of the jumps, of the stall and of the recoveries."""
+        hours = (*self.jump_hours, *self.stall_hours, *self.slow_hours)
+        return sorted(hour * HOUR_MS for hour in hours)
+
+
+class FakeGroup:
+    """A group whose load and speeds follow from a seed and the virtual time.
+
+    :param rng: generator of everything that is random.
+    """
+
+    def __init__(self, workload: Workload, rng: np.random.Generator) -> None:
+        self.workload = workload
+        self._rng = rng
+        shape = (workload.layers, workload.experts)
+        order = np.arange(workload.experts)
+        zipf = -workload.zipf_exponent * np.log(order + 1)
+        self._places = [
+            np.array([rng.permutation(order) for _ in range(workload.layers)])
+        ]
+        for _ in workload.jump_hours:
+            self._places.append(self._jumped(self._places[-1]))
+        self._zipf = zipf
+        self._phase = rng.uniform(0, 2 * np.pi, shape)
+        brand = rng.uniform(size=shape)
+        self._brands = (
+            brand < workload.brand_part,
+            brand > 1 - workload.brand_part,
+        )
+        self._speeds = 100 * np.exp(
+            workload.speed_spread * rng.normal(size=workload.ranks)
+        )
+
+    def popularity(self, now_ms: float) -> np.ndarray:
+        """Return the chance that a visit goes to each expert, ``[layer, expert]``."""
+        jumps = sum(now_ms >= hour * HOUR_MS for hour in self.workload.jump_hours)
+        logarithm = self._zipf[self._places[jumps]]
+        turn = 2 * np.pi * now_ms / DAY_MS
+        logarithm = logarithm + self.workload.drift * np.sin(turn + self._phase)
+        for brand, experts in enumerate(self._brands):
+            boost = np.log(self.workload.brand_boost) * _brand_level(now_ms, brand)
+            logarithm = logarithm + boost * experts
+        weight = np.exp(logarithm)
+        return weight / weight.sum(axis=1, keepdims=True)
+
+    def speeds(self, now_ms: float) -> np.ndarray:
+        """Return the tokens that each rank runs in a millisecond, ``[rank]``."""
+        speeds = self._speeds.copy()
+        if _within(now_ms, self.workload.stall_hours):
+            speeds[0] *= self.workload.stall_factor
+        if _within(now_ms, self.workload.slow_hours):
+            speeds[-1] *= self.workload.slow_factor
+        return speeds
+
+    def step_times_ms(self, now_ms: float, expert_map: ExpertMap) -> np.ndarray:
+        """Return the time of each rank in one sampled step, ``[layer, rank]``."""
+        tokens = self._rng.multinomial(
+            self.workload.step_tokens, self.popularity(now_ms)
+        )
+        return expert_map.rank_tokens(tokens) / self.speeds(now_ms)
+
+    def window(
+        self, now_ms: float, window_ms: float, expert_map: ExpertMap
+    ) -> Observation:
+        """Return what the ranks report about the window that ends now."""
+        middle_ms = now_ms - window_ms / 2
+        steps = int(window_ms // self.workload.step_ms)
+        tokens = self._rng.multinomial(
+            steps * self.workload.step_tokens, self.popularity(middle_ms)
+        )
+        rank_tokens = expert_map.rank_tokens(tokens)
+        error = self._rng.normal(1, self.workload.timing_noise, rank_tokens.shape)
+        busy_ms = rank_tokens / self.speeds(middle_ms) * error
+        return Observation(window_ms, steps, tokens, rank_tokens, busy_ms)
+
+    def _jumped(self, places: np.ndarray) -> np.ndarray:
+        """Return ``places`` with a few experts of each layer exchanged."""
+        places = places.copy()
+        count = max(2, int(self.workload.jump_part * places.shape[1]))
+        for row in places:
+            hottest = np.argsort(row)[: count // 2]
+            others = self._rng.choice(
+                np.argsort(row)[count // 2 :], len(hottest), replace=False
+            )
+            row[hottest], row[others] = row[others].copy(), row[hottest].copy()
+        return places
+
+
+def _within(now_ms: float, hours: tuple[float, float]) -> bool:
+    return hours[0] * HOUR_MS <= now_ms < hours[1] * HOUR_MS
+
+
+def _brand_level(now_ms: float, brand: int) -> float:
+    """Return how busy a brand is, 0 to 1; the two take turns during the night."""
+    if not _within(now_ms % DAY_MS, NIGHT_HOURS):
+        return 0.0
+    into_ms = now_ms % BRAND_PERIOD_MS
+    half_ms = BRAND_PERIOD_MS / 2
+    if into_ms >= half_ms:
+        brand, into_ms = 1 - brand, into_ms - half_ms
+    ramp = min(into_ms / BRAND_RAMP_MS, 1.0)
+    return ramp if brand == 0 else 1 - ramp
--- /dev/null
+++ b/src/dotterelplank/placement.py
@@ -0,0 +1,220 @@
+"""The search for the few moves that let the ranks of one layer take equal time."""
+
+import dataclasses
+import typing as t
+
+import numpy as np
+
+from .experts import EMPTY, ExpertMap, Move, even_shares
+from .shares import balance, rank_times_ms
+
+ROUNDS: t.Final = 60
+NEW_MAP_ROUNDS: t.Final = 300
+GOOD_ENOUGH: t.Final = 0.005
+LEAST_GAIN: t.Final = 0.0005
+LARGEST_BATCH_DIVISOR: t.Final = 8
+MOST_TRIALS: t.Final = 10
+NEW_SHARE: t.Final = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class LayerLoad:
+    """What the search knows about a layer.
+
+    :param tokens: expected tokens of each expert in a step, ``[expert]``.
+    :param reserve: tokens that each expert may soon have again, ``[expert]``.
+    :param speeds: tokens that each rank runs in a millisecond, ``[rank]``.
+    :param evictable: whether an expert may lose a replica, ``[expert]``.
+    :param addable: whether an expert may gain a replica, ``[expert]``.
+    """
+
+    tokens: np.ndarray
+    reserve: np.ndarray
+    speeds: np.ndarray
+    evictable: np.ndarray
+    addable: np.ndarray
+
+
+@dataclasses.dataclass(frozen=True)
+class Stage:
+    """A point of the search: the moves up to here and what they lead to.
+
+    :param time_ms: expected time of the slowest rank.
+    :param excess_ms: root of the summed squares of the ranks' times over the ideal.
+    """
+
+    moves: tuple[Move, ...]
+    slots: np.ndarray
+    shares: np.ndarray
+    time_ms: float
+    excess_ms: float
+
+
+def search(
+    layer: int, start: Stage, load: LayerLoad, most_moves: int
+) -> t.Sequence[Stage]:
+    """Return stages of fewer to more moves, each faster than the one before.
+
+    Ranks that are short of work are offered replicas of experts from the slowest
+    ranks, in batches that are halved when they bring nothing. The search doesn't
+    look at what a move costs, so that its stages are the same for every weight.
+
+    :param start: the stage without a move, its shares balanced.
+    :param most_moves: most moves of the last stage.
+    """
+    stages = [start]
+    last = start
+    batch = max(1, start.slots.shape[0] // LARGEST_BATCH_DIVISOR)
+    good_ms = ideal_time_ms(load) * (1 + GOOD_ENOUGH)
+    for _ in range(MOST_TRIALS):
+        room = most_moves - len(last.moves)
+        if last.time_ms < good_ms or not batch or not room:
+            break
+        moves = _offer(layer, last, load, min(batch, room))
+        if not moves:
+            break
+        found = extend(last, moves, load)
+        if found.excess_ms > last.excess_ms * (1 - LEAST_GAIN):
+            batch //= 2
+            continue
+        last = found
+        if found.time_ms < stages[-1].time_ms:
+            stages.append(found)
+    return stages
+
+
+def unlocked(load: LayerLoad) -> LayerLoad:
+    """Return ``load`` with every expert free to gain and to lose replicas."""
+    free = np.ones(len(load.tokens), dtype=bool)
+    return dataclasses.replace(load, evictable=free, addable=free)
+
+
+def ideal_time_ms(load: LayerLoad) -> float:
+    """Return the time of a step of the layer if the work could be split at will."""
+    return float(load.tokens.sum() / load.speeds.sum())
+
+
+def extend(stage: Stage, moves: t.Sequence[Move], load: LayerLoad) -> Stage:
+    """Return the stage that more ``moves`` lead to, its shares balanced."""
+    slots = stage.slots.copy()
+    for move in moves:
+        slots[move.rank, move.slot] = move.expert
+    shares = np.where(slots == stage.slots, stage.shares, NEW_SHARE)
+    return settle((*stage.moves, *moves), slots, shares, load)
+
+
+def settle(
+    moves: tuple[Move, ...], slots: np.ndarray, shares: np.ndarray, load: LayerLoad
+) -> Stage:
+    """Return the stage of ``moves`` with balanced shares and its time."""
+    tokens = load.tokens[None]
+    shares = balance(slots[None], shares[None], tokens, load.speeds, ROUNDS)
+    times = rank_times_ms(slots[None], shares, tokens, load.speeds)
+    excess = np.maximum(times - ideal_time_ms(load), 0)
+    return Stage(
+        moves, slots, shares[0], float(times.max()), float(np.linalg.norm(excess))
+    )
+
+
+def _offer(layer: int, stage: Stage, load: LayerLoad, count: int) -> t.Sequence[Move]:
+    """Return up to ``count`` moves from the slowest to the least loaded ranks."""
+    slots = stage.slots.copy()
+    held = slots != EMPTY
+    work = stage.shares * load.tokens[slots]
+    ideal = ideal_time_ms(load) * load.speeds
+    excess = work.sum(axis=1) - ideal
+    ratio = np.maximum(excess / ideal, 0)
+    experts = len(load.tokens)
+    pressure = np.bincount(slots[held], (work * ratio[:, None])[held], experts)
+    pressure[~load.addable] = 0
+    replicas = np.bincount(slots[held], minlength=experts)
+    moves = []
+    for rank in np.argsort(excess):
+        if len(moves) == count or excess[rank] >= 0:
+            break
+        slot = _slot_to_fill(slots[rank], replicas, pressure, load)
+        wanted = np.where(np.isin(np.arange(experts), slots[rank]), 0, pressure)
+        expert = int(wanted.argmax())
+        if slot is None or wanted[expert] <= 0:
+            continue
+        evicted = int(slots[rank, slot])
+        if evicted != EMPTY:
+            replicas[evicted] -= 1
+        replicas[expert] += 1
+        slots[rank, slot] = expert
+        pressure[expert] = max(pressure[expert] + excess[rank], 0)
+        moves.append(Move(layer, expert, int(rank), slot, evicted))
+    return moves
+
+
+def _slot_to_fill(
+    held: np.ndarray, replicas: np.ndarray, pressure: np.ndarray, load: LayerLoad
+) -> int | None:
+    """Return the slot of a rank whose expert will be missed least, if any."""
+    empty = held == EMPTY
+    if empty.any():
+        return int(empty.argmax())
+    others = replicas[held] - 1
+    missed = (load.reserve[held] + pressure[held]) / np.maximum(others, 1)
+    missed[(others < 1) | ~load.evictable[held]] = np.inf
+    slot = int(missed.argmin())
+    return slot if np.isfinite(missed[slot]) else None
+
+
+def place_map(
+    tokens: np.ndarray, speeds: np.ndarray, slots_per_rank: int, version: int = 0
+) -> ExpertMap:
+    """Return a map that is placed anew in every layer, its shares balanced.
+
+    :param tokens: tokens of each expert in a step, ``[layer, expert]``.
+    :param speeds: tokens that each rank runs in a millisecond, ``[rank]``.
+    """
+    experts = tokens.shape[1]
+    slots = np.stack([place_all(row, speeds, slots_per_rank) for row in tokens])
+    start = even_shares(slots, experts)
+    shares = balance(slots, start, tokens, speeds, NEW_MAP_ROUNDS)
+    return ExpertMap(version, experts, slots, shares)
+
+
+def replica_counts(tokens: np.ndarray, ranks: int, slots_per_rank: int) -> np.ndarray:
+    """Return how many replicas to give each expert of a layer, greedily.
+
+    Each spare slot goes to the expert with the most tokens per replica.
+
+    :param tokens: tokens of each expert, ``[expert]``.
+    """
+    counts = np.ones(len(tokens), dtype=int)
+    for _ in range(ranks * slots_per_rank - len(tokens)):
+        per_replica = np.where(counts < ranks, tokens / counts, -1)
+        counts[per_replica.argmax()] += 1
+    return counts
+
+
+def place_all(
+    tokens: np.ndarray, speeds: np.ndarray, slots_per_rank: int
+) -> np.ndarray:
+    """Return slots ``[rank, slot]`` of a layer placed anew, the largest first.
+
+    Each replica goes to the rank that would be done first. A replica that no rank
+    can take leaves a slot empty.
+
+    :param tokens: tokens of each expert, ``[expert]``.
+    :param speeds: tokens that each rank runs in a millisecond, ``[rank]``.
+    """
+    ranks = len(speeds)
+    counts = replica_counts(tokens, ranks, slots_per_rank)
+    slots = np.full((ranks, slots_per_rank), EMPTY)
+    filled = np.zeros(ranks, dtype=int)
+    work = np.zeros(ranks)
+    for expert in np.argsort(-tokens / counts, kind="stable"):
+        part = tokens[expert] / counts[expert]
+        for _ in range(counts[expert]):
+            full = (filled == slots_per_rank) | (slots == expert).any(axis=1)
+            done = np.where(full, np.inf, (work + part) / speeds)
+            rank = int(done.argmin())
+            if full[rank]:
+                break
+            slots[rank, filled[rank]] = expert
+            filled[rank] += 1
+            work[rank] += part
+    return slots
--- /dev/null
+++ b/src/dotterelplank/popularity.py
@@ -0,0 +1,92 @@
+"""The estimate of how popular each expert is and how fast each rank runs.
+
+Windows are averaged, so that the sampling of tokens is not taken for a change; a
+window that sampling can't explain replaces the average at once.
+"""
+
+import dataclasses
+import typing as t
+
+import numpy as np
+
+from .experts import Observation
+
+AVERAGING_MS: t.Final = 60_000.0
+RESERVE_MS: t.Final = 5_400_000.0
+JUMP_DEVIATIONS: t.Final = 6.0
+JUMP_RATIO: t.Final = 0.05
+SPEED_JUMP_RATIO: t.Final = 0.05
+SMALLEST_SPEED: t.Final = 1e-6
+
+
+@dataclasses.dataclass(frozen=True)
+class Estimate:
+    """What is believed about the load and the ranks of a group.
+
+    :param tokens: expected tokens of each expert in a step, ``[layer, expert]``.
+    :param variance: squared error of ``tokens``, of the same shape.
+    :param reserve: the highest recent ``tokens``, which fades over hours.
+    :param speeds: tokens that each rank runs in a millisecond, ``[rank]``; found
+        from work per token, so a loaded rank is not taken for a slow one.
+    """
+
+    tokens: np.ndarray
+    variance: np.ndarray
+    reserve: np.ndarray
+    speeds: np.ndarray
+
+
+def first_estimate(observation: Observation) -> Estimate:
+    """Return the estimate that a single window gives."""
+    tokens, variance = _window_tokens(observation)
+    speeds = _window_speeds(observation, np.ones(observation.rank_tokens.shape[1]))
+    return Estimate(tokens, variance, tokens, speeds)
+
+
+def update(estimate: Estimate, observation: Observation) -> Estimate:
+    """Return ``estimate`` with one more window taken in."""
+    if observation.steps == 0:
+        return estimate
+    gain = 1 - np.exp(-observation.window_ms / AVERAGING_MS)
+    seen, noise = _window_tokens(observation)
+    tokens = estimate.tokens + gain * (seen - estimate.tokens)
+    variance = (1 - gain) ** 2 * estimate.variance + gain**2 * noise
+    jumped = _jumped(estimate, seen, noise)[:, None]
+    tokens = np.where(jumped, seen, tokens)
+    variance = np.where(jumped, noise, variance)
+    fade = np.exp(-observation.window_ms / RESERVE_MS)
+    reserve = np.maximum(tokens, estimate.reserve * fade)
+    speeds = _updated_speeds(estimate.speeds, observation, gain)
+    return Estimate(tokens, variance, reserve, speeds)
+
+
+def _window_tokens(observation: Observation) -> tuple[np.ndarray, np.ndarray]:
+    """Return the mean of a window and its squared error, as of Poisson counts."""
+    tokens = observation.tokens / observation.steps
+    return tokens, (observation.tokens + 1) / observation.steps**2
+
+
+def _jumped(estimate: Estimate, seen: np.ndarray, noise: np.ndarray) -> np.ndarray:
+    """Tell for each layer whether sampling can't explain the window."""
+    change = np.abs(seen - estimate.tokens)
+    deviation = np.sqrt(estimate.variance + noise)
+    unlikely = change > JUMP_DEVIATIONS * deviation
+    mean = seen.mean(axis=1, keepdims=True)
+    matters = change > JUMP_RATIO * np.maximum(estimate.tokens, mean)
+    return (unlikely & matters).any(axis=1)
+
+
+def _window_speeds(observation: Observation, known: np.ndarray) -> np.ndarray:
+    tokens = observation.rank_tokens.sum(axis=0)
+    busy_ms = observation.busy_ms.sum(axis=0)
+    measured = (tokens > 0) & (busy_ms > 0)
+    speeds = np.where(measured, tokens / np.where(measured, busy_ms, 1), known)
+    return np.maximum(speeds, SMALLEST_SPEED)
+
+
+def _updated_speeds(
+    known: np.ndarray, observation: Observation, gain: float
+) -> np.ndarray:
+    seen = _window_speeds(observation, known)
+    jumped = np.abs(seen - known) > SPEED_JUMP_RATIO * known
+    return np.where(jumped, seen, known + gain * (seen - known))
--- /dev/null
+++ b/src/dotterelplank/shares.py
@@ -0,0 +1,68 @@
+"""The split of each expert's tokens over the replicas that already exist.
+
+A new split costs no bytes, so it is weighed before any move.
+"""
+
+import typing as t
+
+import numpy as np
+
+from .experts import EMPTY
+
+STEP: t.Final = 0.9
+MOMENTUM: t.Final = 0.6
+SMALLEST_SHARE: t.Final = 1e-4
+CLOSE_ENOUGH: t.Final = 1e-3
+CHECK_EVERY: t.Final = 10
+
+
+def balance(
+    slots: np.ndarray,
+    start: np.ndarray,
+    tokens: np.ndarray,
+    speeds: np.ndarray,
+    rounds: int,
+) -> np.ndarray:
+    """Return shares under which the ranks of each layer take equal time.
+
+    Each round is a step of mirror descent: a replica on a rank that is slower than
+    the mean loses share, one on a faster rank gains. It comes to rest where all
+    replicas in use of an expert take equal time, which is the split with the
+    smallest maximum and the largest minimum that the placement allows.
+
+    :param slots: integers ``[layer, rank, slot]``.
+    :param start: shares to start from, of the same shape.
+    :param tokens: tokens of each expert, ``[layer, expert]``.
+    :param speeds: tokens that each rank runs in a millisecond, ``[rank]``.
+    :param rounds: most rounds to run.
+    """
+    layers, ranks, _ = slots.shape
+    experts = tokens.shape[1]
+    layer, rank, slot = np.nonzero(slots != EMPTY)
+    expert_key = layer * experts + slots[layer, rank, slot]
+    rank_key = layer * ranks + rank
+    load = np.maximum(tokens, 1e-9).reshape(-1)[expert_key]
+    ideal = np.outer(tokens.sum(axis=1) / speeds.sum(), speeds).reshape(-1)
+    share = np.maximum(start[layer, rank, slot], SMALLEST_SHARE)
+    share /= np.bincount(expert_key, share)[expert_key]
+    pace = np.zeros_like(share)
+    for turn in range(rounds):
+        excess = np.bincount(rank_key, share * load, layers * ranks) / ideal - 1
+        if turn % CHECK_EVERY == 0 and np.abs(excess).max() < CLOSE_ENOUGH:
+            break
+        pace = MOMENTUM * pace - STEP * np.clip(excess, -1, 1)[rank_key]
+        share = np.maximum(share * np.exp(pace), SMALLEST_SHARE)
+        share /= np.bincount(expert_key, share)[expert_key]
+    share[share <= 2 * SMALLEST_SHARE] = 0
+    share /= np.bincount(expert_key, share)[expert_key]
+    shares = np.zeros(slots.shape)
+    shares[layer, rank, slot] = share
+    return shares
+
+
+def rank_times_ms(
+    slots: np.ndarray, shares: np.ndarray, tokens: np.ndarray, speeds: np.ndarray
+) -> np.ndarray:
+    """Return the expected time of each rank in a step, ``[layer, rank]``."""
+    layer = np.arange(slots.shape[0])[:, None, None]
+    return (shares * tokens[layer, slots]).sum(axis=2) / speeds
--- /dev/null
+++ b/tests/test_rebalancing.py
@@ -0,0 +1,235 @@
+import dataclasses
+
+import numpy as np
+import testtools
+from hypothesis import given, settings, strategies as st
+
+from dotterelplank import rebalancing
+from dotterelplank.errors import SettingsError
+from dotterelplank.experts import EMPTY, Observation
+from dotterelplank.placement import place_map
+from dotterelplank.popularity import first_estimate, update
+
+WINDOW_MS = 15_000.0
+HOUR_MS = 3_600_000.0
+STEPS = 500
+SPEED = 100.0
+
+
+class Group:
+    """A group whose windows are drawn from a popularity that the test sets."""
+
+    def __init__(self, seed=1, ranks=8, experts=16, slots=4, **policy):
+        self.rng = np.random.default_rng(seed)
+        self.tokens = self.rng.uniform(500, 1500, (2, experts))
+        self.speeds = np.full(ranks, SPEED)
+        self.policy = rebalancing.Policy(**policy)
+        start = place_map(self.tokens, self.speeds, slots)
+        self.state = rebalancing.initial_state(start)
+        self.now_ms = 0.0
+        self.moves = []
+
+    def observe(self):
+        tokens = self.rng.poisson(self.tokens * STEPS)
+        rank_tokens = self.state.map.rank_tokens(tokens)
+        busy_ms = rank_tokens / self.speeds
+        return Observation(WINDOW_MS, STEPS, tokens, rank_tokens, busy_ms)
+
+    def decide(self):
+        """Run one window and put the plan, if any, in force at once."""
+        self.now_ms += WINDOW_MS
+        made = rebalancing.plan(self.now_ms, self.state, self.observe(), self.policy)
+        self.state = made.state
+        if made.plan is not None:
+            self.moves.extend(made.plan.moves)
+            self.state = rebalancing.adopt(self.state, made.plan.target)
+        return made.plan
+
+    def run(self, windows):
+        return [made for _ in range(windows) if (made := self.decide()) is not None]
+
+    def skew(self):
+        times = self.state.map.rank_tokens(self.tokens) / self.speeds
+        return (times.max(axis=1) / times.min(axis=1)).max()
+
+
+class NoiseTests(testtools.TestCase):
+    def test_equal_loads_move_nothing(self):
+        group = Group()
+        group.tokens = np.full_like(group.tokens, 1000.0)
+        group.run(4)
+        group.moves.clear()
+        plans = group.run(40)
+        self.assertEqual([], plans)
+
+    def test_sampling_noise_changes_no_map(self):
+        group = Group(seed=3)
+        group.run(4)
+        self.assertEqual([], group.run(100))
+        self.assertEqual([], group.moves)
+
+    def test_loaded_rank_is_not_taken_for_a_slow_one(self):
+        group = Group()
+        estimate = first_estimate(group.observe())
+        group.tokens[:, group.state.map.slots[0, 0, 0]] *= 5
+        estimate = update(estimate, group.observe())
+        np.testing.assert_allclose(estimate.speeds, SPEED, rtol=1e-6)
+
+
+class ChangeTests(testtools.TestCase):
+    def test_slow_rank_loses_work(self):
+        group = Group()
+        group.run(4)
+        before = group.state.map.rank_tokens(group.tokens)[:, 2].sum()
+        group.speeds[2] *= 0.5
+        group.run(4)
+        after = group.state.map.rank_tokens(group.tokens)[:, 2].sum()
+        self.assertLess(after, 0.6 * before)
+        self.assertLess(group.skew(), 1.1)
+
+    def test_experts_of_a_stalled_rank_get_replicas_elsewhere(self):
+        group = Group(slots=3)
+        group.run(4)
+        group.speeds[2] *= 0.02
+        group.run(8)
+        self.assertNotEqual([], group.moves)
+        self.assertNotIn(2, [move.rank for move in group.moves])
+        self.assertLess(group.skew(), 1.2)
+
+    def test_recovered_rank_is_given_work_again(self):
+        group = Group()
+        group.run(4)
+        group.speeds[2] *= 0.1
+        group.run(8)
+        group.speeds[2] = SPEED
+        group.run(8)
+        self.assertLess(group.skew(), 1.1)
+
+    def test_jump_is_answered_in_the_window_that_shows_it(self):
+        group = Group()
+        group.run(4)
+        group.tokens[0, 5] *= 12
+        self.assertIsNotNone(group.decide())
+        group.run(3)
+        self.assertLess(group.skew(), 1.1)
+
+    def test_new_split_is_preferred_to_moves(self):
+        group = Group()
+        group.run(4)
+        group.tokens[0, :3] *= 1.3
+        made = group.decide()
+        self.assertEqual(0, made.size_bytes)
+        self.assertIsNone(made.interim)
+
+    def test_swing_within_the_horizon_is_not_undone(self):
+        group = Group(slots=4)
+        calm = group.tokens.copy()
+        busy = calm.copy()
+        busy[:, :2] *= 10
+        group.run(4)
+        first = self.swing(group, busy, calm)
+        later = [self.swing(group, busy, calm) for _ in range(3)]
+        self.assertGreater(first, 0)
+        self.assertEqual(0, sum(later))
+
+    def swing(self, group, busy, calm):
+        group.moves.clear()
+        for tokens in (busy, calm):
+            group.tokens = tokens
+            group.run(20)
+        return len(group.moves)
+
+
+class CostTests(testtools.TestCase):
+    def jump(self, **policy):
+        group = Group(**policy)
+        group.run(4)
+        group.tokens[:, 3] *= 10
+        group.tokens[1, 8] *= 6
+        return group
+
+    def test_higher_cost_weight_moves_no_more_bytes_on_one_run(self):
+        totals = []
+        for weight in (0.0, 0.3, 0.6, 0.9, 0.99, 1.0):
+            group = self.jump(cost_weight=weight)
+            group.run(30)
+            totals.append(len(group.moves))
+        self.assertEqual(sorted(totals, reverse=True), totals)
+        self.assertGreater(totals[0], 0)
+        self.assertEqual(0, totals[-1])
+
+    @settings(max_examples=25)
+    @given(st.integers(0, 10**6), st.floats(0, 1), st.floats(0, 1))
+    def test_one_decision_is_monotone_in_the_weight(self, seed, one, other):
+        group = Group(seed=seed)
+        group.run(1)
+        group.tokens *= group.rng.exponential(1, group.tokens.shape) + 0.05
+        observation = group.observe()
+        sizes = []
+        for weight in sorted((one, other)):
+            policy = dataclasses.replace(group.policy, cost_weight=weight)
+            made = rebalancing.plan(WINDOW_MS * 2, group.state, observation, policy)
+            sizes.append(made.plan.size_bytes if made.plan else 0)
+        self.assertGreaterEqual(sizes[0], sizes[1])
+
+    def test_moves_that_can_not_load_in_time_are_not_planned(self):
+        group = self.jump(store_bytes_per_s=1e6)
+        group.run(4)
+        self.assertEqual([], group.moves)
+
+    def test_short_horizon_is_not_worth_a_move(self):
+        group = self.jump(horizon_ms=100.0, stage_bound_ms=100.0)
+        group.run(4)
+        self.assertEqual([], group.moves)
+
+    def test_weight_out_of_range_is_refused(self):
+        self.assertRaises(SettingsError, rebalancing.Policy, cost_weight=1.5)
+
+
+class PlanTests(testtools.TestCase):
+    @settings(max_examples=25)
+    @given(st.integers(0, 10**6), st.integers(2, 5))
+    def test_plan_keeps_the_invariants(self, seed, slots):
+        group = Group(seed=seed, slots=slots, cost_weight=0.0)
+        group.run(1)
+        group.tokens *= group.rng.exponential(1, group.tokens.shape) + 0.05
+        group.speeds = group.speeds * group.rng.uniform(0.05, 1, len(group.speeds))
+        before = group.state.map
+        made = group.decide()
+        if made is None:
+            return
+        made.target.check()
+        self.assertGreater(made.target.version, before.version)
+        self.assertEqual(len(made.moves) * group.policy.expert_bytes, made.size_bytes)
+        self.assertLessEqual(made.stage_ms, group.policy.stage_bound_ms)
+        self.check_moves(before, made)
+
+    def check_moves(self, before, made):
+        slots = before.slots.copy()
+        for move in made.moves:
+            place = (move.layer, move.rank, move.slot)
+            self.assertEqual(move.evicted, slots[place])
+            slots[place] = move.expert
+        np.testing.assert_array_equal(made.target.slots, slots)
+        if made.moves:
+            made.interim.check()
+            emptied = made.interim.slots == EMPTY
+            np.testing.assert_array_equal(emptied, slots != before.slots)
+
+    def test_no_plan_is_made_while_another_is_staged(self):
+        group = Group()
+        group.run(4)
+        group.tokens[0, 5] *= 12
+        made = rebalancing.plan(
+            group.now_ms + WINDOW_MS, group.state, group.observe(), group.policy
+        )
+        self.assertNotEqual((), made.plan.moves)
+        again = rebalancing.plan(
+            group.now_ms + WINDOW_MS + 1, made.state, group.observe(), group.policy
+        )
+        self.assertIsNone(again.plan)
+        given_up = rebalancing.abandon(made.state)
+        again = rebalancing.plan(
+            group.now_ms + WINDOW_MS + 1, given_up, group.observe(), group.policy
+        )
+        self.assertIsNotNone(again.plan)
