--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -57,6 +57,7 @@
             on_message=self._on_message,
             on_closed=self._on_closed,
             on_tick=self._on_tick,
+            on_datagram=lambda *arguments: self.daemon.on_datagram(*arguments),
             on_pause=self._on_pause,
             epoch=lambda: self.state.ledger.epoch,
         )
--- a/src/dotterelplank/blackboard.py
+++ b/src/dotterelplank/blackboard.py
@@ -6,6 +6,8 @@
 from .configuration import Configuration
 from .endpoint_view import EndpointView
 from .links import Link
+from .member_messages import MemberStatus
+from .peers import Peer
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +37,6 @@
     revision: int = 0
     digest: bytes = b""
     configuration: Configuration | None = None
-    text: str = ""
     refused_revision: int = 0
     refused_why: str = ""
 
@@ -73,15 +74,28 @@
     reported_ms: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class MemberPart:
+    """What membership holds true of another process.
+
+    :param is_usable: whether it got new work when this was written.
+    """
+
+    peer: Peer
+    status: MemberStatus
+    is_usable: bool
+
+
 @dataclasses.dataclass
 class Blackboard:
-    """All parts; a part is replaced as a whole, never changed in place.
+    """All parts of one process; a part is replaced as a whole.
 
-    ``peers`` and ``endpoints`` are written by the thread that serves the links.
+    ``members``, ``peers`` and ``endpoints`` are written by the thread that serves the links.
     """
 
     configuration: ConfigurationPart = ConfigurationPart()
     hosts: HostsPart = dataclasses.field(default_factory=HostsPart)
     lifecycle: LifecyclePart = LifecyclePart()
+    members: dict[str, MemberPart] = dataclasses.field(default_factory=dict)
     peers: dict[str, PeerPart] = dataclasses.field(default_factory=dict)
     endpoints: dict[str, EndpointView] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/src/dotterelplank/catalogue.py
@@ -0,0 +1,45 @@
+"""The tables of result codes and of log events, as the docs hold them."""
+
+import logging
+import typing as t
+
+from . import events, results
+
+
+def result_table() -> str:
+    """Return the table of ``docs/RESULT-CODES.md``."""
+    rows = [
+        (
+            str(item.number),
+            f"`{item.name}`",
+            item.outcome.value,
+            str(item.http_status),
+            item.meaning,
+        )
+        for item in results.all_results()
+    ]
+    return _table(("Code", "Name", "Outcome", "HTTP", "Meaning"), rows)
+
+
+def event_table() -> str:
+    """Return the table of ``docs/EVENTS.md``."""
+    rows = [
+        (
+            str(item.number),
+            f"`{item.name}`",
+            logging.getLevelName(item.level),
+            item.meaning,
+        )
+        for item in events.all_events()
+    ]
+    return _table(("Event", "Name", "Level", "Meaning"), rows)
+
+
+def _table(head: t.Sequence[str], rows: t.Iterable[t.Sequence[str]]) -> str:
+    lines = [_row(head), _row(["---"] * len(head))]
+    lines.extend(_row(row) for row in rows)
+    return "\n".join(lines) + "\n"
+
+
+def _row(cells: t.Sequence[str]) -> str:
+    return "| " + " | ".join(cells) + " |"
--- /dev/null
+++ b/src/dotterelplank/codec.py
@@ -0,0 +1,152 @@
+"""Typed messages as msgpack arrays, checked field by field when they are read.
+
+A message is an array: the number of its kind, then its fields in order. A field may
+be a plain value, an :class:`enum.IntEnum`, a data class (an array of its fields), a
+tuple of one type, or one of these or nothing.
+"""
+
+import dataclasses
+import enum
+import types
+import typing as t
+
+import msgpack
+
+from .errors import ProtocolError
+
+_Decoder = t.Callable[[t.Any], t.Any]
+_PLAIN = (int, str, bytes, bool)
+
+
+class Codec:
+    """Packs and unpacks messages of the given kinds, numbered from 1 in order."""
+
+    def __init__(self, kinds: t.Sequence[type]) -> None:
+        self._number_by_kind = {kind: number for number, kind in enumerate(kinds, 1)}
+        self._decoder_by_number = {
+            number: _fields_decoder(kind)
+            for kind, number in self._number_by_kind.items()
+        }
+        self._names_by_kind = {kind: _names(kind) for kind in kinds}
+
+    def pack(self, message: t.Any) -> bytes:
+        """Return the bytes of ``message``."""
+        kind = type(message)
+        values = [self._number_by_kind[kind]]
+        values.extend(getattr(message, name) for name in self._names_by_kind[kind])
+        return msgpack.packb(values, use_bin_type=True, default=_plain)
+
+    def read(self, value: t.Any) -> t.Any:
+        """Return the message that an unpacked array holds.
+
+        :raises ProtocolError: if it is no array, of an unknown kind or ill typed.
+        """
+        if not isinstance(value, list) or not value:
+            raise ProtocolError(f"met a {type(value).__name__}, expected a frame array")
+        number = value[0]
+        decoder = self._decoder_by_number.get(number) if type(number) is int else None
+        if decoder is None:
+            last = len(self._decoder_by_number)
+            raise ProtocolError(f"met message kind {number!r}, expected 1 to {last}")
+        return decoder(value[1:])
+
+    def unpack(self, data: bytes) -> t.Any:
+        """Return the one message that ``data`` holds.
+
+        :raises ProtocolError: if it holds anything else.
+        """
+        try:
+            return self.read(msgpack.unpackb(data, raw=False))
+        except (ValueError, msgpack.UnpackException, RecursionError) as error:
+            raise ProtocolError(f"met bytes that are no frame: {error!r}") from error
+
+
+def _names(kind: type) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(kind))
+
+
+def _plain(value: t.Any) -> t.Any:
+    if dataclasses.is_dataclass(value):
+        return [getattr(value, name) for name in _names(type(value))]
+    raise TypeError(f"met a {type(value).__name__}, expected a message field")
+
+
+def _fields_decoder(kind: type) -> _Decoder:
+    hints = t.get_type_hints(kind)
+    names = _names(kind)
+    decoders = [_decoder(hints[name], f"{kind.__name__}.{name}") for name in names]
+
+    def decode(values: t.Any) -> t.Any:
+        if not isinstance(values, list) or len(values) != len(decoders):
+            met = len(values) if isinstance(values, list) else "no"
+            raise ProtocolError(
+                f"{kind.__name__}: met {met} fields, expected {len(decoders)}"
+            )
+        return kind(*[read(value) for read, value in zip(decoders, values)])
+
+    return decode
+
+
+def _decoder(hint: t.Any, place: str) -> _Decoder:
+    if isinstance(hint, types.UnionType) or t.get_origin(hint) is t.Union:
+        return _optional_decoder(hint, place)
+    if t.get_origin(hint) is tuple:
+        return _tuple_decoder(hint, place)
+    if dataclasses.is_dataclass(hint):
+        return _fields_decoder(hint)
+    if issubclass(hint, enum.IntEnum):
+        return _enum_decoder(hint, place)
+    if hint is float:
+        return _number_decoder(place)
+    if hint in _PLAIN:
+        return _plain_decoder(hint, place)
+    raise TypeError(f"{place}: no codec for {hint!r}")
+
+
+def _optional_decoder(hint: t.Any, place: str) -> _Decoder:
+    (inner,) = [item for item in t.get_args(hint) if item is not types.NoneType]
+    decoder = _decoder(inner, place)
+    return lambda value: None if value is None else decoder(value)
+
+
+def _tuple_decoder(hint: t.Any, place: str) -> _Decoder:
+    decoder = _decoder(t.get_args(hint)[0], place)
+
+    def decode(value: t.Any) -> t.Any:
+        if not isinstance(value, list):
+            raise _ill_typed(place, value, "an array")
+        return tuple([decoder(item) for item in value])
+
+    return decode
+
+
+def _enum_decoder(hint: t.Any, place: str) -> _Decoder:
+    def decode(value: t.Any) -> t.Any:
+        try:
+            return hint(value)
+        except ValueError:
+            raise _ill_typed(place, value, hint.__name__) from None
+
+    return decode
+
+
+def _number_decoder(place: str) -> _Decoder:
+    def decode(value: t.Any) -> float:
+        if type(value) is float or type(value) is int:
+            return float(value)
+        raise _ill_typed(place, value, "a number")
+
+    return decode
+
+
+def _plain_decoder(hint: type, place: str) -> _Decoder:
+    def decode(value: t.Any) -> t.Any:
+        if type(value) is not hint:
+            raise _ill_typed(place, value, hint.__name__)
+        return value
+
+    return decode
+
+
+def _ill_typed(place: str, value: t.Any, expected: str) -> ProtocolError:
+    return ProtocolError(f"{place}: met {value!r:.60}, expected {expected}")
--- /dev/null
+++ b/src/dotterelplank/coordination.py
@@ -0,0 +1,434 @@
+"""Carries out the decisions on membership and revisions: datagrams, reads, texts.
+
+Everything here runs on the thread that serves the links, but for the reads of the
+platform, which wait on threads of their own.
+"""
+
+import concurrent.futures
+import dataclasses
+import logging
+import time
+import typing as t
+
+from . import (
+    datagrams,
+    defaults,
+    events,
+    member_messages as members,
+    membership,
+    revision_messages as revs,
+    revisions,
+)
+from .blackboard import Blackboard, ConfigurationPart, Host, HostsPart, MemberPart
+from .configuration import Configuration, parse_cached
+from .demands import DemandDigest
+from .errors import LinkClosedError, ProtocolError, UpstreamError
+from .links import Identity, Link, LinkServer
+from .member_messages import Heartbeat, Notice
+from .member_state import MembershipPolicy
+from .messages import Message, TextAnswer, TextAsk, TextDecline
+from .metrics import Metrics
+from .peers import Peer, Role
+from .platform_client import PlatformClient, validate_host_list
+from .revision_messages import Document
+from .revision_state import RevisionPolicy, digest_of
+
+log = logging.getLogger(__name__)
+
+_READ_THREADS = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where a peer takes datagrams and streams."""
+
+    address: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Hooks:
+    """What the daemon does with the outcome of decisions.
+
+    :param on_member: another process is judged anew.
+    :param on_superseded: a newer process runs under this host's name.
+    :param on_demand: another entry told its demand.
+    :param dial: opens a stream to a host, unless that is under way.
+    """
+
+    on_member: t.Callable[[members.MemberChanged], None]
+    on_superseded: t.Callable[[], None]
+    on_demand: t.Callable[[DemandDigest], None]
+    dial: t.Callable[[str], None]
+
+
+class Coordination:
+    """Membership and revisions of one process."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        board: Blackboard,
+        links: LinkServer,
+        platform: PlatformClient,
+        metrics: Metrics,
+        hooks: Hooks,
+        join_alone_ms: float,
+        seeds: t.Sequence[Place],
+    ) -> None:
+        self._identity = identity
+        self._board = board
+        self._links = links
+        self._platform = platform
+        self._metrics = metrics
+        self._hooks = hooks
+        self._seeds = tuple(seeds)
+        self._places: dict[str, Place] = {}
+        self._waiting: dict[str, list[Message]] = {}
+        role = Role.ENTRY if identity.role == "entry" else Role.AGENT
+        self._own = Peer(identity.host, identity.domain, role)
+        self._member_policy = MembershipPolicy()
+        self._policies = {
+            Document.CONFIGURATION: RevisionPolicy(
+                validate=parse_cached, join_alone_ms=int(join_alone_ms)
+            ),
+            Document.HOST_LIST: RevisionPolicy(
+                validate=validate_host_list, join_alone_ms=int(join_alone_ms)
+            ),
+        }
+        self._readers = concurrent.futures.ThreadPoolExecutor(
+            max_workers=_READ_THREADS, thread_name_prefix="read"
+        )
+
+    def start(self, now_ms: float) -> None:
+        """Begin; the links must listen already."""
+        seed = self._identity.incarnation
+        self._membership = membership.start(
+            int(now_ms), self._own, _member_incarnation(self._identity), seed
+        )
+        self._revisions = {
+            document: revisions.start(int(now_ms), document, self._own, seed, policy)
+            for document, policy in self._policies.items()
+        }
+
+    def stop(self) -> None:
+        """Start no further read."""
+        self._readers.shutdown(wait=False, cancel_futures=True)
+
+    def place_of(self, host: str) -> Place | None:
+        """Return where ``host`` can be reached, if that is known."""
+        return self._places.get(host)
+
+    def leave(self, now_ms: float) -> None:
+        """Tell the others that this process begins its graceful shutdown."""
+        self._judge_members(now_ms, members.LeaveOrdered())
+
+    def note_load(self, now_ms: float, load: members.Load) -> None:
+        """Tell the others the load of this process with the next heartbeats."""
+        self._judge_members(now_ms, members.LoadMeasured(load))
+
+    def follow(self, now_ms: float, hosts: tuple[str, ...]) -> None:
+        """Hear these endpoints of other domains from now on."""
+        self._judge_members(now_ms, members.Follow(hosts))
+
+    def tell_demand(self, digest: DemandDigest, hosts: t.Iterable[str]) -> None:
+        """Send other entries this one's demand."""
+        self._send(hosts, digest)
+
+    def on_tick(self, now_ms: float) -> None:
+        """Let time pass; the sockets have been drained before."""
+        if not self._board.hosts.version:
+            self._greet_seeds()
+        self._judge_members(now_ms, members.Tick())
+        for document in Document:
+            self._judge_revision(now_ms, document, revs.Tick())
+
+    def on_datagram(self, now_ms: float, data: bytes, place: Place) -> None:
+        """Take a datagram; one that isn't the system's is dropped and counted."""
+        try:
+            datagram = datagrams.unseal(data, self._identity.secret)
+        except ProtocolError:
+            self._metrics.count(self._metrics.dropped, kind="datagram")
+            return
+        sender = datagrams.sender_of(datagram)
+        if sender not in self._board.hosts.hosts:
+            self._places[sender] = place
+        match datagram:
+            case Heartbeat(offer=offer):
+                self._judge_members(now_ms, members.HeartbeatHeard(datagram))
+                if offer is not None:
+                    self._on_offer(now_ms, sender, offer)
+            case datagrams.OfferTold(_, offer):
+                self._on_offer(now_ms, sender, offer)
+            case datagrams.OfferAsk(_, document):
+                self._judge_revision(now_ms, document, revs.OfferAsked(sender))
+            case DemandDigest():
+                self._hooks.on_demand(datagram)
+            case _:
+                self._judge_members(now_ms, _member_event(datagram))
+
+    def on_message(self, now_ms: float, link: Link, message: Message) -> bool:
+        """Take a message about texts; return whether it was one."""
+        host = link.peer.host
+        match message:
+            case TextAsk(document, revision):
+                event: revs.Event = revs.TextAsked(host, revision)
+            case TextAnswer(document, revision, packed):
+                event = revs.PeerText(host, revision, packed)
+            case TextDecline(document):
+                event = revs.PeerDeclined(host)
+            case _:
+                return False
+        self._judge_revision(now_ms, document, event)
+        return True
+
+    def on_link_ready(self, link: Link) -> None:
+        """Send what has waited for this link."""
+        for message in self._waiting.pop(link.peer.host, []):
+            self._try_send(link, message)
+
+    def on_link_closed(self, now_ms: float, host: str) -> None:
+        """Take in that a stream to ``host`` ended or could not be opened."""
+        self._waiting.pop(host, None)
+        self._judge_members(now_ms, members.LinkLost(host))
+        for document in Document:
+            self._judge_revision(now_ms, document, revs.PeerDeclined(host))
+
+    def _on_offer(self, now_ms: float, sender: str, offer: revs.Offer) -> None:
+        event = revs.PeerOffer(sender, offer)
+        self._judge_revision(now_ms, offer.document, event)
+
+    def _greet_seeds(self) -> None:
+        introduction = datagrams.Introduction(self._own, self._membership.incarnation)
+        for datagram in (
+            introduction,
+            datagrams.IntroductionAsk(self._identity.host),
+        ):
+            data = datagrams.seal(datagram, self._identity.secret)
+            for place in self._seeds:
+                self._links.send_datagram(data, place.address, place.port)
+
+    def _judge_members(self, now_ms: float, event: members.Event) -> None:
+        commands = membership.decide(
+            int(now_ms), self._membership, event, self._member_policy
+        )
+        for command in commands:
+            self._do_member_command(now_ms, command)
+
+    def _do_member_command(self, now_ms: float, command: members.Command) -> None:
+        own = self._identity.host
+        match command:
+            case members.SendHeartbeat(hosts, heartbeat):
+                self._send(hosts, heartbeat)
+            case members.SendProbe(host, nonce):
+                self._send((host,), datagrams.Probe(own, nonce))
+            case members.AskVouch(host, subject, nonce):
+                self._send((host,), datagrams.Vouch(own, subject, nonce))
+            case members.SendNotice(hosts, notice):
+                self._send(hosts, notice)
+            case members.SendDigest(hosts, digest):
+                self._send(hosts, digest)
+            case members.Introduce(hosts, peer, incarnation):
+                self._send(hosts, datagrams.Introduction(peer, incarnation))
+            case members.AskIntroduction(host):
+                self._send((host,), datagrams.IntroductionAsk(own))
+            case members.MemberChanged():
+                self._on_member(command)
+            case members.PeersKnown(domain, elsewhere):
+                event = revs.PeersChanged(domain, elsewhere)
+                for document in Document:
+                    self._judge_revision(now_ms, document, event)
+            case members.Supersede():
+                self._hooks.on_superseded()
+            case members.Report(event, host, detail):
+                events.emit(log, event, about=host, detail=detail)
+
+    def _on_member(self, changed: members.MemberChanged) -> None:
+        host = changed.peer.host
+        self._board.members[host] = MemberPart(
+            changed.peer, changed.status, changed.usable
+        )
+        self._hooks.on_member(changed)
+
+    def is_usable(self, now_ms: float, host: str) -> bool:
+        """Return whether new work may go to ``host`` now."""
+        member = self._membership.members.get(host)
+        if member is None:
+            return False
+        return membership.is_usable(int(now_ms), member, self._member_policy)
+
+    def entries_of_domain(self) -> list[str]:
+        """Return the other live entries of the own domain."""
+        return [
+            host
+            for host, part in list(self._board.members.items())
+            if part.peer.role is Role.ENTRY
+            and part.peer.domain == self._identity.domain
+            and part.status <= members.MemberStatus.SUSPECT
+        ]
+
+    def _judge_revision(
+        self, now_ms: float, document: Document, event: revs.Event
+    ) -> None:
+        state = self._revisions[document]
+        policy = self._policies[document]
+        for command in revisions.decide(int(now_ms), state, event, policy):
+            self._do_revision_command(now_ms, command)
+
+    def _do_revision_command(self, now_ms: float, command: revs.Command) -> None:
+        own = self._identity.host
+        match command:
+            case revs.ReadPlatform():
+                self._metrics.count(
+                    self._metrics.platform_reads, document=command.document.name
+                )
+                self._readers.submit(self._read, command)
+            case revs.AskOffers(document, hosts):
+                self._send(hosts, datagrams.OfferAsk(own, document))
+            case revs.OfferTo(hosts, offer):
+                self._send(hosts, datagrams.OfferTold(own, offer))
+            case revs.AskPeer(document, host, revision):
+                self._send_by_link(host, TextAsk(document, revision))
+            case revs.SendText(document, host, revision, packed):
+                self._send_by_link(host, TextAnswer(document, revision, packed))
+                self._judge_revision(now_ms, document, revs.TextSent(host))
+            case revs.Decline(document, host):
+                self._send_by_link(host, TextDecline(document))
+            case revs.Adopt():
+                self._adopt(now_ms, command)
+            case revs.Report(event, document, revision, detail):
+                events.emit(
+                    log,
+                    event,
+                    document=document.name,
+                    revision=revision,
+                    detail=detail,
+                )
+                self._note_refusals()
+
+    def _read(self, command: revs.ReadPlatform) -> None:
+        """Watch the platform on a thread of its own and hand in what it said."""
+        event: revs.Event
+        try:
+            if command.document is Document.CONFIGURATION:
+                found = self._platform.configuration(command.after, command.wait_ms)
+            else:
+                found = self._platform.host_list(command.after, command.wait_ms)
+        except UpstreamError as error:
+            events.emit(
+                log,
+                events.PLATFORM_READ_FAILED,
+                document=command.document.name,
+                reason=str(error),
+            )
+            event = revs.ReadFailed(command.read_id)
+        else:
+            number = command.after if found is None else found.number
+            text = None if found is None else found.text
+            event = revs.ReadAnswered(command.read_id, number, text)
+        document = command.document
+        self._links.call(lambda: self._judge_revision(_now_ms(), document, event))
+
+    def _adopt(self, now_ms: float, adopted: revs.Adopt) -> None:
+        if adopted.document is Document.CONFIGURATION:
+            self._check_upwards(self._board.configuration.revision, adopted.revision)
+            self._board.configuration = ConfigurationPart(
+                adopted.revision,
+                digest_of(adopted.text),
+                t.cast(Configuration, adopted.validated),
+            )
+        else:
+            self._check_upwards(self._board.hosts.version, adopted.revision)
+            hosts = t.cast(t.Mapping[str, Host], adopted.validated)
+            self._board.hosts = HostsPart(adopted.revision, hosts, now_ms)
+            self._places.update(
+                (host.host, Place(host.address, host.port)) for host in hosts.values()
+            )
+            self._tell_membership(now_ms, adopted.revision, hosts)
+        self._note_refusals()
+        offers = tuple(revisions.offer_of(state) for state in self._revisions.values())
+        self._judge_members(now_ms, members.OffersChanged(offers))
+
+    def _check_upwards(self, held: int, adopted: int) -> None:
+        if adopted <= held:
+            self._metrics.count(self._metrics.invariants, what="revision")
+            events.emit(
+                log,
+                events.INVARIANT_BROKEN,
+                what="revision",
+                held=held,
+                adopted=adopted,
+            )
+
+    def _note_refusals(self) -> None:
+        refused = self._revisions[Document.CONFIGURATION].refused
+        if refused is not None:
+            self._board.configuration = dataclasses.replace(
+                self._board.configuration,
+                refused_revision=refused.revision,
+                refused_why=refused.reason,
+            )
+
+    def _tell_membership(
+        self, now_ms: float, version: int, hosts: t.Mapping[str, Host]
+    ) -> None:
+        listed = tuple(
+            members.ListedHost(
+                Peer(
+                    host.host,
+                    host.domain,
+                    Role.ENTRY if host.role == "entry" else Role.AGENT,
+                ),
+                host.is_leaving,
+            )
+            for host in hosts.values()
+        )
+        self._judge_members(now_ms, members.HostListAdopted(version, listed))
+
+    def _send(self, hosts: t.Iterable[str], datagram: datagrams.Datagram) -> None:
+        data = datagrams.seal(datagram, self._identity.secret)
+        for host in hosts:
+            place = self._places.get(host)
+            if place is not None:
+                self._links.send_datagram(data, place.address, place.port)
+
+    def _send_by_link(self, host: str, message: Message) -> None:
+        part = self._board.peers.get(host)
+        if part is not None:
+            self._try_send(part.link, message)
+            return
+        if host in self._places:
+            self._waiting.setdefault(host, []).append(message)
+            self._hooks.dial(host)
+
+    def _try_send(self, link: Link, message: Message) -> None:
+        try:
+            link.send(message)
+        except LinkClosedError:
+            return
+
+
+def _member_event(datagram: datagrams.Datagram) -> members.Event:
+    match datagram:
+        case Notice():
+            return members.NoticeHeard(datagram)
+        case members.DomainDigest():
+            return members.DigestHeard(datagram)
+        case datagrams.Probe(host, nonce):
+            return members.ProbeHeard(host, nonce)
+        case datagrams.Vouch(host, subject, nonce):
+            return members.VouchAsked(host, subject, nonce)
+        case datagrams.Introduction(peer, incarnation):
+            return members.PeerIntroduced(peer, incarnation)
+        case datagrams.IntroductionAsk(host):
+            return members.IntroductionAsked(host)
+    raise ProtocolError(f"met a {type(datagram).__name__} out of place")
+
+
+def _member_incarnation(identity: Identity) -> int:
+    """Return the process's number in milliseconds, as membership counts it."""
+    return identity.incarnation >> defaults.INCARNATION_DRAW_BITS
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
--- a/src/dotterelplank/daemon.py
+++ b/src/dotterelplank/daemon.py
@@ -10,12 +10,16 @@
 
 from . import defaults, events, links, status
 from .blackboard import Blackboard, Host, LifecyclePart, PeerPart
+from .coordination import Coordination, Hooks, Place
+from .demands import DemandDigest
 from .errors import LinkClosedError
-from .feeds import Feed
+from .handshakes import Side
 from .http_server import serving
 from .links import Handlers, Identity, Link, LinkServer
+from .member_messages import MemberChanged, MemberStatus
 from .messages import Message
 from .metrics import Metrics
+from .platform_client import PlatformClient
 from .settings import AgentSettings, EntrySettings
 from .tracing import Tracer
 
@@ -31,10 +35,12 @@
         role: str,
         handlers: Handlers,
         in_flight: t.Callable[[], int],
+        on_demand: t.Callable[[DemandDigest], None] = lambda digest: None,
     ) -> None:
         self.settings = settings
         self.role = role
         self._in_flight = in_flight
+        self.superseded = threading.Event()
         self.identity = Identity(
             settings.host,
             role,
@@ -49,8 +55,18 @@
             settings.host, pathlib.Path(trace_file) if trace_file else None
         )
         self.links = LinkServer(self.identity, handlers)
-        self.feed = Feed(self.board, settings.platform_url, self.metrics)
+        self.coordination = Coordination(
+            self.identity,
+            self.board,
+            self.links,
+            PlatformClient(settings.platform_url),
+            self.metrics,
+            Hooks(self._on_member, self.superseded.set, on_demand, self.dial),
+            settings.join_alone_ms,
+            [Place(*_split(seed)) for seed in settings.seed_peers],
+        )
         self.stopped = threading.Event()
+        self._linked = threading.Condition()
         self.peer_port = 0
         self.status_port = 0
         self._resources = contextlib.ExitStack()
@@ -62,8 +78,8 @@
         self.board.lifecycle = LifecyclePart(started_ms=now_ms)
         address = str(self.settings.address)
         self.peer_port = self.links.listen(address, self.settings.peer_port)
+        self.coordination.start(now_ms)
         self.links.start()
-        self.feed.start()
         pages = status.application(
             self.role, self.settings, self.board, self.metrics, self._in_flight
         )
@@ -85,12 +101,13 @@
         now_ms = _now_ms()
         started_ms = self.board.lifecycle.started_ms
         self.board.lifecycle = LifecyclePart(started_ms, True, now_ms)
+        self.links.call(lambda: self.coordination.leave(_now_ms()))
         events.emit(log, events.PROCESS_STOPPING, role=self.role)
 
     def finish_stop(self) -> None:
         """Close everything; what should be finished has been."""
         self.stopped.set()
-        self.feed.stop()
+        self.coordination.stop()
         self.links.stop()
         self._resources.close()
         self.tracer.close()
@@ -106,49 +123,79 @@
         return [part.link for part in parts if part.link.peer.role == "entry"]
 
     def on_ready(self, link: Link) -> None:
-        """Take in a peer that has proved itself; a newer link replaces an older."""
+        """Take in a peer that has proved itself."""
         host = link.peer.host
         events.emit(
             log, events.LINK_READY, peer=host, incarnation=link.peer.incarnation
         )
         self._dialling.pop(host, None)
-        earlier = self.board.peers.get(host)
-        epoch = link.peer.epoch
-        self.board.peers[host] = PeerPart(link, epoch=epoch, reported_ms=_now_ms())
-        if earlier is not None:
+        if self._is_preferred(link):
+            part = PeerPart(link, epoch=link.peer.epoch, reported_ms=_now_ms())
+            self.board.peers[host] = part
+        self.coordination.on_link_ready(link)
+        with self._linked:
+            self._linked.notify_all()
+
+    def _is_preferred(self, link: Link) -> bool:
+        """Return whether ``link`` is used from now on for what this side sends.
+
+        A peer dials only while it holds no link, so what it dialled replaces what it
+        gave up. Work in progress on the earlier link goes on there.
+        """
+        earlier = self.board.peers.get(link.peer.host)
+        if earlier is None:
+            return True
+        if earlier.link.peer.incarnation != link.peer.incarnation:
             earlier.link.abort()
+            return True
+        return link.handshake.side is Side.ACCEPTOR
 
     def on_message(self, link: Link, message: Message) -> None:
         """Take a message that is neither the entry's nor the agent's own."""
-        self.metrics.count(self.metrics.dropped, kind=type(message).__name__)
+        if not self.coordination.on_message(_now_ms(), link, message):
+            self.metrics.count(self.metrics.dropped, kind=type(message).__name__)
 
     def on_closed(self, link: Link, dialled: str | None) -> None:
         """Forget a link that ended."""
+        now_ms = _now_ms()
         if dialled is not None:
-            self._dialling[dialled] = _now_ms() + defaults.RECONNECT_INTERVAL_MS
-        if not link.handshake.ready:
+            self._dialling[dialled] = now_ms + defaults.RECONNECT_INTERVAL_MS
+        host = link.peer.host if link.handshake.ready else dialled
+        if host is None:
             return
-        part = self.board.peers.get(link.peer.host)
+        part = self.board.peers.get(host)
         if part is not None and part.link is link:
-            del self.board.peers[link.peer.host]
+            del self.board.peers[host]
+        self.coordination.on_link_closed(now_ms, host)
 
     def on_tick(self, now_ms: float) -> None:
-        """Drop peers that have been silent for too long."""
-        for host, part in list(self.board.peers.items()):
-            if part.link.peer.role != "agent":
-                continue
-            if now_ms - part.link.heard_ms > defaults.PEER_SILENCE_BOUND_MS:
-                part.link.abort()
+        """Let time pass."""
+        self.coordination.on_tick(now_ms)
 
-    def dial(self, now_ms: float, wanted: t.Iterable[Host]) -> None:
-        """Connect to each wanted host that isn't linked, not too often."""
-        for host in wanted:
-            if host.host in self.board.peers or host.host == self.settings.host:
-                continue
-            if now_ms < self._dialling.get(host.host, 0.0):
-                continue
-            self._dialling[host.host] = now_ms + defaults.HANDSHAKE_TIMEOUT_MS
-            self.links.connect(host.host, host.address, host.port)
+    def on_datagram(self, data: bytes, address: str, port: int) -> None:
+        """Take a datagram."""
+        self.coordination.on_datagram(_now_ms(), data, Place(address, port))
+
+    def dial(self, host: str) -> None:
+        """Connect to ``host``, unless that is under way or failed just now."""
+        now_ms = _now_ms()
+        place = self.coordination.place_of(host)
+        if place is None or host in self.board.peers or host == self.settings.host:
+            return
+        if now_ms < self._dialling.get(host, 0.0):
+            return
+        self._dialling[host] = now_ms + defaults.HANDSHAKE_TIMEOUT_MS
+        self.links.connect(host, place.address, place.port)
+
+    def reach(self, host: str, timeout_ms: float) -> bool:
+        """Return whether there is a link to ``host``, after trying to open one."""
+        if host in self.board.peers:
+            return True
+        self.links.call(lambda: self.dial(host))
+        with self._linked:
+            return self._linked.wait_for(
+                lambda: host in self.board.peers, timeout_ms / 1000
+            )
 
     def part_of(self, host: str) -> PeerPart:
         """Return the linked peer ``host``.
@@ -160,6 +207,17 @@
             raise LinkClosedError(f"no link to {host}", written=False)
         return part
 
+    def _on_member(self, changed: MemberChanged) -> None:
+        if changed.status is MemberStatus.DEAD:
+            part = self.board.peers.get(changed.peer.host)
+            if part is not None:
+                part.link.abort()
+
+
+def _split(seed: str) -> tuple[str, int]:
+    address, _, port = seed.rpartition(":")
+    return address, int(port)
+
 
 def _now_ms() -> float:
     return time.monotonic() * 1000
--- a/src/dotterelplank/endpoints.py
+++ b/src/dotterelplank/endpoints.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from . import selectors
+from . import defaults, peers, selectors
 from .blackboard import Blackboard, Host
 from .configuration import Configuration, Group
 from .endpoint_view import EndpointView, Liveness
@@ -44,3 +44,34 @@
         if view.liveness is not Liveness.LEAVING:
             views.append(view)
     return views
+
+
+def to_follow(board: Blackboard, domain: str, seed: str) -> tuple[str, ...]:
+    """Return endpoints of other domains to keep at hand.
+
+    For each rule a few are chosen by rendezvous hash, so that the entries of a domain
+    spread over them and a choice outlives most changes.
+
+    :param seed: the entry that chooses.
+    """
+    configuration = board.configuration.configuration
+    if configuration is None:
+        return ()
+    followed: dict[str, None] = {}
+    for rule in configuration.rules:
+        for group in _groups_of(configuration, rule):
+            hosts = [
+                host.host
+                for host, reason in selected(board.hosts.hosts.values(), group, rule)
+                if reason is None and host.domain != domain and not host.is_leaving
+            ]
+            key = f"follow:{group.name}:{rule.name}:{seed}"
+            chosen = peers.highest(key, hosts, defaults.FOLLOWED_PER_RULE)
+            followed.update(dict.fromkeys(chosen))
+    return tuple(followed)[: defaults.FOLLOWED_BOUND]
+
+
+def _groups_of(configuration: Configuration, rule: Rule) -> t.Iterator[Group]:
+    targets = rule.condition.targets or configuration.groups.keys()
+    for name in sorted(targets):
+        yield configuration.groups[name]
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -27,6 +27,7 @@
 from .configuration import Configuration
 from .conversations import Conversation, Effect
 from .daemon import Daemon
+from .demands import DemandDigest
 from .exchanges import Choose, Chosen, Complete, Exchange, GiveUp, Lost, RelayData, Send
 from .http_server import CONNECTION_KEY, StartResponse, caller_is_gone, serving
 from .links import Handlers, Link
@@ -50,7 +51,9 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
-        self.daemon = Daemon(settings, "entry", self._handlers(), self.in_flight)
+        self.daemon = Daemon(
+            settings, "entry", self._handlers(), self.in_flight, self._on_demand
+        )
         self._board = self.daemon.board
         self._metrics = self.daemon.metrics
         self._lock = threading.Lock()
@@ -60,6 +63,8 @@
         self._rng = random.Random(secrets.randbits(64))
         self._numbers = itertools.count(1)
         self._in_flight = 0
+        self._next_follow_ms = 0.0
+        self._next_demand_ms = 0.0
         self._idle = threading.Condition()
         self._resources = contextlib.ExitStack()
         self.caller_port = 0
@@ -70,6 +75,7 @@
             on_message=self._on_message,
             on_closed=self._on_closed,
             on_tick=self._on_tick,
+            on_datagram=lambda *arguments: self.daemon.on_datagram(*arguments),
             on_pause=lambda late_ms: None,
         )
 
@@ -341,7 +347,7 @@
     def _choose(self, course: "_Course", command: Choose) -> Chosen:
         now_ms = _now_ms()
         if command.home is not None:
-            is_linked = command.home in self._board.peers
+            is_linked = self.daemon.reach(command.home, defaults.REACH_TIMEOUT_MS)
             return Chosen(command.home if is_linked else None, self._come_back_ms())
         if command.is_retry:
             refused = self._wait_for_retry(now_ms, course)
@@ -377,7 +383,15 @@
     def _choose_view(
         self, request: CallerRequest, rule: Rule, excluded: t.Collection[str]
     ) -> routing.Choice | None:
-        views = endpoints.usable_views(self._board, request.group, rule, excluded)
+        now_ms = _now_ms()
+        coordination = self.daemon.coordination
+        views = [
+            view
+            for view in endpoints.usable_views(
+                self._board, request.group, rule, excluded
+            )
+            if coordination.is_usable(now_ms, view.host)
+        ]
         asked = routing.RouteRequest(
             "",
             request.blocks,
@@ -386,7 +400,7 @@
             self._settings.domain,
         )
         policy = routing.RoutingPolicy(live_entries=self._limits.live_entries)
-        return routing.choose(_now_ms(), asked, views, policy, self._rng)
+        return routing.choose(now_ms, asked, views, policy, self._rng)
 
     def _send(
         self, course: "_Course", talk: Conversation, command: Send
@@ -552,10 +566,39 @@
 
     def _on_tick(self, now_ms: float) -> None:
         self.daemon.on_tick(now_ms)
-        hosts = self._board.hosts.hosts
-        agents = [host for host in hosts.values() if host.role == "agent"]
-        self.daemon.dial(now_ms, agents)
-        self._forget_endpoints(hosts)
+        if now_ms >= self._next_follow_ms:
+            self._next_follow_ms = now_ms + defaults.FOLLOW_INTERVAL_MS
+            self._follow(now_ms)
+        if now_ms >= self._next_demand_ms:
+            self._next_demand_ms = now_ms + defaults.DEMAND_INTERVAL_MS
+            self._tell_demand(now_ms)
+
+    def _follow(self, now_ms: float) -> None:
+        """Link to the endpoints of the own domain, and to a few of the others."""
+        board = self._board
+        followed = endpoints.to_follow(
+            board, self._settings.domain, self._settings.host
+        )
+        self.daemon.coordination.follow(now_ms, followed)
+        for host in board.hosts.hosts.values():
+            is_own = host.domain == self._settings.domain
+            if host.role == "agent" and (is_own or host.host in followed):
+                self.daemon.dial(host.host)
+        self._forget_endpoints(board.hosts.hosts)
+
+    def _tell_demand(self, now_ms: float) -> None:
+        configuration = self._board.configuration.configuration
+        if configuration is None:
+            return
+        with self._lock:
+            policy = self._limit_policy(configuration)
+            digest = limits.digest(now_ms, self._limits, policy)
+        coordination = self.daemon.coordination
+        coordination.tell_demand(digest, coordination.entries_of_domain())
+
+    def _on_demand(self, digest: DemandDigest) -> None:
+        with self._lock:
+            limits.on_digest(_now_ms(), self._limits, digest)
 
     def _forget_endpoints(self, hosts: t.Mapping[str, t.Any]) -> None:
         gone = [
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -47,6 +47,7 @@
             event.level, event.name, extra={"event": event, "event_fields": fields}
         )
 
+
 # 100: processes
 PROCESS_STARTED = _define(
     100, "process-started", logging.INFO, "A daemon serves from now on."
@@ -95,6 +96,13 @@
     "An answer came for a request that is over or unknown; it was dropped.",
 )
 
+HANDLER_FAILED = _define(
+    115,
+    "handler-failed",
+    logging.ERROR,
+    "A fault of this program met while handling a peer's message; report it.",
+)
+
 # 120: requests
 REQUEST_ENDED = _define(
     120, "request-ended", logging.INFO, "A caller's request has its final answer."
--- a/src/dotterelplank/fleet.py
+++ b/src/dotterelplank/fleet.py
@@ -42,6 +42,7 @@
     caller_threads: int = 16
     balancer_notice_ms: float = 0.0
     stop_bound_ms: float = 10_000.0
+    join_alone_ms: float = 200.0
 
 
 @dataclasses.dataclass
@@ -134,6 +135,7 @@
         status_port=0,
         platform_url=fleet.platform_url,
         secret=SECRET,
+        join_alone_ms=fleet.plan.join_alone_ms,
         stop_bound_ms=fleet.plan.stop_bound_ms,
         endpoint_url=fleet.endpoint_urls[host.host],
         endpoint_kind="model" if is_model(fleet, host) else "service",
@@ -156,6 +158,7 @@
         caller_port=0,
         platform_url=fleet.platform_url,
         secret=SECRET,
+        join_alone_ms=fleet.plan.join_alone_ms,
         stop_bound_ms=fleet.plan.stop_bound_ms,
         caller_threads=fleet.plan.caller_threads,
         refusing_threads=4,
@@ -195,7 +198,7 @@
 
 
 def wait_ready(fleet: Fleet) -> None:
-    """Wait until every entry has the configuration and a link to every agent.
+    """Wait until every entry has the configuration and its domain's endpoints.
 
     :raises FleetNotReadyError: if that takes too long.
     """
@@ -206,9 +209,14 @@
     board = entry.daemon.board
     if board.configuration.configuration is None:
         return False
+    now_ms = _now_ms()
+    own = entry.daemon.settings.domain
     return all(
-        name in board.peers and board.peers[name].report_sequence > 0
-        for name in fleet.agents
+        name in board.peers
+        and board.peers[name].report_sequence > 0
+        and entry.daemon.coordination.is_usable(now_ms, name)
+        for name, agent in fleet.agents.items()
+        if agent.daemon.settings.domain == own
     )
 
 
--- a/src/dotterelplank/links.py
+++ b/src/dotterelplank/links.py
@@ -24,6 +24,15 @@
 log = logging.getLogger(__name__)
 
 _READ_SIZE_BYTES = 256 * 1024
+_DATAGRAM_BOUND_BYTES = 64 * 1024
+_PORT_ATTEMPTS = 20
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, defaults.KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, defaults.KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, defaults.KEEPALIVE_PROBES),
+)
 _OPENING_BOUND_BYTES = 4 * 1024
 _UNSENT_BOUND_BYTES = 8 * defaults.FRAME_BOUND_BYTES
 
@@ -44,7 +53,8 @@
 
     :param draw: 16 random bits that tell two starts in one millisecond apart.
     """
-    return (int(now_unix_ms) << 16) | (draw & 0xFFFF)
+    bits = defaults.INCARNATION_DRAW_BITS
+    return (int(now_unix_ms) << bits) | (draw & ((1 << bits) - 1))
 
 
 class Link:
@@ -166,6 +176,7 @@
     :param on_message: a message came over a ready link.
     :param on_closed: a link ended, ready or not; ``dialled`` is the host asked for.
     :param on_tick: time has passed; called about every ``TICK_INTERVAL_MS``.
+    :param on_datagram: a datagram came, from the address and port given.
     :param on_pause: this process was paused for so many milliseconds; called before
         anything that arrived meanwhile is read.
     :param epoch: the ticket epoch to tell in a hello.
@@ -175,6 +186,7 @@
     on_message: t.Callable[[Link, Message], None]
     on_closed: t.Callable[[Link, str | None], None]
     on_tick: t.Callable[[float], None]
+    on_datagram: t.Callable[[bytes, str, int], None]
     on_pause: t.Callable[[float], None]
     epoch: t.Callable[[], int] = lambda: 0
 
@@ -187,6 +199,7 @@
         self._handlers = handlers
         self._selector = selectors.DefaultSelector()
         self._listener: socket.socket | None = None
+        self._datagrams: socket.socket | None = None
         self._dialled: dict[Link, str] = {}
         self._links: set[Link] = set()
         self._wake_reader, self._wake_writer = socket.socketpair()
@@ -198,15 +211,22 @@
         self._thread = threading.Thread(target=self._serve, name="links", daemon=True)
 
     def listen(self, address: str, port: int) -> int:
-        """Accept peers at ``address`` and return the port that was bound."""
-        listener = socket.create_server(
-            (address, port), backlog=defaults.LISTEN_BACKLOG
-        )
-        listener.setblocking(False)
+        """Take streams and datagrams at ``address``; return the port of both.
+
+        :raises OSError: if the port can't be had.
+        """
+        listener, taker = _bound_pair(address, port)
         self._listener = listener
+        self._datagrams = taker
         self._selector.register(listener, selectors.EVENT_READ)
+        self._selector.register(taker, selectors.EVENT_READ)
         return listener.getsockname()[1]
 
+    def send_datagram(self, data: bytes, address: str, port: int) -> None:
+        """Send a datagram; one that can't be sent is as good as lost."""
+        with contextlib.suppress(OSError):
+            t.cast(socket.socket, self._datagrams).sendto(data, (address, port))
+
     def start(self) -> None:
         """Start the serving thread."""
         self._thread.start()
@@ -261,7 +281,7 @@
             if now_ms >= next_tick_ms:
                 next_tick_ms = now_ms + defaults.TICK_INTERVAL_MS
                 self._drop_slow_openings(now_ms)
-                self._handlers.on_tick(now_ms)
+                self._guarded(self._handlers.on_tick, now_ms)
         self._shut()
 
     def _notice_pause(self, late_ms: float) -> None:
@@ -271,7 +291,7 @@
         now_ms = _now_ms()
         for link in self._links:
             link.heard_ms = now_ms
-        self._handlers.on_pause(late_ms)
+        self._guarded(self._handlers.on_pause, late_ms)
 
     def _on_ready_socket(self, key: selectors.SelectorKey, mask: int) -> None:
         if key.fileobj is self._wake_reader:
@@ -279,9 +299,28 @@
                 self._wake_reader.recv(4096)
         elif key.fileobj is self._listener:
             self._accept()
+        elif key.fileobj is self._datagrams:
+            self._take_datagrams()
         else:
             self._on_link(key.data, mask)
 
+    def _take_datagrams(self) -> None:
+        taker = t.cast(socket.socket, self._datagrams)
+        for _ in range(defaults.DATAGRAMS_PER_TURN):
+            try:
+                data, sender = taker.recvfrom(_DATAGRAM_BOUND_BYTES)
+            except OSError:
+                return
+            self._guarded(self._handlers.on_datagram, data, sender[0], sender[1])
+
+    def _guarded(self, function: t.Callable[..., None], *arguments: t.Any) -> None:
+        """Call ``function``; a fault in it must not end the thread for everybody."""
+        try:
+            function(*arguments)
+        except Exception:
+            events.emit(log, events.HANDLER_FAILED, what=function.__qualname__)
+            log.exception("handler failed")
+
     def _accept(self) -> None:
         try:
             sock, _ = t.cast(socket.socket, self._listener).accept()
@@ -291,7 +330,8 @@
         self._open(sock, Side.ACCEPTOR)
 
     def _open(self, sock: socket.socket, side: Side) -> Link:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for level, name, value in _SOCKET_OPTIONS:
+            sock.setsockopt(level, name, value)
         own = Hello(
             PROTOCOL_VERSION,
             self._identity.host,
@@ -358,12 +398,12 @@
     def _on_message(self, link: Link, message: Message) -> None:
         link.messages_received += 1
         if link.handshake.ready:
-            self._handlers.on_message(link, message)
+            self._guarded(self._handlers.on_message, link, message)
             return
         for reply in handshakes.advance(link.handshake, message):
             link.send(reply)
         if link.handshake.ready:
-            self._handlers.on_ready(link)
+            self._guarded(self._handlers.on_ready, link)
 
     def _check_opening(self, link: Link) -> None:
         if link.handshake.ready:
@@ -382,7 +422,7 @@
 
     def _run_calls(self) -> None:
         while self._calls:
-            self._calls.popleft()()
+            self._guarded(self._calls.popleft())
 
     def _arm_soon(self, link: Link) -> None:
         self.call(lambda: self._watch(link))
@@ -404,18 +444,40 @@
         dialled = self._dialled.pop(link, None)
         if link.handshake.ready:
             events.emit(log, events.LINK_CLOSED, peer=link.peer.host, reason=reason)
-        self._handlers.on_closed(link, dialled)
+        self._guarded(self._handlers.on_closed, link, dialled)
 
     def _shut(self) -> None:
         for link in list(self._links):
             link.flush()
             self._close(link, "this process stops")
-        if self._listener is not None:
-            self._listener.close()
+        for sock in (self._listener, self._datagrams):
+            if sock is not None:
+                sock.close()
         self._selector.close()
         self._wake_reader.close()
         self._wake_writer.close()
 
 
+def _bound_pair(address: str, port: int) -> tuple[socket.socket, socket.socket]:
+    """Return a listening and a datagram socket that share a port number."""
+    for _ in range(_PORT_ATTEMPTS):
+        listener = socket.create_server(
+            (address, port), backlog=defaults.LISTEN_BACKLOG
+        )
+        listener.setblocking(False)
+        taker = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        taker.setblocking(False)
+        try:
+            taker.bind((address, listener.getsockname()[1]))
+        except OSError:
+            listener.close()
+            taker.close()
+            if port:
+                raise
+            continue
+        return listener, taker
+    raise OSError(f"no port of {address} is free for both streams and datagrams")
+
+
 def _now_ms() -> float:
     return time.monotonic() * 1000
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -57,7 +57,7 @@
     leave_rounds: int = 4
     leave_interval_ms: int = 200
     follow_probe_ms: int = 800
-    follow_max: int = 4
+    follow_max: int = 16
     prober_ms: int = 5_000
     ask_interval_ms: int = 1_000
     question_ms: int = 2_000
--- a/src/dotterelplank/messages.py
+++ b/src/dotterelplank/messages.py
@@ -8,10 +8,11 @@
 import typing as t
 
 import msgpack
-import pydantic
 
 from . import defaults
+from .codec import Codec
 from .errors import ProtocolError
+from .revision_messages import Document
 
 PROTOCOL_VERSION = 1
 
@@ -152,26 +153,27 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RevisionOffer:
-    """Names the highest configuration revision that the sender has accepted."""
+class TextAsk:
+    """Asks a peer for the text of a revision."""
 
+    document: Document
     revision: int
-    digest: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RevisionAsk:
-    """Asks a peer for the text of a configuration revision."""
+class TextAnswer:
+    """Answers :class:`TextAsk` with the compressed text of a revision."""
 
+    document: Document
     revision: int
+    packed: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RevisionText:
-    """Answers :class:`RevisionAsk` with the text of a revision."""
+class TextDecline:
+    """Answers :class:`TextAsk` when another peer must be asked, or later again."""
 
-    revision: int
-    text: str
+    document: Document
 
 
 _KINDS: tuple[type, ...] = (
@@ -185,26 +187,11 @@
     Cancel,
     Credit,
     Report,
-    RevisionOffer,
-    RevisionAsk,
-    RevisionText,
+    TextAsk,
+    TextAnswer,
+    TextDecline,
 )
-_NUMBER_BY_KIND = {kind: number for number, kind in enumerate(_KINDS, start=1)}
-_FIELDS_BY_KIND = {
-    kind: tuple(field.name for field in dataclasses.fields(kind)) for kind in _KINDS
-}
-
-
-def _adapter(kind: type) -> pydantic.TypeAdapter:
-    hints = t.get_type_hints(kind)
-    return pydantic.TypeAdapter(
-        tuple[tuple(hints[name] for name in _FIELDS_BY_KIND[kind])]
-    )
-
-
-_ADAPTER_BY_NUMBER = {
-    number: _adapter(kind) for kind, number in _NUMBER_BY_KIND.items()
-}
+_CODEC = Codec(_KINDS)
 
 Message = (
     Hello
@@ -217,9 +204,9 @@
     | Cancel
     | Credit
     | Report
-    | RevisionOffer
-    | RevisionAsk
-    | RevisionText
+    | TextAsk
+    | TextAnswer
+    | TextDecline
 )
 
 
@@ -228,10 +215,7 @@
 
     :raises ProtocolError: if the frame is over ``defaults.FRAME_BOUND_BYTES``.
     """
-    kind = type(message)
-    values: list[t.Any] = [_NUMBER_BY_KIND[kind]]
-    values.extend(_plain(getattr(message, name)) for name in _FIELDS_BY_KIND[kind])
-    frame = msgpack.packb(values, use_bin_type=True)
+    frame = _CODEC.pack(message)
     if len(frame) > defaults.FRAME_BOUND_BYTES:
         raise ProtocolError(
             f"frame of {len(frame)} bytes, expected at most "
@@ -240,51 +224,6 @@
     return frame
 
 
-def _plain(value: t.Any) -> t.Any:
-    if isinstance(value, tuple):
-        return [_plain(item) for item in value]
-    if isinstance(value, Header):
-        return [value.name, value.value]
-    return value
-
-
-def decode(value: t.Any) -> Message:
-    """Return the message that an unpacked frame holds.
-
-    :raises ProtocolError: if it is no array, of an unknown kind or ill typed.
-    """
-    if not isinstance(value, list) or not value:
-        raise ProtocolError(f"met a {type(value).__name__}, expected a frame array")
-    number = value[0]
-    adapter = _ADAPTER_BY_NUMBER.get(number) if type(number) is int else None
-    if adapter is None:
-        raise ProtocolError(f"met message kind {number!r}, expected 1 to {len(_KINDS)}")
-    fields = value[1:]
-    if number in _NUMBERS_WITH_HEADERS:
-        fields = [_headers(field) for field in fields]
-    kind = _KINDS[number - 1]
-    try:
-        return kind(*adapter.validate_python(tuple(fields), strict=True))
-    except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        place = ".".join(str(part) for part in first["loc"])
-        raise ProtocolError(f"{kind.__name__} field {place}: {first['msg']}") from error
-
-
-_NUMBERS_WITH_HEADERS = {_NUMBER_BY_KIND[Submit], _NUMBER_BY_KIND[Begin]}
-
-
-def _headers(field: t.Any) -> t.Any:
-    if not isinstance(field, list):
-        return field
-    pairs = [pair for pair in field if isinstance(pair, list) and len(pair) == 2]
-    if len(pairs) != len(field) or not all(
-        isinstance(name, str) and isinstance(value, str) for name, value in pairs
-    ):
-        raise ProtocolError("met a malformed header list, expected name and value")
-    return tuple(Header(name, value) for name, value in pairs)
-
-
 class FrameReader:
     """Splits a byte stream into messages; holds what has not arrived whole yet."""
 
@@ -303,6 +242,6 @@
         try:
             self._unpacker.feed(data)
             for value in self._unpacker:
-                yield decode(value)
+                yield _CODEC.read(value)
         except (ValueError, msgpack.UnpackException) as error:
             raise ProtocolError(f"met bytes that are no frame: {error!r}") from error
--- a/src/dotterelplank/platform_client.py
+++ b/src/dotterelplank/platform_client.py
@@ -10,9 +10,9 @@
 import pydantic
 import urllib3
 
-from . import defaults
+from . import defaults, jsontext
 from .blackboard import Host
-from .errors import UpstreamError
+from .errors import ConfigurationError, InputError, UpstreamError
 
 
 class _HostModel(pydantic.BaseModel):
@@ -48,7 +48,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=2, retries=False)
+        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
 
     def configuration(self, after: int, wait_ms: int) -> Revision | None:
         """Wait for a configuration above ``after``; ``None`` if none came.
@@ -97,6 +97,19 @@
         return response.data
 
 
+def validate_host_list(text: str) -> t.Mapping[str, Host]:
+    """Return :func:`parse_host_list` of ``text``.
+
+    :raises ConfigurationError: if it is malformed.
+    """
+    try:
+        return parse_host_list(text)
+    except pydantic.ValidationError as error:
+        raise ConfigurationError(jsontext.input_errors(error)) from error
+    except ValueError as error:
+        raise ConfigurationError([InputError("text", str(error), "JSON")]) from error
+
+
 def parse_host_list(text: str) -> t.Mapping[str, Host]:
     """Return the hosts that a host list holds, by name.
 
--- a/src/dotterelplank/settings.py
+++ b/src/dotterelplank/settings.py
@@ -1,5 +1,6 @@
 """The settings of one process: its own addresses, failure domain and secret."""
 
+import ipaddress
 import pathlib
 import typing as t
 
@@ -14,6 +15,14 @@
 
 
 class _Settings(pydantic.BaseModel):
+    """Settings of either daemon.
+
+    :param join_alone_ms: how long a new process that knows no peer waits for one
+        before it trusts a read of the platform.
+    :param seed_peers: peers to greet at the start, ``IP:PORT`` each, so that a process
+        can join while the platform is out of reach.
+    """
+
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     host: Name
@@ -27,6 +36,8 @@
     log_format: t.Literal["json", "text"] = "json"
     log_level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     trace_file: str | None = None
+    join_alone_ms: float = pydantic.Field(defaults.JOIN_ALONE_MS, ge=0)
+    seed_peers: list[str] = []
     stop_bound_ms: float = pydantic.Field(defaults.STOP_BOUND_MS, gt=0)
 
     @pydantic.model_validator(mode="after")
@@ -35,6 +46,16 @@
             raise ValueError("exactly one of secret and secret_file")
         return self
 
+    @pydantic.field_validator("seed_peers")
+    @classmethod
+    def _seeds_have_ports(cls, value: list[str]) -> list[str]:
+        for seed in value:
+            address, _, port = seed.rpartition(":")
+            ipaddress.ip_address(address)
+            if not port.isdecimal() or not 0 < int(port) < 65536:
+                raise ValueError(f"met {seed!r}, expected IP:PORT")
+        return value
+
     def secret_bytes(self) -> bytes:
         """Return the secret that the system's processes share."""
         if self.secret is not None:
