--- a/src/dotterelplank/bench_traffic.py
+++ b/src/dotterelplank/bench_traffic.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import heapq
 import itertools
 import random
 import typing as t
@@ -17,6 +18,8 @@
     :param families: prompts that many requests begin with.
     :param skew: exponent of the Zipf law of their popularity.
     :param follow_up_share: part of the requests that go on with an earlier one.
+    :param follow_up_min_ms: time from a request to one that goes on with it, at
+        least; at most it is ``follow_up_max_ms``.
     :param output_tokens: mean number of tokens generated.
     """
 
@@ -27,7 +30,8 @@
     follow_up_share: float = 0.3
     tail_tokens_max: int = 500
     output_tokens: int = 400
-    kept_sessions: int = 500
+    follow_up_min_ms: float = 10_000.0
+    follow_up_max_ms: float = 40_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,18 +76,19 @@
         for _ in range(options.families)
     ]
     weights = zipf_weights(options.families, options.skew)
-    sessions: list[tuple[int, ...]] = []
+    sessions: list[tuple[float, tuple[int, ...]]] = []
     now_ms = rng.expovariate(per_s) * 1_000.0
     for number in itertools.count():
         if now_ms >= duration_ms:
             return
         blocks = families[pick(rng, weights)]
-        if sessions and rng.random() < options.follow_up_share:
-            blocks = rng.choice(sessions)
+        if sessions and sessions[0][0] <= now_ms:
+            if rng.random() < options.follow_up_share:
+                _, blocks = heapq.heappop(sessions)
         blocks = (blocks + _random_blocks(rng, 1))[: prefixes.MAX_CHAIN_BLOCKS]
-        sessions.append(blocks)
-        if len(sessions) > options.kept_sessions:
-            sessions.pop(0)
+        pause_ms = rng.uniform(options.follow_up_min_ms, options.follow_up_max_ms)
+        if rng.random() < options.follow_up_share:
+            heapq.heappush(sessions, (now_ms + pause_ms, blocks))
         job = _make_job(rng, options, f"{domain}/{number}", blocks)
         yield Arrival(now_ms, domain, rng.randrange(entries), job)
         now_ms += rng.expovariate(per_s) * 1_000.0
--- a/src/dotterelplank/routing.py
+++ b/src/dotterelplank/routing.py
@@ -35,8 +35,8 @@
 MAX_PROBE_INTERVAL_MS = 60_000.0
 MIN_SPEED = 0.1
 HOMES = 2
-BLOCKS_WITHIN = 3.0
-BLOCK_FACTOR = 4.0
+MIN_LIKELIHOOD = 0.01
+BLOCK_FACTOR = 3.0
 MIN_ROOM_REQUESTS = 1.0
 
 
@@ -108,8 +108,10 @@
     view: EndpointView
     speed: float
     held: float
+    room: float = 0.0
     weight: float = 0.0
-    blocks: float = 0.0
+    matched_blocks: int = 0
+    likely_blocks: float = 0.0
 
 
 def choose(
@@ -245,16 +247,18 @@
 ) -> Choice:
     level = _fill_level(candidates, policy)
     holders = _holders(now_ms, request, candidates, level, policy)
-    room = sum(holder.weight for holder in holders)
+    room = sum(holder.room for holder in holders)
     expected = _expected_family_requests(now_ms, request, candidates, policy)
     if room > 0.0 and rng.random() * max(room, expected) < room:
         chosen = _draw(holders, rng)
-        reason = Reason.PREFIX if chosen.blocks else Reason.LOAD
-        return Choice(chosen.view.host, chosen.view.domain, chosen.blocks, reason)
+        reason = Reason.PREFIX if chosen.matched_blocks else Reason.LOAD
+        return Choice(
+            chosen.view.host, chosen.view.domain, chosen.likely_blocks, reason
+        )
     for candidate in candidates:
         candidate.weight = max(0.0, level * candidate.speed - candidate.held)
     drawn = _draw(candidates, rng)
-    return Choice(drawn.view.host, drawn.view.domain, drawn.blocks, Reason.LOAD)
+    return Choice(drawn.view.host, drawn.view.domain, drawn.likely_blocks, Reason.LOAD)
 
 
 def _fill_level(candidates: t.Sequence[_Candidate], policy: RoutingPolicy) -> float:
@@ -296,21 +300,27 @@
     """
     if not request.blocks:
         return ()
-    half_life_ms = policy.cache_half_life_ms
-    best = 0.0
+    best = None
     for candidate in candidates:
         match = candidate.view.index.match(request.blocks)
         if match.blocks:
-            candidate.blocks = prefixes.likely_blocks(match, now_ms, half_life_ms)
-            best = max(best, candidate.blocks)
-    if best > 0.0:
-        holders = [one for one in candidates if one.blocks > best - BLOCKS_WITHIN]
-    else:
+            candidate.matched_blocks = match.blocks
+            candidate.likely_blocks = prefixes.likely_blocks(
+                match, now_ms, policy.cache_half_life_ms
+            )
+            if best is None or candidate.likely_blocks > best.likely_blocks:
+                best = candidate
+    best_blocks = best.matched_blocks if best else 0
+    holders = [one for one in candidates if one.matched_blocks]
+    if not holders:
         holders = _homes(request.blocks[0], candidates)
     limit = level * (1.0 + policy.affinity_slack)
     for holder in holders:
-        room = max(0.0, limit * holder.speed - holder.held)
-        holder.weight = room * BLOCK_FACTOR ** (holder.blocks - best)
+        holder.room = max(0.0, limit * holder.speed - holder.held)
+        likelihood = holder.likely_blocks / max(1, holder.matched_blocks)
+        advantage = min(0, holder.matched_blocks - best_blocks)
+        holder.weight = holder.room * max(MIN_LIKELIHOOD, likelihood)
+        holder.weight *= BLOCK_FACTOR**advantage
     return holders
 
 
