Offer a shortlist to ask, and give the oracle more foresight

An entry may now ask the agents of a few endpoints before it sends.

The oracle was greedy: it queued behind prefills for a cached prefix, which costs those who come next.

--- a/src/dotterelplank/bench_routing.py
+++ b/src/dotterelplank/bench_routing.py
@@ -1,6 +1,7 @@
 """Measures how well endpoints are chosen, against baselines and an oracle."""
 
 import dataclasses
+import functools
 import json
 import math
 import random
@@ -9,12 +10,13 @@
 
 import typer
 
-from . import endpoint_view, prefixes, routing
+from . import endpoint_view, inquiry, prefixes, routing
 from .bench_traffic import Arrival
 from .bench_world import Chooser, Cut, Fault, World, WorldOptions
 
 DEFAULT_SEEDS = 5
-ORACLE_SPREAD_MS = 40.0
+ORACLE_SPREAD_MS = 150.0
+ORACLE_PENDING = 3.0
 RATIO_LIMIT_FIRST_TOKEN = 1.15
 RATIO_LIMIT_HITS = 0.9
 IMBALANCE_LIMIT = 1.5
@@ -32,7 +34,8 @@
     sizes: tuple[tuple[int, int], ...] = ((9, 16), (82, 152))
     scenarios: tuple[str, ...] = ("usual", "lag-1s", "slow", "frozen", "cut-off")
     policies: tuple[str, ...] = (
-        "dotterelplank",
+        "choose",
+        "ask-3",
         "oracle",
         "round-robin",
         "least-reported",
@@ -80,6 +83,7 @@
     """Whether a target holds, by the median over the seeds."""
 
     target: str
+    policy: str
     scenario: str
     engines: int
     measured: float
@@ -170,8 +174,8 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def _dotterelplank(
-    policy: routing.RoutingPolicy, rng: random.Random
+def _choosing(
+    policy: routing.RoutingPolicy, rng: random.Random, asked: int
 ) -> tuple[Chooser, bool]:
     families: dict[tuple[str, int], prefixes.FamilyRates] = {}
 
@@ -190,14 +194,44 @@
             rates.note(now_ms, job.blocks),
         )
         views = world.views[arrival.domain, arrival.entry]
-        choice = routing.choose(now_ms, request, views, policy, rng)
-        if choice is None:
+        choices = routing.shortlist(now_ms, request, views, policy, rng, asked)
+        if not choices:
             return None
+        answers = _ask(world, now_ms, arrival, choices, rng) if asked > 1 else ()
+        choice = inquiry.settle(choices, answers, inquiry.InquiryPolicy())
         return world.numbers[choice.host], choice.reason is routing.Reason.PROBE
 
     return chooser, True
 
 
+def _ask(
+    world: World,
+    now_ms: float,
+    arrival: Arrival,
+    choices: t.Sequence[routing.Choice],
+    rng: random.Random,
+) -> list[inquiry.Answer]:
+    """Answer as agents would: none that is cut off, a frozen engine's as before.
+
+    An agent only estimates what its engine still has to do.
+    """
+    answers = []
+    for choice in choices:
+        engine = world.engines[world.numbers[choice.host]]
+        if world.is_cut(now_ms, arrival.domain, engine.domain):
+            continue
+        engine.advance_clock(now_ms)
+        pending_ms = engine.pending_prefill_ms() * rng.uniform(0.7, 1.3)
+        full = engine.held() - engine.options.max_batch
+        if full >= 0:
+            options = world.options
+            turn_ms = options.traffic.output_tokens * options.engine.step_ms
+            pending_ms += (full + 1) * turn_ms / engine.options.max_batch
+        cached = engine.cache.match(arrival.job.blocks).blocks
+        answers.append(inquiry.Answer(choice.host, engine.held(), pending_ms, cached))
+    return answers
+
+
 def _oracle(policy: routing.RoutingPolicy, rng: random.Random) -> tuple[Chooser, bool]:
     def cost_ms(world: World, now_ms: float, arrival: Arrival, number: int) -> float:
         engine = world.engines[number]
@@ -205,8 +239,9 @@
             return math.inf
         engine.advance_clock(now_ms)
         delay_ms = engine.first_token_delay_ms(arrival.job)
+        pending_ms = engine.pending_prefill_ms()
         load = engine.held() / engine.options.max_batch / max(engine.speed, 0.01)
-        return delay_ms + ORACLE_SPREAD_MS * load
+        return delay_ms + ORACLE_PENDING * pending_ms + ORACLE_SPREAD_MS * load
 
     def chooser(
         world: World, now_ms: float, arrival: Arrival
@@ -288,7 +323,8 @@
 _CHOOSERS: dict[
     str, t.Callable[[routing.RoutingPolicy, random.Random], tuple[Chooser, bool]]
 ] = {
-    "dotterelplank": _dotterelplank,
+    "choose": functools.partial(_choosing, asked=1),
+    "ask-3": functools.partial(_choosing, asked=3),
     "oracle": _oracle,
     "round-robin": _round_robin,
     "least-reported": _least_reported,
@@ -300,13 +336,15 @@
     found = {(row.scenario, row.engines, row.policy): row for row in rows}
     for (scenario, engines, policy), row in found.items():
         oracle = found.get((scenario, engines, "oracle"))
-        if policy != "dotterelplank":
+        if policy not in ("choose", "ask-3"):
             continue
         if scenario == "usual" and oracle:
             ratio = _median_ratio(row, oracle, "first_token_p95_ms")
-            yield _verdict("first token p95 / oracle", row, ratio, 1.15)
+            yield _verdict(
+                "first token p95 / oracle", row, ratio, RATIO_LIMIT_FIRST_TOKEN
+            )
             ratio = _median_ratio(row, oracle, "hit_share")
-            yield _verdict("prefix hits / oracle", row, ratio, 0.9, is_floor=True)
+            yield _verdict("prefix hits / oracle", row, ratio, RATIO_LIMIT_HITS, True)
         if scenario == "lag-1s":
             imbalance = _median(row, "imbalance")
             yield _verdict("max / mean in flight", row, imbalance, IMBALANCE_LIMIT)
@@ -323,7 +361,9 @@
     is_floor: bool = False,
 ) -> Verdict:
     holds = measured >= limit if is_floor else measured <= limit
-    return Verdict(target, row.scenario, row.engines, measured, limit, holds)
+    return Verdict(
+        target, row.policy, row.scenario, row.engines, measured, limit, holds
+    )
 
 
 def _median(row: RoutingRow, name: str) -> float:
@@ -360,8 +400,8 @@
     for one in report.verdicts:
         state = "holds" if one.holds else "DOES NOT HOLD"
         lines.append(
-            f"{state}: {one.target}, {one.scenario}, {one.engines} engines: "
-            f"{one.measured:.3f} against {one.limit}"
+            f"{state}: {one.policy}, {one.target}, {one.scenario}, "
+            f"{one.engines} engines: {one.measured:.3f} against {one.limit}"
         )
     return "\n".join(lines)
 
--- a/src/dotterelplank/fake_engine.py
+++ b/src/dotterelplank/fake_engine.py
@@ -150,13 +150,17 @@
         """Do the work up to ``now_ms``, before which nothing may be due."""
         self._run_to(now_ms)
 
+    def pending_prefill_ms(self) -> float:
+        """Return the time at full speed of the prefills begun and not ended."""
+        return max(0.0, self._prefill_free_ms - self._work_ms)
+
     def first_token_delay_ms(self, job: Job) -> float:
         """Return when ``job`` would get its first token, without queueing it."""
         if self.speed <= 0.0:
             return math.inf
         cached = self.cache.match(job.blocks).blocks
         prefill_ms = self._prefill_ms(job, cached)
-        wait_ms = max(0.0, self._prefill_free_ms - self._work_ms)
+        wait_ms = self.pending_prefill_ms()
         if self.held() >= self.options.max_batch:
             wait_ms = max(wait_ms, self._place_wait_ms())
         return (wait_ms + prefill_ms) / self.speed
--- a/src/dotterelplank/routing.py
+++ b/src/dotterelplank/routing.py
@@ -76,6 +76,9 @@
     :param live_entries: entries that choose in the same domain, this one too.
     :param full_requests: requests held by an endpoint, on average over the
         domain, from which on other domains are asked too.
+    :param affinity_slack: part by which an endpoint may be above the level of all
+        and still get the requests whose prefix it caches.
+    :param light_requests: held requests up to which it always may.
     :param silence_limit_ms: an endpoint that owes an answer for longer is frozen.
     :param probe_interval_ms: time between two probes by all entries together.
     """
@@ -84,6 +87,7 @@
     full_requests: float = 60.0
     cache_half_life_ms: float = 60_000.0
     affinity_slack: float = 0.1
+    light_requests: float = 4.0
     silence_limit_ms: float = 600.0
     first_token_limit_ms: float = 1_500.0
     failure_limit: float = 2.0
@@ -112,6 +116,7 @@
     weight: float = 0.0
     matched_blocks: int = 0
     likely_blocks: float = 0.0
+    is_drawn: bool = False
 
 
 def choose(
@@ -128,21 +133,45 @@
     one seems frozen too. The views aren't changed: tell them with
     :func:`note_sent` what was sent.
     """
+    choices = shortlist(now_ms, request, endpoints, policy, rng, 1)
+    return choices[0] if choices else None
+
+
+def shortlist(
+    now_ms: float,
+    request: RouteRequest,
+    endpoints: t.Sequence[EndpointView],
+    policy: RoutingPolicy,
+    rng: random.Random,
+    count: int,
+) -> tuple[Choice, ...]:
+    """Return up to ``count`` endpoints, the one to prefer first.
+
+    A caller that can ask the endpoints for their present load does so and hands
+    the answers to :func:`inquiry.settle`. A probe comes alone.
+    """
     present = [view for view in endpoints if view.liveness is not Liveness.LEAVING]
-    if not present:
-        return None
     usable = [view for view in present if not is_avoided(view, now_ms, policy)]
-    probed = _probe(now_ms, request, present, usable, policy)
+    near = [view for view in present if view.domain == request.domain]
+    probed = _probe(now_ms, request, near, policy)
     if probed is not None:
-        return Choice(probed.host, probed.domain, 0.0, Reason.PROBE)
-    own = [view for view in usable if view.domain == request.domain]
-    others = [view for view in usable if view.domain != request.domain]
-    if not own and not others:
-        return _last_resort(now_ms, request, present, policy, rng)
-    candidates = _candidates(own, policy)
-    if others and _is_full(candidates, policy):
-        return _choose_with_others(now_ms, request, candidates, others, policy, rng)
-    return _choose_among(now_ms, request, candidates, policy, rng)
+        return (Choice(probed.host, probed.domain, 0.0, Reason.PROBE),)
+    own = _candidates([one for one in usable if one.domain == request.domain], policy)
+    if _is_full(own, policy):
+        far = [view for view in present if view.domain != request.domain]
+        farther = _candidates([one for one in usable if one in far], policy)
+        if farther and not (own and _is_full(farther, policy)):
+            choices = _draw_choices(now_ms, request, farther, policy, rng, count)
+            return tuple(
+                dataclasses.replace(choice, reason=Reason.OTHER_DOMAIN)
+                for choice in choices
+            )
+        probed = None if farther else _probe_one(now_ms, request, far, policy)
+        if probed is not None:
+            return (Choice(probed.host, probed.domain, 0.0, Reason.PROBE),)
+    if not own:
+        own = _candidates(near or present, policy)
+    return tuple(_draw_choices(now_ms, request, own, policy, rng, count))
 
 
 def is_avoided(view: EndpointView, now_ms: float, policy: RoutingPolicy) -> bool:
@@ -168,17 +197,15 @@
 def _probe(
     now_ms: float,
     request: RouteRequest,
-    present: t.Sequence[EndpointView],
-    usable: t.Sequence[EndpointView],
+    views: t.Sequence[EndpointView],
     policy: RoutingPolicy,
 ) -> EndpointView | None:
-    if request.priority > 0 or len(usable) == len(present):
+    """Return an avoided endpoint that is due to be tried again, if any."""
+    if request.priority > 0:
         return None
     interval_ms = policy.probe_interval_ms * policy.live_entries
     interval_ms = min(interval_ms, MAX_PROBE_INTERVAL_MS)
-    for view in present:
-        if view.domain != request.domain:
-            continue
+    for view in views:
         if not is_avoided(view, now_ms, policy):
             continue
         started_ms = max(view.last_probe_ms, view.failure_ms, view.answered_ms)
@@ -187,16 +214,17 @@
     return None
 
 
-def _last_resort(
+def _probe_one(
     now_ms: float,
     request: RouteRequest,
-    present: t.Sequence[EndpointView],
+    views: t.Sequence[EndpointView],
     policy: RoutingPolicy,
-    rng: random.Random,
-) -> Choice:
-    own = [view for view in present if view.domain == request.domain]
-    candidates = _candidates(own or present, policy)
-    return _choose_among(now_ms, request, candidates, policy, rng)
+) -> EndpointView | None:
+    """Return what :func:`_probe` does, but one endpoint an interval over them all."""
+    latest_ms = max((view.last_probe_ms for view in views), default=0.0)
+    if now_ms - latest_ms < policy.probe_interval_ms * policy.live_entries:
+        return None
+    return _probe(now_ms, request, views, policy)
 
 
 def _candidates(
@@ -223,42 +251,41 @@
     return held >= places
 
 
-def _choose_with_others(
-    now_ms: float,
-    request: RouteRequest,
-    own: t.Sequence[_Candidate],
-    others: t.Sequence[EndpointView],
-    policy: RoutingPolicy,
-    rng: random.Random,
-) -> Choice:
-    candidates = _candidates(others, policy)
-    if own and _is_full(candidates, policy):
-        return _choose_among(now_ms, request, own, policy, rng)
-    choice = _choose_among(now_ms, request, candidates, policy, rng)
-    return dataclasses.replace(choice, reason=Reason.OTHER_DOMAIN)
-
-
-def _choose_among(
+def _draw_choices(
     now_ms: float,
     request: RouteRequest,
     candidates: t.Sequence[_Candidate],
     policy: RoutingPolicy,
     rng: random.Random,
-) -> Choice:
+    count: int,
+) -> t.Iterator[Choice]:
+    """Yield ``count`` different choices, or as many as there are candidates."""
+    if not candidates:
+        return
     level = _fill_level(candidates, policy)
     holders = _holders(now_ms, request, candidates, level, policy)
     room = sum(holder.room for holder in holders)
     expected = _expected_family_requests(now_ms, request, candidates, policy)
-    if room > 0.0 and rng.random() * max(room, expected) < room:
-        chosen = _draw(holders, rng)
-        reason = Reason.PREFIX if chosen.matched_blocks else Reason.LOAD
-        return Choice(
-            chosen.view.host, chosen.view.domain, chosen.likely_blocks, reason
-        )
-    for candidate in candidates:
-        candidate.weight = max(0.0, level * candidate.speed - candidate.held)
-    drawn = _draw(candidates, rng)
-    return Choice(drawn.view.host, drawn.view.domain, drawn.likely_blocks, Reason.LOAD)
+    follows_prefix = room > 0.0 and rng.random() * max(room, expected) < room
+    if not follows_prefix:
+        holders = ()
+    for _ in range(min(count, len(candidates))):
+        drawn = _draw(holders, rng)
+        if drawn is None:
+            holders = ()
+            for candidate in candidates:
+                spare = level * candidate.speed - candidate.held
+                candidate.weight = 0.0 if candidate.is_drawn else max(0.0, spare)
+            drawn = _draw(candidates, rng) or _least_held(candidates)
+        drawn.is_drawn = True
+        drawn.weight = 0.0
+        reason = Reason.PREFIX if holders and drawn.matched_blocks else Reason.LOAD
+        yield Choice(drawn.view.host, drawn.view.domain, drawn.likely_blocks, reason)
+
+
+def _least_held(candidates: t.Sequence[_Candidate]) -> _Candidate:
+    undrawn = (one for one in candidates if not one.is_drawn)
+    return min(undrawn, key=lambda one: one.held / one.speed)
 
 
 def _fill_level(candidates: t.Sequence[_Candidate], policy: RoutingPolicy) -> float:
@@ -278,13 +305,20 @@
     return level
 
 
-def _draw(candidates: t.Sequence[_Candidate], rng: random.Random) -> _Candidate:
-    left = rng.random() * sum(candidate.weight for candidate in candidates)
+def _draw(candidates: t.Sequence[_Candidate], rng: random.Random) -> _Candidate | None:
+    total = sum(candidate.weight for candidate in candidates)
+    if total <= 0.0:
+        return None
+    left = rng.random() * total
+    last = None
     for candidate in candidates:
+        if candidate.weight <= 0.0:
+            continue
+        last = candidate
         left -= candidate.weight
         if left < 0.0:
-            return candidate
-    return candidates[-1]
+            break
+    return last
 
 
 def _holders(
@@ -314,7 +348,7 @@
     holders = [one for one in candidates if one.matched_blocks]
     if not holders:
         holders = _homes(request.blocks[0], candidates)
-    limit = level * (1.0 + policy.affinity_slack)
+    limit = max(level * (1.0 + policy.affinity_slack), policy.light_requests)
     for holder in holders:
         holder.room = max(0.0, limit * holder.speed - holder.held)
         likelihood = holder.likely_blocks / max(1, holder.matched_blocks)
