Prove the revisions on a virtual clock

A machine publishes good, bad, doubled and conflicting revisions while it crashes, restarts, pauses and cuts off processes. A pause while a process joins used to run out its wait with the answers unread; the wait now grows by the pause.

--- /dev/null
+++ b/src/dotterelplank/bench_carriers.py
@@ -0,0 +1,138 @@
+"""How the bench's loop carries out each command of the decision functions."""
+
+import typing as t
+
+from . import (
+    datagrams,
+    member_messages as mm,
+    revision_messages as rm,
+    revisions,
+)
+
+if t.TYPE_CHECKING:
+    from .bench_loop import Loop, Process
+
+
+def _send_heartbeat(loop: "Loop", source: "Process", command: mm.SendHeartbeat) -> None:
+    datagram = datagrams.pack_heartbeat(command.heartbeat)
+    for host in command.hosts:
+        loop.send(source, host, datagram)
+
+
+def _send_probe(loop: "Loop", source: "Process", command: mm.SendProbe) -> None:
+    datagram = datagrams.pack_probe(source.peer.host, command.nonce)
+    loop.send(source, command.host, datagram)
+
+
+def _ask_vouch(loop: "Loop", source: "Process", command: mm.AskVouch) -> None:
+    datagram = datagrams.pack_vouch_question(
+        source.peer.host, command.subject, command.nonce
+    )
+    loop.send(source, command.host, datagram)
+
+
+def _send_notice(loop: "Loop", source: "Process", command: mm.SendNotice) -> None:
+    datagram = datagrams.pack_notice(command.notice)
+    for host in command.hosts:
+        loop.send(source, host, datagram)
+
+
+def _send_digest(loop: "Loop", source: "Process", command: mm.SendDigest) -> None:
+    datagram = datagrams.pack_digest(command.digest)
+    for host in command.hosts:
+        loop.send(source, host, datagram)
+
+
+def _introduce(loop: "Loop", source: "Process", command: mm.Introduce) -> None:
+    datagram = datagrams.pack_introduction(command.peer, command.incarnation)
+    for host in command.hosts:
+        loop.send(source, host, datagram)
+
+
+def _ask_introduction(
+    loop: "Loop", source: "Process", command: mm.AskIntroduction
+) -> None:
+    datagram = datagrams.pack_introduction_question(source.peer.host)
+    loop.send(source, command.host, datagram)
+
+
+def _member_changed(loop: "Loop", source: "Process", command: mm.MemberChanged) -> None:
+    loop.changes.append((loop.now_ms, source.peer.host, command))
+    loop.tell(source.peer.host, command)
+
+
+def _peers_known(loop: "Loop", source: "Process", command: mm.PeersKnown) -> None:
+    event = rm.PeersChanged(command.domain, command.elsewhere)
+    for document in source.revisions:
+        loop.feed_document(source, document, event)
+
+
+def _supersede(loop: "Loop", source: "Process", command: mm.Supersede) -> None:
+    loop.tell(source.peer.host, command)
+
+
+def _report(loop: "Loop", source: "Process", command: t.Any) -> None:
+    loop.reports[command.event.name] += 1
+    loop.tell(source.peer.host, command)
+
+
+def _ask_offers(loop: "Loop", source: "Process", command: rm.AskOffers) -> None:
+    datagram = datagrams.pack_offer_question(source.peer.host, command.document)
+    for host in command.hosts:
+        loop.send(source, host, datagram)
+
+
+def _offer_to(loop: "Loop", source: "Process", command: rm.OfferTo) -> None:
+    datagram = datagrams.pack_offer(source.peer.host, command.offer)
+    for host in command.hosts:
+        loop.send(source, host, datagram)
+
+
+def _to_peer(
+    loop: "Loop", source: "Process", host: str, document: rm.Document, event: t.Any
+) -> None:
+    target = loop.processes.get(host)
+    if target is not None and loop.reaches(source.peer.host, host):
+        loop.after(1, lambda: loop.deliver(target, document, event))
+
+
+def _ask_peer(loop: "Loop", source: "Process", command: rm.AskPeer) -> None:
+    event = rm.TextAsked(source.peer.host, command.revision)
+    _to_peer(loop, source, command.host, command.document, event)
+
+
+def _decline(loop: "Loop", source: "Process", command: rm.Decline) -> None:
+    event = rm.PeerDeclined(source.peer.host)
+    _to_peer(loop, source, command.host, command.document, event)
+
+
+def _adopt(loop: "Loop", source: "Process", command: rm.Adopt) -> None:
+    loop.adoptions.append((loop.now_ms, source.peer.host, command))
+    loop.tell(source.peer.host, command)
+    offers = tuple(revisions.offer_of(s) for s in source.revisions.values())
+    loop.feed(source, mm.OffersChanged(offers))
+
+
+MEMBER_CARRIERS: dict[type, t.Callable[..., None]] = {
+    mm.SendHeartbeat: _send_heartbeat,
+    mm.SendProbe: _send_probe,
+    mm.AskVouch: _ask_vouch,
+    mm.SendNotice: _send_notice,
+    mm.SendDigest: _send_digest,
+    mm.Introduce: _introduce,
+    mm.AskIntroduction: _ask_introduction,
+    mm.MemberChanged: _member_changed,
+    mm.PeersKnown: _peers_known,
+    mm.Supersede: _supersede,
+    mm.Report: _report,
+}
+DOCUMENT_CARRIERS: dict[type, t.Callable[..., None]] = {
+    rm.ReadPlatform: lambda loop, source, command: loop.read(source, command),
+    rm.AskOffers: _ask_offers,
+    rm.OfferTo: _offer_to,
+    rm.AskPeer: _ask_peer,
+    rm.SendText: lambda loop, source, command: loop.carry_text(source, command),
+    rm.Decline: _decline,
+    rm.Adopt: _adopt,
+    rm.Report: _report,
+}
--- /dev/null
+++ b/src/dotterelplank/bench_loop.py
@@ -0,0 +1,338 @@
+"""A short loop that drives the decision functions on a virtual clock.
+
+It moves datagrams and texts between the states with delay and loss, and stands in
+for the platform. It decides nothing itself.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import typing as t
+
+from . import (
+    datagrams,
+    member_messages as mm,
+    membership,
+    revision_messages as rm,
+    revisions,
+)
+from .bench_carriers import DOCUMENT_CARRIERS, MEMBER_CARRIERS
+from .peers import Peer, Role
+
+TEXT_RATE_BYTES_PER_MS = 50_000
+DOCUMENTS = (rm.Document.CONFIGURATION, rm.Document.HOST_LIST)
+
+
+@dataclasses.dataclass
+class Conditions:
+    """Behaviour of the network and the platform.
+
+    :param loss: part of the datagrams that are lost.
+    :param duplicates: part of the datagrams that arrive twice.
+    :param delay_ms: least and greatest delay of a datagram.
+    :param validate_ms: time that the validation of a text takes.
+    """
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    delay_ms: tuple[int, int] = (1, 2)
+    validate_ms: int = 0
+    platform_delay_ms: int = 5
+
+
+@dataclasses.dataclass
+class Platform:
+    """The texts that are published, and the watches that wait for newer ones.
+
+    :param cut: domains that can't reach the platform.
+    :param stale: texts that it still answers to some domains.
+    """
+
+    down: bool = False
+    calls: int = 0
+    texts: dict[rm.Document, tuple[int, str]] = dataclasses.field(default_factory=dict)
+    stale: dict[str, dict[rm.Document, tuple[int, str]]] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting: list[tuple["Process", rm.ReadPlatform]] = dataclasses.field(
+        default_factory=list
+    )
+    cut: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass
+class Process:
+    """One process: its states, and what it cost.
+
+    :param clock_ms: how far its monotonic clock is ahead of the loop's.
+    """
+
+    peer: Peer
+    incarnation: int
+    membership: membership.MembershipState
+    revisions: dict[rm.Document, revisions.RevisionState]
+    alive: bool = True
+    paused: bool = False
+    clock_ms: int = 0
+    busy_until_ms: int = 0
+    backlog: list[t.Any] = dataclasses.field(default_factory=list)
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent: int = 0
+    received: int = 0
+
+
+class Loop:
+    """The processes, the network between them, and the clock.
+
+    :param policies: policy of each document; a text that is refused raises in it.
+    """
+
+    def __init__(
+        self,
+        peers: t.Sequence[Peer],
+        seed: int,
+        conditions: Conditions,
+        member_policy: membership.MembershipPolicy,
+        policies: dict[rm.Document, revisions.RevisionPolicy],
+    ) -> None:
+        self.now_ms = 1_000
+        self.draw = random.Random(seed)
+        self.conditions = conditions
+        self.member_policy = member_policy
+        self.policies = policies
+        self.platform = Platform()
+        self.peers = {peer.host: peer for peer in peers}
+        self.processes: dict[str, Process] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.isolated: dict[str, int] = {}
+        self.reports: collections.Counter[str] = collections.Counter()
+        self.changes: list[tuple[int, str, mm.MemberChanged]] = []
+        self.adoptions: list[tuple[int, str, rm.Adopt]] = []
+        self.listeners: list[t.Callable[[str, t.Any], None]] = []
+        self._queue: list[tuple[int, int, t.Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
+
+    # Processes
+
+    def boot(self, host: str) -> None:
+        """Start a new process on ``host``."""
+        peer = self.peers[host]
+        incarnation = next(self._incarnations) * 100
+        seed = self.draw.getrandbits(32)
+        states = {
+            document: revisions.start(
+                self.now_ms, document, peer, seed, self.policies[document]
+            )
+            for document in DOCUMENTS
+        }
+        member = membership.start(self.now_ms, peer, incarnation, seed)
+        process = Process(peer, incarnation, member, states)
+        self.processes[host] = process
+        listed = tuple(mm.ListedHost(other, False) for other in self.peers.values())
+        self.feed(process, mm.HostListAdopted(1, listed))
+        first_ms = self.draw.randrange(self.member_policy.tick_ms)
+        self.after(first_ms, lambda: self._tick(process))
+
+    def kill(self, host: str) -> None:
+        """End the process on ``host`` without a word."""
+        self.processes[host].alive = False
+
+    def pause(self, host: str, for_ms: int) -> None:
+        """Stop the process on ``host`` for a while; its sockets fill up."""
+        process = self.processes[host]
+        process.paused = True
+        self.after(for_ms, lambda: self._wake(process))
+
+    def _wake(self, process: Process) -> None:
+        process.paused = False
+        backlog, process.backlog = process.backlog, []
+        for event in backlog:
+            self.feed(process, event)
+
+    def _tick(self, process: Process) -> None:
+        if not process.alive:
+            return
+        wait_ms = self.member_policy.tick_ms
+        if not process.paused and process.busy_until_ms <= self.now_ms:
+            self.feed(process, mm.Tick())
+            for document in DOCUMENTS:
+                self.feed_document(process, document, rm.Tick())
+        self.after(wait_ms, lambda: self._tick(process))
+
+    # Time
+
+    def clock(self, process: Process) -> int:
+        """Return what the monotonic clock of ``process`` shows."""
+        return self.now_ms + process.clock_ms
+
+    def after(self, wait_ms: int, action: t.Callable[[], None]) -> None:
+        """Run ``action`` when ``wait_ms`` have passed."""
+        entry = (self.now_ms + wait_ms, next(self._order), action)
+        heapq.heappush(self._queue, entry)
+
+    def run(self, for_ms: int) -> None:
+        """Let ``for_ms`` pass."""
+        end_ms = self.now_ms + for_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._queue)
+            action()
+        self.now_ms = end_ms
+
+    # Network
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Return whether a datagram can pass between two hosts."""
+        if self.isolated.get(one, 0) != self.isolated.get(other, 0):
+            return False
+        domains = (self.peers[one].domain, self.peers[other].domain)
+        return frozenset(domains) not in self.cuts
+
+    def send(self, source: Process, host: str, datagram: bytes) -> None:
+        """Carry ``datagram`` to ``host``, or lose it."""
+        size_bytes = len(datagram) + datagrams.HEADER_BYTES
+        source.sent_bytes += size_bytes
+        source.sent += 1
+        lost = self.draw.random() < self.conditions.loss
+        if lost or host not in self.peers:
+            return
+        if not self.reaches(source.peer.host, host):
+            return
+        delay_ms = self.draw.randint(*self.conditions.delay_ms)
+        self.after(delay_ms, lambda: self._arrive(host, datagram))
+        if self.draw.random() < self.conditions.duplicates:
+            self.after(2 * delay_ms, lambda: self._arrive(host, datagram))
+
+    def _arrive(self, host: str, datagram: bytes) -> None:
+        process = self.processes.get(host)
+        if process is None or not process.alive:
+            return
+        process.received_bytes += len(datagram) + datagrams.HEADER_BYTES
+        process.received += 1
+        event = datagrams.unpack(datagram)
+        if process.paused:
+            process.backlog.append(event)
+        else:
+            self.feed(process, event)
+
+    def feed(self, process: Process, event: t.Any) -> None:
+        """Give ``event`` to the function that it belongs to."""
+        if isinstance(event, rm.PeerOffer):
+            self.feed_document(process, event.offer.document, event)
+            return
+        if isinstance(event, datagrams.OfferQuestion):
+            self.feed_document(process, event.document, event.asked)
+            return
+        if isinstance(event, mm.HeartbeatHeard) and event.heartbeat.offer:
+            offer = event.heartbeat.offer
+            heard = rm.PeerOffer(event.heartbeat.host, offer)
+            self.feed_document(process, offer.document, heard)
+        commands = membership.decide(
+            self.clock(process), process.membership, event, self.member_policy
+        )
+        for command in commands:
+            MEMBER_CARRIERS[type(command)](self, process, command)
+
+    def feed_document(
+        self, process: Process, document: rm.Document, event: t.Any
+    ) -> None:
+        """Give ``event`` to the revisions of ``document``."""
+        state = process.revisions[document]
+        commands = revisions.decide(
+            self.clock(process), state, event, self.policies[document]
+        )
+        for command in commands:
+            DOCUMENT_CARRIERS[type(command)](self, process, command)
+
+    def tell(self, host: str, what: t.Any) -> None:
+        """Pass ``what`` to the listeners."""
+        for listener in self.listeners:
+            listener(host, what)
+
+    # Texts and the platform
+
+    def carry_text(self, source: Process, command: rm.SendText) -> None:
+        """Carry a text over a stream, at the rate of a small host's link."""
+        size_bytes = len(command.packed)
+        wait_ms = 2 + size_bytes // TEXT_RATE_BYTES_PER_MS
+        self.after(wait_ms, lambda: self._end_text(source, command))
+
+    def _end_text(self, source: Process, command: rm.SendText) -> None:
+        if source.alive and not source.paused:
+            sent = rm.TextSent(command.host)
+            self.feed_document(source, command.document, sent)
+        target = self.processes.get(command.host)
+        if target is None or not target.alive or target.paused:
+            return
+        if not source.alive or not self.reaches(source.peer.host, command.host):
+            return
+        size_bytes = len(command.packed)
+        source.sent_bytes += size_bytes
+        target.received_bytes += size_bytes
+        target.busy_until_ms = self.now_ms + self.conditions.validate_ms
+        text = rm.PeerText(source.peer.host, command.revision, command.packed)
+        self.after(
+            self.conditions.validate_ms,
+            lambda: self.deliver(target, command.document, text),
+        )
+
+    def deliver(self, process: Process, document: rm.Document, event: t.Any) -> None:
+        if process.alive and not process.paused:
+            self.feed_document(process, document, event)
+
+    def publish(self, document: rm.Document, revision: int, text: str) -> None:
+        """Publish a text; the watches that wait for it are answered."""
+        self.platform.texts[document] = (revision, text)
+        waiting, self.platform.waiting = self.platform.waiting, []
+        for process, command in waiting:
+            self._answer(process, command)
+
+    def break_watches(self) -> None:
+        """Fail every watch that waits, as a restart of the platform does."""
+        waiting, self.platform.waiting = self.platform.waiting, []
+        for process, command in waiting:
+            self.deliver(process, command.document, rm.ReadFailed(command.read_id))
+
+    def read(self, process: Process, command: rm.ReadPlatform) -> None:
+        """Count and answer one call of the platform."""
+        self.platform.calls += 1
+        self.after(
+            self.conditions.platform_delay_ms,
+            lambda: self._answer(process, command),
+        )
+
+    def _answer(self, process: Process, command: rm.ReadPlatform) -> None:
+        domain = process.peer.domain
+        event: t.Any = rm.ReadFailed(command.read_id)
+        if not self.platform.down and domain not in self.platform.cut:
+            texts = self.platform.stale.get(domain, self.platform.texts)
+            revision, text = texts.get(command.document, (0, ""))
+            if revision <= command.after and texts is self.platform.texts:
+                self.platform.waiting.append((process, command))
+                self.after(command.wait_ms, lambda: self._end_watch(process, command))
+                return
+            event = rm.ReadAnswered(command.read_id, revision, text)
+        self.deliver(process, command.document, event)
+
+    def _end_watch(self, process: Process, command: rm.ReadPlatform) -> None:
+        for index, (waiter, watch) in enumerate(self.platform.waiting):
+            if waiter is process and watch is command:
+                del self.platform.waiting[index]
+                nothing = rm.ReadAnswered(command.read_id, command.after, None)
+                self.deliver(process, command.document, nothing)
+                return
+
+
+def make_peers(entries: int, agents: int, domains: int) -> tuple[Peer, ...]:
+    """Return the processes of ``domains`` equal failure domains."""
+    peers = []
+    for number in range(domains):
+        domain = f"d{number}"
+        for index in range(entries):
+            peers.append(Peer(f"en-{number}-{index:03}", domain, Role.ENTRY))
+        for index in range(agents):
+            peers.append(Peer(f"ep-{number}-{index:03}", domain, Role.AGENT))
+    return tuple(peers)
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -223,10 +223,13 @@
 def is_usable(now_ms: int, member: Member, policy: MembershipPolicy) -> bool:
     """Return whether new work may go to ``member`` at ``now_ms``.
 
-    Ask again for each piece of work: a sign of life ages without any event.
+    Ask again for each piece of work: a sign of life ages without any event. Entries
+    get no work, so that their word may be older.
     """
     if member.status is not MemberStatus.ALIVE or member.heard_ms is None:
         return False
+    if member.peer.role is Role.ENTRY:
+        return True
     return now_ms - member.heard_ms <= policy.lease_ms
 
 
--- a/src/dotterelplank/revision_state.py
+++ b/src/dotterelplank/revision_state.py
@@ -56,6 +56,7 @@
     join_wait_ms: int = 1_000
     join_alone_ms: int = 3_000
     join_retry_ms: int = 200
+    pause_ms: int = 250
     offer_fanout: int = 4
     offer_rounds: int = 4
     offer_interval_ms: int = 100
@@ -90,6 +91,7 @@
 
     Make it with :func:`start`.
 
+    :param last_ms: time of the last event, by which a pause is noticed.
     :param offers: revisions above the held one, by the host that holds them.
     :param answered: hosts that have told what they hold since the start.
     :param declined: hosts not to be asked for a text again just now.
@@ -101,6 +103,7 @@
     own: Peer
     draw: random.Random
     join_deadline_ms: int
+    last_ms: int
     joined: bool = False
     held: Held | None = None
     refused: Refusal | None = None
@@ -140,6 +143,7 @@
         own=own,
         draw=random.Random(seed),
         join_deadline_ms=now_ms + policy.join_alone_ms,
+        last_ms=now_ms,
     )
 
 
--- a/src/dotterelplank/revisions.py
+++ b/src/dotterelplank/revisions.py
@@ -103,10 +103,37 @@
 ) -> list[Command]:
     """Return what to do about ``event`` at ``now_ms`` on the monotonic clock."""
     turn = Turn(now_ms, state, policy)
+    _notice_gap(turn)
     _HANDLERS[type(event)](turn, event)
     return turn.commands
 
 
+def _notice_gap(turn: Turn) -> None:
+    state = turn.state
+    gap_ms = turn.now_ms - state.last_ms
+    state.last_ms = turn.now_ms
+    if gap_ms < 0:
+        _move_timers(state, gap_ms)
+    elif gap_ms > turn.policy.pause_ms:
+        # The answers of the peers may still wait to be read.
+        state.join_deadline_ms += gap_ms
+
+
+def _move_timers(state: RevisionState, by_ms: int) -> None:
+    state.join_deadline_ms += by_ms
+    state.next_join_ms += by_ms
+    state.next_read_ms += by_ms
+    state.next_pull_ms += by_ms
+    state.next_offer_ms += by_ms
+    state.next_elsewhere_ms += by_ms
+    if state.read is not None:
+        state.read.deadline_ms += by_ms
+    if state.pull is not None:
+        state.pull.deadline_ms += by_ms
+    state.told_ms.clear()
+    state.sends.clear()
+
+
 def _on_tick(turn: Turn, event: Tick) -> None:
     if not turn.state.joined:
         turn.state.joined = ask_at_start(turn)
--- /dev/null
+++ b/tests/test_revisions_machine.py
@@ -0,0 +1,157 @@
+"""Revisions under faults: upwards only, everywhere, with few readers."""
+
+import collections
+
+import hypothesis
+from fleet import FleetMachine
+from hypothesis import stateful, strategies as st
+
+from dotterelplank import revision_messages as rm, revisions
+
+CONFIGURATION = rm.Document.CONFIGURATION
+DOMAIN_BOUND_MS = 3_000
+FLEET_BOUND_MS = 10_000
+REACH = collections.Counter()
+
+
+class RevisionsMachine(FleetMachine):
+    """Publishes good and bad revisions while the fleet suffers."""
+
+    reach = REACH
+
+    def __init__(self):
+        self.newest = 1
+        self.in_force = {}
+        self.witnesses = {}
+        super().__init__()
+
+    def observe(self, host, what):
+        if isinstance(what, rm.Report):
+            self.reach[what.event.name] += 1
+        if not isinstance(what, rm.Adopt) or what.document is not CONFIGURATION:
+            return
+        assert not what.text.startswith("bad")
+        process = self.loop.processes[host]
+        before = self.in_force.get((host, process.incarnation), 0)
+        assert what.revision > before
+        if not before and host in self.witnesses:
+            held = self.witnesses.pop(host).values()
+            assert what.revision >= max(held, default=0)
+            self.reach["first after restart"] += 1
+        self.in_force[host, process.incarnation] = what.revision
+
+    def held(self, process):
+        return revisions.revision_of(process.revisions[CONFIGURATION])
+
+    def on_restart(self, host):
+        self.in_force.pop(host, None)
+        # A peer counts as a witness while nothing keeps it from answering.
+        self.witnesses[host] = {
+            peer.peer.host: self.held(peer)
+            for peer in self.live()
+            if peer.peer.host != host and self.loop.reaches(host, peer.peer.host)
+        }
+
+    def on_crash(self, host):
+        self.witnesses.pop(host, None)
+        if self.loop.processes[host].revisions[CONFIGURATION].reader:
+            self.reach["reader crashed"] += 1
+        for held in self.witnesses.values():
+            held.pop(host, None)
+
+    def on_pause(self, process):
+        self.witnesses.pop(process.peer.host, None)
+        for held in self.witnesses.values():
+            held.pop(process.peer.host, None)
+
+    def on_cut(self):
+        for host, held in self.witnesses.items():
+            for other in list(held):
+                if not self.loop.reaches(host, other):
+                    del held[other]
+
+    @stateful.rule(step=st.integers(1, 3), kind=st.sampled_from(("good", "bad")))
+    def publish(self, step, kind):
+        self.newest += step
+        text = f"{kind} {self.newest}"
+        self.loop.publish(CONFIGURATION, self.newest, text)
+
+    @stateful.rule(gap_ms=st.integers(0, 60))
+    def publish_twice_at_once(self, gap_ms):
+        self.publish(1, "good")
+        self.loop.run(gap_ms)
+        self.publish(1, "good")
+
+    @stateful.rule()
+    def publish_one_revision_with_two_texts(self):
+        self.newest += 1
+        texts = {CONFIGURATION: (self.newest, f"good {self.newest} twin")}
+        self.loop.platform.stale["d1"] = texts
+        self.loop.publish(CONFIGURATION, self.newest, f"good {self.newest}")
+
+    @stateful.rule(domain=st.sampled_from(("d0", "d1")))
+    def go_stale(self, domain):
+        self.loop.platform.stale[domain] = {CONFIGURATION: (1, "good 1")}
+        self.loop.break_watches()
+
+    @stateful.rule(domain=st.sampled_from(("d0", "d1")))
+    def cut_platform(self, domain):
+        self.reach["platform cut"] += 1
+        self.loop.platform.cut.add(domain)
+
+    @stateful.rule()
+    def platform_down(self):
+        self.loop.platform.down = True
+
+    @stateful.rule()
+    def platform_up(self):
+        self.loop.platform.down = False
+
+    @stateful.rule()
+    def converge(self):
+        self.calm()
+        self.pass_time(FLEET_BOUND_MS)
+        held = {self.held(process) for process in self.loop.processes.values()}
+        assert len(held) == 1
+        self._assert_readers()
+        self.newest += 1
+        self.loop.publish(CONFIGURATION, self.newest, f"good {self.newest}")
+        self.pass_time(DOMAIN_BOUND_MS)
+        held = {self.held(process) for process in self.loop.processes.values()}
+        assert held == {self.newest}
+        self.reach["converged"] += 1
+
+    def _assert_readers(self):
+        for domain in ("d0", "d1"):
+            readers = [
+                process
+                for process in self.loop.processes.values()
+                if process.peer.domain == domain
+                and process.revisions[CONFIGURATION].reader
+            ]
+            assert 1 <= len(readers) <= 3
+
+    def teardown(self):
+        self.converge()
+
+
+def test_revisions_only_go_up_and_reach_everyone():
+    REACH.clear()
+    settings = hypothesis.settings(max_examples=25, stateful_step_count=25)
+    stateful.run_state_machine_as_test(RevisionsMachine, settings=settings)
+    print(dict(REACH))
+    for name in (
+        "revision-adopted",
+        "revision-refused",
+        "refused-elsewhere",
+        "revision-conflict",
+        "stale-read",
+        "platform-unread",
+        "first after restart",
+        "reader crashed",
+        "pause",
+        "clock",
+        "cut",
+        "converged",
+    ):
+        assert REACH[name], name
