--- a/src/dotterelplank/bench_carriers.py
+++ b/src/dotterelplank/bench_carriers.py
@@ -37,6 +37,11 @@
         loop.send(source, host, datagram)
 
 
+def _answer_sender(loop: "Loop", source: "Process", command: mm.AnswerSender) -> None:
+    if loop.sender is not None:
+        loop.send_to(source, loop.sender, datagrams.pack_notice(command.notice))
+
+
 def _send_digest(loop: "Loop", source: "Process", command: mm.SendDigest) -> None:
     datagram = datagrams.pack_digest(command.digest)
     for host in command.hosts:
@@ -58,7 +63,7 @@
 
 def _member_changed(loop: "Loop", source: "Process", command: mm.MemberChanged) -> None:
     loop.changes.append((loop.now_ms, source.peer.host, command))
-    loop.tell(source.peer.host, command)
+    loop.tell(source, command)
 
 
 def _peers_known(loop: "Loop", source: "Process", command: mm.PeersKnown) -> None:
@@ -68,12 +73,12 @@
 
 
 def _supersede(loop: "Loop", source: "Process", command: mm.Supersede) -> None:
-    loop.tell(source.peer.host, command)
+    loop.tell(source, command)
 
 
 def _report(loop: "Loop", source: "Process", command: t.Any) -> None:
     loop.reports[command.event.name] += 1
-    loop.tell(source.peer.host, command)
+    loop.tell(source, command)
 
 
 def _ask_offers(loop: "Loop", source: "Process", command: rm.AskOffers) -> None:
@@ -108,7 +113,7 @@
 
 def _adopt(loop: "Loop", source: "Process", command: rm.Adopt) -> None:
     loop.adoptions.append((loop.now_ms, source.peer.host, command))
-    loop.tell(source.peer.host, command)
+    loop.tell(source, command)
     offers = tuple(revisions.offer_of(s) for s in source.revisions.values())
     loop.feed(source, mm.OffersChanged(offers))
 
@@ -118,6 +123,7 @@
     mm.SendProbe: _send_probe,
     mm.AskVouch: _ask_vouch,
     mm.SendNotice: _send_notice,
+    mm.AnswerSender: _answer_sender,
     mm.SendDigest: _send_digest,
     mm.Introduce: _introduce,
     mm.AskIntroduction: _ask_introduction,
--- a/src/dotterelplank/bench_loop.py
+++ b/src/dotterelplank/bench_loop.py
@@ -106,12 +106,13 @@
         self.platform = Platform()
         self.peers = {peer.host: peer for peer in peers}
         self.processes: dict[str, Process] = {}
+        self.sender: Process | None = None
         self.cuts: set[frozenset[str]] = set()
         self.isolated: dict[str, int] = {}
         self.reports: collections.Counter[str] = collections.Counter()
         self.changes: list[tuple[int, str, mm.MemberChanged]] = []
         self.adoptions: list[tuple[int, str, rm.Adopt]] = []
-        self.listeners: list[t.Callable[[str, t.Any], None]] = []
+        self.listeners: list[t.Callable[[Process, t.Any], None]] = []
         self._queue: list[tuple[int, int, t.Callable[[], None]]] = []
         self._order = itertools.count()
         self._incarnations = itertools.count(1)
@@ -150,8 +151,8 @@
     def _wake(self, process: Process) -> None:
         process.paused = False
         backlog, process.backlog = process.backlog, []
-        for event in backlog:
-            self.feed(process, event)
+        for source, event in backlog:
+            self._take(source, process, event)
 
     def _tick(self, process: Process) -> None:
         if not process.alive:
@@ -192,31 +193,38 @@
         return frozenset(domains) not in self.cuts
 
     def send(self, source: Process, host: str, datagram: bytes) -> None:
-        """Carry ``datagram`` to ``host``, or lose it."""
-        size_bytes = len(datagram) + datagrams.HEADER_BYTES
-        source.sent_bytes += size_bytes
+        """Carry ``datagram`` to the process on ``host``, or lose it."""
+        self.send_to(source, self.processes.get(host), datagram)
+
+    def send_to(self, source: Process, target: Process | None, datagram: bytes) -> None:
+        """Carry ``datagram`` to one process, newest on its host or not."""
+        source.sent_bytes += len(datagram) + datagrams.HEADER_BYTES
         source.sent += 1
-        lost = self.draw.random() < self.conditions.loss
-        if lost or host not in self.peers:
+        conditions = self.conditions
+        if target is None or self.draw.random() < conditions.loss:
             return
-        if not self.reaches(source.peer.host, host):
+        if not self.reaches(source.peer.host, target.peer.host):
             return
-        delay_ms = self.draw.randint(*self.conditions.delay_ms)
-        self.after(delay_ms, lambda: self._arrive(host, datagram))
-        if self.draw.random() < self.conditions.duplicates:
-            self.after(2 * delay_ms, lambda: self._arrive(host, datagram))
-
-    def _arrive(self, host: str, datagram: bytes) -> None:
-        process = self.processes.get(host)
-        if process is None or not process.alive:
+        delay_ms = self.draw.randint(*conditions.delay_ms)
+        self.after(delay_ms, lambda: self._arrive(source, target, datagram))
+        if self.draw.random() < conditions.duplicates:
+            self.after(2 * delay_ms, lambda: self._arrive(source, target, datagram))
+
+    def _arrive(self, source: Process, target: Process, datagram: bytes) -> None:
+        if not target.alive:
             return
-        process.received_bytes += len(datagram) + datagrams.HEADER_BYTES
-        process.received += 1
+        target.received_bytes += len(datagram) + datagrams.HEADER_BYTES
+        target.received += 1
         event = datagrams.unpack(datagram)
-        if process.paused:
-            process.backlog.append(event)
+        if target.paused:
+            target.backlog.append((source, event))
         else:
-            self.feed(process, event)
+            self._take(source, target, event)
+
+    def _take(self, source: Process, target: Process, event: t.Any) -> None:
+        self.sender = source
+        self.feed(target, event)
+        self.sender = None
 
     def feed(self, process: Process, event: t.Any) -> None:
         """Give ``event`` to the function that it belongs to."""
@@ -247,10 +255,10 @@
         for command in commands:
             DOCUMENT_CARRIERS[type(command)](self, process, command)
 
-    def tell(self, host: str, what: t.Any) -> None:
+    def tell(self, process: Process, what: t.Any) -> None:
         """Pass ``what`` to the listeners."""
         for listener in self.listeners:
-            listener(host, what)
+            listener(process, what)
 
     # Texts and the platform
 
--- a/src/dotterelplank/member_list.py
+++ b/src/dotterelplank/member_list.py
@@ -2,6 +2,7 @@
 
 from . import events
 from .member_messages import (
+    AnswerSender,
     HostListAdopted,
     Intent,
     ListedHost,
@@ -10,7 +11,6 @@
     Notice,
     PeerIntroduced,
     PeersKnown,
-    SendNotice,
 )
 from .member_state import Member, Turn, is_usable, settle
 from .member_watch import begin_incarnation
@@ -48,7 +48,7 @@
 def _show(turn: Turn, host: str, shown: ListedHost) -> None:
     member = turn.state.members.get(host)
     if member is None:
-        member = turn.state.members[host] = Member(peer=shown.peer)
+        member = turn.state.members[host] = Member(shown.peer, received_ms=turn.now_ms)
     member.unlisted_ms = None
     if shown.leaving:
         _withdraw(turn, member)
@@ -98,7 +98,8 @@
         return
     member = state.members.get(event.peer.host)
     if member is None:
-        member = Member(peer=event.peer, unlisted_ms=turn.now_ms)
+        member = Member(event.peer, received_ms=turn.now_ms)
+        member.unlisted_ms = turn.now_ms
         state.members[event.peer.host] = member
         turn.report(events.MEMBER_UNLISTED, event.peer.host)
     if event.incarnation > member.incarnation:
@@ -121,7 +122,7 @@
         status=member.status,
         unheard_ms=0,
     )
-    turn.add(SendNotice((member.peer.host,), told))
+    turn.add(AnswerSender(told))
 
 
 def follow(turn: Turn, hosts: tuple[str, ...]) -> None:
@@ -136,7 +137,7 @@
             turn.add(MemberChanged(*gone))
     for host in wanted:
         if host not in state.members:
-            state.members[host] = Member(peer=state.elsewhere[host])
+            state.members[host] = Member(state.elsewhere[host], received_ms=turn.now_ms)
     state.followed = wanted
 
 
--- a/src/dotterelplank/member_messages.py
+++ b/src/dotterelplank/member_messages.py
@@ -266,6 +266,16 @@
     notice: Notice
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerSender:
+    """Tell a judgement to the address that the event came from, whatever its host.
+
+    An old process whose host's name has moved to another address hears of it so.
+    """
+
+    notice: Notice
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendDigest:
     """Tell ``hosts`` the digest of a failure domain."""
@@ -329,6 +339,7 @@
     | SendProbe
     | AskVouch
     | SendNotice
+    | AnswerSender
     | SendDigest
     | Introduce
     | AskIntroduction
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -52,6 +52,7 @@
     accusation_ms: int = 2_000
     entry_silence_ms: int = 70_000
     pause_ms: int = 250
+    pause_ticks: int = 2
     settle_ms: int = 10_000
     forget_ms: int = 60_000
     leave_rounds: int = 4
@@ -74,7 +75,7 @@
 
     :param heard_ms: when it surely lived, on the own clock; ``None`` for never.
     :param offset_ms: least difference seen between its clock and the own one.
-    :param received_ms: when its last heartbeat was taken in.
+    :param received_ms: when its last heartbeat was taken in, or when it was met.
     :param watched: whether it counts this process among its watchers.
     :param checked: whether a peer's suspicion made this process probe it.
     :param withdrawn: whether the host list takes it out of use.
@@ -124,6 +125,7 @@
     Make it with :func:`start`.
 
     :param judge_from_ms: silence before this time is not held against anyone.
+    :param stale_ticks: ticks until the bytes that waited during a pause are read.
     :param members: the other processes of the domain and those followed elsewhere.
     :param mesh: hosts that a heartbeat reaches in turn.
     :param probers: when a host outside the mesh last probed this process.
@@ -135,6 +137,7 @@
     started_ms: int
     last_ms: int
     judge_from_ms: int
+    stale_ticks: int = 0
     intent: Intent = Intent.SERVING
     superseded: bool = False
     sequence: int = 0
@@ -266,9 +269,8 @@
 
 def silence_ms(turn: Turn, member: Member) -> int:
     """Return the silence of ``member`` that can be held against it."""
-    if member.heard_ms is None:
-        return turn.now_ms - turn.state.judge_from_ms
-    return turn.now_ms - max(member.heard_ms, turn.state.judge_from_ms)
+    since_ms = member.received_ms if member.heard_ms is None else member.heard_ms
+    return turn.now_ms - max(since_ms, turn.state.judge_from_ms)
 
 
 def settle(turn: Turn, member: Member, status: MemberStatus) -> None:
--- a/src/dotterelplank/member_watch.py
+++ b/src/dotterelplank/member_watch.py
@@ -239,6 +239,10 @@
 
 
 def _hear_dead(turn: Turn, member: Member, notice: Notice) -> None:
+    if turn.state.stale_ticks:
+        # It may have waited in the socket while this process was paused.
+        member.checked = True
+        return
     slack_ms = turn.policy.slack_ms
     last_ms = turn.now_ms - notice.unheard_ms + slack_ms
     if member.heard_ms is not None and member.heard_ms > last_ms:
@@ -279,6 +283,7 @@
         fresh.withdrawn = True
         fresh.status = MemberStatus.LEAVING
     fresh.incarnation = incarnation
+    fresh.received_ms = turn.now_ms
     for field in dataclasses.fields(Member):
         setattr(member, field.name, getattr(fresh, field.name))
     turn.state.peers_changed = True
--- a/src/dotterelplank/membership.py
+++ b/src/dotterelplank/membership.py
@@ -74,6 +74,7 @@
     on_link_lost,
     on_notice_heard,
     on_vouch_asked,
+    probe,
     scan_leases,
 )
 from .peers import Role
@@ -111,6 +112,7 @@
 
 def _judge_afresh(turn: Turn) -> None:
     turn.state.judge_from_ms = turn.now_ms
+    turn.state.stale_ticks = turn.policy.pause_ticks
     for member in turn.state.members.values():
         member.probes = 0
         member.accusers.clear()
@@ -123,6 +125,7 @@
     for member in state.members.values():
         member.heard_ms = None
         member.offset_ms = None
+        member.received_ms = turn.now_ms
         member.next_probe_ms = turn.now_ms
         member.corrected_ms = None
     _judge_afresh(turn)
@@ -138,6 +141,7 @@
 
 def _on_tick(turn: Turn, event: Tick) -> None:
     state = turn.state
+    state.stale_ticks = max(0, state.stale_ticks - 1)
     _expire(turn)
     if state.peers_changed:
         tell_peers(turn)
@@ -214,6 +218,15 @@
         member.intent = Intent.LEAVING
         settle(turn, member, MemberStatus.LEAVING)
     note_life(turn, member, int(beat.sent_ms + member.offset_ms))
+    if member.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
+        _doubt_clock(turn, member)
+
+
+def _doubt_clock(turn: Turn, member: Member) -> None:
+    # It sends, yet what it sends seems old: one of the two clocks may have jumped.
+    if turn.state.own.role is Role.ENTRY and turn.now_ms >= member.next_probe_ms:
+        member.next_probe_ms = turn.now_ms + turn.policy.unheard_probe_ms
+        probe(turn, member)
 
 
 def _match_clock(turn: Turn, member: Member, beat: Heartbeat) -> None:
