--- /dev/null
+++ b/src/dotterelplank/baselines.py
@@ -0,0 +1,118 @@
+"""Ways to answer drifting popularity that the bench compares.
+
+A strategy is a function of the time, the map in force and the last window; it
+returns a plan or nothing.
+"""
+
+import typing as t
+
+import numpy as np
+
+from . import rebalancing
+from .experts import EMPTY, ExpertMap, Move, Observation, even_shares
+from .fake_group import FakeGroup
+from .placement import LayerLoad, place_map, search, settle
+from .popularity import Estimate, first_estimate, update
+from .rebalancing import Plan, Policy
+
+Strategy = t.Callable[[float, ExpertMap, Observation], Plan | None]
+Placement = t.Callable[[ExpertMap, Estimate], ExpertMap]
+
+
+def never_move(now_ms: float, expert_map: ExpertMap, observation: Observation) -> None:
+    """Keep the first map for ever."""
+    return None
+
+
+def rebalance(first: ExpertMap, policy: Policy) -> Strategy:
+    """Return the strategy of :mod:`dotterelplank.rebalancing`."""
+    state = rebalancing.initial_state(first)
+
+    def decide(
+        now_ms: float, expert_map: ExpertMap, observation: Observation
+    ) -> Plan | None:
+        nonlocal state
+        state = rebalancing.adopt(state, expert_map)
+        decision = rebalancing.plan(now_ms, state, observation, policy)
+        state = decision.state
+        return decision.plan
+
+    return decide
+
+
+def replace_all(place: Placement, interval_ms: float, policy: Policy) -> Strategy:
+    """Return a strategy that places every expert anew at each interval.
+
+    The old map serves until all has been loaded, and a replica that a rank holds
+    already costs nothing; both are kinder than what a group can count on.
+    """
+    estimate: Estimate | None = None
+    due_ms = interval_ms
+
+    def decide(
+        now_ms: float, expert_map: ExpertMap, observation: Observation
+    ) -> Plan | None:
+        nonlocal estimate, due_ms
+        if estimate is None:
+            estimate = first_estimate(observation)
+        estimate = update(estimate, observation)
+        if now_ms < due_ms:
+            return None
+        due_ms += interval_ms
+        target = place(expert_map, estimate)
+        moves = moves_between(expert_map, target)
+        size_bytes = len(moves) * policy.expert_bytes
+        stage_ms = len(moves) * policy.move_ms
+        return Plan(None, target, moves, size_bytes, stage_ms, np.nan, np.nan)
+
+    return decide
+
+
+def place_by_speed(expert_map: ExpertMap, estimate: Estimate) -> ExpertMap:
+    """Place anew by the measured speeds, with balanced shares."""
+    return place_map(
+        estimate.tokens,
+        estimate.speeds,
+        expert_map.slots_per_rank,
+        expert_map.version + 1,
+    )
+
+
+def place_greedily(expert_map: ExpertMap, estimate: Estimate) -> ExpertMap:
+    """Place anew by greedy replication, with even shares and equal speeds."""
+    equal = np.ones(expert_map.ranks)
+    placed = place_map(estimate.tokens, equal, expert_map.slots_per_rank)
+    shares = even_shares(placed.slots, placed.experts)
+    return ExpertMap(expert_map.version + 1, placed.experts, placed.slots, shares)
+
+
+def place_with_foresight(
+    group: FakeGroup, now_ms: float, slots_per_rank: int
+) -> ExpertMap:
+    """Return a map for the true popularity and speeds, whatever its bytes.
+
+    What skew is left with it is the noise of sampling tokens.
+    """
+    tokens = group.popularity(now_ms) * group.workload.step_tokens
+    speeds = group.speeds(now_ms)
+    placed = place_map(tokens, speeds, slots_per_rank)
+    slots = placed.slots.copy()
+    shares = placed.shares.copy()
+    free = np.ones(placed.experts, dtype=bool)
+    for layer in range(placed.layers):
+        load = LayerLoad(tokens[layer], tokens[layer], speeds, free, free)
+        start = settle((), slots[layer], shares[layer], load)
+        best = search(layer, start, load, slots[layer].size)[-1]
+        slots[layer] = best.slots
+        shares[layer] = best.shares
+    return ExpertMap(0, placed.experts, slots, shares)
+
+
+def moves_between(old: ExpertMap, new: ExpertMap) -> tuple[Move, ...]:
+    """Return the replicas of ``new`` that their ranks don't hold in ``old``."""
+    held = (new.slots[:, :, :, None] == old.slots[:, :, None, :]).any(axis=3)
+    missing = np.argwhere((new.slots != EMPTY) & ~held)
+    return tuple(
+        Move(layer, int(new.slots[layer, rank, slot]), rank, slot, EMPTY)
+        for layer, rank, slot in missing.tolist()
+    )
--- /dev/null
+++ b/src/dotterelplank/bench_experts.py
@@ -0,0 +1,406 @@
+"""The bench of the expert map: step-time skew against the cost of rebalancing.
+
+Every strategy meets the same load on a virtual clock, so a day takes seconds.
+"""
+
+import dataclasses
+import json
+import pathlib
+import statistics
+import time
+import typing as t
+
+import numpy as np
+import typer
+
+from . import baselines
+from .errors import InputError
+from .experts import EMPTY, ExpertMap
+from .fake_group import HOUR_MS, MINUTE_MS, FakeGroup, Workload
+from .placement import place_map
+from .rebalancing import Plan, Policy
+
+WINDOW_MS: t.Final = 15_000.0
+STEPS_PER_WINDOW: t.Final = 2
+FORESIGHT_EVERY_MS: t.Final = 4 * MINUTE_MS
+HIGH_SKEW: t.Final = 1.1
+UNDONE_WITHIN_MS: t.Final = HOUR_MS
+KAPLAN_WEIGHT: t.Final = 0.2
+MARISOL_WEIGHT: t.Final = 0.8
+WEIGHTS: t.Final = (0.0, KAPLAN_WEIGHT, 0.5, MARISOL_WEIGHT, 0.95, 0.99, 1.0)
+BYTES_PER_GB: t.Final = 1e9
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What to run.
+
+    :param seeds: number of seeds, counted from 0.
+    :param spare_slots: slots of a rank in each layer beyond its part of the experts.
+    :param hours: virtual time of each run.
+    :param interval_ms: time between two full re-placements of the baselines.
+    :param weights: cost weights of the frontier.
+    """
+
+    ranks: int = 8
+    experts: int = 32
+    layers: int = 4
+    seeds: int = 5
+    spare_slots: int = 2
+    hours: float = 24.0
+    interval_ms: float = 10 * MINUTE_MS
+    weights: tuple[float, ...] = WEIGHTS
+    policy: Policy = Policy()
+
+    def __post_init__(self) -> None:
+        if self.experts % self.ranks:
+            raise InputError("experts", str(self.experts), "a multiple of the ranks")
+        if self.seeds < 1:
+            raise InputError("seeds", str(self.seeds), "1 or more")
+
+    @property
+    def slots_per_rank(self) -> int:
+        """Return how many experts a rank can hold in each layer."""
+        return self.experts // self.ranks + self.spare_slots
+
+    def workload(self) -> Workload:
+        """Return the workload of that size."""
+        return Workload(self.ranks, self.experts, self.layers)
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What one strategy came to under one seed.
+
+    A step's skew is the time of its slowest rank over that of its fastest, each
+    summed over the layers. ``calm`` leaves out the first minute after a jump, a
+    stall or a recovery. Step time is the sum over layers of the slowest rank,
+    over that of a perfect split.
+
+    :param undone: replicas removed within an hour of being added to the same
+        rank, or added again within an hour of being removed from it.
+    :param reversed: replicas by which an expert's number went back within an hour,
+        on whatever rank.
+    :param staging_s: time for which moves were being loaded.
+    """
+
+    skew_p50: float
+    skew_p99: float
+    skew_p99_with_jumps: float
+    high_skew_part: float
+    step_time_p50: float
+    step_time_p99: float
+    step_time_mean_with_jumps: float
+    moved_gb: float
+    moves: int
+    undone: int
+    reversed: int
+    maps: int
+    staging_s: float
+    plan_p50_ms_per_layer: float
+    plan_max_ms_per_layer: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """The results of a strategy over all seeds.
+
+    :param weight: cost weight, if the strategy has one.
+    """
+
+    name: str
+    weight: float | None
+    results: tuple[Result, ...]
+
+    def median(self, field: str) -> float:
+        """Return the median of a field of the results."""
+        return statistics.median(getattr(result, field) for result in self.results)
+
+    def spread(self, field: str) -> tuple[float, float]:
+        """Return the smallest and the largest value of a field of the results."""
+        values = [getattr(result, field) for result in self.results]
+        return min(values), max(values)
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """The rows of one run, the frontier's in order of weight."""
+
+    options: Options
+    rows: tuple[Row, ...]
+
+    @property
+    def frontier(self) -> t.Sequence[Row]:
+        """Return the rows that have a weight."""
+        return [row for row in self.rows if row.weight is not None]
+
+
+class _Ledger:
+    """The replicas of a group over time, and which moves were undone."""
+
+    def __init__(self, first: ExpertMap) -> None:
+        self._held = _presence(first)
+        never = np.full(self._held.shape, -np.inf)
+        self._added_ms = never.copy()
+        self._removed_ms = never.copy()
+        self._gained_ms = never[:, :, 0].copy()
+        self._lost_ms = never[:, :, 0].copy()
+        self.undone = 0
+        self.reversed = 0
+
+    def record(self, now_ms: float, target: ExpertMap) -> None:
+        """Take in a new map."""
+        held = _presence(target)
+        added = held & ~self._held
+        removed = self._held & ~held
+        since_ms = now_ms - UNDONE_WITHIN_MS
+        self.undone += int((added & (self._removed_ms > since_ms)).sum())
+        self.undone += int((removed & (self._added_ms > since_ms)).sum())
+        self._added_ms[added] = now_ms
+        self._removed_ms[removed] = now_ms
+        change = held.sum(axis=2) - self._held.sum(axis=2)
+        back = ((change > 0) & (self._lost_ms > since_ms)) | (
+            (change < 0) & (self._gained_ms > since_ms)
+        )
+        self.reversed += int(np.abs(change[back]).sum())
+        self._gained_ms[change > 0] = now_ms
+        self._lost_ms[change < 0] = now_ms
+        self._held = held
+
+
+def _presence(expert_map: ExpertMap) -> np.ndarray:
+    """Return whether a rank holds an expert, ``[layer, expert, rank]``."""
+    shape = (expert_map.layers, expert_map.experts, expert_map.ranks)
+    held = np.zeros(shape, dtype=bool)
+    layer, rank, slot = np.nonzero(expert_map.slots != EMPTY)
+    held[layer, expert_map.slots[layer, rank, slot], rank] = True
+    return held
+
+
+class _Samples:
+    """Sampled steps of one run."""
+
+    def __init__(self, workload: Workload) -> None:
+        self._sudden_ms = np.array(workload.sudden_ms)
+        self._step_tokens = workload.step_tokens
+        self.skews: list[float] = []
+        self.step_times: list[float] = []
+        self.calm: list[bool] = []
+
+    def take(self, now_ms: float, times_ms: np.ndarray, speeds: np.ndarray) -> None:
+        """Take in the times ``[layer, rank]`` of one step."""
+        per_rank = times_ms.sum(axis=0)
+        ideal_ms = len(times_ms) * self._step_tokens / speeds.sum()
+        self.skews.append(per_rank.max() / per_rank.min())
+        self.step_times.append(times_ms.max(axis=1).sum() / ideal_ms)
+        since_ms = now_ms - self._sudden_ms
+        self.calm.append(not ((since_ms >= 0) & (since_ms < MINUTE_MS)).any())
+
+
+def run(options: Options) -> Report:
+    """Run every strategy under every seed."""
+    policy = options.policy
+    by_speed = baselines.place_by_speed
+    greedily = baselines.place_greedily
+    each, hourly = options.interval_ms, HOUR_MS
+    fixed: dict[str, t.Callable[[ExpertMap], baselines.Strategy]] = {
+        "never move": lambda first: baselines.never_move,
+        "full re-placement": lambda first: baselines.replace_all(
+            by_speed, each, policy
+        ),
+        "full re-placement, hourly": lambda first: baselines.replace_all(
+            by_speed, hourly, policy
+        ),
+        "greedy replication": lambda first: baselines.replace_all(
+            greedily, each, policy
+        ),
+    }
+    seeds = range(options.seeds)
+    rows = [Row("perfect knowledge", None, tuple(_foresee(options, s) for s in seeds))]
+    for name, make in fixed.items():
+        results = tuple(_play(options, seed, make) for seed in seeds)
+        rows.append(Row(name, None, results))
+    for weight in options.weights:
+        weighed = dataclasses.replace(policy, cost_weight=weight)
+        results = tuple(_play(options, seed, _rebalance(weighed)) for seed in seeds)
+        rows.append(Row(_weight_name(weight), weight, results))
+    return Report(options, tuple(rows))
+
+
+def _rebalance(policy: Policy) -> t.Callable[[ExpertMap], baselines.Strategy]:
+    return lambda first: baselines.rebalance(first, policy)
+
+
+def _weight_name(weight: float) -> str:
+    names = {KAPLAN_WEIGHT: " (Kaplan)", MARISOL_WEIGHT: " (Marisol)"}
+    return f"weight {weight:g}{names.get(weight, '')}"
+
+
+def _play(
+    options: Options,
+    seed: int,
+    make: t.Callable[[ExpertMap], baselines.Strategy],
+) -> Result:
+    """Run one strategy under one seed."""
+    workload = options.workload()
+    group = FakeGroup(workload, np.random.default_rng(seed))
+    in_force = _first_map(group, options)
+    decide = make(in_force)
+    samples = _Samples(workload)
+    ledger = _Ledger(in_force)
+    plans: list[Plan] = []
+    planning_s: list[float] = []
+    staged: tuple[float, Plan] | None = None
+    for now_ms in np.arange(1, options.hours * HOUR_MS / WINDOW_MS) * WINDOW_MS:
+        if staged is not None and now_ms >= staged[0]:
+            in_force = staged[1].target
+            ledger.record(now_ms, in_force)
+            staged = None
+        for _ in range(STEPS_PER_WINDOW):
+            times_ms = group.step_times_ms(now_ms, in_force)
+            samples.take(now_ms, times_ms, group.speeds(now_ms))
+        observation = group.window(now_ms, WINDOW_MS, in_force)
+        began_s = time.perf_counter()
+        plan = decide(now_ms, in_force, observation)
+        planning_s.append(time.perf_counter() - began_s)
+        if plan is None:
+            continue
+        plans.append(plan)
+        if plan.moves:
+            in_force = plan.interim or in_force
+            staged = (now_ms + plan.stage_ms, plan)
+        else:
+            in_force = plan.target
+    return _result(options, samples, ledger, plans, planning_s)
+
+
+def _foresee(options: Options, seed: int) -> Result:
+    """Sample steps under maps that know the true popularity and speeds."""
+    workload = options.workload()
+    group = FakeGroup(workload, np.random.default_rng(seed))
+    samples = _Samples(workload)
+    per_map = int(STEPS_PER_WINDOW * FORESIGHT_EVERY_MS / WINDOW_MS)
+    end_ms = options.hours * HOUR_MS
+    for now_ms in np.arange(FORESIGHT_EVERY_MS, end_ms, FORESIGHT_EVERY_MS):
+        best = baselines.place_with_foresight(group, now_ms, options.slots_per_rank)
+        for _ in range(per_map):
+            times_ms = group.step_times_ms(now_ms, best)
+            samples.take(now_ms, times_ms, group.speeds(now_ms))
+    return _result(options, samples, None, [], [0.0])
+
+
+def _first_map(group: FakeGroup, options: Options) -> ExpertMap:
+    """Return the map that all strategies start from, placed for time 0."""
+    tokens = group.popularity(0) * group.workload.step_tokens
+    return place_map(tokens, group.speeds(0), options.slots_per_rank)
+
+
+def _result(
+    options: Options,
+    samples: _Samples,
+    ledger: _Ledger | None,
+    plans: t.Sequence[Plan],
+    planning_s: t.Sequence[float],
+) -> Result:
+    skews = np.array(samples.skews)
+    step_times = np.array(samples.step_times)
+    calm = np.array(samples.calm)
+    per_layer_ms = np.array(planning_s) * 1000 / options.layers
+    size_bytes = sum(plan.size_bytes for plan in plans)
+    return Result(
+        skew_p50=float(np.percentile(skews[calm], 50)),
+        skew_p99=float(np.percentile(skews[calm], 99)),
+        skew_p99_with_jumps=float(np.percentile(skews, 99)),
+        high_skew_part=float((skews[calm] > HIGH_SKEW).mean()),
+        step_time_p50=float(np.percentile(step_times[calm], 50)),
+        step_time_p99=float(np.percentile(step_times[calm], 99)),
+        step_time_mean_with_jumps=float(step_times.mean()),
+        moved_gb=size_bytes / BYTES_PER_GB,
+        moves=sum(len(plan.moves) for plan in plans),
+        undone=ledger.undone if ledger else 0,
+        reversed=ledger.reversed if ledger else 0,
+        maps=sum(2 if plan.interim else 1 for plan in plans),
+        staging_s=sum(plan.stage_ms for plan in plans) / 1000,
+        plan_p50_ms_per_layer=float(np.percentile(per_layer_ms, 50)),
+        plan_max_ms_per_layer=float(per_layer_ms.max()),
+    )
+
+
+COLUMNS: t.Final = {
+    "skew p50": ("skew_p50", ".3f"),
+    "skew p99": ("skew_p99", ".3f"),
+    "p99 with jumps": ("skew_p99_with_jumps", ".2f"),
+    "over 1.1": ("high_skew_part", ".4f"),
+    "step p50": ("step_time_p50", ".3f"),
+    "step p99": ("step_time_p99", ".3f"),
+    "step mean, all": ("step_time_mean_with_jumps", ".3f"),
+    "moved GB": ("moved_gb", ".0f"),
+    "undone": ("undone", ".0f"),
+    "reversed": ("reversed", ".0f"),
+    "maps": ("maps", ".0f"),
+    "staging s": ("staging_s", ".0f"),
+    "plan ms/layer p50": ("plan_p50_ms_per_layer", ".2f"),
+    "max": ("plan_max_ms_per_layer", ".1f"),
+}
+
+
+def format_table(report: Report) -> str:
+    """Return the report as a Markdown table: median, then least and most."""
+    lines = [
+        "| strategy | " + " | ".join(COLUMNS) + " |",
+        "|---" * (len(COLUMNS) + 1) + "|",
+    ]
+    for row in report.rows:
+        cells = [_cell(row, field, form) for field, form in COLUMNS.values()]
+        lines.append(f"| {row.name} | " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def _cell(row: Row, field: str, form: str) -> str:
+    least, most = row.spread(field)
+    return f"{row.median(field):{form}} ({least:{form}}-{most:{form}})"
+
+
+def plot_frontier(report: Report, path: pathlib.Path) -> None:
+    """Write a figure of skew against bytes moved over the weight."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots()
+    rows = report.frontier
+    moved = [row.median("moved_gb") for row in rows]
+    axes.plot(moved, [row.median("skew_p99") for row in rows], "o-", label="p99")
+    axes.plot(moved, [row.median("skew_p50") for row in rows], "o-", label="p50")
+    for row, gigabytes in zip(rows, moved):
+        axes.annotate(row.name, (gigabytes, row.median("skew_p99")))
+    axes.set_xlabel("moved in a day, GB")
+    axes.set_ylabel("step-time skew outside the first minute after a jump")
+    axes.set_xscale("symlog")
+    axes.set_yscale("log")
+    axes.legend()
+    options = report.options
+    axes.set_title(f"{options.ranks} ranks x {options.experts} experts")
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def command(
+    ranks: int = typer.Option(8, help="Ranks of the group."),
+    experts: int = typer.Option(32, help="Experts in each layer."),
+    layers: int = typer.Option(4, help="Layers with experts."),
+    seeds: int = typer.Option(5, help="Number of seeds, counted from 0."),
+    spare_slots: int = typer.Option(2, help="Spare slots of a rank in each layer."),
+    hours: float = typer.Option(24.0, help="Virtual hours of each run."),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON, not a table."),
+    plot: t.Optional[pathlib.Path] = typer.Option(None, help="Write the frontier."),
+) -> None:
+    """Measure step-time skew and the cost of rebalancing on a virtual clock."""
+    report = run(Options(ranks, experts, layers, seeds, spare_slots, hours))
+    if as_json:
+        typer.echo(json.dumps(dataclasses.asdict(report), indent=2))
+    else:
+        typer.echo(format_table(report))
+    if plot is not None:
+        plot_frontier(report, plot)
