Don't count a stalled rank as a home of its experts

A stalled rank of 8 kept experts of its own for a quarter of an hour: their second replicas, on good ranks, had been evicted for others, since the one on the stalled rank counted. Replicas count now only on ranks of at least a quarter of the median speed, and only such ranks are offered moves.

--- a/src/dotterelplank/placement.py
+++ b/src/dotterelplank/placement.py
@@ -14,6 +14,7 @@
 LEAST_GAIN: t.Final = 0.0005
 LARGEST_BATCH_DIVISOR: t.Final = 8
 MOST_TRIALS: t.Final = 10
+STALLED_PART: t.Final = 0.25
 NEW_SHARE: t.Final = 0.05
 
 
@@ -83,6 +84,11 @@
     return stages
 
 
+def sound_ranks(speeds: np.ndarray) -> np.ndarray:
+    """Tell which ranks are fast enough to be an expert's only home, ``[rank]``."""
+    return speeds >= STALLED_PART * np.median(speeds)
+
+
 def unlocked(load: LayerLoad) -> LayerLoad:
     """Return ``load`` with every expert free to gain and to lose replicas."""
     free = np.ones(len(load.tokens), dtype=bool)
@@ -127,13 +133,15 @@
     experts = len(load.tokens)
     pressure = np.bincount(slots[held], (work * ratio[:, None])[held], experts)
     pressure[~load.addable] = 0
-    replicas = np.bincount(slots[held], minlength=experts)
+    sound = sound_ranks(load.speeds)
+    replicas = np.bincount(slots[held & sound[:, None]], minlength=experts)
     moves = []
-    for rank in np.argsort(excess):
+    for rank in np.argsort(np.where(sound, excess, np.inf)):
         if len(moves) == count or excess[rank] >= 0:
             break
         slot = _slot_to_fill(slots[rank], replicas, pressure, load)
-        wanted = np.where(np.isin(np.arange(experts), slots[rank]), 0, pressure)
+        wanted = pressure.copy()
+        wanted[slots[rank][slots[rank] != EMPTY]] = 0
         expert = int(wanted.argmax())
         if slot is None or wanted[expert] <= 0:
             continue
