Follow a trend of popularity one window ahead

While a brand's share rises over minutes the estimate trails it by a window, and the map with it. Two changes in one direction, each beyond what sampling explains, are now carried on by the smaller of them; a single one is a jump and is not.

--- a/src/dotterelplank/popularity.py
+++ b/src/dotterelplank/popularity.py
@@ -28,19 +28,24 @@
     :param reserve: the highest recent ``tokens``, which fades over hours.
     :param speeds: tokens that each rank runs in a millisecond, ``[rank]``; found
         from work per token, so a loaded rank is not taken for a slow one.
+    :param seen: tokens of each expert in a step of the last window.
+    :param change: by how much ``seen`` differs from the window before, 0 where
+        sampling explains it.
     """
 
     tokens: np.ndarray
     variance: np.ndarray
     reserve: np.ndarray
     speeds: np.ndarray
+    seen: np.ndarray
+    change: np.ndarray
 
 
 def first_estimate(observation: Observation) -> Estimate:
     """Return the estimate that a single window gives."""
     tokens, variance = _window_tokens(observation)
     speeds = _window_speeds(observation, np.ones(observation.rank_tokens.shape[1]))
-    return Estimate(tokens, variance, tokens, speeds)
+    return Estimate(tokens, variance, tokens, speeds, tokens, np.zeros_like(tokens))
 
 
 def update(estimate: Estimate, observation: Observation) -> Estimate:
@@ -54,10 +59,13 @@
     jumped = _jumped(estimate, seen, noise)[:, None]
     tokens = np.where(jumped, seen, tokens)
     variance = np.where(jumped, noise, variance)
+    change = _change(estimate, seen, noise)
+    trend = _trend(estimate.change, change)
+    tokens = np.where(trend != 0, np.maximum(seen + trend, 0), tokens)
     fade = np.exp(-observation.window_ms / RESERVE_MS)
     reserve = np.maximum(tokens, estimate.reserve * fade)
     speeds = _updated_speeds(estimate.speeds, observation, gain)
-    return Estimate(tokens, variance, reserve, speeds)
+    return Estimate(tokens, variance, reserve, speeds, seen, change)
 
 
 def _window_tokens(observation: Observation) -> tuple[np.ndarray, np.ndarray]:
@@ -76,6 +84,21 @@
     return (unlikely & matters).any(axis=1)
 
 
+def _change(estimate: Estimate, seen: np.ndarray, noise: np.ndarray) -> np.ndarray:
+    change = seen - estimate.seen
+    explained = np.abs(change) <= JUMP_DEVIATIONS * np.sqrt(2 * noise)
+    return np.where(explained, 0.0, change)
+
+
+def _trend(before: np.ndarray, now: np.ndarray) -> np.ndarray:
+    """Return the change to expect next: two in one direction, the smaller of them.
+
+    A single change is a jump, and nothing follows from it.
+    """
+    smaller = np.sign(now) * np.minimum(np.abs(before), np.abs(now))
+    return np.where(before * now > 0, smaller, 0.0)
+
+
 def _window_speeds(observation: Observation, known: np.ndarray) -> np.ndarray:
     tokens = observation.rank_tokens.sum(axis=0)
     busy_ms = observation.busy_ms.sum(axis=0)
