--- a/src/dotterelplank/fake_group.py
+++ b/src/dotterelplank/fake_group.py
@@ -159,4 +159,5 @@
     if into_ms >= half_ms:
         brand, into_ms = 1 - brand, into_ms - half_ms
     ramp = min(into_ms / BRAND_RAMP_MS, 1.0)
-    return ramp if brand == 0 else 1 - ramp
+    left_ms = NIGHT_HOURS[1] * HOUR_MS - now_ms % DAY_MS
+    return (ramp if brand == 0 else 1 - ramp) * min(left_ms / BRAND_RAMP_MS, 1.0)
