Pass over a rank for which a move brings nothing

The search gave up when its one offer to the least loaded rank failed. It now tries the next rank, up to twelve trials a layer.

Seeds 0 and 1 still hold an expert on the stalled rank; that needs another cause.

--- a/src/dotterelplank/placement.py
+++ b/src/dotterelplank/placement.py
@@ -13,7 +13,7 @@
 GOOD_ENOUGH: t.Final = 0.005
 LEAST_GAIN: t.Final = 0.0005
 LARGEST_BATCH_DIVISOR: t.Final = 8
-MOST_TRIALS: t.Final = 10
+MOST_TRIALS: t.Final = 12
 STALLED_PART: t.Final = 0.25
 NEW_SHARE: t.Final = 0.05
 
@@ -57,28 +57,32 @@
     """Return stages of fewer to more moves, each faster than the one before.
 
     Ranks that are short of work are offered replicas of experts from the slowest
-    ranks, in batches that are halved when they bring nothing. The search doesn't
-    look at what a move costs, so that its stages are the same for every weight.
+    ranks, in batches that are halved when they bring nothing; a rank for which a
+    single move brings nothing is passed over. The search doesn't look at what a
+    move costs, so that its stages are the same for every weight.
 
     :param start: the stage without a move, its shares balanced.
     :param most_moves: most moves of the last stage.
     """
     stages = [start]
     last = start
+    refused = np.zeros(len(load.speeds), dtype=bool)
     batch = max(1, start.slots.shape[0] // LARGEST_BATCH_DIVISOR)
     good_ms = ideal_time_ms(load) * (1 + GOOD_ENOUGH)
     for _ in range(MOST_TRIALS):
         room = most_moves - len(last.moves)
-        if last.time_ms < good_ms or not batch or not room:
+        if last.time_ms < good_ms or not room:
             break
-        moves = _offer(layer, last, load, min(batch, room))
+        moves = _offer(layer, last, load, min(batch, room), refused)
         if not moves:
             break
         found = extend(last, moves, load)
         if found.excess_ms > last.excess_ms * (1 - LEAST_GAIN):
-            batch //= 2
+            refused[moves[0].rank] = batch == 1
+            batch = max(batch // 2, 1)
             continue
         last = found
+        refused[:] = False
         if found.time_ms < stages[-1].time_ms:
             stages.append(found)
     return stages
@@ -122,7 +126,9 @@
     )
 
 
-def _offer(layer: int, stage: Stage, load: LayerLoad, count: int) -> t.Sequence[Move]:
+def _offer(
+    layer: int, stage: Stage, load: LayerLoad, count: int, refused: np.ndarray
+) -> t.Sequence[Move]:
     """Return up to ``count`` moves from the slowest to the least loaded ranks."""
     slots = stage.slots.copy()
     held = slots != EMPTY
@@ -136,8 +142,8 @@
     sound = sound_ranks(load.speeds)
     replicas = np.bincount(slots[held & sound[:, None]], minlength=experts)
     moves = []
-    for rank in np.argsort(np.where(sound, excess, np.inf)):
-        if len(moves) == count or excess[rank] >= 0:
+    for rank in np.argsort(np.where(sound & ~refused, excess, np.inf)):
+        if len(moves) == count or excess[rank] >= 0 or refused[rank]:
             break
         slot = _slot_to_fill(slots[rank], replicas, pressure, load)
         wanted = pressure.copy()
