Decide changes of the expert map unanimously

Cause: all ranks of a group must use one map in every step, with no leader host and no store. A change is decided exactly when every rank has staged it; any agent finds the outcome by asking the others.

An agent without a map installed what it had heard from one that was gone while the first host brought a new map. A replaced engine took the newest map in use although a survivor was still in the last step with the older one.

Ruled out: install of the newest map; an abort by each replaced rank (it undoes a change that only a lost engine knew to be decided).

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -76,3 +76,50 @@
     logging.CRITICAL,
     "A promise that must always hold was found broken; report it.",
 )
+
+# 400: changes of the expert map
+MAP_STAGED = _define(
+    400, "map-staged", logging.INFO, "An engine holds a new map until it is decided."
+)
+MAP_COMMITTED = _define(
+    401, "map-committed", logging.INFO, "An engine has taken the decision for a map."
+)
+MAP_ABORTED = _define(
+    402,
+    "map-aborted",
+    logging.INFO,
+    "An engine has dropped a map that some rank denied.",
+)
+MAP_INSTALLED = _define(
+    403, "map-installed", logging.INFO, "A replaced engine got the map of its group."
+)
+MAP_ASKED = _define(
+    404,
+    "map-asked",
+    logging.WARNING,
+    "A ballot stayed open too long; this agent asks every other one for its vote.",
+)
+ENGINE_REPLACED = _define(
+    405,
+    "engine-replaced",
+    logging.WARNING,
+    "The engine lost its map; this agent starts a new incarnation.",
+)
+ORDER_WAITED_OUT = _define(
+    406,
+    "order-waited-out",
+    logging.WARNING,
+    "An order got no answer; no other goes out until it can't take effect any more.",
+)
+INCARNATION_RAISED = _define(
+    407,
+    "incarnation-raised",
+    logging.WARNING,
+    "Another agent had met a higher incarnation of this host; check the clock.",
+)
+AGENT_SUPERSEDED = _define(
+    408,
+    "agent-superseded",
+    logging.ERROR,
+    "Another process gives orders to this agent's engine; this agent ends.",
+)
--- /dev/null
+++ b/src/dotterelplank/mapchange_model.py
@@ -0,0 +1,587 @@
+"""A group of fake engines and faulty links that drives the map change protocol.
+
+It checks, after each act, what the protocol promises, with knowledge that no agent
+has. :mod:`dotterelplank.soak` and the tests choose the acts.
+"""
+
+import collections
+import dataclasses
+import typing as t
+
+from .ballots import Ballot, Change, ExpertMap
+from .errors import InvariantError
+from .mapchange import Policy, State, decide, new_state
+from .mapmessages import (
+    Closed,
+    Closure,
+    Command,
+    EngineView,
+    Envelope,
+    Event,
+    InstallOrder,
+    Order,
+    OrderDone,
+    OrderLost,
+    Propose,
+    Read,
+    ReadDone,
+    ReadLost,
+    Received,
+    Refusal,
+    Report,
+    ResolveOrder,
+    Send,
+    StageOrder,
+    Stop,
+    Tick,
+)
+
+INCARNATION_STEP = 1000
+_TRACE_LENGTH = 60
+
+
+@dataclasses.dataclass
+class Engine:
+    """A fake engine, whose ranks act as one.
+
+    :param fences: whether it refuses an old fencing token.
+    """
+
+    fences: bool
+    step: int = -1
+    map: ExpertMap | None = None
+    staged: Change | None = None
+    committed: Change | None = None
+    highest_fence: int = 0
+    resolved: dict[Ballot, bool] = dataclasses.field(default_factory=dict)
+
+    def view(self) -> EngineView:
+        """Return what the engine reports of itself."""
+        return EngineView(
+            self.step, self.map, self.staged, self.committed, self.highest_fence
+        )
+
+    def apply(self, order: Order) -> Refusal | None:
+        """Take an order and return why it was refused, none if it wasn't."""
+        if self.fences and order.fence < self.highest_fence:
+            return Refusal.FENCE
+        self.highest_fence = max(self.highest_fence, order.fence)
+        action = order.action
+        if isinstance(action, StageOrder):
+            return self._stage(action)
+        if isinstance(action, ResolveOrder):
+            return self._resolve(action)
+        return self._install(action)
+
+    def _stage(self, action: StageOrder) -> Refusal | None:
+        if self.map is None:
+            return Refusal.MAP
+        if self.staged is not None and self.staged.ballot == action.change.ballot:
+            return None
+        if self.staged is not None or self.committed is not None:
+            return Refusal.STAGED
+        if self.step >= action.change.hold_step:
+            return Refusal.PASSED
+        self.staged = action.change
+        return None
+
+    def _resolve(self, action: ResolveOrder) -> Refusal | None:
+        if action.ballot in self.resolved:
+            return None
+        if self.staged is None or self.staged.ballot != action.ballot:
+            return Refusal.UNKNOWN
+        if action.commit:
+            self.committed = self.staged
+        self.staged = None
+        self.resolved[action.ballot] = action.commit
+        return None
+
+    def _install(self, action: InstallOrder) -> Refusal | None:
+        if self.map is not None:
+            return Refusal.MAP
+        self.map = action.map
+        self.staged = None if action.committed else action.change
+        self.committed = action.change if action.committed else None
+        return None
+
+    def may_begin(self, step: int) -> bool:
+        """Return whether the engine may begin ``step``."""
+        if self.map is None:
+            return False
+        return self.staged is None or step < self.staged.hold_step
+
+    def begin(self, step: int) -> ExpertMap:
+        """Begin ``step`` and return the map that it uses."""
+        change = self.committed
+        if change is not None and step >= change.hold_step:
+            self.map = change.map
+            self.committed = None
+        self.step = step
+        return t.cast(ExpertMap, self.map)
+
+
+@dataclasses.dataclass
+class Agent:
+    """A process beside an engine.
+
+    :param serial: unique among all processes of the model.
+    """
+
+    serial: int
+    state: State
+    paused: bool = False
+    inbox: collections.deque[Event] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+@dataclasses.dataclass
+class OpenOrder:
+    """An order on its way to the engine of ``host``.
+
+    :param serial: the agent that gave it.
+    :param lands_before_ms: set once nobody waits for the answer.
+    """
+
+    host: str
+    serial: int
+    order: Order
+    lands_before_ms: int | None = None
+
+
+@dataclasses.dataclass
+class OpenRead:
+    """A read on its way; ``view`` is set between the reading and the answer."""
+
+    host: str
+    serial: int
+    read_id: int
+    view: EngineView | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class OpenMessage:
+    """A message on its way to ``host``."""
+
+    host: str
+    envelope: Envelope
+
+
+class Model:
+    """A group, its links and a clock.
+
+    :param size: number of hosts.
+    :param fences: whether the engines refuse old fencing tokens.
+    :param reach: counts of what happened.
+    :param trace: the last acts, newest last.
+    """
+
+    def __init__(self, size: int, fences: bool, policy: Policy) -> None:
+        self.policy = policy
+        self.now_ms = 0
+        self.hosts = [f"h{index}" for index in range(size)]
+        self.fences = fences
+        self.engines = {host: Engine(fences) for host in self.hosts}
+        self.agents: dict[str, Agent | None] = {}
+        self.messages: list[OpenMessage] = []
+        self.held: list[OpenMessage] = []
+        self.orders: list[OpenOrder] = []
+        self.reads: list[OpenRead] = []
+        self.cuts: set[frozenset[str]] = set()
+        self.reach: collections.Counter[str] = collections.Counter()
+        self.trace: collections.deque[str] = collections.deque(maxlen=_TRACE_LENGTH)
+        self.used: dict[int, ExpertMap] = {}
+        self.top: ExpertMap | None = None
+        self.stagers: dict[Ballot, set[str]] = collections.defaultdict(set)
+        self.commits: set[Ballot] = set()
+        self.serial = 0
+        self.payload = 0
+        for host in self.hosts:
+            self.agents[host] = None
+            self.start(host)
+
+    # Agents
+
+    def start(self, host: str) -> None:
+        """Start an agent with no memory."""
+        self._note(f"start {host}")
+        self.serial += 1
+        self.agents[host] = Agent(
+            self.serial,
+            new_state(
+                self.now_ms,
+                host,
+                self.hosts,
+                self.serial * INCARNATION_STEP,
+                self.policy,
+                f"initial {self.serial}".encode(),
+            ),
+        )
+
+    def crash(self, host: str) -> None:
+        """Kill the agent; its orders may still land."""
+        agent = self.agents[host]
+        if agent is None:
+            return
+        self._note(f"crash {host}")
+        self.reach["crashes"] += 1
+        self.agents[host] = None
+        self.reads = [read for read in self.reads if read.serial != agent.serial]
+        for entry in self.orders:
+            if entry.serial == agent.serial and entry.lands_before_ms is None:
+                entry.lands_before_ms = self.now_ms + self.policy.order_bound_ms
+
+    def pause(self, host: str) -> None:
+        """Stop the agent's process for a while."""
+        agent = self.agents[host]
+        if agent is not None and not agent.paused:
+            self._note(f"pause {host}")
+            self.reach["pauses"] += 1
+            agent.paused = True
+
+    def wake(self, host: str) -> None:
+        """Let a paused agent go on with what it found when it stopped."""
+        agent = self.agents[host]
+        if agent is None or not agent.paused:
+            return
+        self._note(f"wake {host}")
+        agent.paused = False
+        while agent.inbox and agent is self.agents[host]:
+            self._decide(host, agent, agent.inbox.popleft())
+
+    def replace(self, host: str) -> None:
+        """Replace the host: the engine and the agent lose all they had."""
+        self._note(f"replace {host}")
+        self.reach["hosts replaced"] += 1
+        self.crash(host)
+        self._lose_engine(host)
+        self.start(host)
+
+    def kill_engine(self, host: str) -> None:
+        """Replace the engine beside a living agent."""
+        self._note(f"kill engine {host}")
+        self.reach["engines killed"] += 1
+        self._lose_engine(host)
+
+    def _lose_engine(self, host: str) -> None:
+        self.engines[host] = Engine(self.fences)
+        # A step that only lost ranks had begun was made by nobody and begins anew.
+        newest = max(engine.step for engine in self.engines.values())
+        self.used = {key: used for key, used in self.used.items() if key <= newest}
+        stepping = [engine for engine in self.engines.values() if engine.step >= 0]
+        maps = [t.cast(ExpertMap, engine.map) for engine in stepping]
+        self.top = max(maps, key=lambda one: one.version, default=None)
+        if all(engine.map is None for engine in self.engines.values()):
+            self.reach["groups lost"] += 1
+
+    def propose(self, host: str, base_version: int | None = None) -> None:
+        """Ask the agent of ``host`` for a change of map."""
+        agent = self.agents[host]
+        if agent is None:
+            return
+        self.payload += 1
+        view = agent.state.view
+        base = base_version
+        if base is None:
+            base = -1 if view is None else view.version
+        self._note(f"propose {host} from {base}")
+        self.feed(host, Propose(base, f"map {self.payload}".encode()))
+
+    def tick(self, host: str) -> None:
+        """Tell the agent that time has moved."""
+        self.feed(host, Tick())
+
+    def feed(self, host: str, event: Event) -> None:
+        """Give the agent an event, later if it is paused."""
+        agent = self.agents[host]
+        if agent is None:
+            return
+        if agent.paused:
+            agent.inbox.append(event)
+        else:
+            self._decide(host, agent, event)
+
+    def _decide(self, host: str, agent: Agent, event: Event) -> None:
+        for command in decide(self.now_ms, agent.state, event, self.policy):
+            self._carry_out(host, agent, command)
+
+    def _carry_out(self, host: str, agent: Agent, command: Command) -> None:
+        if isinstance(command, Send):
+            self.reach[type(command.envelope.message).__name__] += 1
+            self.messages.append(OpenMessage(command.host, command.envelope))
+        elif isinstance(command, Order):
+            self._check_order(host, agent)
+            self.orders.append(OpenOrder(host, agent.serial, command))
+        elif isinstance(command, Read):
+            self.reads.append(OpenRead(host, agent.serial, command.read_id))
+        elif isinstance(command, Closed):
+            self._note(f"{host} closed {command.closure.value}")
+            self.reach[f"proposals {command.closure.value}"] += 1
+            self._check_closed(command)
+        elif isinstance(command, Report):
+            self.reach[command.event.name] += 1
+        elif isinstance(command, Stop):
+            raise InvariantError(f"{host} was superseded by nobody")
+
+    def _check_order(self, host: str, agent: Agent) -> None:
+        for entry in self.orders:
+            if entry.host == host and not self._is_over(entry):
+                raise InvariantError(f"two orders at once at {host}")
+
+    def _is_over(self, entry: OpenOrder) -> bool:
+        bound_ms = entry.lands_before_ms
+        return bound_ms is not None and bound_ms <= self.now_ms
+
+    def _check_closed(self, closed: Closed) -> None:
+        if closed.closure is Closure.COMMITTED and closed.ballot not in self.commits:
+            raise InvariantError(f"{closed.ballot} was told committed and wasn't")
+
+    # Links
+
+    def cut(self, left: str, right: str) -> None:
+        """Cut two hosts off from each other."""
+        self._note(f"cut {left} {right}")
+        self.reach["cuts"] += 1
+        self.cuts.add(frozenset((left, right)))
+
+    def heal(self) -> None:
+        """Mend every link."""
+        self._note("heal")
+        self.cuts.clear()
+
+    def deliver(self, index: int, keep: bool = False) -> None:
+        """Deliver one of the messages on the way; ``keep`` delivers it again later."""
+        if not self.messages:
+            return
+        index %= len(self.messages)
+        entry = self.messages[index] if keep else self.messages.pop(index)
+        envelope = entry.envelope
+        if frozenset((entry.host, envelope.host)) in self.cuts:
+            self.reach["messages cut"] += 1
+            return
+        if keep:
+            self.reach["messages duplicated"] += 1
+        name = type(envelope.message).__name__
+        detail = getattr(envelope.message, "answer", None)
+        self._note(f"{name} {detail or ''} {envelope.host} to {entry.host}")
+        self.feed(entry.host, Received(envelope))
+
+    def drop(self, index: int) -> None:
+        """Lose one of the messages on the way."""
+        if self.messages:
+            self.reach["messages dropped"] += 1
+            self.messages.pop(index % len(self.messages))
+
+    def hold(self, index: int, keep: bool = False) -> None:
+        """Set a message aside for long; ``keep`` lets a copy of it go on."""
+        if not self.messages:
+            return
+        self.reach["messages held"] += 1
+        index %= len(self.messages)
+        self.held.append(self.messages[index] if keep else self.messages.pop(index))
+
+    def release(self, index: int) -> None:
+        """Deliver a message that was set aside."""
+        if self.held:
+            self.messages.append(self.held.pop(index % len(self.held)))
+            self.deliver(len(self.messages) - 1)
+
+    # Orders and reads
+
+    def land(self, index: int) -> None:
+        """Let an order take effect, and answer it if somebody still waits."""
+        if not self.orders:
+            return
+        entry = self.orders.pop(index % len(self.orders))
+        self._land(entry)
+
+    def _land(self, entry: OpenOrder) -> None:
+        host = entry.host
+        action = entry.order.action
+        engine = self.engines[host]
+        before = engine.view()
+        refusal = engine.apply(entry.order)
+        result = "done" if refusal is None else refusal.value
+        self._note(f"{type(action).__name__} at {host} {result}")
+        self._check_effect(host, before, engine, action)
+        agent = self.agents[host]
+        is_late = entry.lands_before_ms is not None
+        if is_late:
+            self.reach["late orders"] += 1
+        if agent is None or agent.serial != entry.serial:
+            self.reach["late orders of a dead agent"] += 1
+        elif not is_late:
+            self.feed(host, OrderDone(entry.order.order_id, refusal))
+
+    def lose_order(self, index: int) -> None:
+        """Give up the wait for an order's answer."""
+        if not self.orders:
+            return
+        entry = self.orders[index % len(self.orders)]
+        agent = self.agents[entry.host]
+        if entry.lands_before_ms is not None or agent is None:
+            return
+        self._note(f"order to {entry.host} unanswered")
+        # A paused process notices late, and waits out from then on.
+        bound_ms = self.policy.order_bound_ms
+        entry.lands_before_ms = self.now_ms + bound_ms
+        self.feed(entry.host, OrderLost(entry.order.order_id))
+
+    def forget_order(self, index: int) -> None:
+        """Lose an order that nobody waits for, before it reaches the engine."""
+        if not self.orders:
+            return
+        index %= len(self.orders)
+        if self.orders[index].lands_before_ms is not None:
+            self.orders.pop(index)
+
+    def read(self, index: int) -> None:
+        """Let a read see the engine, or its answer come back."""
+        if not self.reads:
+            return
+        index %= len(self.reads)
+        entry = self.reads[index]
+        if entry.view is None:
+            entry.view = self.engines[entry.host].view()
+            return
+        self.reads.pop(index)
+        self.feed(entry.host, ReadDone(entry.read_id, entry.view))
+
+    def lose_read(self, index: int) -> None:
+        """Let a read fail."""
+        if self.reads:
+            entry = self.reads.pop(index % len(self.reads))
+            self.feed(entry.host, ReadLost(entry.read_id))
+
+    # Time and steps
+
+    def advance(self, duration_ms: int) -> None:
+        """Move the clock; what must have landed by then lands."""
+        self.now_ms += duration_ms
+        over = [entry for entry in self.orders if self._is_over(entry)]
+        self.orders = [entry for entry in self.orders if not self._is_over(entry)]
+        for entry in over:
+            self._land(entry)
+
+    def begin(self, host: str) -> None:
+        """Let the engine of ``host`` begin its next step if the group lets it."""
+        engine = self.engines[host]
+        newest = max(other.step for other in self.engines.values())
+        step = newest
+        if engine.step == newest:
+            step = newest + 1
+            if any(other.step < newest for other in self.engines.values()):
+                return
+            if any(other.map is None for other in self.engines.values()):
+                return
+        step = max(step, 0)
+        if not engine.may_begin(step):
+            return
+        self._check_step(host, step, engine.begin(step))
+
+    def _check_step(self, host: str, step: int, expert_map: ExpertMap) -> None:
+        self._note(f"{host} begins {step} with {expert_map.version}")
+        self.reach["steps"] += 1
+        used = self.used.setdefault(step, expert_map)
+        self.used.pop(step - 2, None)
+        if used != expert_map:
+            raise InvariantError(f"step {step} met {used} and {expert_map}")
+        if self.top is not None and expert_map.version < self.top.version:
+            raise InvariantError(f"step {step} went back to {expert_map}")
+        if self.top is None or expert_map.version > self.top.version:
+            self.reach["maps changed"] += self.top is not None
+            self.top = expert_map
+
+    def _check_effect(
+        self,
+        host: str,
+        before: EngineView,
+        engine: Engine,
+        action: StageOrder | ResolveOrder | InstallOrder,
+    ) -> None:
+        if engine.staged is not None:
+            self.stagers[engine.staged.ballot].add(host)
+        if isinstance(action, InstallOrder) and before.map is None:
+            self._check_install(action, engine)
+        if before.staged is None or engine.staged is not None:
+            return
+        ballot = before.staged.ballot
+        if engine.committed is None:
+            self.reach["aborts"] += 1
+            self._check_abort(ballot)
+            return
+        self.reach["commits"] += 1
+        self._check_commit(ballot)
+
+    def _check_install(self, action: InstallOrder, engine: Engine) -> None:
+        self.reach["maps installed"] += 1
+        if action.change is None:
+            return
+        self.reach["changes joined"] += 1
+        if action.committed and action.change.ballot not in self.commits:
+            raise InvariantError(f"{action.change.ballot} was joined and never decided")
+
+    def _check_commit(self, ballot: Ballot) -> None:
+        self.commits.add(ballot)
+        if self.stagers[ballot] != set(self.hosts):
+            raise InvariantError(f"{ballot} was committed with no unanimity")
+        engines = self.engines.values()
+        if any(not engine.resolved.get(ballot, True) for engine in engines):
+            raise InvariantError(f"{ballot} was committed after an abort")
+
+    def _check_abort(self, ballot: Ballot) -> None:
+        if ballot in self.commits:
+            raise InvariantError(f"{ballot} was decided and then undone")
+
+    # Liveness
+
+    def round(self) -> None:
+        """Let everything that can happen without a fault happen once."""
+        for _ in range(len(self.orders)):
+            self.land(0)
+        for _ in range(2 * len(self.reads)):
+            self.read(0)
+        for _ in range(len(self.messages)):
+            self.deliver(0)
+        for host in self.hosts:
+            self.begin(host)
+
+    def mend(self) -> None:
+        """Mend every link, start what is dead and wake what is paused."""
+        self.heal()
+        self.messages.extend(self.held)
+        self.held.clear()
+        for host in self.hosts:
+            if self.agents[host] is None:
+                self.start(host)
+            self.wake(host)
+
+    def settle(self) -> None:
+        """Mend everything and require that the group settles and steps again."""
+        self._note("settle")
+        self.mend()
+        limit_ms = self.now_ms + 20 * self.policy.order_bound_ms
+        first = max(engine.step for engine in self.engines.values())
+        while not self._is_settled(first):
+            if self.now_ms > limit_ms:
+                raise InvariantError("the group does not settle")
+            self.advance(self.policy.retry_ms // 2)
+            for host in self.hosts:
+                self.tick(host)
+            for _ in range(4):
+                self.round()
+        self.reach["settled"] += 1
+
+    def _is_settled(self, first: int) -> bool:
+        engines = self.engines.values()
+        if any(engine.map is None or engine.staged for engine in engines):
+            return False
+        if len({engine.view().version for engine in engines}) > 1:
+            return False
+        agents = self.agents.values()
+        if any(agent is None or not agent.state.settled for agent in agents):
+            return False
+        return min(engine.step for engine in engines) > first + 2
+
+    def _note(self, text: str) -> None:
+        self.trace.append(f"{self.now_ms} ms {text}")
--- /dev/null
+++ b/src/dotterelplank/mapmessages.py
@@ -0,0 +1,309 @@
+"""Typed messages, engine orders, events and commands of the map change protocol."""
+
+import dataclasses
+import enum
+import typing as t
+
+from . import events
+from .ballots import Ballot, Change, ExpertMap
+
+# The engine
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineView:
+    """What an engine reports of its ranks, which it keeps in one state.
+
+    :param step: the last step begun, -1 for an engine that has begun none.
+    :param map: the map of the steps begun now, none after a replacement.
+    :param staged: a change whose ballot is undecided.
+    :param committed: a change that is decided and whose first step is still ahead.
+    :param highest_fence: the highest fencing token that came with any order.
+    """
+
+    step: int
+    map: ExpertMap | None
+    staged: Change | None
+    committed: Change | None
+    highest_fence: int
+
+    @property
+    def version(self) -> int:
+        """Return the version of the newest decided map, -1 without one."""
+        if self.committed is not None:
+            return self.committed.map.version
+        if self.map is not None:
+            return self.map.version
+        return -1
+
+
+class Refusal(enum.Enum):
+    """Why an engine refused an order."""
+
+    PASSED = "passed"
+    STAGED = "staged"
+    FENCE = "fence"
+    UNKNOWN = "unknown"
+    MAP = "map"
+
+
+@dataclasses.dataclass(frozen=True)
+class StageOrder:
+    """Hold before ``change.hold_step`` until the ballot is resolved."""
+
+    change: Change
+
+
+@dataclasses.dataclass(frozen=True)
+class ResolveOrder:
+    """Keep or drop the staged change; idempotent for one ballot."""
+
+    ballot: Ballot
+    commit: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class InstallOrder:
+    """Give an engine without a map its first one.
+
+    :param map: the map of the step that the group is in.
+    :param change: a change that the group has staged or decided and not yet begun.
+    :param committed: whether ``change`` is decided.
+    """
+
+    map: ExpertMap
+    change: Change | None = None
+    committed: bool = False
+
+
+Action = t.Union[StageOrder, ResolveOrder, InstallOrder]
+
+# Between agents
+
+
+class Answer(enum.Enum):
+    """What an agent says of one ballot, for all ranks of its engine."""
+
+    YES = "yes"
+    NO = "no"
+    COMMITTED = "committed"
+
+
+@dataclasses.dataclass(frozen=True)
+class Participant:
+    """An agent that a ballot needs, in one incarnation."""
+
+    host: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Stage:
+    """Ask an agent to stage a change, and for its vote.
+
+    :param base_version: the version that the change starts from.
+    :param participants: every agent of the group, as the proposer knows it.
+    """
+
+    change: Change
+    base_version: int
+    participants: tuple[Participant, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Ask:
+    """Ask for an agent's vote; one that hasn't staged the ballot votes no for good.
+
+    :param map_version: the version that the ballot would bring.
+    """
+
+    ballot: Ballot
+    map_version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Vote:
+    """Answer a :class:`Stage` or an :class:`Ask`.
+
+    :param floor: the highest ballot that the voter won't stage any more.
+    """
+
+    ballot: Ballot
+    answer: Answer
+    floor: Ballot | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """Tell the decision on a ballot, which the sender's engine has taken."""
+
+    ballot: Ballot
+    commit: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Hello:
+    """Announce the sender's incarnation and ask for a :class:`Status`.
+
+    :param participants: the incarnations that the sender has met, and its own.
+    """
+
+    participants: tuple[Participant, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Status:
+    """Answer a :class:`Hello`.
+
+    :param participants: those of the hello; the sender drops any older incarnation.
+    :param view: the state of the sender's engine.
+    """
+
+    participants: tuple[Participant, ...]
+    view: EngineView
+
+
+@dataclasses.dataclass(frozen=True)
+class Stale:
+    """Tell the sender of a :class:`Hello` that a higher incarnation was met."""
+
+    highest_incarnation: int
+
+
+Message = t.Union[Stage, Ask, Vote, Outcome, Hello, Status, Stale]
+
+
+@dataclasses.dataclass(frozen=True)
+class Envelope:
+    """A message with the host and the incarnation that sent it."""
+
+    host: str
+    incarnation: int
+    message: Message
+
+
+# Events
+
+
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Time has moved on."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """A message came from another agent of the group."""
+
+    envelope: Envelope
+
+
+@dataclasses.dataclass(frozen=True)
+class OrderDone:
+    """The engine answered an order, so it can't take effect later."""
+
+    order_id: int
+    refusal: Refusal | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class OrderLost:
+    """The wait for an engine's answer was given up; the order may still take effect."""
+
+    order_id: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadDone:
+    """The engine answered a read."""
+
+    read_id: int
+    view: EngineView
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadLost:
+    """The engine didn't answer a read."""
+
+    read_id: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Propose:
+    """Somebody beside this agent wants a new map.
+
+    :param base_version: the version that the payload was computed from.
+    """
+
+    base_version: int
+    payload: bytes
+
+
+Event = t.Union[Tick, Received, OrderDone, OrderLost, ReadDone, ReadLost, Propose]
+
+# Commands
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """Send ``envelope`` to ``host``; it may be lost."""
+
+    host: str
+    envelope: Envelope
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """Give the engine an order, once; report :class:`OrderDone` or :class:`OrderLost`.
+
+    :param fence: fencing token, higher than that of each order before.
+    """
+
+    order_id: int
+    fence: int
+    action: Action
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """Read the engine's state; report :class:`ReadDone` or :class:`ReadLost`."""
+
+    read_id: int
+
+
+class Closure(enum.Enum):
+    """How a proposal ended here."""
+
+    COMMITTED = "committed"
+    ABORTED = "aborted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Closed:
+    """Tell the one who proposed how it ended.
+
+    :param ballot: none if the proposal was refused before it got one.
+    :param closure: unknown if this agent lost its engine before the decision.
+    """
+
+    ballot: Ballot | None
+    closure: Closure
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """Log ``event``."""
+
+    event: events.Event
+    host: str
+    ballot: Ballot | None = None
+    map_version: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Stop:
+    """End this agent: another one gives orders to its engine."""
+
+
+Command = t.Union[Send, Order, Read, Closed, Report, Stop]
--- /dev/null
+++ b/src/dotterelplank/maptally.py
@@ -0,0 +1,47 @@
+"""The votes on one ballot, and what they decide."""
+
+import dataclasses
+import typing as t
+
+from .ballots import Ballot
+from .errors import InvariantError
+from .mapmessages import Answer
+
+
+@dataclasses.dataclass
+class Tally:
+    """The votes that an agent has met on the ballot that its engine has staged.
+
+    :param since_ms: when the agent first saw the ballot staged.
+    :param next_send_ms: when to ask again those who haven't answered.
+    :param answers: one valid answer a host.
+    :param asked: whether the agent has begun to ask the others.
+    :param told: a decision that another agent took.
+    """
+
+    ballot: Ballot
+    since_ms: int
+    next_send_ms: int = 0
+    answers: dict[str, Answer] = dataclasses.field(default_factory=dict)
+    asked: bool = False
+    told: bool | None = None
+
+
+def verdict(
+    answers: t.Mapping[str, Answer], peers: t.Collection[str], ballot: Ballot
+) -> bool | None:
+    """Return whether an agent that has staged ``ballot`` commits, none if undecided.
+
+    The agent's own vote is yes. A single no aborts, unanimity commits, and one
+    engine that has taken the commit proves that there was unanimity.
+    """
+    met = set(answers.values())
+    if Answer.NO in met and Answer.COMMITTED in met:
+        raise InvariantError(f"{ballot} was both denied and committed")
+    if Answer.COMMITTED in met:
+        return True
+    if Answer.NO in met:
+        return False
+    if all(peer in answers for peer in peers):
+        return True
+    return None
--- /dev/null
+++ b/src/dotterelplank/soak.py
@@ -0,0 +1,181 @@
+"""Long randomised runs of the map change protocol under faults, replayed by seed."""
+
+import collections
+import dataclasses
+import random
+import typing as t
+
+from .errors import InvariantError
+from .mapchange import Policy
+from .mapchange_model import Model
+
+SETTLE_EVERY = 400
+REBUILD_EVERY = 4000
+POLICY = Policy(
+    retry_ms=50,
+    patience_ms=250,
+    stagger_ms=20,
+    poll_ms=100,
+    view_age_ms=300,
+    order_bound_ms=600,
+    lead_steps=6,
+    near_steps=2,
+)
+NEEDED = (
+    "maps changed",
+    "commits",
+    "aborts",
+    "proposals refused",
+    "proposals committed",
+    "proposals aborted",
+    "hosts replaced",
+    "engines killed",
+    "changes joined",
+    "late orders",
+    "late orders of a dead agent",
+    "messages duplicated",
+    "messages dropped",
+    "messages held",
+    "messages cut",
+    "pauses",
+    "crashes",
+    "map-asked",
+    "settled",
+)
+
+Act = t.Callable[[Model, random.Random], None]
+
+
+def _host(model: Model, rng: random.Random) -> str:
+    return rng.choice(model.hosts)
+
+
+def _index(rng: random.Random) -> int:
+    return rng.randrange(1 << 16)
+
+
+def _propose_two(model: Model, rng: random.Random) -> None:
+    for host in rng.sample(model.hosts, 2):
+        model.propose(host)
+
+
+def _advance(model: Model, rng: random.Random) -> None:
+    model.advance(rng.choice((1, 5, 25, 60, 200)))
+    for host in model.hosts:
+        model.tick(host)
+
+
+def _leap(model: Model, rng: random.Random) -> None:
+    model.advance(rng.choice((600, 1500)))
+
+
+def _hold_all(model: Model, rng: random.Random) -> None:
+    for _ in range(len(model.messages)):
+        model.hold(0)
+
+
+def _cut(model: Model, rng: random.Random) -> None:
+    model.cut(*rng.sample(model.hosts, 2))
+
+
+def _restart(model: Model, rng: random.Random) -> None:
+    host = _host(model, rng)
+    if model.agents[host] is None:
+        model.start(host)
+
+
+def _begin_all(model: Model, rng: random.Random) -> None:
+    for host in rng.sample(model.hosts, len(model.hosts)):
+        model.begin(host)
+
+
+_ACTS: tuple[tuple[float, Act], ...] = (
+    (30, lambda model, rng: model.deliver(_index(rng))),
+    (10, lambda model, rng: model.deliver(0)),
+    (12, lambda model, rng: model.land(_index(rng))),
+    (20, lambda model, rng: model.read(_index(rng))),
+    (5, lambda model, rng: model.round()),
+    (3, lambda model, rng: model.propose(_host(model, rng))),
+    (1, _propose_two),
+    (0.3, lambda model, rng: model.propose(_host(model, rng), rng.randrange(4))),
+    (12, _advance),
+    (4, lambda model, rng: model.begin(_host(model, rng))),
+    (1, _begin_all),
+    (0.6, lambda model, rng: model.heal()),
+    (2, _restart),
+    (1.5, lambda model, rng: model.wake(_host(model, rng))),
+)
+_FAULTS: tuple[tuple[float, Act], ...] = (
+    (2, lambda model, rng: model.deliver(_index(rng), keep=True)),
+    (2, lambda model, rng: model.drop(_index(rng))),
+    (3, lambda model, rng: model.hold(_index(rng))),
+    (3, lambda model, rng: model.hold(_index(rng), keep=True)),
+    (2, lambda model, rng: model.release(_index(rng))),
+    (0.1, _hold_all),
+    (1, lambda model, rng: model.lose_order(_index(rng))),
+    (0.3, lambda model, rng: model.forget_order(_index(rng))),
+    (0.3, lambda model, rng: model.lose_read(_index(rng))),
+    (1, _leap),
+    (0.4, _cut),
+    (0.4, lambda model, rng: model.crash(_host(model, rng))),
+    (0.4, lambda model, rng: model.pause(_host(model, rng))),
+    (0.3, lambda model, rng: model.replace(_host(model, rng))),
+    (0.3, lambda model, rng: model.kill_engine(_host(model, rng))),
+)
+_FAULT_FACTORS = (0.3, 1, 1, 3)
+
+
+@dataclasses.dataclass
+class _Run:
+    model: Model
+    acts: t.Sequence[Act]
+    weights: t.Sequence[float]
+
+
+def run_map_changes(seed: int, steps: int) -> collections.Counter[str]:
+    """Run ``steps`` random acts on groups of fake engines and return what happened.
+
+    The same seed replays the same run.
+
+    :raises InvariantError: with the seed, the step and the last acts, if a promise
+        was broken or a mended group didn't go on.
+    """
+    rng = random.Random(seed)
+    reach: collections.Counter[str] = collections.Counter()
+    run = _begin_run(rng)
+    for step in range(1, steps + 1):
+        act = rng.choices(run.acts, run.weights)[0]
+        try:
+            act(run.model, rng)
+            if step % SETTLE_EVERY == 0:
+                run.model.settle()
+        except InvariantError as error:
+            raise _explain(error, seed, step, run.model) from error
+        if step % REBUILD_EVERY == 0:
+            reach.update(run.model.reach)
+            run = _begin_run(rng)
+    reach.update(run.model.reach)
+    return reach
+
+
+def missing(reach: t.Mapping[str, int]) -> list[str]:
+    """Return what a run must reach to prove something and didn't."""
+    return [name for name in NEEDED if not reach.get(name)]
+
+
+def _begin_run(rng: random.Random) -> _Run:
+    size = rng.choice((2, 3, 3, 3, 4, 5))
+    model = Model(size, rng.random() < 0.5, POLICY)
+    model.settle()
+    factor = rng.choice(_FAULT_FACTORS)
+    acts = [act for _, act in _ACTS + _FAULTS]
+    weights = [weight for weight, _ in _ACTS]
+    weights.extend(weight * factor for weight, _ in _FAULTS)
+    return _Run(model, acts, weights)
+
+
+def _explain(
+    error: InvariantError, seed: int, step: int, model: Model
+) -> InvariantError:
+    lines = [f"seed {seed}, step {step}: {error}", *model.trace]
+    return InvariantError("\n".join(lines))
--- /dev/null
+++ b/tests/test_mapchange_machine.py
@@ -0,0 +1,142 @@
+import collections
+
+import testtools
+from hypothesis import settings, stateful, strategies as st
+
+from dotterelplank import soak
+from dotterelplank.mapchange_model import Model
+
+INDEX = st.integers(0, 63)
+REACH = collections.Counter()
+MUST_REACH = (
+    "maps changed",
+    "aborts",
+    "proposals refused",
+    "hosts replaced",
+    "late orders",
+    "late orders of a dead agent",
+    "changes joined",
+    "settled",
+)
+
+
+class MapChangeMachine(stateful.RuleBasedStateMachine):
+    """Any order of faults that hypothesis finds, ended by a mended group."""
+
+    @stateful.initialize(size=st.integers(2, 4), fences=st.booleans())
+    def build(self, size, fences):
+        self.model = Model(size, fences, soak.POLICY)
+        self.model.settle()
+
+    def host(self, index):
+        return self.model.hosts[index % len(self.model.hosts)]
+
+    @stateful.rule(index=INDEX)
+    def propose(self, index):
+        self.model.propose(self.host(index))
+
+    @stateful.rule(index=INDEX)
+    def propose_two_at_once(self, index):
+        self.model.propose(self.host(index))
+        self.model.propose(self.host(index + 1))
+
+    @stateful.rule(index=INDEX)
+    def deliver_in_any_order(self, index):
+        self.model.deliver(index)
+
+    @stateful.rule(index=INDEX)
+    def duplicate(self, index):
+        self.model.deliver(index, keep=True)
+
+    @stateful.rule(index=INDEX)
+    def drop(self, index):
+        self.model.drop(index)
+
+    @stateful.rule(left=INDEX, right=INDEX)
+    def cut(self, left, right):
+        if self.host(left) != self.host(right):
+            self.model.cut(self.host(left), self.host(right))
+
+    @stateful.rule()
+    def heal(self):
+        self.model.heal()
+
+    @stateful.rule(index=INDEX)
+    def crash(self, index):
+        self.model.crash(self.host(index))
+
+    @stateful.rule(index=INDEX)
+    def crash_with_an_order_open(self, index):
+        if self.model.orders:
+            order = self.model.orders[index % len(self.model.orders)]
+            self.model.crash(order.host)
+
+    @stateful.rule(index=INDEX)
+    def restart(self, index):
+        if self.model.agents[self.host(index)] is None:
+            self.model.start(self.host(index))
+
+    @stateful.rule(index=INDEX)
+    def replace(self, index):
+        self.model.replace(self.host(index))
+
+    @stateful.rule(index=INDEX)
+    def kill_engine(self, index):
+        self.model.kill_engine(self.host(index))
+
+    @stateful.rule(index=INDEX)
+    def pause(self, index):
+        self.model.pause(self.host(index))
+
+    @stateful.rule(index=INDEX)
+    def wake(self, index):
+        self.model.wake(self.host(index))
+
+    @stateful.rule(index=INDEX)
+    def land_an_order(self, index):
+        self.model.land(index)
+
+    @stateful.rule(index=INDEX)
+    def give_up_on_an_order(self, index):
+        self.model.lose_order(index)
+
+    @stateful.rule(index=INDEX)
+    def read(self, index):
+        self.model.read(index)
+
+    @stateful.rule(duration_ms=st.sampled_from((1, 25, 60, 250, 600)))
+    def move_the_clock(self, duration_ms):
+        self.model.advance(duration_ms)
+        for host in self.model.hosts:
+            self.model.tick(host)
+
+    @stateful.rule(rounds=st.integers(1, 4))
+    def go_on(self, rounds):
+        for _ in range(rounds):
+            self.model.round()
+
+    def teardown(self):
+        if hasattr(self, "model"):
+            self.model.settle()
+            REACH.update(self.model.reach)
+
+
+class MapChangeMachineTests(testtools.TestCase):
+    def test_machine_finds_no_broken_promise(self):
+        REACH.clear()
+        stateful.run_state_machine_as_test(
+            MapChangeMachine,
+            settings=settings(max_examples=150, stateful_step_count=80),
+        )
+        self.assertEqual([], [name for name in MUST_REACH if not REACH[name]])
+
+
+class SoakTests(testtools.TestCase):
+    def test_long_runs_keep_one_map_in_every_step(self):
+        for seed in (1, 2, 3):
+            reach = soak.run_map_changes(seed, 20_000)
+            self.assertEqual([], soak.missing(reach), f"seed {seed}")
+
+    def test_a_seed_replays_its_run(self):
+        first = soak.run_map_changes(7, 2_000)
+        self.assertEqual(first, soak.run_map_changes(7, 2_000))
