Check the checks of the map change protocol

Changed: the runs hold messages back for long, hold all votes, and strike twice while a ballot is open; focused tests name the cases that stay rare. Two lines turned out to be redundant and went: the fence on the incarnations of other voters (a replaced rank's no already aborts the ballot) and the test for an open order where the test for a read after it covers the same.

Ruled out: longer runs alone.

--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/mapchange.py
@@ -77,6 +77,17 @@
     near_steps: int = 3
 
 
+@dataclasses.dataclass(frozen=True)
+class Proposal:
+    """A change that this agent proposed and that isn't closed.
+
+    :param voters: the incarnations of the other agents that may stage it.
+    """
+
+    change: Change
+    voters: t.Mapping[str, int]
+
+
 @dataclasses.dataclass
 class State:
     """What one agent of a group knows; it is lost with the process.
@@ -94,7 +105,6 @@
     :param order_id: the open order.
     :param read_id: the open read.
     :param must_read: whether the view is older than an order.
-    :param proposal: the ballot that this agent proposed and hasn't closed.
     :param announce: the outcome to tell once the engine has taken it.
     :param questions: votes owed, by host.
     :param greetings: statuses owed.
@@ -123,7 +133,7 @@
     read_at_ms: int = 0
     view: EngineView | None = None
     tally: Tally | None = None
-    proposal: Stage | None = None
+    proposal: Proposal | None = None
     announce: Outcome | None = None
     questions: dict[str, Ask] = dataclasses.field(default_factory=dict)
     greetings: dict[str, Hello] = dataclasses.field(default_factory=dict)
@@ -246,7 +256,7 @@
     ballot = Ballot(state.round, state.host, state.incarnation)
     expert_map = ExpertMap(view.version + 1, event.payload)
     change = Change(ballot, expert_map, view.step + turn.policy.lead_steps)
-    state.proposal = Stage(change, view.version, _participants(state))
+    state.proposal = Proposal(change, {peer: state.known[peer] for peer in state.peers})
     state.floor = ballot
     _order(turn, StageOrder(change))
 
@@ -338,21 +348,14 @@
     ballot = message.change.ballot
     return (
         view is not None
-        and {one.host for one in message.participants} == set(state.hosts)
         and view.staged is None
         and view.committed is None
         and view.version == message.base_version
         and (state.floor is None or ballot > state.floor)
-        and all(_is_current(state, one) for one in message.participants)
+        and state.incarnation == message.voter_incarnation
     )
 
 
-def _is_current(state: State, participant: Participant) -> bool:
-    if participant.host == state.host:
-        return participant.incarnation == state.incarnation
-    return participant.incarnation >= state.known[participant.host]
-
-
 def _on_ask(turn: _Turn, host: str, message: Ask) -> None:
     turn.state.round = max(turn.state.round, message.ballot.round)
     turn.state.questions[host] = message
@@ -362,18 +365,18 @@
     state = turn.state
     if message.floor is not None:
         state.round = max(state.round, message.floor.round)
-    if state.settled and _is_open(state, message.ballot):
+    if _is_open(state, message.ballot):
         t.cast(Tally, state.tally).answers[host] = message.answer
 
 
 def _on_outcome(turn: _Turn, host: str, message: Outcome) -> None:
-    state = turn.state
-    is_open = _is_open(state, message.ballot)
-    if state.settled and is_open:
-        t.cast(Tally, state.tally).told = message.commit
+    if _is_open(turn.state, message.ballot):
+        t.cast(Tally, turn.state.tally).told = message.commit
 
 
 def _is_open(state: State, ballot: Ballot) -> bool:
+    if not state.settled:  # may be told by one that is gone
+        return False
     return state.tally is not None and state.tally.ballot == ballot
 
 
@@ -400,7 +403,6 @@
     state = turn.state
     return (
         state.view is not None
-        and state.order_id is None
         and not state.must_read
         and turn.now_ms - state.read_at_ms <= turn.policy.view_age_ms
     )
@@ -468,7 +470,7 @@
 
 
 def _end_proposal(turn: _Turn, view: EngineView) -> None:
-    change = t.cast(Stage, turn.state.proposal).change
+    change = t.cast(Proposal, turn.state.proposal).change
     turn.state.proposal = None
     if view.version >= change.map.version:
         turn.commands.append(Closed(change.ballot, Closure.COMMITTED))
@@ -503,31 +505,43 @@
 def _chase(turn: _Turn, tally: Tally, staged: Change) -> None:
     if turn.now_ms < tally.next_send_ms:
         return
-    message = _question(turn, tally, staged)
-    if message is None:
+    proposal = turn.state.proposal
+    is_own = proposal is not None and proposal.change.ballot == staged.ballot
+    open_ms = turn.now_ms - tally.since_ms
+    if is_own and open_ms < turn.policy.patience_ms:
+        messages = _stages(t.cast(Proposal, proposal))
+    elif _is_overdue(turn, staged, open_ms):
+        messages = _asks(turn, tally, staged)
+    else:
         return
     tally.next_send_ms = turn.now_ms + turn.policy.retry_ms
-    for peer in turn.state.peers:
+    for peer, message in messages.items():
         if peer not in tally.answers:
             _send(turn, peer, message)
 
 
-def _question(turn: _Turn, tally: Tally, staged: Change) -> Stage | Ask | None:
+def _stages(proposal: Proposal) -> dict[str, Message]:
+    change = proposal.change
+    base_version = change.map.version - 1
+    return {
+        peer: Stage(change, base_version, incarnation)
+        for peer, incarnation in proposal.voters.items()
+    }
+
+
+def _is_overdue(turn: _Turn, staged: Change, open_ms: int) -> bool:
     state, policy = turn.state, turn.policy
-    open_ms = turn.now_ms - tally.since_ms
-    proposal = state.proposal
-    is_own = proposal is not None and proposal.change.ballot == staged.ballot
-    if is_own and open_ms < policy.patience_ms:
-        return proposal
     wait_ms = policy.patience_ms + policy.stagger_ms * state.hosts.index(state.host)
     view = t.cast(EngineView, state.view)
-    is_near = view.step >= staged.hold_step - policy.near_steps
-    if open_ms < wait_ms and not is_near:
-        return None
+    return open_ms >= wait_ms or view.step >= staged.hold_step - policy.near_steps
+
+
+def _asks(turn: _Turn, tally: Tally, staged: Change) -> dict[str, Message]:
     if not tally.asked:
         tally.asked = True
         _report(turn, events.MAP_ASKED, staged.ballot, staged.map.version)
-    return Ask(staged.ballot, staged.map.version)
+    ask = Ask(staged.ballot, staged.map.version)
+    return {peer: ask for peer in turn.state.peers}
 
 
 def _answer(turn: _Turn, view: EngineView) -> None:
--- a/src/dotterelplank/mapmessages.py
+++ b/src/dotterelplank/mapmessages.py
@@ -91,7 +91,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Participant:
-    """An agent that a ballot needs, in one incarnation."""
+    """An agent of the group, in one incarnation."""
 
     host: str
     incarnation: int
@@ -102,12 +102,13 @@
     """Ask an agent to stage a change, and for its vote.
 
     :param base_version: the version that the change starts from.
-    :param participants: every agent of the group, as the proposer knows it.
+    :param voter_incarnation: the incarnation that may stage it; a later one can't
+        know whether an earlier one has voted no.
     """
 
     change: Change
     base_version: int
-    participants: tuple[Participant, ...]
+    voter_incarnation: int
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/dotterelplank/soak.py
+++ b/src/dotterelplank/soak.py
@@ -8,6 +8,7 @@
 from .errors import InvariantError
 from .mapchange import Policy
 from .mapchange_model import Model
+from .mapmessages import Outcome, Vote
 
 SETTLE_EVERY = 400
 REBUILD_EVERY = 4000
@@ -74,6 +75,20 @@
         model.hold(0)
 
 
+def _hold_votes(model: Model, rng: random.Random) -> None:
+    for index in reversed(range(len(model.messages))):
+        if isinstance(model.messages[index].envelope.message, (Vote, Outcome)):
+            model.hold(index)
+
+
+def _strike(model: Model, rng: random.Random) -> None:
+    # Two failures while a ballot is open.
+    if all(engine.staged is None for engine in model.engines.values()):
+        return
+    for host in rng.sample(model.hosts, 2):
+        rng.choice((model.crash, model.replace, model.kill_engine))(host)
+
+
 def _cut(model: Model, rng: random.Random) -> None:
     model.cut(*rng.sample(model.hosts, 2))
 
@@ -112,6 +127,8 @@
     (3, lambda model, rng: model.hold(_index(rng), keep=True)),
     (2, lambda model, rng: model.release(_index(rng))),
     (0.1, _hold_all),
+    (0.5, _hold_votes),
+    (0.3, _strike),
     (1, lambda model, rng: model.lose_order(_index(rng))),
     (0.3, lambda model, rng: model.forget_order(_index(rng))),
     (0.3, lambda model, rng: model.lose_read(_index(rng))),
--- /dev/null
+++ b/tests/test_mapchange.py
@@ -0,0 +1,426 @@
+import testtools
+
+from dotterelplank import events, soak
+from dotterelplank.ballots import Ballot, Change, ExpertMap
+from dotterelplank.errors import InvariantError
+from dotterelplank.mapchange import decide, new_state
+from dotterelplank.mapchange_model import Model
+from dotterelplank.mapjoin import choose_install
+from dotterelplank.mapmessages import (
+    Answer,
+    Ask,
+    Closed,
+    Closure,
+    EngineView,
+    Envelope,
+    Hello,
+    InstallOrder,
+    Order,
+    OrderDone,
+    OrderLost,
+    Outcome,
+    Participant,
+    Propose,
+    Read,
+    ReadDone,
+    Received,
+    Report,
+    ResolveOrder,
+    Send,
+    Stage,
+    StageOrder,
+    Stale,
+    Status,
+    Stop,
+    Tick,
+    Vote,
+)
+from dotterelplank.maptally import verdict
+
+POLICY = soak.POLICY
+MAP = ExpertMap(1, b"one")
+BALLOT = Ballot(5, "b", 10)
+CHANGE = Change(BALLOT, ExpertMap(2, b"two"), 100)
+IDLE = EngineView(50, MAP, None, None, 0)
+HOLDING = EngineView(50, MAP, CHANGE, None, 0)
+BEGUN = EngineView(100, CHANGE.map, None, None, 0)
+DECIDED = EngineView(50, MAP, None, CHANGE, 0)
+EMPTY = EngineView(-1, None, None, None, 0)
+
+
+class Driver:
+    """One agent, host ``a`` of ``a``, ``b`` and ``c``, driven by hand."""
+
+    def __init__(self, view, initial=None):
+        self.now_ms = 0
+        self.hosts = ("a", "b", "c")
+        self.state = new_state(0, "a", self.hosts, 10, POLICY, initial)
+        self.now_ms = POLICY.order_bound_ms
+        self.read(view)
+
+    def give(self, event):
+        return decide(self.now_ms, self.state, event, POLICY)
+
+    def read(self, view):
+        self.give(Tick())
+        return self.give(ReadDone(self.state.read_id, view))
+
+    def hear(self, host, message, incarnation=10):
+        return self.give(Received(Envelope(host, incarnation, message)))
+
+    def meet(self, view=IDLE, incarnation=10):
+        """Let the agent hear the others' statuses."""
+        met = [Participant("a", self.state.incarnation)]
+        commands = []
+        for host in "bc":
+            commands += self.hear(host, Status(tuple(met), view), incarnation)
+        return commands
+
+    def wait(self, duration_ms):
+        self.now_ms += duration_ms
+        return self.give(Tick())
+
+
+def settled(view):
+    bench = Driver(view)
+    bench.meet()
+    return bench
+
+
+def sent(commands, kind):
+    return [
+        command.envelope.message
+        for command in commands
+        if isinstance(command, Send) and isinstance(command.envelope.message, kind)
+    ]
+
+
+def actions(commands):
+    return [command.action for command in commands if isinstance(command, Order)]
+
+
+class VerdictTests(testtools.TestCase):
+    def test_one_no_aborts_while_others_are_silent(self):
+        self.assertIs(False, verdict({"b": Answer.NO}, ("b", "c"), BALLOT))
+
+    def test_a_majority_decides_nothing(self):
+        self.assertIsNone(verdict({"b": Answer.YES}, ("b", "c"), BALLOT))
+
+    def test_one_commit_decides_while_others_are_silent(self):
+        self.assertIs(True, verdict({"b": Answer.COMMITTED}, ("b", "c"), BALLOT))
+
+    def test_a_no_beside_a_commit_is_a_broken_promise(self):
+        answers = {"b": Answer.NO, "c": Answer.COMMITTED}
+        self.assertRaises(InvariantError, verdict, answers, ("b", "c"), BALLOT)
+
+
+class JoinTests(testtools.TestCase):
+    def test_replaced_engine_begins_with_the_oldest_map_and_the_change(self):
+        expected = InstallOrder(MAP, CHANGE, True)
+        self.assertEqual(expected, choose_install([BEGUN, DECIDED, EMPTY], None))
+        self.assertEqual(expected, choose_install([BEGUN, HOLDING], None))
+
+    def test_replaced_engine_stages_what_all_others_have_staged(self):
+        expected = InstallOrder(MAP, CHANGE, False)
+        self.assertEqual(expected, choose_install([HOLDING, EMPTY, HOLDING], None))
+
+    def test_replaced_engine_leaves_out_what_some_other_has_not_staged(self):
+        self.assertEqual(InstallOrder(MAP), choose_install([HOLDING, IDLE], None))
+
+    def test_two_maps_of_one_version_are_a_broken_promise(self):
+        other = EngineView(50, ExpertMap(1, b"other"), None, None, 0)
+        self.assertRaises(InvariantError, choose_install, [IDLE, other], None)
+
+    def test_first_map_waits_until_all_have_met_the_same_incarnations(self):
+        bench = Driver(EMPTY, b"first")
+        self.assertEqual([], actions(bench.meet(EMPTY)))
+        met = (Participant("a", 10), Participant("b", 10), Participant("c", 10))
+        bench.hear("b", Status(met, EMPTY))
+        commands = bench.hear("c", Status(met, EMPTY))
+        self.assertEqual([InstallOrder(ExpertMap(0, b"first"))], actions(commands))
+
+
+class VoteTests(testtools.TestCase):
+    def test_agent_votes_yes_only_after_it_has_read_the_staged_change(self):
+        bench = settled(IDLE)
+        commands = bench.hear("b", Stage(CHANGE, 1, 10))
+        self.assertEqual([StageOrder(CHANGE)], actions(commands))
+        commands = bench.give(OrderDone(bench.state.order_id))
+        self.assertEqual([], sent(commands, Vote))
+        commands = bench.give(ReadDone(bench.state.read_id, HOLDING))
+        self.assertEqual([Vote(BALLOT, Answer.YES, BALLOT)], sent(commands, Vote))
+
+    def test_agent_never_stages_what_it_denied(self):
+        bench = settled(IDLE)
+        commands = bench.hear("c", Ask(BALLOT, 2))
+        self.assertEqual([Vote(BALLOT, Answer.NO, BALLOT)], sent(commands, Vote))
+        commands = bench.hear("b", Stage(CHANGE, 1, 10))
+        self.assertEqual([], actions(commands))
+        self.assertEqual([Vote(BALLOT, Answer.NO, BALLOT)], sent(commands, Vote))
+
+    def test_agent_denies_a_change_from_another_version(self):
+        bench = settled(IDLE)
+        commands = bench.hear("b", Stage(CHANGE, 0, 10))
+        self.assertEqual(Answer.NO, sent(commands, Vote)[0].answer)
+
+    def test_agent_denies_a_ballot_for_an_earlier_incarnation(self):
+        bench = settled(IDLE)
+        commands = bench.hear("b", Stage(CHANGE, 1, 9))
+        self.assertEqual(Answer.NO, sent(commands, Vote)[0].answer)
+
+    def test_agent_denies_a_second_ballot_while_one_is_open(self):
+        bench = settled(HOLDING)
+        second = Change(Ballot(6, "c", 10), ExpertMap(2, b"other"), 100)
+        commands = bench.hear("c", Stage(second, 1, 10))
+        self.assertEqual(Answer.NO, sent(commands, Vote)[0].answer)
+
+    def test_engine_without_a_map_makes_no_vote(self):
+        bench = Driver(EMPTY)
+        self.assertEqual([], sent(bench.hear("b", Ask(BALLOT, 2)), Vote))
+
+    def test_a_denied_ballot_found_staged_is_a_broken_promise(self):
+        bench = settled(IDLE)
+        bench.hear("c", Ask(BALLOT, 2))
+        bench.now_ms += POLICY.poll_ms
+        self.assertRaises(InvariantError, bench.read, HOLDING)
+
+
+class ResolveTests(testtools.TestCase):
+    def test_holder_asks_all_once_the_proposer_is_silent(self):
+        bench = settled(HOLDING)
+        self.assertEqual([], sent(bench.wait(POLICY.retry_ms), Ask))
+        self.assertEqual(2, len(sent(bench.wait(POLICY.patience_ms), Ask)))
+
+    def test_holder_asks_at_once_when_the_hold_is_near(self):
+        near = EngineView(99, MAP, CHANGE, None, 0)
+        bench = Driver(near)
+        self.assertEqual(2, len(sent(bench.meet(), Ask)))
+
+    def test_unanimity_commits_and_is_told_when_the_engine_has_taken_it(self):
+        bench = settled(HOLDING)
+        bench.hear("b", Vote(BALLOT, Answer.YES))
+        commands = bench.hear("c", Vote(BALLOT, Answer.YES))
+        self.assertEqual([ResolveOrder(BALLOT, True)], actions(commands))
+        self.assertEqual([], sent(commands, Outcome))
+        bench.give(OrderDone(bench.state.order_id))
+        commands = bench.give(ReadDone(bench.state.read_id, DECIDED))
+        self.assertEqual([Outcome(BALLOT, True)] * 2, sent(commands, Outcome))
+
+    def test_outcome_not_yet_taken_is_not_told(self):
+        bench = settled(HOLDING)
+        bench.hear("b", Vote(BALLOT, Answer.COMMITTED))
+        bench.give(OrderLost(bench.state.order_id))
+        bench.wait(POLICY.order_bound_ms)
+        commands = bench.read(HOLDING)
+        self.assertEqual([], sent(commands, Outcome))
+        self.assertEqual([ResolveOrder(BALLOT, True)], actions(commands))
+
+    def test_vote_of_an_older_incarnation_is_not_counted(self):
+        bench = settled(HOLDING)
+        bench.hear("c", Hello((Participant("c", 11),)), 11)
+        commands = bench.hear("c", Vote(BALLOT, Answer.NO), 10)
+        self.assertEqual([], actions(commands))
+
+    def test_counted_vote_falls_with_its_incarnation(self):
+        bench = settled(HOLDING)
+        bench.now_ms += POLICY.view_age_ms + 1
+        bench.hear("c", Vote(BALLOT, Answer.NO))
+        bench.hear("c", Hello((Participant("c", 11),)), 11)
+        self.assertEqual([], actions(bench.read(HOLDING)))
+
+    def test_restarted_agent_is_told_nothing_before_it_has_met_all(self):
+        bench = Driver(HOLDING)
+        bench.hear("b", Outcome(BALLOT, False), 9)
+        self.assertEqual([], actions(bench.meet(HOLDING)))
+
+    def test_status_for_an_earlier_incarnation_does_not_count(self):
+        bench = settled(IDLE)
+        bench.now_ms += POLICY.poll_ms
+        bench.read(EMPTY)
+        for host in "bc":
+            commands = bench.hear(host, Status((Participant("a", 10),), IDLE))
+            self.assertEqual([], actions(commands))
+        self.assertEqual([InstallOrder(MAP)], actions(bench.meet(IDLE)))
+
+    def test_replaced_engine_begins_a_new_incarnation(self):
+        bench = settled(IDLE)
+        bench.now_ms += POLICY.poll_ms
+        hellos = sent(bench.read(EMPTY), Hello)
+        self.assertEqual(
+            [Participant("a", 11)] * 2, [h.participants[0] for h in hellos]
+        )
+
+
+class OrderTests(testtools.TestCase):
+    def test_new_agent_waits_out_its_predecessor_before_it_reads(self):
+        state = new_state(0, "a", ("a", "b"), 10, POLICY)
+        self.assertEqual([], decide(POLICY.order_bound_ms - 1, state, Tick(), POLICY))
+        commands = decide(POLICY.order_bound_ms, state, Tick(), POLICY)
+        self.assertEqual([Read], [type(command) for command in commands])
+
+    def test_agent_is_silent_until_an_unanswered_order_cannot_take_effect(self):
+        bench = settled(IDLE)
+        bench.hear("b", Stage(CHANGE, 1, 10))
+        bench.give(OrderLost(bench.state.order_id))
+        self.assertEqual([], bench.wait(POLICY.order_bound_ms - 1))
+        self.assertEqual([], bench.hear("c", Ask(BALLOT, 2)))
+        self.assertIsInstance(bench.wait(1)[0], Read)
+
+    def test_read_that_was_open_at_an_order_is_not_believed(self):
+        bench = settled(IDLE)
+        bench.wait(POLICY.poll_ms)
+        open_before = bench.state.read_id
+        bench.hear("b", Stage(CHANGE, 1, 10))
+        bench.hear("c", Ask(BALLOT, 2))
+        commands = bench.give(ReadDone(open_before, IDLE))
+        self.assertEqual([], sent(commands, Vote))
+
+    def test_fencing_tokens_rise_above_those_of_the_predecessor(self):
+        seen = EngineView(50, MAP, None, None, 77)
+        bench = settled(seen)
+        commands = bench.hear("b", Stage(CHANGE, 1, 10))
+        fences = [one.fence for one in commands if isinstance(one, Order)]
+        self.assertEqual([78], fences)
+
+    def test_agent_ends_when_another_gives_orders_to_its_engine(self):
+        bench = settled(IDLE)
+        bench.now_ms += POLICY.poll_ms
+        commands = bench.read(EngineView(50, MAP, None, None, 500))
+        self.assertIn(Stop(), commands)
+        self.assertEqual([], bench.hear("b", Ask(BALLOT, 2)))
+
+    def test_woken_agent_reads_its_engine_before_it_speaks(self):
+        bench = settled(IDLE)
+        bench.now_ms += POLICY.view_age_ms + 1
+        commands = bench.hear("b", Ask(BALLOT, 2))
+        self.assertEqual([Read], [type(command) for command in commands])
+
+    def test_clock_set_back_raises_the_incarnation(self):
+        bench = Driver(IDLE)
+        commands = bench.hear("b", Stale(30))
+        self.assertEqual(31, bench.state.incarnation)
+        reported = [one.event for one in commands if isinstance(one, Report)]
+        self.assertEqual([events.INCARNATION_RAISED], reported)
+        self.assertEqual(2, len(sent(commands, Hello)))
+
+    def test_hello_of_an_older_incarnation_is_told_the_higher_one(self):
+        bench = settled(IDLE)
+        commands = bench.hear("b", Hello((Participant("b", 9),)), 9)
+        self.assertEqual([Stale(10)], sent(commands, Stale))
+
+
+class Script:
+    """A whole group of which a test picks the messages that arrive."""
+
+    def __init__(self, size=3):
+        self.model = Model(size, False, POLICY)
+        self.model.settle()
+        self.calm()
+        self.wait(POLICY.poll_ms)
+
+    def calm(self):
+        for _ in range(6):
+            self.model.round()
+
+    def work(self):
+        """Let orders, reads and ticks happen, and no message arrive."""
+        for _ in range(3):
+            for _ in range(len(self.model.orders)):
+                self.model.land(0)
+            for _ in range(2 * len(self.model.reads)):
+                self.model.read(0)
+            for host in self.model.hosts:
+                self.model.tick(host)
+
+    def wait(self, duration_ms):
+        self.model.advance(duration_ms)
+        self.work()
+
+    def hold(self, kind, *hosts):
+        """Set aside the messages of a kind to ``hosts``."""
+        for index in reversed(range(len(self.model.messages))):
+            entry = self.model.messages[index]
+            if isinstance(entry.envelope.message, kind) and entry.host in hosts:
+                self.model.hold(index)
+
+    def pass_on(self, kind, source, host):
+        for index, entry in enumerate(self.model.messages):
+            ends = (entry.envelope.host, entry.host)
+            if ends == (source, host) and isinstance(entry.envelope.message, kind):
+                self.model.deliver(index)
+                self.work()
+                return
+        raise AssertionError(f"no {kind.__name__} from {source} to {host}")
+
+    def versions(self):
+        return {engine.view().version for engine in self.model.engines.values()}
+
+
+class GroupTests(testtools.TestCase):
+    def test_change_takes_three_messages_for_each_other_agent(self):
+        for size in (8, 32):
+            script = Script(size)
+            before = dict(script.model.reach)
+            script.model.propose("h0")
+            script.calm()
+            kinds = ("Stage", "Vote", "Outcome", "Ask", "Hello", "Status")
+            reach = script.model.reach
+            counts = [reach[kind] - before.get(kind, 0) for kind in kinds]
+            self.assertEqual([size - 1] * 3 + [0] * 3, counts)
+            self.assertEqual({1}, script.versions())
+
+    def test_decided_change_outlives_the_only_engine_that_knew(self):
+        script = Script()
+        script.model.propose("h0")
+        script.work()
+        for host in ("h1", "h2"):
+            script.pass_on(Stage, "h0", host)
+            script.pass_on(Vote, host, "h0")
+        self.assertEqual(1, script.model.reach["commits"])
+        script.model.messages.clear()
+        script.model.replace("h0")
+        script.model.settle()
+        self.assertEqual({1}, script.versions())
+
+    def test_restarted_voter_does_not_take_back_its_predecessors_no(self):
+        script = Script()
+        model = script.model
+        model.propose("h0")
+        script.work()
+        script.hold(Stage, "h2")
+        script.pass_on(Stage, "h0", "h1")
+        script.pass_on(Vote, "h1", "h0")
+        script.wait(POLICY.patience_ms + POLICY.stagger_ms)
+        script.pass_on(Ask, "h1", "h2")
+        script.pass_on(Vote, "h2", "h1")
+        self.assertEqual(1, model.reach["aborts"])
+        model.messages.clear()
+        model.crash("h2")
+        model.start("h2")
+        script.wait(POLICY.order_bound_ms)
+        for host in ("h0", "h1"):
+            script.pass_on(Hello, "h2", host)
+            script.pass_on(Status, host, "h2")
+        model.release(0)
+        model.settle()
+        self.assertEqual({0}, script.versions())
+
+    def test_two_proposals_at_once_leave_one_map(self):
+        script = Script()
+        script.model.propose("h0")
+        script.model.propose("h2")
+        script.model.settle()
+        self.assertEqual(1, len(script.versions()))
+
+    def test_steps_go_on_while_every_agent_is_dead(self):
+        script = Script()
+        for host in script.model.hosts:
+            script.model.crash(host)
+        before = script.model.reach["steps"]
+        script.calm()
+        self.assertEqual(before + 18, script.model.reach["steps"])
+
+    def test_proposal_from_an_old_version_is_refused(self):
+        bench = settled(IDLE)
+        commands = bench.give(Propose(0, b"late"))
+        self.assertEqual([Closed(None, Closure.REFUSED)], commands)
