--- /dev/null
+++ b/tests/breaks.py
@@ -0,0 +1,359 @@
+"""Check of the checks: break one line of the source and see a named test turn red.
+
+Run ``python tests/breaks.py [word ...]``; words select breaks by their name. It
+exits with 1 if a broken source stays green or a line is no longer there.
+"""
+
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TIMEOUT_S = 300
+WORKERS = 4
+REASON_LENGTH = 120
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """How the named test ended, ``red`` as it should, and what it said."""
+
+    verdict: str
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Break:
+    """One line taken out or bent.
+
+    :param module: module of the package, without its suffix.
+    :param line: the line as it stands, without its indent; it must be unique.
+    :param broken: what replaces it.
+    :param test: the test that must turn red, as pytest names it.
+    """
+
+    name: str
+    module: str
+    line: str
+    broken: str
+    test: str
+
+
+SOAK = "tests/test_mapchange_machine.py::SoakTests"
+FOCUSED = "tests/test_mapchange.py"
+VERDICT = f"{FOCUSED}::VerdictTests"
+JOIN = f"{FOCUSED}::JoinTests"
+VOTE = f"{FOCUSED}::VoteTests"
+RESOLVE = f"{FOCUSED}::ResolveTests"
+ORDER = f"{FOCUSED}::OrderTests"
+GROUP = f"{FOCUSED}::GroupTests"
+LONG_RUNS = f"{SOAK}::test_long_runs_keep_one_map_in_every_step"
+
+MAP_CHANGE = (
+    Break(
+        "an older ballot is staged",
+        "mapchange",
+        "and (state.floor is None or ballot > state.floor)",
+        "and True",
+        LONG_RUNS,
+    ),
+    Break(
+        "a no is forgotten by its voter",
+        "mapchange",
+        "state.floor = question.ballot",
+        "pass",
+        LONG_RUNS,
+    ),
+    Break(
+        "a no is forgotten by the one who asked",
+        "maptally",
+        "if Answer.NO in met:",
+        "if False:",
+        LONG_RUNS,
+    ),
+    Break(
+        "a majority decides",
+        "maptally",
+        "if all(peer in answers for peer in peers):",
+        "if 2 * len(answers) > len(peers):",
+        LONG_RUNS,
+    ),
+    Break(
+        "a commit elsewhere is not believed",
+        "maptally",
+        "if Answer.COMMITTED in met:",
+        "if False:",
+        f"{VERDICT}::test_one_commit_decides_while_others_are_silent",
+    ),
+    Break(
+        "messages of an old incarnation count",
+        "mapchange",
+        "if envelope.incarnation < known:",
+        "if False:",
+        LONG_RUNS,
+    ),
+    Break(
+        "counted votes outlive their incarnation",
+        "mapchange",
+        "state.tally.answers.pop(peer.host, None)",
+        "pass",
+        f"{RESOLVE}::test_counted_vote_falls_with_its_incarnation",
+    ),
+    Break(
+        "statuses outlive their incarnation",
+        "mapchange",
+        "state.statuses.pop(peer.host, None)",
+        "pass",
+        LONG_RUNS,
+    ),
+    Break(
+        "a ballot for an earlier incarnation is staged",
+        "mapchange",
+        "and state.incarnation == message.voter_incarnation",
+        "and True",
+        f"{GROUP}::test_restarted_voter_does_not_take_back_its_predecessors_no",
+    ),
+    Break(
+        "an agent is told outcomes before it has met the others",
+        "mapchange",
+        "if not state.settled:  # may be told by one that is gone",
+        "if False:",
+        f"{RESOLVE}::test_restarted_agent_is_told_nothing_before_it_has_met_all",
+    ),
+    Break(
+        "a status for an earlier incarnation counts",
+        "mapchange",
+        "if own in message.participants and not state.settled:",
+        "if not state.settled:",
+        f"{RESOLVE}::test_status_for_an_earlier_incarnation_does_not_count",
+    ),
+    Break(
+        "the version that a change starts from is not checked",
+        "mapchange",
+        "and view.version == message.base_version",
+        "and True",
+        f"{VOTE}::test_agent_denies_a_change_from_another_version",
+    ),
+    Break(
+        "a dead predecessor's order is not waited out",
+        "mapchange",
+        "quiet_until_ms=now_ms + policy.order_bound_ms,",
+        "quiet_until_ms=now_ms,",
+        LONG_RUNS,
+    ),
+    Break(
+        "an unanswered order is not waited out",
+        "mapchange",
+        "state.order_free_at_ms = turn.now_ms + turn.policy.order_bound_ms",
+        "state.order_free_at_ms = turn.now_ms",
+        LONG_RUNS,
+    ),
+    Break(
+        "an agent speaks from a read before its order",
+        "mapchange",
+        "and not state.must_read",
+        "and True",
+        LONG_RUNS,
+    ),
+    Break(
+        "a read from before an order counts as one after it",
+        "mapchange",
+        "state.read_id = None  # opened before the order",
+        "pass",
+        LONG_RUNS,
+    ),
+    Break(
+        "an engine without a map votes",
+        "mapchange",
+        "if view.map is None:  # may yet stage the ballot as it joins",
+        "if False:",
+        LONG_RUNS,
+    ),
+    Break(
+        "a replaced engine keeps its incarnation",
+        "mapchange",
+        "state.incarnation += 1",
+        "pass",
+        f"{RESOLVE}::test_replaced_engine_begins_a_new_incarnation",
+    ),
+    Break(
+        "a replaced engine forgets the change to come",
+        "mapjoin",
+        "return InstallOrder(oldest, decided, True)",
+        "return InstallOrder(oldest)",
+        LONG_RUNS,
+    ),
+    Break(
+        "a replaced engine takes the newest map at once",
+        "mapjoin",
+        "oldest, newest = min(by_version), max(by_version)",
+        "oldest, newest = max(by_version), max(by_version)",
+        f"{JOIN}::test_replaced_engine_begins_with_the_oldest_map_and_the_change",
+    ),
+    Break(
+        "a replaced engine denies what the others have staged",
+        "mapjoin",
+        "if all(view.staged == change for view in holders):",
+        "if False:",
+        LONG_RUNS,
+    ),
+    Break(
+        "the first map is brought without agreement",
+        "mapchange",
+        "agreed = all(one.participants == met for one in state.statuses.values())",
+        "agreed = True",
+        LONG_RUNS,
+    ),
+    Break(
+        "any agent brings a first map",
+        "mapchange",
+        "return state.initial if state.host == state.hosts[0] and agreed else None",
+        "return state.initial",
+        LONG_RUNS,
+    ),
+    Break(
+        "an engine does not hold",
+        "mapchange_model",
+        "return self.staged is None or step < self.staged.hold_step",
+        "return True",
+        LONG_RUNS,
+    ),
+    Break(
+        "an engine stages past the hold",
+        "mapchange_model",
+        "if self.step >= action.change.hold_step:",
+        "if False:",
+        LONG_RUNS,
+    ),
+    Break(
+        "an agent speaks from an old read",
+        "mapchange",
+        "and turn.now_ms - state.read_at_ms <= turn.policy.view_age_ms",
+        "and True",
+        f"{ORDER}::test_woken_agent_reads_its_engine_before_it_speaks",
+    ),
+    Break(
+        "a superseded agent goes on",
+        "mapchange",
+        "state.superseded = True",
+        "pass",
+        f"{ORDER}::test_agent_ends_when_another_gives_orders_to_its_engine",
+    ),
+    Break(
+        "a denied ballot found staged is passed over",
+        "mapchange",
+        "if view.staged is not None and view.staged.ballot in state.denied:",
+        "if False:",
+        f"{VOTE}::test_a_denied_ballot_found_staged_is_a_broken_promise",
+    ),
+    Break(
+        "fencing tokens start anew with the agent",
+        "mapchange",
+        "state.fence = max(state.fence, view.highest_fence)",
+        "pass",
+        f"{ORDER}::test_fencing_tokens_rise_above_those_of_the_predecessor",
+    ),
+    Break(
+        "a clock set back is not noticed",
+        "mapchange",
+        "if message.highest_incarnation >= turn.state.incarnation:",
+        "if False:",
+        f"{ORDER}::test_clock_set_back_raises_the_incarnation",
+    ),
+    Break(
+        "the outcome is told before the engine has taken it",
+        "mapchange",
+        "if state.announce is not None and state.announce.ballot != staged:",
+        "if state.announce is not None:",
+        f"{RESOLVE}::test_outcome_not_yet_taken_is_not_told",
+    ),
+    Break(
+        "a proposal may start from any version",
+        "mapchange",
+        "and view.version == event.base_version",
+        "and True",
+        f"{GROUP}::test_proposal_from_an_old_version_is_refused",
+    ),
+    Break(
+        "holders never ask",
+        "mapchange",
+        "return open_ms >= wait_ms or view.step >= staged.hold_step - policy.near_steps",
+        "return False",
+        f"{RESOLVE}::test_holder_asks_all_once_the_proposer_is_silent",
+    ),
+)
+
+BREAKS = MAP_CHANGE
+
+
+def _apply(copy: pathlib.Path, one: Break) -> None:
+    path = copy / "src" / "dotterelplank" / f"{one.module}.py"
+    lines = path.read_text(encoding="utf-8").splitlines()
+    places = [index for index, line in enumerate(lines) if line.strip() == one.line]
+    if len(places) != 1:
+        raise LookupError(f"{one.module} holds {len(places)} times: {one.line}")
+    line = lines[places[0]]
+    indent = line[: len(line) - len(line.lstrip())]
+    lines[places[0]] = indent + one.broken
+    path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+def _run(one: Break) -> Result:
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder)
+        for name in ("src", "tests"):
+            shutil.copytree(ROOT / name, copy / name)
+        shutil.copy(ROOT / "pyproject.toml", copy)
+        try:
+            _apply(copy, one)
+        except LookupError as error:
+            return Result("STALE", str(error))
+        return _verdict(copy, one)
+
+
+def _verdict(copy: pathlib.Path, one: Break) -> Result:
+    command = [sys.executable, "-m", "pytest", "-x", "--tb=short", one.test]
+    environment = {**os.environ, "PYTHONPATH": str(copy / "src")}
+    try:
+        done = subprocess.run(
+            command,
+            cwd=copy,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+    except subprocess.TimeoutExpired:
+        return Result("HUNG")
+    if done.returncode == 0:
+        return Result("GREEN")
+    if done.returncode == 1:
+        return Result("red", _reason(done.stdout))
+    return Result("NOT RUN", f"pytest ended with {done.returncode}")
+
+
+def _reason(output: str) -> str:
+    lines = [line for line in output.splitlines() if "Error: " in line]
+    return lines[-1].split("Error: ")[-1][:REASON_LENGTH] if lines else ""
+
+
+def main(words: list[str]) -> int:
+    """Run the selected breaks, print a table and return the exit code."""
+    chosen = [one for one in BREAKS if all(word in one.name for word in words)]
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(_run, chosen))
+    for one, result in zip(chosen, results):
+        print(f"{result.verdict:8} {one.module}: {one.name}")
+        print(f"{'':8} {one.test.split('::')[-1]}: {result.reason}")
+    failed = [result for result in results if result.verdict != "red"]
+    print(f"{len(chosen) - len(failed)} of {len(chosen)} breaks turned their test red")
+    return 1 if failed or not chosen else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
