Prove orders, streams and stops with real processes, and let a stopped one end

Cause: an agent that had finished its work stayed alive for up to 35 s after SIGTERM, since the interpreter waits at its end for a pool's threads, and one of them was in a watch of the platform. Ruled out: the streams (they were whole) and the links. Threads that wait on others are daemon threads now.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -1,6 +1,5 @@
 """The agent: the only process that hands work to the endpoint beside it."""
 
-import concurrent.futures
 import hashlib
 import logging
 import threading
@@ -17,12 +16,11 @@
 from .messages import Cancel, Credit, Message, Report, Submit
 from .results import Result
 from .settings import AgentSettings
+from .threads import start_thread
 from .tickets import Ticket
 
 log = logging.getLogger(__name__)
 
-_CANCEL_THREADS = 8
-
 
 class Agent:
     """One agent's state, threads and links."""
@@ -38,13 +36,6 @@
         self._lock = threading.Lock()
         self._jobs: dict[tuple[Link, int], Job] = {}
         self._client = EndpointClient(settings.endpoint_url, settings.slots)
-        self._workers = concurrent.futures.ThreadPoolExecutor(
-            max_workers=settings.slots, thread_name_prefix="job"
-        )
-        # Cancels must not wait behind the work that they end.
-        self._cancels = concurrent.futures.ThreadPoolExecutor(
-            max_workers=_CANCEL_THREADS, thread_name_prefix="cancel"
-        )
         self._load = EndpointLoad()
         self._load_read_ms = now_ms
         self._report_sequence = 0
@@ -66,7 +57,7 @@
         """Serve entries from now on."""
         self.daemon.start()
         if self._is_model:
-            threading.Thread(target=self._watch_load, name="load", daemon=True).start()
+            start_thread("load", self._watch_load)
 
     def stop(self) -> bool:
         """Leave gracefully: no new work, then finish what is in progress.
@@ -80,8 +71,6 @@
         whole = self._wait_idle(self._settings.stop_bound_ms)
         if not whole:
             self._cut_off()
-        self._workers.shutdown(wait=whole, cancel_futures=True)
-        self._cancels.shutdown(wait=whole, cancel_futures=True)
         self.daemon.finish_stop()
         return whole
 
@@ -127,7 +116,7 @@
         for job in orphans:
             # The caller may come back for what runs under a ticket.
             if job.ticket is None:
-                self._cancels.submit(self._stop_job, job)
+                start_thread("cancel", self._stop_job, job)
 
     def _on_pause(self, late_ms: float) -> None:
         self.daemon.links.abort_all()
@@ -187,7 +176,7 @@
         try:
             match verdict:
                 case jobs.Start():
-                    self._workers.submit(self._run, key, job)
+                    start_thread("job", self._run, key, job)
                 case jobs.Give(answer):
                     answers.give(link, submit.request_id, answer)
                 case jobs.TurnAway(result, wait_ms):
@@ -277,7 +266,7 @@
             is_unsent = not job.sent_to_endpoint
             job.cancel()
         if not is_unsent and self._is_model:
-            self._cancels.submit(self._stop_job, job)
+            start_thread("cancel", self._stop_job, job)
 
     def _stop_job(self, job: Job) -> None:
         job.cancel()
--- a/src/dotterelplank/coordination.py
+++ b/src/dotterelplank/coordination.py
@@ -4,7 +4,6 @@
 platform, which wait on threads of their own.
 """
 
-import concurrent.futures
 import dataclasses
 import logging
 import time
@@ -32,11 +31,10 @@
 from .platform_client import PlatformClient, validate_host_list
 from .revision_messages import Document
 from .revision_state import RevisionPolicy, digest_of
+from .threads import start_thread
 
 log = logging.getLogger(__name__)
 
-_READ_THREADS = 2
-
 
 @dataclasses.dataclass(frozen=True)
 class Place:
@@ -97,9 +95,6 @@
                 validate=validate_host_list, join_alone_ms=int(join_alone_ms)
             ),
         }
-        self._readers = concurrent.futures.ThreadPoolExecutor(
-            max_workers=_READ_THREADS, thread_name_prefix="read"
-        )
 
     def start(self, now_ms: float) -> None:
         """Begin; the links must listen already."""
@@ -112,10 +107,6 @@
             for document, policy in self._policies.items()
         }
 
-    def stop(self) -> None:
-        """Start no further read."""
-        self._readers.shutdown(wait=False, cancel_futures=True)
-
     def place_of(self, host: str) -> Place | None:
         """Return where ``host`` can be reached, if that is known."""
         return self._places.get(host)
@@ -284,7 +275,7 @@
                 self._metrics.count(
                     self._metrics.platform_reads, document=command.document.name
                 )
-                self._readers.submit(self._read, command)
+                start_thread("read", self._read, command)
             case revs.AskOffers(document, hosts):
                 self._send(hosts, datagrams.OfferAsk(own, document))
             case revs.OfferTo(hosts, offer):
--- a/src/dotterelplank/daemon.py
+++ b/src/dotterelplank/daemon.py
@@ -107,7 +107,6 @@
     def finish_stop(self) -> None:
         """Close everything; what should be finished has been."""
         self.stopped.set()
-        self.coordination.stop()
         self.links.stop()
         self._resources.close()
         self.tracer.close()
--- a/src/dotterelplank/status.py
+++ b/src/dotterelplank/status.py
@@ -17,7 +17,10 @@
 class HostStatus:
     """What this process knows of a host.
 
-    :param state: ``linked``, ``leaving`` or ``out-of-reach``.
+    :param state: what membership says: ``alive``, ``suspect``, ``dead`` or
+        ``leaving``; ``unheard`` for a host that it doesn't judge.
+    :param linked: whether there is a stream to it.
+    :param usable: whether new work may go there.
     :param heard_ms_ago: age of the last word from it; ``None`` without a link.
     """
 
@@ -25,6 +28,8 @@
     domain: str
     role: str
     state: str
+    linked: bool
+    usable: bool
     labels: t.Mapping[str, str]
     heard_ms_ago: float | None
     load_measured_ms_ago: float | None
@@ -79,14 +84,16 @@
 def _host(now_ms: float, board: Blackboard, host: Host) -> HostStatus:
     peer = board.peers.get(host.host)
     view = board.endpoints.get(host.host)
-    state = "out-of-reach"
-    if peer is not None:
-        state = "leaving" if peer.is_leaving or host.is_leaving else "linked"
+    member = board.members.get(host.host)
+    state = "unheard" if member is None else member.status.name.lower()
+    is_leaving = host.is_leaving or (peer is not None and peer.is_leaving)
     return HostStatus(
         host.host,
         host.domain,
         host.role,
-        state,
+        "leaving" if is_leaving else state,
+        peer is not None,
+        member is not None and member.is_usable and not is_leaving,
         dict(host.labels),
         None if peer is None else now_ms - peer.link.heard_ms,
         _load_age_ms(now_ms, view),
@@ -120,7 +127,10 @@
         lines.append(f"  because: {status.refused_why}")
     lines.append(f"host list: version {status.host_list_version}")
     lines.append(f"in flight: {status.in_flight}")
-    lines.append(f"{'host':<20}{'domain':<12}{'role':<8}{'state':<14}heard  load")
+    lines.append(
+        f"{'host':<20}{'domain':<12}{'role':<8}{'state':<10}"
+        f"{'linked':<8}{'usable':<8}heard  load"
+    )
     lines.extend(_host_line(host) for host in status.hosts)
     return ("\n".join(lines) + "\n").encode()
 
@@ -131,10 +141,15 @@
     if host.held_requests is not None:
         load = f"{host.held_requests:.0f} held, {host.load_measured_ms_ago:.0f} ms old"
     return (
-        f"{host.host:<20}{host.domain:<12}{host.role:<8}{host.state:<14}{heard}  {load}"
+        f"{host.host:<20}{host.domain:<12}{host.role:<8}{host.state:<10}"
+        f"{_word(host.linked):<8}{_word(host.usable):<8}{heard}  {load}"
     )
 
 
+def _word(value: bool) -> str:
+    return "yes" if value else "no"
+
+
 def application(
     role: str,
     settings: EntrySettings | AgentSettings,
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,303 @@
+"""Starts the daemons and the stand-ins as real processes on loopback, for tests."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import urllib3
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SECRET = "a secret of the processes on loopback"
+START_BOUND_S = 20.0
+POLL_S = 0.02
+
+pool = urllib3.PoolManager(maxsize=64, retries=False, timeout=30.0)
+
+
+class TooLateError(Exception):
+    """Something did not come about within its generous bound."""
+
+
+def wait_until(condition, bound_s=START_BOUND_S, what="it"):
+    """Return what ``condition`` returns once that is true."""
+    end_s = time.monotonic() + bound_s
+    while time.monotonic() < end_s:
+        found = condition()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise TooLateError(f"{what} did not come about within {bound_s} s")
+
+
+@dataclasses.dataclass
+class Process:
+    """A process that was started, with the ports that it printed."""
+
+    popen: subprocess.Popen
+    ports: dict
+    log: pathlib.Path
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        self.popen.kill()
+        self.popen.wait()
+
+    def wait(self, bound_s=START_BOUND_S):
+        return self.popen.wait(bound_s)
+
+    def is_running(self):
+        return self.popen.poll() is None
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """A host of a scenario."""
+
+    host: str
+    domain: str
+    app: str = ""
+
+
+@dataclasses.dataclass
+class System:
+    """All processes of a scenario."""
+
+    folder: pathlib.Path
+    join_alone_ms: int = 200
+    balancer_notice_ms: int = 0
+    stop_bound_ms: int = 20_000
+    processes: dict = dataclasses.field(default_factory=dict)
+    places: dict = dataclasses.field(default_factory=dict)
+    peer_ports: dict = dataclasses.field(default_factory=dict)
+
+    def _start(self, name, *arguments):
+        log = self.folder / f"{name}-{len(os.listdir(self.folder))}.log"
+        environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        popen = subprocess.Popen(
+            [sys.executable, "-m", "dotterelplank", *map(str, arguments)],
+            stdout=subprocess.PIPE,
+            stderr=log.open("wb"),
+            env=environment,
+            cwd=ROOT,
+            text=True,
+        )
+        process = Process(popen, {}, log)
+        self.processes[name] = process
+        return process
+
+    def _read_ports(self, process):
+        line = process.popen.stdout.readline()
+        if not line:
+            raise TooLateError(process.log.read_text("utf-8"))
+        process.ports = json.loads(line)
+        return process
+
+    def standin(self, name, kind, *arguments):
+        """Start a stand-in; :meth:`ready` reads its port."""
+        return self._start(name, "standin", kind, *arguments)
+
+    def ready(self, *processes):
+        for process in processes:
+            self._read_ports(process)
+        return processes[0] if len(processes) == 1 else processes
+
+    def url(self, name):
+        return "http://" + self.processes[name].ports["listening"]
+
+    def control(self, name, path, body, method="POST"):
+        response = pool.request(method, f"{self.url(name)}/control/{path}", json=body)
+        assert response.status < 300, response.data
+        return response.json()
+
+    def read(self, name, path):
+        return pool.request("GET", f"{self.url(name)}/control/{path}").json()
+
+    def _settings(self, place, extra):
+        value = {
+            "host": place.host,
+            "domain": place.domain,
+            "address": "127.0.0.1",
+            "peer_port": 0,
+            "status_port": 0,
+            "platform_url": self.url("platform"),
+            "secret": SECRET,
+            "join_alone_ms": self.join_alone_ms,
+            "stop_bound_ms": self.stop_bound_ms,
+            "log_level": "INFO",
+            **extra,
+        }
+        path = self.folder / f"{place.host}.json"
+        path.write_text(json.dumps(value), encoding="utf-8")
+        return path
+
+    def entry(self, place, **extra):
+        """Start an entry; :meth:`ready` reads its ports."""
+        self.places[place.host] = (place, "entry")
+        settings = {
+            "caller_port": 0,
+            "caller_threads": 64,
+            "balancer_notice_ms": self.balancer_notice_ms,
+            **extra,
+        }
+        return self._start(place.host, "entry", self._settings(place, settings))
+
+    def agent(self, place, endpoint, kind, **extra):
+        """Start an agent beside the stand-in called ``endpoint``."""
+        self.places[place.host] = (place, "agent")
+        settings = {
+            "endpoint_url": self.url(endpoint),
+            "endpoint_kind": kind,
+            "slots": 64,
+            **extra,
+        }
+        return self._start(place.host, "agent", self._settings(place, settings))
+
+    def publish_hosts(self, leaving=(), without=()):
+        """Tell the platform which hosts there are."""
+        hosts = []
+        for name, (place, role) in self.places.items():
+            if name in without:
+                continue
+            port = self.peer_ports.get(name)
+            hosts.append(
+                {
+                    "host": name,
+                    "address": "127.0.0.1",
+                    "port": port or self.processes[name].ports["peer_port"],
+                    "domain": place.domain,
+                    "role": role,
+                    "state": "leaving" if name in leaving else "live",
+                    "labels": {"app": place.app} if place.app else {},
+                }
+            )
+        return self.control("platform", "hosts", hosts, method="PUT")
+
+    def status(self, host):
+        port = self.processes[host].ports["status_port"]
+        return pool.request("GET", f"http://127.0.0.1:{port}/status").json()
+
+    def health(self, host):
+        port = self.processes[host].ports["status_port"]
+        return pool.request("GET", f"http://127.0.0.1:{port}/healthz").status
+
+    def caller_url(self, host):
+        return f"http://127.0.0.1:{self.processes[host].ports['caller_port']}"
+
+    def links_of(self, host):
+        return {
+            item["host"]
+            for item in self.status(host)["hosts"]
+            if item["linked"] and item["usable"]
+        }
+
+    def events(self, host):
+        """Return the numbered events that all processes of ``host`` logged."""
+        found = []
+        for path in sorted(self.folder.glob(f"{host}-*.log")):
+            for line in path.read_text("utf-8").splitlines():
+                with contextlib.suppress(ValueError):
+                    found.append(json.loads(line))
+        return found
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.is_running():
+                process.signal(signal.SIGCONT)
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+            process.popen.stdout.close()
+
+
+@contextlib.contextmanager
+def system(**fields):
+    """Yield a system without processes; end those that were started at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        made = System(pathlib.Path(folder), **fields)
+        try:
+            yield made
+        finally:
+            made.stop()
+
+
+CONFIGURATION = {
+    "labels": {"app": ["drafting", "orders"]},
+    "groups": [
+        {
+            "name": "drafting",
+            "kind": "model",
+            "servers": {"match_labels": {"app": "drafting"}},
+        },
+        {
+            "name": "orders",
+            "kind": "service",
+            "servers": {"match_labels": {"app": "orders"}},
+        },
+    ],
+    "rules": [{"name": "all"}],
+    "team_classes": [{"name": "all", "share": 1, "teams": ["crew", "audit"]}],
+}
+
+
+def start_small(made, entries=2, engines=2, services=1, engine_arguments=()):
+    """Start a platform, ``entries`` entries and agents with their endpoints."""
+    made.ready(made.standin("platform", "platform"))
+    endpoints = [
+        made.standin(f"engine-{number}", "engine", *engine_arguments)
+        for number in range(1, engines + 1)
+    ]
+    endpoints += [
+        made.standin(f"service-{number}", "service")
+        for number in range(1, services + 1)
+    ]
+    for endpoint in endpoints:
+        made.ready(endpoint)
+    made.control("platform", "configuration", {"text": json.dumps(CONFIGURATION)})
+    daemons = [
+        made.entry(Place(f"entry-{number}", "fd-1")) for number in range(1, entries + 1)
+    ]
+    daemons += [
+        made.agent(
+            Place(f"drafting-{number}", "fd-1", "drafting"), f"engine-{number}", "model"
+        )
+        for number in range(1, engines + 1)
+    ]
+    daemons += [
+        made.agent(
+            Place(f"orders-{number}", "fd-1", "orders"), f"service-{number}", "service"
+        )
+        for number in range(1, services + 1)
+    ]
+    for daemon in daemons:
+        made.ready(daemon)
+    made.publish_hosts()
+    wait_linked(made)
+
+
+def wait_linked(made, hosts=None):
+    """Wait until each entry may use each agent that is running."""
+    agents = {
+        name
+        for name, (_, role) in made.places.items()
+        if role == "agent" and made.processes[name].is_running()
+    }
+    entries = hosts or [
+        name
+        for name, (_, role) in made.places.items()
+        if role == "entry" and made.processes[name].is_running()
+    ]
+    for entry in entries:
+        wait_until(
+            lambda: made.status(entry)["configuration_revision"] > 0
+            and agents <= made.links_of(entry),
+            what=f"{entry} linked to {sorted(agents)}",
+        )
