--- a/src/dotterelplank/standin_engine.py
+++ b/src/dotterelplank/standin_engine.py
@@ -268,7 +268,7 @@
         self._run(now_ms)
 
     def _check_served(self, request: ChatRequest) -> None:
-        if self.models and request.model not in self.models:
+        if self.settings.models and request.model not in self.models:
             message = f"model: met {request.model!r}, which isn't loaded"
             raise StandinRefusalError(404, shell.Code.MODEL_NOT_LOADED, message)
         if len(self._waiting) >= self.settings.max_waiting + self._free_places():
--- a/src/dotterelplank/standin_platform.py
+++ b/src/dotterelplank/standin_platform.py
@@ -7,7 +7,6 @@
 import collections
 import dataclasses
 import threading
-import time
 import typing as t
 
 import pydantic
@@ -279,8 +278,9 @@
     after = request.number("after", -1)
     wait_ms = request.number("wait_ms", 0, shell.MAX_WAIT_MS)
     end_ms = shell.now_ms() + wait_ms
-    time.sleep(platform.state.faults.delay_ms / 1000.0)
+    delay_s = platform.state.faults.delay_ms / 1000.0
     with platform.changed:
+        platform.changed.wait_for(lambda: platform.closed, delay_s)
         while True:
             if request.hung_up():
                 request.tear()
--- a/src/dotterelplank/standin_service.py
+++ b/src/dotterelplank/standin_service.py
@@ -4,7 +4,6 @@
 import dataclasses
 import hashlib
 import threading
-import time
 import typing as t
 
 import pydantic
@@ -150,7 +149,8 @@
 def _call(service: Service, request: shell.Request, status: int) -> shell.Response:
     digest = hashlib.sha256(request.body).hexdigest()
     faults = _execute(service, request, digest)
-    time.sleep(faults.delay_ms / 1000.0)
+    with service.changed:
+        service.changed.wait_for(lambda: service.closed, faults.delay_ms / 1000.0)
     if faults.fail_after_execute and request.method in EXECUTING_METHODS:
         request.tear()
     if status in (204, 205, 304):
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -128,6 +128,16 @@
             fences = [order.fence for order in engine.orders.executed]
             self.assertEqual(executed, fences)
 
+    def test_a_model_is_served_once_it_is_loaded(self):
+        engine = _engine(models=["other"])
+        refusal = self.assertRaises(
+            errors.StandinRefusalError, engine.submit, _chat(), "r", 0
+        )
+        self.assertEqual(404, refusal.status)
+        order = EngineOrder(fence=1, kind="load_model", model="m")
+        engine.order(order, now_ms=0).check()
+        self.assertEqual(1, engine.submit(_chat(), "r", now_ms=0))
+
     def test_an_order_in_flight_is_overtaken_and_then_refused(self):
         engine = _engine()
         engine.set_faults(EngineFaults(order_delay_ms=100), now_ms=0)
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -2,7 +2,7 @@
 
 import testtools
 import urllib3
-from standin_client import Client
+from standin_client import Client, wait_until
 
 from dotterelplank import standins
 from dotterelplank.standin_service import ServiceFaults, record_of
@@ -62,6 +62,13 @@
         self.assertEqual([204, 418, 503], statuses)
         self.assertEqual(400, self.client.call("GET", "/status/99").status)
 
+    def test_a_late_answer_does_not_keep_the_service_from_stopping(self):
+        with standins.serving_service() as (service, port):
+            service.change_faults(ServiceFaults(delay_ms=60_000))
+            call = Client(port).start("POST", "/orders", {})
+            wait_until(lambda: service.report().total)
+        self.assertIsNone(call.exception())
+
     def test_control_still_answers_when_every_thread_hangs(self):
         self.service.change_faults(ServiceFaults(freeze=True))
         calls = [self.client.start("GET", "/") for _ in range(standins.THREADS // 2)]
