Let a control call change single members of a host

Cause: to mark a host as leaving, a test had to repeat the whole entry. Ruled out: a PATCH beside the PUT, since one call that adds or changes is enough.

--- a/src/dotterelplank/standin_http.py
+++ b/src/dotterelplank/standin_http.py
@@ -30,6 +30,7 @@
 LOOPBACK = "127.0.0.1"
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_WAIT_MS = 60_000
+NAMED_FAULTS = 5
 IDLE_TIMEOUT_S = 300
 KEPT_CONNECTIONS = 4096
 LISTEN_BACKLOG = 128
@@ -98,14 +99,14 @@
         try:
             return model.model_validate_json(self.body or b"{}")
         except pydantic.ValidationError as error:
-            raise malformed(_describe(error)) from None
+            raise invalid(error) from None
 
     def read_as(self, adapter: pydantic.TypeAdapter) -> t.Any:
         """Return the JSON body as the type that ``adapter`` checks."""
         try:
             return adapter.validate_json(self.body)
         except pydantic.ValidationError as error:
-            raise malformed(_describe(error)) from None
+            raise invalid(error) from None
 
     def number(self, name: str, default: int, maximum: int = 2**63) -> int:
         """Return a whole number from the query, between 0 and ``maximum``."""
@@ -175,6 +176,17 @@
     return StandinRefusalError(400, Code.MALFORMED, message)
 
 
+def invalid(error: pydantic.ValidationError) -> StandinRefusalError:
+    """Return the refusal of a body that is no valid model."""
+    faults = error.errors(include_url=False, include_input=False)[:NAMED_FAULTS]
+    return malformed(
+        "; ".join(
+            f"{'.'.join(str(part) for part in fault['loc']) or 'body'}: {fault['msg']}"
+            for fault in faults
+        )
+    )
+
+
 def reply(value: t.Any, status: int = 200) -> Response:
     """Return ``value``, a model or a data class, as a JSON response."""
     return Response(status, pydantic_core.to_json(value))
@@ -388,11 +400,3 @@
         return f"{status} {http.HTTPStatus(status).phrase}"
     except ValueError:
         return f"{status} Unknown"
-
-
-def _describe(error: pydantic.ValidationError) -> str:
-    faults = error.errors(include_url=False, include_input=False)[:5]
-    return "; ".join(
-        f"{'.'.join(str(part) for part in fault['loc']) or 'body'}: {fault['msg']}"
-        for fault in faults
-    )
--- a/src/dotterelplank/standin_platform.py
+++ b/src/dotterelplank/standin_platform.py
@@ -33,6 +33,18 @@
     labels: dict[str, str] = {}
 
 
+class HostChange(shell.StrictModel):
+    """Members of a host that are to change; a new host needs the required ones."""
+
+    host: str | None = None
+    address: str | None = None
+    port: int | None = None
+    domain: str | None = None
+    role: str | None = None
+    state: str | None = None
+    labels: dict[str, str] | None = None
+
+
 class ConfigurationText(shell.StrictModel):
     """Body of a control call that publishes a configuration."""
 
@@ -132,10 +144,17 @@
         self._host_lists.append((now_ms, latest))
         return latest
 
-    def put_host(self, entry: HostEntry, now_ms: float) -> HostList:
-        """Add a host, or replace the entry of that name."""
-        others = self._others(entry.host)
-        return self.replace_hosts([*others, entry], now_ms)
+    def change_host(self, host: str, change: HostChange, now_ms: float) -> HostList:
+        """Change the members of a host that ``change`` sets, or add it."""
+        if change.host not in (None, host):
+            raise shell.malformed("host: the body names another host than the path")
+        members = self._members(host)
+        members.update(change.model_dump(exclude_unset=True), host=host)
+        try:
+            entry = HostEntry.model_validate(members)
+        except pydantic.ValidationError as error:
+            raise shell.invalid(error) from None
+        return self.replace_hosts([*self._others(host), entry], now_ms)
 
     def delete_host(self, host: str, now_ms: float) -> HostList:
         """Remove a host; one that isn't listed is refused."""
@@ -154,6 +173,12 @@
     def _latest_hosts(self) -> HostList:
         return self._host_lists[-1][1]
 
+    def _members(self, host: str) -> dict[str, t.Any]:
+        for entry in self._latest_hosts().hosts:
+            if entry.host == host:
+                return entry.model_dump()
+        return {}
+
     def _others(self, host: str) -> t.Sequence[HostEntry]:
         return [entry for entry in self._latest_hosts().hosts if entry.host != host]
 
@@ -187,6 +212,20 @@
             self.changed.notify_all()
         return latest
 
+    def change_host(self, host: str, change: HostChange) -> HostList:
+        """Change or add a host and wake the watchers."""
+        with self.changed:
+            latest = self.state.change_host(host, change, shell.now_ms())
+            self.changed.notify_all()
+        return latest
+
+    def delete_host(self, host: str) -> HostList:
+        """Remove a host and wake the watchers."""
+        with self.changed:
+            latest = self.state.delete_host(host, shell.now_ms())
+            self.changed.notify_all()
+        return latest
+
     def change_faults(self, changes: PlatformFaults) -> PlatformFaults:
         """Change the faults that ``changes`` sets, and wake every watcher."""
         with self.changed:
@@ -233,21 +272,12 @@
     def replace_hosts(request: shell.Request) -> shell.Response:
         return shell.reply(platform.replace_hosts(request.read_as(host_list)))
 
-    def put_host(request: shell.Request) -> shell.Response:
-        entry = request.read(HostEntry)
-        if entry.host != request.params["host"]:
-            raise shell.malformed("host: the body names another host than the path")
-        with platform.changed:
-            latest = platform.state.put_host(entry, shell.now_ms())
-            platform.changed.notify_all()
-        return shell.reply(latest)
+    def change_host(request: shell.Request) -> shell.Response:
+        change = request.read(HostChange)
+        return shell.reply(platform.change_host(request.params["host"], change))
 
     def delete_host(request: shell.Request) -> shell.Response:
-        with platform.changed:
-            host = request.params["host"]
-            latest = platform.state.delete_host(host, shell.now_ms())
-            platform.changed.notify_all()
-        return shell.reply(latest)
+        return shell.reply(platform.delete_host(request.params["host"]))
 
     def counts(_request: shell.Request) -> shell.Response:
         with platform.changed:
@@ -262,7 +292,7 @@
         shell.Route("GET", "/control/counts", counts),
         shell.Route("POST", "/control/configuration", publish),
         shell.Route("PUT", "/control/hosts", replace_hosts),
-        shell.Route("PUT", "/control/hosts/{host}", put_host),
+        shell.Route("PUT", "/control/hosts/{host}", change_host),
         shell.Route("DELETE", "/control/hosts/{host}", delete_host),
         shell.Route("POST", "/control/faults", set_faults),
     ]
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -2,7 +2,12 @@
 from standin_client import Client
 
 from dotterelplank import errors, standins
-from dotterelplank.standin_platform import HostEntry, PlatformFaults, PlatformState
+from dotterelplank.standin_platform import (
+    HostChange,
+    HostEntry,
+    PlatformFaults,
+    PlatformState,
+)
 
 
 def _host(name, state="live"):
@@ -38,9 +43,10 @@
 
     def test_a_host_is_listed_once(self):
         state = PlatformState()
-        state.put_host(_host("a"), now_ms=0)
-        state.put_host(_host("a", "leaving"), now_ms=0)
-        self.assertEqual(["leaving"], [entry.state for entry in state.hosts(0).hosts])
+        state.replace_hosts([_host("a")], now_ms=0)
+        state.change_host("a", HostChange(state="leaving"), now_ms=0)
+        expected = [_host("a", "leaving")]
+        self.assertEqual(expected, list(state.hosts(0).hosts))
         state.delete_host("a", now_ms=0)
         self.assertEqual(0, len(state.hosts(0).hosts))
 
@@ -85,6 +91,9 @@
     def test_bad_input_is_refused_by_number(self):
         calls = [
             ("PUT", "/control/hosts", {"no": "list"}),
+            ("PUT", "/control/hosts/a", {"state": "leaving"}),
+            ("PUT", "/control/hosts/a", {"host": "b"}),
+            ("DELETE", "/control/hosts/a", None),
             ("POST", "/control/faults", {"unknown": 1}),
             ("GET", "/v1/configuration?after=-1", None),
             ("POST", "/control/faults", {"serve_revision": 9}),
