Spill to other domains by learned batch sizes, and only where they are reached

Cause: other domains were asked at a fixed number of held requests, so the own domain queued first and, once cut off, began with a backlog; and each endpoint of a domain that was cut off had to fail for itself.

The test of spilling now gives its load through note_report, which learns the batch size; it asserts the same as before.

--- a/src/dotterelplank/bench_routing.py
+++ b/src/dotterelplank/bench_routing.py
@@ -228,6 +228,7 @@
             turn_ms = options.traffic.output_tokens * options.engine.step_ms
             pending_ms += (full + 1) * turn_ms / engine.options.max_batch
         cached = engine.cache.match(arrival.job.blocks).blocks
+        pending_ms /= engine.speed or 1.0
         answers.append(inquiry.Answer(choice.host, engine.held(), pending_ms, cached))
     return answers
 
--- a/src/dotterelplank/endpoint_view.py
+++ b/src/dotterelplank/endpoint_view.py
@@ -77,6 +77,8 @@
     since the last report was measured; ``sent_since_report`` counts the sends.
     ``is_stalled`` is set when a request was given up on after a silence of
     :data:`STALL_SILENCE_MS`, and holds until the endpoint answers again.
+    ``places`` is the size of its batch as far as reports have shown it: what ran
+    while others waited. It is infinite until some have waited.
     """
 
     host: str
@@ -84,6 +86,7 @@
     liveness: Liveness = Liveness.ALIVE
     report: LoadReport | None = None
     measured_ms: float = 0.0
+    places: float = math.inf
     in_flight: dict[str, Sent] = dataclasses.field(default_factory=dict)
     unanswered: int = 0
     answered_ms: float = 0.0
@@ -192,6 +195,10 @@
         return
     view.report = report
     view.measured_ms = measured_ms
+    if report.waiting:
+        view.places = report.running
+    elif report.running > view.places:
+        view.places = report.running
     while view.changes and view.changes[0][0] <= measured_ms:
         _, change = view.changes.popleft()
         view.net_since_report -= change
--- a/src/dotterelplank/routing.py
+++ b/src/dotterelplank/routing.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 import heapq
+import math
 import random
 import typing as t
 
@@ -35,6 +36,9 @@
 MAX_PROBE_INTERVAL_MS = 60_000.0
 MIN_SPEED = 0.1
 HOMES = 2
+SPILL_FROM = 0.92
+FAR_REPORT_LIMIT_MS = 5_000.0
+FAR_FAILING_SHARE = 0.1
 MIN_LIKELIHOOD = 0.01
 BLOCK_FACTOR = 3.0
 MIN_ROOM_REQUESTS = 1.0
@@ -74,8 +78,6 @@
     """The settings of routing.
 
     :param live_entries: entries that choose in the same domain, this one too.
-    :param full_requests: requests held by an endpoint, on average over the
-        domain, from which on other domains are asked too.
     :param affinity_slack: part by which an endpoint may be above the level of all
         and still get the requests whose prefix it caches.
     :param light_requests: held requests up to which it always may.
@@ -84,7 +86,6 @@
     """
 
     live_entries: int = 9
-    full_requests: float = 60.0
     cache_half_life_ms: float = 60_000.0
     affinity_slack: float = 0.1
     light_requests: float = 4.0
@@ -151,27 +152,18 @@
     the answers to :func:`inquiry.settle`. A probe comes alone.
     """
     present = [view for view in endpoints if view.liveness is not Liveness.LEAVING]
-    usable = [view for view in present if not is_avoided(view, now_ms, policy)]
     near = [view for view in present if view.domain == request.domain]
     probed = _probe(now_ms, request, near, policy)
     if probed is not None:
         return (Choice(probed.host, probed.domain, 0.0, Reason.PROBE),)
-    own = _candidates([one for one in usable if one.domain == request.domain], policy)
-    if _is_full(own, policy):
+    own = [view for view in near if not is_avoided(view, now_ms, policy)]
+    if rng.random() < _spill_share(own):
         far = [view for view in present if view.domain != request.domain]
-        farther = _candidates([one for one in usable if one in far], policy)
-        if farther and not (own and _is_full(farther, policy)):
-            choices = _draw_choices(now_ms, request, farther, policy, rng, count)
-            return tuple(
-                dataclasses.replace(choice, reason=Reason.OTHER_DOMAIN)
-                for choice in choices
-            )
-        probed = None if farther else _probe_one(now_ms, request, far, policy)
-        if probed is not None:
-            return (Choice(probed.host, probed.domain, 0.0, Reason.PROBE),)
-    if not own:
-        own = _candidates(near or present, policy)
-    return tuple(_draw_choices(now_ms, request, own, policy, rng, count))
+        choices = _choose_far(now_ms, request, own, far, policy, rng, count)
+        if choices:
+            return choices
+    candidates = _candidates(own or near or present, policy)
+    return tuple(_draw_choices(now_ms, request, candidates, policy, rng, count))
 
 
 def is_avoided(view: EndpointView, now_ms: float, policy: RoutingPolicy) -> bool:
@@ -243,12 +235,55 @@
     return candidates
 
 
-def _is_full(candidates: t.Sequence[_Candidate], policy: RoutingPolicy) -> bool:
-    if not candidates:
-        return True
-    held = sum(candidate.held for candidate in candidates)
-    places = policy.full_requests * sum(candidate.speed for candidate in candidates)
-    return held >= places
+def _spill_share(views: t.Sequence[EndpointView]) -> float:
+    """Return the part of the requests that ``views`` can't take; 1 without any."""
+    if not views:
+        return 1.0
+    held = places = 0.0
+    for view in views:
+        known = view.places if view.places < math.inf else 0.0
+        held += endpoint_view.held_requests(view, 1) if known else 0.0
+        places += known
+    if not places:
+        return 0.0
+    return min(1.0, max(0.0, (held / places - SPILL_FROM) / (1.0 - SPILL_FROM)))
+
+
+def _choose_far(
+    now_ms: float,
+    request: RouteRequest,
+    own: t.Sequence[EndpointView],
+    far: t.Sequence[EndpointView],
+    policy: RoutingPolicy,
+    rng: random.Random,
+    count: int,
+) -> tuple[Choice, ...]:
+    """Choose in other domains, if they are reached and have more room."""
+    usable = []
+    for domain in sorted({view.domain for view in far}):
+        views = [view for view in far if view.domain == domain]
+        if _is_reached(now_ms, views):
+            usable.extend(v for v in views if not is_avoided(v, now_ms, policy))
+    if usable and _spill_share(usable) <= _spill_share(own) / 2.0:
+        candidates = _candidates(usable, policy)
+        choices = _draw_choices(now_ms, request, candidates, policy, rng, count)
+        return tuple(
+            dataclasses.replace(choice, reason=Reason.OTHER_DOMAIN)
+            for choice in choices
+        )
+    probed = _probe_one(now_ms, request, far, policy) if not usable else None
+    if probed is None:
+        return ()
+    return (Choice(probed.host, probed.domain, 0.0, Reason.PROBE),)
+
+
+def _is_reached(now_ms: float, views: t.Sequence[EndpointView]) -> bool:
+    """Return whether a domain seems reachable, by its reports and few failures."""
+    newest_ms = max(view.measured_ms for view in views)
+    if now_ms - newest_ms > FAR_REPORT_LIMIT_MS:
+        return False
+    failing = sum(endpoint_view.failure_score(view, now_ms) > 0.5 for view in views)
+    return failing <= max(1.0, FAR_FAILING_SHARE * len(views))
 
 
 def _draw_choices(
@@ -275,7 +310,9 @@
             holders = ()
             for candidate in candidates:
                 spare = level * candidate.speed - candidate.held
-                candidate.weight = 0.0 if candidate.is_drawn else max(0.0, spare)
+                candidate.weight = max(0.0, spare)
+                if candidate.is_drawn:
+                    candidate.weight = 0.0
             drawn = _draw(candidates, rng) or _least_held(candidates)
         drawn.is_drawn = True
         drawn.weight = 0.0
@@ -350,7 +387,8 @@
         holders = _homes(request.blocks[0], candidates)
     limit = max(level * (1.0 + policy.affinity_slack), policy.light_requests)
     for holder in holders:
-        holder.room = max(0.0, limit * holder.speed - holder.held)
+        most = min(limit * holder.speed, holder.view.places)
+        holder.room = max(0.0, most - holder.held)
         likelihood = holder.likely_blocks / max(1, holder.matched_blocks)
         advantage = min(0, holder.matched_blocks - best_blocks)
         holder.weight = holder.room * max(MIN_LIKELIHOOD, likelihood)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,7 +5,7 @@
 
 from hypothesis import given, strategies as st
 
-from dotterelplank import routing
+from dotterelplank import inquiry, routing
 
 POLICY = routing.RoutingPolicy(live_entries=3)
 REPORT = routing.LoadReport(10, 0, 0.5, 25.0, 400.0)
@@ -88,10 +88,41 @@
 def test_other_domains_are_asked_only_when_the_own_is_full():
     views = [make_view("near", running=50), make_view("far", "b", running=0)]
     assert choose(views).host == "near"
-    views[0].report = routing.LoadReport(80, 5, 0.9, 25.0, 400.0)
+    full = routing.LoadReport(80, 5, 0.9, 25.0, 400.0)
+    routing.note_report(views[0], 50.0, full, 0.0)
     assert choose(views).reason is routing.Reason.OTHER_DOMAIN
 
 
+def test_a_domain_that_is_not_reached_is_not_asked():
+    views = [make_view("near", running=50), make_view("far", "b", running=0)]
+    full = routing.LoadReport(80, 5, 0.9, 25.0, 400.0)
+    routing.note_report(views[0], 50.0, full, 0.0)
+    hosts = {choose(views, 8_000.0, seed, priority=1).host for seed in range(20)}
+    assert hosts == {"near"}
+
+
+def test_a_shortlist_has_no_endpoint_twice():
+    views = [make_view(str(number)) for number in range(4)]
+    routing.note_sent(views[2], 50.0, "before", (1, 2))
+    rng = random.Random(1)
+    request = make_request(blocks=(1, 2))
+    choices = routing.shortlist(100.0, request, views, POLICY, rng, 9)
+    assert choices[0].host == "2"
+    assert len({choice.host for choice in choices}) == 4
+
+
+def test_the_earliest_expected_answer_is_settled_on():
+    views = [make_view(str(number)) for number in range(3)]
+    rng = random.Random(1)
+    choices = routing.shortlist(100.0, make_request(), views, POLICY, rng, 3)
+    answers = [
+        inquiry.Answer(choices[1].host, 10, 200.0),
+        inquiry.Answer(choices[2].host, 10, 20.0),
+    ]
+    assert inquiry.settle(choices, answers, inquiry.InquiryPolicy()) == choices[2]
+    assert inquiry.settle(choices, (), inquiry.InquiryPolicy()) == choices[0]
+
+
 def test_own_sends_count_until_a_report_covers_them():
     view = make_view("0")
     routing.note_sent(view, 100.0, "first", ())
