Give the rest of the teams one level, and add the bench of limits

Cause: the demand of a team with few requests is chance, so buckets of its demand misled the fair level. Small teams were shed at 7% because a burst of their own looked like a demand above their share; each team's level now fills while it is within its share, and parts are evened out by one request.

--- /dev/null
+++ b/src/dotterelplank/bench_limits_world.py
@@ -0,0 +1,363 @@
+"""Entries that admit the requests of many teams before a domain of fake engines.
+
+All runs on a virtual clock. Endpoints are chosen with full knowledge, so that what
+is measured comes from admission and retries alone.
+"""
+
+import dataclasses
+import itertools
+import math
+import random
+import typing as t
+
+from . import capacities, endpoint_view, limits, retries
+from .bench_traffic import pick
+from .endpoint_view import EndpointView
+from .fake_engine import EngineOptions, FakeEngine, Happening, Job, Stage
+from .virtual_clock import Act, VirtualClock
+
+REPORT_INTERVAL_MS = 500.0
+REPORT_DELAY_MIN_MS = 100.0
+REPORT_DELAY_MAX_MS = 1_500.0
+DIGEST_DELAY_MS = 50.0
+OUTPUT_TOKENS = 400
+PROMPT_TOKENS = 500
+MAX_CALLS = 3
+HELD_MS = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamPlan:
+    """A team, its share, and its demand as a part of the capacity."""
+
+    name: str
+    share: float
+    demand: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What changes at a time; what is None stays.
+
+    :param entries: numbers of the entries that are alive from then on.
+    :param speed: speed of all engines, 1 being the full one.
+    :param refusals: part of the requests that engines refuse.
+    :param load: factor on the demand of all teams.
+    """
+
+    at_ms: float
+    entries: tuple[int, ...] | None = None
+    speed: float | None = None
+    refusals: float | None = None
+    load: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitsWorldOptions:
+    """The size of a run, the teams, and what changes in it.
+
+    :param deadline_ms: time within which a first token is of use.
+    """
+
+    teams: tuple[TeamPlan, ...]
+    default_share: float
+    rest_share: float
+    entries: int
+    engines: int
+    warm_up_ms: float
+    duration_ms: float
+    deadline_ms: float = 2_000.0
+    changes: tuple[Change, ...] = ()
+    engine: EngineOptions = EngineOptions()
+
+    def capacity_per_s(self) -> float:
+        """Return the tokens a second that all engines generate with full batches."""
+        steps_per_s = 1_000.0 / self.engine.step_ms
+        return self.engines * self.engine.max_batch * steps_per_s
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request with all its attempts.
+
+    :param calls: how often the caller asked.
+    """
+
+    request_id: str
+    team: int
+    at_ms: float
+    output_tokens: int
+    calls: int = 0
+    attempts: int = 0
+    entry: int = -1
+    engine: int = -1
+    ticket: limits.Ticket | None = None
+    first_token_ms: float = math.inf
+    end_ms: float = math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """An answer of admission; ``retry_after_ms`` is below 0 if it was let in."""
+
+    at_ms: float
+    waited_ms: float
+    team: int
+    cost: float
+    retry_after_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class LimitsTally:
+    """All that a run saw."""
+
+    calls: list[Call] = dataclasses.field(default_factory=list)
+    answered: list[Answered] = dataclasses.field(default_factory=list)
+    retries_ms: list[float] = dataclasses.field(default_factory=list)
+
+
+class LimitsWorld:
+    """The state of one run."""
+
+    def __init__(self, options: LimitsWorldOptions, seed: int) -> None:
+        self.options = options
+        self.rng = random.Random(f"limits/{seed}")
+        self.clock = VirtualClock()
+        self.capacity = options.capacity_per_s()
+        self.policy = limits.LimitPolicy(
+            {team.name: team.share for team in options.teams if team.share},
+            options.default_share,
+            options.rest_share,
+        )
+        self.states = [
+            limits.LimitState(str(number), self.capacity)
+            for number in range(options.entries)
+        ]
+        self.budgets = [retries.RetryBudget() for _ in self.states]
+        self.alive = list(range(options.entries))
+        self.engines = [
+            FakeEngine(str(number), "a", options.engine)
+            for number in range(options.engines)
+        ]
+        self.views = [EndpointView(engine.host, "a") for engine in self.engines]
+        self.refusals = 0.0
+        self.load = 1.0
+        self.flights: dict[str, Call] = {}
+        self.tally = LimitsTally()
+        self._weights = list(
+            itertools.accumulate(team.demand for team in options.teams)
+        )
+        self._wakes = [math.inf] * options.engines
+
+    def run(self) -> LimitsTally:
+        """Run from the first request to the end of the duration."""
+        self.clock.at(0.0, self._arrive)
+        for number in range(self.options.engines):
+            offset_ms = self.rng.uniform(0.0, REPORT_INTERVAL_MS)
+            self.clock.every(offset_ms, REPORT_INTERVAL_MS, self._reporter(number))
+        for number in range(self.options.entries):
+            offset_ms = self.rng.uniform(0.0, REPORT_INTERVAL_MS)
+            self.clock.at(offset_ms, self._speaker(number))
+        for change in self.options.changes:
+            self.clock.at(change.at_ms, self._changer(change))
+        self.clock.run(self.options.duration_ms)
+        return self.tally
+
+    def _arrive(self, now_ms: float) -> None:
+        rng = self.rng
+        per_s = self.load * self._weights[-1] * self.capacity / OUTPUT_TOKENS
+        self.clock.at(now_ms + rng.expovariate(per_s) * 1_000.0, self._arrive)
+        output_tokens = 1 + int(rng.expovariate(1.0 / OUTPUT_TOKENS))
+        team = pick(rng, self._weights)
+        call = Call(str(len(self.tally.calls)), team, now_ms, output_tokens)
+        self.tally.calls.append(call)
+        self._ask(call)(now_ms)
+
+    def _ask(self, call: Call) -> Act:
+        def act(now_ms: float) -> None:
+            call.calls += 1
+            call.attempts = 0
+            call.entry = self.rng.choice(self.alive)
+            request = limits.LimitRequest(
+                f"{call.request_id}/{call.calls}",
+                self.options.teams[call.team].name,
+                float(OUTPUT_TOKENS),
+                0,
+                now_ms + self.options.deadline_ms,
+            )
+            state = self.states[call.entry]
+            answer = limits.admit(now_ms, state, request, self.policy)
+            wait_ms = (
+                -1.0 if isinstance(answer, limits.Admitted) else (answer.retry_after_ms)
+            )
+            self.tally.answered.append(
+                Answered(now_ms, 0.0, call.team, request.cost, wait_ms)
+            )
+            if isinstance(answer, limits.Admitted):
+                call.ticket = answer.ticket
+                self._send(call)(now_ms)
+            else:
+                self._come_back(now_ms, call, answer.retry_after_ms)
+
+        return act
+
+    def _come_back(self, now_ms: float, call: Call, after_ms: float) -> None:
+        if call.calls < MAX_CALLS:
+            self.clock.at(now_ms + after_ms, self._ask(call))
+
+    def _send(self, call: Call) -> Act:
+        def act(now_ms: float) -> None:
+            call.attempts += 1
+            if self.rng.random() < self.refusals:
+                self._refused(now_ms, call)
+                return
+            job_id = f"{call.request_id}/{call.calls}"
+            self.flights[job_id] = call
+            job = Job(job_id, (), PROMPT_TOKENS, call.output_tokens)
+            call.engine = self._earliest(now_ms, job)
+            self.engines[call.engine].submit(now_ms, job)
+            self._wake_later(call.engine)
+            give_up_ms = now_ms + self.options.deadline_ms
+            self.clock.at(give_up_ms, self._give_up(call, job_id))
+
+        return act
+
+    def _earliest(self, now_ms: float, job: Job) -> int:
+        costs_ms = []
+        for engine in self.engines:
+            engine.advance_clock(now_ms)
+            delay_ms = engine.first_token_delay_ms(job)
+            costs_ms.append(delay_ms + HELD_MS * engine.held())
+        return costs_ms.index(min(costs_ms))
+
+    def _refused(self, now_ms: float, call: Call) -> None:
+        failure = retries.Failure(retries.Proof.NOT_RUN, is_refusal=True)
+        request = retries.RetryRequest(
+            f"{call.request_id}/{call.calls}",
+            False,
+            call.attempts,
+            now_ms + self.options.deadline_ms,
+        )
+        answer = retries.decide(now_ms, self.budgets[call.entry], failure, request)
+        if isinstance(answer, retries.Retry):
+            self.tally.retries_ms.append(now_ms)
+            self.clock.at(now_ms + answer.after_ms, self._send(call))
+            return
+        self._release(now_ms, call, limits.Outcome.FAILED)
+        self._come_back(now_ms, call, answer.retry_after_ms)
+
+    def _give_up(self, call: Call, job_id: str) -> Act:
+        def act(now_ms: float) -> None:
+            if self.flights.get(job_id) is None or call.first_token_ms < math.inf:
+                return
+            del self.flights[job_id]
+            self.engines[call.engine].cancel(now_ms, job_id)
+            self._wake_later(call.engine)
+            self._release(now_ms, call, limits.Outcome.CANCELLED)
+
+        return act
+
+    def _release(self, now_ms: float, call: Call, outcome: limits.Outcome) -> None:
+        if call.ticket is not None:
+            state = self.states[call.entry]
+            limits.release(now_ms, state, call.ticket, outcome)
+            call.ticket = None
+
+    def _wake_later(self, number: int) -> None:
+        at_ms = self.engines[number].next_ms()
+        if at_ms < self._wakes[number]:
+            self._wakes[number] = at_ms
+            self.clock.at(at_ms, self._wake(number))
+
+    def _wake(self, number: int) -> Act:
+        def act(now_ms: float) -> None:
+            if now_ms >= self._wakes[number]:
+                self._wakes[number] = math.inf
+            for happening in self.engines[number].advance(now_ms):
+                self._happened(happening)
+            self._wake_later(number)
+
+        return act
+
+    def _happened(self, happening: Happening) -> None:
+        job_id = happening.job.request_id
+        call = self.flights.get(job_id)
+        if call is None:
+            return
+        if happening.stage is Stage.FIRST_TOKEN:
+            call.first_token_ms = happening.at_ms
+            return
+        del self.flights[job_id]
+        call.end_ms = happening.at_ms
+        retries.note_success(happening.at_ms, self.budgets[call.entry])
+        self._release(happening.at_ms, call, limits.Outcome.DONE)
+
+    def _reporter(self, number: int) -> Act:
+        def act(now_ms: float) -> None:
+            report = self.engines[number].report()
+            delay_ms = self.rng.uniform(REPORT_DELAY_MIN_MS, REPORT_DELAY_MAX_MS)
+
+            def deliver(later_ms: float) -> None:
+                view = self.views[number]
+                endpoint_view.note_report(view, later_ms, report, later_ms - now_ms)
+
+            self.clock.at(now_ms + delay_ms, deliver)
+
+        return act
+
+    def _speaker(self, number: int) -> Act:
+        def act(now_ms: float) -> None:
+            state = self.states[number]
+            self.clock.at(now_ms + limits.digest_interval_ms(state), act)
+            if number not in self.alive:
+                return
+            self._tell_load(now_ms, state)
+            digest = limits.digest(now_ms, state)
+
+            def deliver(later_ms: float) -> None:
+                for peer in self.alive:
+                    limits.on_digest(later_ms, self.states[peer], digest)
+
+            self.clock.at(now_ms + DIGEST_DELAY_MS, deliver)
+
+        return act
+
+    def _tell_load(self, now_ms: float, state: limits.LimitState) -> None:
+        places = self.options.engine.max_batch
+        capacity = capacities.capacity_per_s(self.views, places)
+        if capacity > 0.0:
+            backlog_ms = capacities.backlog_ms(self.views, places, OUTPUT_TOKENS)
+            limits.on_load(now_ms, state, capacity, backlog_ms)
+
+    def _changer(self, change: Change) -> Act:
+        def act(now_ms: float) -> None:
+            if change.entries is not None:
+                joined = set(change.entries) - set(self.alive)
+                for number in joined:
+                    self.states[number] = limits.LimitState(str(number), self.capacity)
+                self.alive = list(change.entries)
+            if change.refusals is not None:
+                self.refusals = change.refusals
+            if change.load is not None:
+                self.load = change.load
+            if change.speed is not None:
+                self._set_speed(now_ms, change.speed)
+
+        return act
+
+    def _set_speed(self, now_ms: float, speed: float) -> None:
+        for number, engine in enumerate(self.engines):
+            for happening in engine.advance(now_ms):
+                self._happened(happening)
+            engine.set_speed(now_ms, speed)
+            self._wakes[number] = math.inf
+            self._wake_later(number)
+
+
+def team_numbers(
+    options: LimitsWorldOptions, chosen: t.Callable[[TeamPlan], bool]
+) -> frozenset[int]:
+    """Return the numbers of the teams that ``chosen`` accepts."""
+    return frozenset(
+        number for number, team in enumerate(options.teams) if chosen(team)
+    )
--- a/src/dotterelplank/demands.py
+++ b/src/dotterelplank/demands.py
@@ -1,8 +1,8 @@
 """What entries tell each other of their teams' demand, and the fair level in it.
 
-A digest is bounded: the teams of the greatest demand are named, and all others are
-summed by how far their demand is above or below their share. Demand and rates
-are in units of cost a second; the usual unit of cost is a token.
+A digest is bounded: a few teams of great demand are named, and all the others are
+summed up as the rest. Demand and rates are in units of cost a second; the usual
+unit of cost is a token.
 """
 
 import dataclasses
@@ -10,9 +10,6 @@
 import typing as t
 
 MAX_NAMED_TEAMS = 32
-TAIL_BUCKETS = 24
-TAIL_BUCKET_BASE = 2.0
-TAIL_BUCKET_OFFSET = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,19 +23,6 @@
     demand_per_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TailBucket:
-    """The teams without a name whose demand is near one multiple of their share.
-
-    :param number: see :func:`tail_bucket_number`.
-    :param share: sum of their shares, each divided by the number of entries.
-    """
-
-    number: int
-    demand_per_s: float
-    share: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandDigest:
     """The demand that one entry saw.
@@ -47,14 +31,12 @@
     :param offered_per_s: cost a second that callers asked for, over all teams.
     :param admitted_per_s: cost a second that was let in.
     :param named: at most :data:`MAX_NAMED_TEAMS` teams, greatest first.
-    :param tail: at most :data:`TAIL_BUCKETS` buckets of the teams not named.
     """
 
     entry: str
     offered_per_s: float
     admitted_per_s: float
     named: tuple[TeamDemand, ...]
-    tail: tuple[TailBucket, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,16 +47,6 @@
     share: float
 
 
-def tail_bucket_number(demand_per_s: float, share: float, capacity_per_s: float) -> int:
-    """Return the bucket of a team by the ratio of its demand to its share's rate."""
-    entitled_per_s = share * capacity_per_s
-    if demand_per_s <= 0.0 or entitled_per_s <= 0.0:
-        return 0
-    ratio = demand_per_s / entitled_per_s
-    number = math.floor(math.log(ratio, TAIL_BUCKET_BASE)) + TAIL_BUCKET_OFFSET
-    return max(0, min(TAIL_BUCKETS - 1, number))
-
-
 def fair_level(claims: t.Sequence[Claim], capacity_per_s: float) -> float:
     """Return the rate for each unit of share at which the claims fill the capacity.
 
--- /dev/null
+++ b/src/dotterelplank/shares.py
@@ -0,0 +1,178 @@
+"""Working out each team's fair part at one entry, from the digests of all.
+
+A team that the digests show to ask for much has a level of its own. All others are
+the rest, with one level for them together, since what is seen of a team with few
+requests is chance.
+"""
+
+import itertools
+import math
+import typing as t
+
+from . import demands
+from .demands import DemandDigest
+from .limit_state import LimitPolicy, LimitState, TeamState, worth_per_s
+
+IDLE_MS = 120_000.0
+RECENT_MS = 10_000.0
+DIGEST_INTERVAL_MIN_MS = 500.0
+DIGEST_INTERVAL_ENTRY_MS = 25.0
+DIGEST_LIFE_MIN_MS = 2_500.0
+DIGEST_LIFE_INTERVALS = 2.2
+NAMED_TEAMS_MIN = 8
+NAMED_TEAMS_SUM = 1_000
+NAMED_REQUESTS = 3.0
+MIN_TRIM = 0.5
+MAX_TRIM = 1.25
+TRIM_GAIN = 0.1
+BACKLOG_HORIZON_MS = 2_000.0
+MIN_BACKLOG_FACTOR = 0.4
+MIN_SHARE = 1e-9
+
+
+def digest_interval_ms(state: LimitState) -> float:
+    """Return the time between two digests; it grows with the number of entries."""
+    grown_ms = DIGEST_INTERVAL_ENTRY_MS * state.live_entries
+    return max(DIGEST_INTERVAL_MIN_MS, grown_ms)
+
+
+def digest(now_ms: float, state: LimitState) -> DemandDigest:
+    """Return this entry's demand for the other entries, and forget idle teams."""
+    _evict_idle(now_ms, state)
+    rates = []
+    for name, team in reversed(state.teams.items()):
+        if now_ms - team.demand.updated_ms > RECENT_MS:
+            break
+        rates.append((team.demand.at(now_ms), name))
+    rates.sort(reverse=True)
+    count = NAMED_TEAMS_SUM // state.live_entries
+    count = max(NAMED_TEAMS_MIN, min(demands.MAX_NAMED_TEAMS, count))
+    named = tuple(demands.TeamDemand(name, rate) for rate, name in rates[:count])
+    offered_per_s = state.offered.at(now_ms)
+    admitted_per_s = state.admitted.at(now_ms)
+    return DemandDigest(state.entry, offered_per_s, admitted_per_s, named)
+
+
+def refresh(now_ms: float, state: LimitState, policy: LimitPolicy) -> None:
+    """Work out the fair level anew from the own demand and the digests held."""
+    state.refreshed_ms = now_ms
+    _forget_silent(now_ms, state)
+    own = digest(now_ms, state)
+    peers = [heard.digest for heard in state.peers.values()]
+    state.peer_demand = _sum_named(peers)
+    worth = worth_per_s(state.request_cost)
+    sums = _sum_named(itertools.chain([own], peers))
+    state.totals = {
+        name: rate for name, rate in sums.items() if rate >= NAMED_REQUESTS * worth
+    }
+    _update_rest(now_ms, state, own, peers, policy)
+    claims = [
+        demands.Claim(rate, policy.share(name)) for name, rate in state.totals.items()
+    ]
+    claims.append(demands.Claim(state.rest_per_s, state.rest_share))
+    _update_trim(state, [own, *peers], policy)
+    given_out = _given_out(state, policy) * state.trim
+    state.fair_level = demands.fair_level(claims, given_out)
+
+
+def refresh_team(
+    now_ms: float, state: LimitState, team: TeamState, name: str, policy: LimitPolicy
+) -> None:
+    """Work out this entry's part of the rate of a team with a level of its own."""
+    own_per_s = team.demand.at(now_ms)
+    total_per_s = own_per_s + state.peer_demand.get(name, 0.0)
+    fair_per_s = policy.share(name) * state.fair_level
+    _set_part(state, team, own_per_s, total_per_s, fair_per_s)
+
+
+def refresh_rest(state: LimitState) -> None:
+    """Work out this entry's part of the rate of the rest of the teams."""
+    fair_per_s = state.rest_share * state.fair_level
+    state.rest.request_cost = state.request_cost
+    own_per_s = state.own_rest_per_s
+    _set_part(state, state.rest, own_per_s, state.rest_per_s, fair_per_s)
+
+
+def _set_part(
+    state: LimitState,
+    team: TeamState,
+    own_per_s: float,
+    total_per_s: float,
+    fair_per_s: float,
+) -> None:
+    """Split a fair rate by demand, evened out by one request at each entry."""
+    team.refreshed_ms = state.refreshed_ms
+    team.is_within_share = total_per_s <= fair_per_s
+    if math.isinf(state.fair_level):
+        team.rate_per_s = math.inf
+        return
+    even_per_s = worth_per_s(team.request_cost)
+    evened_total_per_s = total_per_s + even_per_s * state.live_entries
+    team.rate_per_s = fair_per_s * (own_per_s + even_per_s) / evened_total_per_s
+
+
+def _forget_silent(now_ms: float, state: LimitState) -> None:
+    life_ms = DIGEST_LIFE_INTERVALS * digest_interval_ms(state)
+    life_ms = max(DIGEST_LIFE_MIN_MS, life_ms)
+    for entry, heard in list(state.peers.items()):
+        if now_ms - heard.heard_ms > life_ms:
+            del state.peers[entry]
+    state.live_entries = len(state.peers) + 1
+
+
+def _evict_idle(now_ms: float, state: LimitState) -> None:
+    while state.teams:
+        name = next(iter(state.teams))
+        if now_ms - state.teams[name].demand.updated_ms < IDLE_MS:
+            return
+        del state.teams[name]
+
+
+def _sum_named(digests: t.Iterable[DemandDigest]) -> dict[str, float]:
+    totals: dict[str, float] = {}
+    for one in digests:
+        for team in one.named:
+            totals[team.team] = totals.get(team.team, 0.0) + team.demand_per_s
+    return totals
+
+
+def _update_rest(
+    now_ms: float,
+    state: LimitState,
+    own: DemandDigest,
+    peers: t.Sequence[DemandDigest],
+    policy: LimitPolicy,
+) -> None:
+    own_named = sum(
+        state.teams[name].demand.at(now_ms)
+        for name in state.totals
+        if name in state.teams
+    )
+    offered = own.offered_per_s + sum(one.offered_per_s for one in peers)
+    state.own_rest_per_s = max(0.0, own.offered_per_s - own_named)
+    state.rest_per_s = max(state.own_rest_per_s, offered - sum(state.totals.values()))
+    shares = sum(policy.shares.values()) + policy.rest_share
+    named_shares = sum(policy.share(name) for name in state.totals)
+    state.rest_share = max(MIN_SHARE, shares - named_shares)
+
+
+def _given_out(state: LimitState, policy: LimitPolicy) -> float:
+    """Return the rate that all entries let in together, less while work queues."""
+    factor = max(MIN_BACKLOG_FACTOR, 1.0 - state.backlog_ms / BACKLOG_HORIZON_MS)
+    return state.capacity_per_s * policy.fill * factor
+
+
+def _update_trim(
+    state: LimitState, digests: t.Sequence[DemandDigest], policy: LimitPolicy
+) -> None:
+    """Adjust what is given out by what was let in."""
+    offered = sum(one.offered_per_s for one in digests)
+    admitted = sum(one.admitted_per_s for one in digests)
+    wanted = max(_given_out(state, policy), 1e-9)
+    state.overload = max(0.0, offered / wanted - 1.0)
+    if state.overload == 0.0:
+        state.trim = 1.0
+        return
+    error = 1.0 - admitted / wanted
+    trim = state.trim * (1.0 + TRIM_GAIN * error)
+    state.trim = max(MIN_TRIM, min(MAX_TRIM, trim))
