--- a/src/dotterelplank/bench_limits_world.py
+++ b/src/dotterelplank/bench_limits_world.py
@@ -92,6 +92,7 @@
     entry: int = -1
     engine: int = -1
     ticket: limits.Ticket | None = None
+    engine_priority: int = 0
     first_token_ms: float = math.inf
     end_ms: float = math.inf
 
@@ -195,6 +196,7 @@
             )
             if isinstance(answer, limits.Admitted):
                 call.ticket = answer.ticket
+                call.engine_priority = int(answer.is_within_share)
                 self._send(call)(now_ms)
             else:
                 self._come_back(now_ms, call, answer.retry_after_ms)
@@ -213,7 +215,9 @@
                 return
             job_id = f"{call.request_id}/{call.calls}"
             self.flights[job_id] = call
-            job = Job(job_id, (), PROMPT_TOKENS, call.output_tokens)
+            job = Job(
+                job_id, (), PROMPT_TOKENS, call.output_tokens, call.engine_priority
+            )
             call.engine = self._earliest(now_ms, job)
             self.engines[call.engine].submit(now_ms, job)
             self._wake_later(call.engine)
--- a/src/dotterelplank/demands.py
+++ b/src/dotterelplank/demands.py
@@ -30,12 +30,14 @@
     :param entry: the name of the entry.
     :param offered_per_s: cost a second that callers asked for, over all teams.
     :param admitted_per_s: cost a second that was let in.
+    :param rest_per_s: cost a second that teams without a configured share asked for.
     :param named: at most :data:`MAX_NAMED_TEAMS` teams, greatest first.
     """
 
     entry: str
     offered_per_s: float
     admitted_per_s: float
+    rest_per_s: float
     named: tuple[TeamDemand, ...]
 
 
--- a/src/dotterelplank/fake_engine.py
+++ b/src/dotterelplank/fake_engine.py
@@ -5,7 +5,7 @@
 in work: a millisecond of work takes 1 / speed milliseconds on the virtual clock.
 """
 
-import collections
+import bisect
 import dataclasses
 import enum
 import heapq
@@ -31,12 +31,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
-    """A request as an engine sees it."""
+    """A request as an engine sees it; one of a higher priority starts first."""
 
     request_id: str
     blocks: tuple[int, ...]
     prompt_tokens: int
     output_tokens: int
+    priority: int = 0
 
 
 class Stage(enum.IntEnum):
@@ -71,7 +72,7 @@
         self.options = options
         self.speed = 1.0
         self.cache = prefixes.PrefixIndex(options.cache_blocks)
-        self.queue: collections.deque[Job] = collections.deque()
+        self.queue: list[Job] = []
         self.running: dict[str, _Running] = {}
         self._work_ms = 0.0
         self._updated_ms = 0.0
@@ -83,7 +84,7 @@
     def submit(self, now_ms: float, job: Job) -> None:
         """Take ``job`` into the batch, or into the queue while the batch is full."""
         self._run_to(now_ms)
-        self.queue.append(job)
+        bisect.insort(self.queue, job, key=lambda one: -one.priority)
         self._fill_batch()
 
     def advance(self, now_ms: float) -> list[Happening]:
@@ -107,9 +108,7 @@
         """Drop a job, wherever it is."""
         self._run_to(now_ms)
         self.running.pop(request_id, None)
-        self.queue = collections.deque(
-            job for job in self.queue if job.request_id != request_id
-        )
+        self.queue = [job for job in self.queue if job.request_id != request_id]
         self._fill_batch()
 
     def set_speed(self, now_ms: float, speed: float) -> None:
@@ -162,11 +161,11 @@
         prefill_ms = self._prefill_ms(job, cached)
         wait_ms = self.pending_prefill_ms()
         if self.held() >= self.options.max_batch:
-            wait_ms = max(wait_ms, self._place_wait_ms())
+            wait_ms = max(wait_ms, self._place_wait_ms(job))
         return (wait_ms + prefill_ms) / self.speed
 
-    def _place_wait_ms(self) -> float:
-        position = len(self.queue)
+    def _place_wait_ms(self, job: Job) -> float:
+        position = sum(one.priority >= job.priority for one in self.queue)
         ends = [due for due, _, stage in self._due if stage is Stage.FINISHED]
         first = heapq.nsmallest(position + 1, ends)
         if not first:
@@ -184,7 +183,7 @@
 
     def _fill_batch(self) -> None:
         while self.queue and len(self.running) < self.options.max_batch:
-            self._start(self.queue.popleft())
+            self._start(self.queue.pop(0))
 
     def _start(self, job: Job) -> None:
         cached = self.cache.match(job.blocks).blocks
--- a/src/dotterelplank/limit_state.py
+++ b/src/dotterelplank/limit_state.py
@@ -12,6 +12,7 @@
 from .demands import DemandDigest
 
 DEMAND_TIME_MS = 2_000.0
+SPARSE_TIME_MS = 60_000.0
 BURST_REQUESTS = 3.0
 
 
@@ -38,25 +39,26 @@
 
 @dataclasses.dataclass(slots=True)
 class Rate:
-    """A rate that decays over :data:`DEMAND_TIME_MS`, in cost a second."""
+    """A rate in cost a second that decays over ``time_ms``."""
 
     value_per_s: float = 0.0
     updated_ms: float = 0.0
+    time_ms: float = DEMAND_TIME_MS
 
     def at(self, now_ms: float) -> float:
         """Return the rate as of ``now_ms``."""
         age_ms = max(0.0, now_ms - self.updated_ms)
-        return self.value_per_s * math.exp(-age_ms / DEMAND_TIME_MS)
+        return self.value_per_s * math.exp(-age_ms / self.time_ms)
 
     def add(self, now_ms: float, cost: float) -> None:
         """Count ``cost`` at ``now_ms``."""
-        self.value_per_s = self.at(now_ms) + worth_per_s(cost)
+        self.value_per_s = self.at(now_ms) + worth_per_s(cost, self.time_ms)
         self.updated_ms = max(self.updated_ms, now_ms)
 
 
-def worth_per_s(cost: float) -> float:
+def worth_per_s(cost: float, time_ms: float = DEMAND_TIME_MS) -> float:
     """Return the rate that a single request of ``cost`` shows at first."""
-    return cost * 1_000.0 / DEMAND_TIME_MS
+    return cost * 1_000.0 / time_ms
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,12 +69,16 @@
     :param rate_per_s: rate at which ``level`` grows; infinite while all is let in.
     :param is_within_share: whether no more is asked for than the fair part.
     :param request_cost: usual cost of the requests.
+    :param sparse_demand: the demand over a longer time, for a team with few requests.
     """
 
     level: float
     level_ms: float
     request_cost: float
     demand: Rate = dataclasses.field(default_factory=Rate)
+    sparse_demand: Rate = dataclasses.field(
+        default_factory=lambda: Rate(time_ms=SPARSE_TIME_MS)
+    )
     rate_per_s: float = math.inf
     is_within_share: bool = True
     refreshed_ms: float = -math.inf
@@ -132,9 +138,7 @@
     peers: dict[str, Heard] = dataclasses.field(default_factory=dict)
     peer_demand: dict[str, float] = dataclasses.field(default_factory=dict)
     totals: dict[str, float] = dataclasses.field(default_factory=dict)
-    own_rest_per_s: float = 0.0
     rest_per_s: float = 0.0
-    rest_share: float = 0.0
     fair_level: float = math.inf
     live_entries: int = 1
     overload: float = 0.0
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -9,9 +9,8 @@
 import dataclasses
 import enum
 import math
-import random
 
-from . import shares
+from . import prefixes, shares
 from .demands import DemandDigest
 from .limit_state import (
     BURST_REQUESTS,
@@ -90,9 +89,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
-    """The request may run now."""
+    """The request may run now.
+
+    :param is_within_share: whether its team asks for no more than its fair part;
+        the engine should then take it before those of other teams.
+    """
 
     ticket: Ticket
+    is_within_share: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,26 +118,32 @@
     What can't make its deadline is shed first, and is not counted as let in.
     """
     team = _team(now_ms, state, request)
+    if request.team not in policy.shares:
+        state.rest.demand.add(now_ms, request.cost)
     if now_ms - state.refreshed_ms >= REFRESH_MS:
         shares.refresh(now_ms, state, policy)
-        shares.refresh_rest(state)
+        shares.refresh_rest(now_ms, state, policy)
     level = _level(now_ms, state, team, request, policy)
     if now_ms + state.backlog_ms + request.expected_ms > request.deadline_ms:
         return _shed(state, level, request, ShedReason.DEADLINE)
-    if not level.is_within_share:
+    if level is None:
+        chance = shares.sparse_chance(now_ms, state, team, request.team, policy)
+        if _unit(request.request_id) >= chance:
+            return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
+    elif not level.is_within_share:
         if level.level < _needed_level(state, level, team, request.priority):
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
     if len(state.tickets) >= MAX_TICKETS:
         return _shed(state, level, request, ShedReason.OVERLOAD)
-    level.level -= request.cost
-    if level.is_within_share:
-        level.level = max(0.0, level.level)
+    if level is not None:
+        least = 0.0 if level.is_within_share else -math.inf
+        level.level = max(least, level.level - request.cost)
     state.admitted.add(now_ms, request.cost)
     ticket = Ticket(state.next_ticket, request.team, request.cost)
     state.next_ticket += 1
     state.tickets[ticket.number] = ticket
     state.in_flight_cost += request.cost
-    return Admitted(ticket)
+    return Admitted(ticket, level is None or level.is_within_share)
 
 
 def release(now_ms: float, state: LimitState, ticket: Ticket, outcome: Outcome) -> None:
@@ -146,9 +156,9 @@
     state.in_flight_cost = max(0.0, state.in_flight_cost - ticket.cost)
     if outcome is not Outcome.FAILED:
         return
-    team = state.teams.get(ticket.team)
-    level = team if team and ticket.team in state.totals else state.rest
-    level.level = min(level.level + ticket.cost, level.burst(BURST_MS))
+    level = state.teams.get(ticket.team)
+    if level is not None:
+        level.level = min(level.level + ticket.cost, level.burst(BURST_MS))
 
 
 def on_load(
@@ -181,6 +191,7 @@
     change = request.cost - state.request_cost
     state.request_cost += REQUEST_COST_WEIGHT * change
     team.demand.add(now_ms, request.cost)
+    team.sparse_demand.add(now_ms, request.cost)
     state.offered.add(now_ms, request.cost)
     return team
 
@@ -191,13 +202,18 @@
     team: TeamState,
     request: LimitRequest,
     policy: LimitPolicy,
-) -> TeamState:
-    """Return, refilled, the level that the request is paid from."""
+) -> TeamState | None:
+    """Return, refilled, the level that the request is paid from.
+
+    It is None for a team with a configured share and few requests.
+    """
     level = state.rest
     if request.team in state.totals:
         level = team
         if level.refreshed_ms < state.refreshed_ms:
             shares.refresh_team(now_ms, state, level, request.team, policy)
+    elif request.team in policy.shares:
+        return None
     elapsed_s = max(0.0, now_ms - level.level_ms) / 1_000.0
     level.level_ms = max(level.level_ms, now_ms)
     burst = level.burst(BURST_MS)
@@ -226,12 +242,19 @@
 
 
 def _shed(
-    state: LimitState, level: TeamState, request: LimitRequest, reason: ShedReason
+    state: LimitState,
+    level: TeamState | None,
+    request: LimitRequest,
+    reason: ShedReason,
 ) -> Shed:
-    rng = random.Random(request.request_id)
     wait_ms = COME_BACK_MIN_MS + state.backlog_ms
-    if level.level < 0.0 and 0.0 < level.rate_per_s < math.inf:
+    if level and level.level < 0.0 and 0.0 < level.rate_per_s < math.inf:
         wait_ms += -level.level / level.rate_per_s * 1_000.0
     wait_ms *= 1.0 + state.overload
     wait_ms = min(COME_BACK_MAX_MS / 2.0, wait_ms)
-    return Shed(wait_ms * rng.uniform(0.5, 2.0), reason)
+    return Shed(wait_ms * (0.5 + 1.5 * _unit(request.request_id + "/shed")), reason)
+
+
+def _unit(text: str) -> float:
+    """Return a number from 0 to 1 that depends on ``text`` alone."""
+    return prefixes.hash_text(text) / 2.0**64
--- a/src/dotterelplank/shares.py
+++ b/src/dotterelplank/shares.py
@@ -1,8 +1,9 @@
 """Working out each team's fair part at one entry, from the digests of all.
 
-A team that the digests show to ask for much has a level of its own. All others are
-the rest, with one level for them together, since what is seen of a team with few
-requests is chance.
+A team that the digests show to ask for much has a level of its own, and so has each
+entry's part of it. A team with a configured share and few requests is let in by
+chance, in proportion to what it is due. All other teams are the rest, with one
+level for them together.
 """
 
 import itertools
@@ -50,7 +51,8 @@
     named = tuple(demands.TeamDemand(name, rate) for rate, name in rates[:count])
     offered_per_s = state.offered.at(now_ms)
     admitted_per_s = state.admitted.at(now_ms)
-    return DemandDigest(state.entry, offered_per_s, admitted_per_s, named)
+    rest_per_s = state.rest.demand.at(now_ms)
+    return DemandDigest(state.entry, offered_per_s, admitted_per_s, rest_per_s, named)
 
 
 def refresh(now_ms: float, state: LimitState, policy: LimitPolicy) -> None:
@@ -65,11 +67,7 @@
     state.totals = {
         name: rate for name, rate in sums.items() if rate >= NAMED_REQUESTS * worth
     }
-    _update_rest(now_ms, state, own, peers, policy)
-    claims = [
-        demands.Claim(rate, policy.share(name)) for name, rate in state.totals.items()
-    ]
-    claims.append(demands.Claim(state.rest_per_s, state.rest_share))
+    claims = _claims(state, [own, *peers], policy)
     _update_trim(state, [own, *peers], policy)
     given_out = _given_out(state, policy) * state.trim
     state.fair_level = demands.fair_level(claims, given_out)
@@ -85,12 +83,31 @@
     _set_part(state, team, own_per_s, total_per_s, fair_per_s)
 
 
-def refresh_rest(state: LimitState) -> None:
+def refresh_rest(now_ms: float, state: LimitState, policy: LimitPolicy) -> None:
     """Work out this entry's part of the rate of the rest of the teams."""
-    fair_per_s = state.rest_share * state.fair_level
+    fair_per_s = policy.rest_share * state.fair_level
     state.rest.request_cost = state.request_cost
-    own_per_s = state.own_rest_per_s
-    _set_part(state, state.rest, own_per_s, state.rest_per_s, fair_per_s)
+    own_per_s = state.rest.demand.at(now_ms)
+    total_per_s = max(own_per_s, state.rest_per_s)
+    _set_part(state, state.rest, own_per_s, total_per_s, fair_per_s)
+
+
+def sparse_chance(
+    now_ms: float, state: LimitState, team: TeamState, name: str, policy: LimitPolicy
+) -> float:
+    """Return the part of the requests of a team with few of them that is let in.
+
+    What it asks for at this entry, less one request, stands for what it asks for
+    at each other.
+    """
+    if math.isinf(state.fair_level):
+        return 1.0
+    worth = worth_per_s(team.request_cost, team.sparse_demand.time_ms)
+    own_per_s = team.sparse_demand.at(now_ms) - worth
+    fair_per_s = policy.share(name) * state.fair_level
+    if own_per_s * state.live_entries <= fair_per_s:
+        return 1.0
+    return fair_per_s / (own_per_s * state.live_entries)
 
 
 def _set_part(
@@ -136,24 +153,27 @@
     return totals
 
 
-def _update_rest(
-    now_ms: float,
-    state: LimitState,
-    own: DemandDigest,
-    peers: t.Sequence[DemandDigest],
-    policy: LimitPolicy,
-) -> None:
-    own_named = sum(
-        state.teams[name].demand.at(now_ms)
-        for name in state.totals
-        if name in state.teams
-    )
-    offered = own.offered_per_s + sum(one.offered_per_s for one in peers)
-    state.own_rest_per_s = max(0.0, own.offered_per_s - own_named)
-    state.rest_per_s = max(state.own_rest_per_s, offered - sum(state.totals.values()))
-    shares = sum(policy.shares.values()) + policy.rest_share
-    named_shares = sum(policy.share(name) for name in state.totals)
-    state.rest_share = max(MIN_SHARE, shares - named_shares)
+def _claims(
+    state: LimitState, digests: t.Sequence[DemandDigest], policy: LimitPolicy
+) -> list[demands.Claim]:
+    """Return the claims of the named teams, of the rest, and of the sparse ones."""
+    claims = [
+        demands.Claim(rate, policy.share(name)) for name, rate in state.totals.items()
+    ]
+    offered = sum(one.offered_per_s for one in digests)
+    rest = sum(one.rest_per_s for one in digests)
+    named = listed_named = listed_shares = 0.0
+    for name, rate in state.totals.items():
+        named += rate
+        if name in policy.shares:
+            listed_named += rate
+            listed_shares += policy.shares[name]
+    state.rest_per_s = max(0.0, rest - (named - listed_named))
+    claims.append(demands.Claim(state.rest_per_s, max(MIN_SHARE, policy.rest_share)))
+    sparse = max(0.0, offered - rest - listed_named)
+    sparse_share = sum(policy.shares.values()) - listed_shares
+    claims.append(demands.Claim(sparse, max(MIN_SHARE, sparse_share)))
+    return claims
 
 
 def _given_out(state: LimitState, policy: LimitPolicy) -> float:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -72,7 +72,7 @@
 def test_an_entry_takes_its_part_beside_a_peer_with_the_same_demand():
     state = limits.LimitState("0", 1_000.0)
     named = (demands.TeamDemand("large", 5_000.0),)
-    peer = demands.DemandDigest("1", 5_000.0, 500.0, named)
+    peer = demands.DemandDigest("1", 5_000.0, 500.0, 0.0, named)
     admitted = 0
     for second in range(20):
         limits.on_digest(1_000.0 * second, state, peer)
