--- a/src/dotterelplank/demands.py
+++ b/src/dotterelplank/demands.py
@@ -41,6 +41,25 @@
     named: tuple[TeamDemand, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedSum:
+    """The demand of one team in the digests that name it, and how many do."""
+
+    demand_per_s: float = 0.0
+    entries: int = 0
+
+
+def sum_named(digests: t.Iterable[DemandDigest]) -> dict[str, NamedSum]:
+    """Return for each team that is named its demand over ``digests``."""
+    sums: dict[str, NamedSum] = {}
+    for one in digests:
+        for team in one.named:
+            known = sums.get(team.team, NamedSum())
+            demand_per_s = known.demand_per_s + team.demand_per_s
+            sums[team.team] = NamedSum(demand_per_s, known.entries + 1)
+    return sums
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """A demand, the share it is weighed by, and no name: input of the fair level."""
--- a/src/dotterelplank/limit_state.py
+++ b/src/dotterelplank/limit_state.py
@@ -9,9 +9,12 @@
 import math
 import typing as t
 
+from . import demands
 from .demands import DemandDigest
 
-DEMAND_TIME_MS = 2_000.0
+DEMAND_TIME_MS = 10_000.0
+TOTAL_TIME_MS = 2_000.0
+MIN_KNOWN_MS = 1_000.0
 SPARSE_TIME_MS = 60_000.0
 BURST_REQUESTS = 3.0
 
@@ -39,21 +42,30 @@
 
 @dataclasses.dataclass(slots=True)
 class Rate:
-    """A rate in cost a second that decays over ``time_ms``."""
+    """A rate in cost a second that decays over ``time_ms``.
 
+    It counts from its first cost on, so that it is no lower for being new.
+    """
+
+    time_ms: float = DEMAND_TIME_MS
     value_per_s: float = 0.0
     updated_ms: float = 0.0
-    time_ms: float = DEMAND_TIME_MS
+    started_ms: float = math.inf
 
     def at(self, now_ms: float) -> float:
         """Return the rate as of ``now_ms``."""
         age_ms = max(0.0, now_ms - self.updated_ms)
-        return self.value_per_s * math.exp(-age_ms / self.time_ms)
+        known_ms = max(MIN_KNOWN_MS, now_ms - self.started_ms)
+        known = 1.0 - math.exp(-known_ms / self.time_ms)
+        return self.value_per_s * math.exp(-age_ms / self.time_ms) / known
 
     def add(self, now_ms: float, cost: float) -> None:
         """Count ``cost`` at ``now_ms``."""
-        self.value_per_s = self.at(now_ms) + worth_per_s(cost, self.time_ms)
+        age_ms = max(0.0, now_ms - self.updated_ms)
+        self.value_per_s *= math.exp(-age_ms / self.time_ms)
+        self.value_per_s += worth_per_s(cost, self.time_ms)
         self.updated_ms = max(self.updated_ms, now_ms)
+        self.started_ms = min(self.started_ms, now_ms)
 
 
 def worth_per_s(cost: float, time_ms: float = DEMAND_TIME_MS) -> float:
@@ -67,7 +79,8 @@
 
     :param level: cost that may still be spent; below 0 it waits.
     :param rate_per_s: rate at which ``level`` grows; infinite while all is let in.
-    :param is_within_share: whether no more is asked for than the fair part.
+    :param is_within_fair: whether no more is asked for than the fair part.
+    :param is_within_share: whether no more is asked for than the share.
     :param request_cost: usual cost of the requests.
     :param sparse_demand: the demand over a longer time, for a team with few requests.
     """
@@ -77,9 +90,10 @@
     request_cost: float
     demand: Rate = dataclasses.field(default_factory=Rate)
     sparse_demand: Rate = dataclasses.field(
-        default_factory=lambda: Rate(time_ms=SPARSE_TIME_MS)
+        default_factory=lambda: Rate(SPARSE_TIME_MS)
     )
     rate_per_s: float = math.inf
+    is_within_fair: bool = True
     is_within_share: bool = True
     refreshed_ms: float = -math.inf
 
@@ -124,8 +138,8 @@
     capacity_per_s: float
     backlog_ms: float = 0.0
     request_cost: float = 0.0
-    offered: Rate = dataclasses.field(default_factory=Rate)
-    admitted: Rate = dataclasses.field(default_factory=Rate)
+    offered: Rate = dataclasses.field(default_factory=lambda: Rate(TOTAL_TIME_MS))
+    admitted: Rate = dataclasses.field(default_factory=lambda: Rate(TOTAL_TIME_MS))
     teams: "collections.OrderedDict[str, TeamState]" = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -136,7 +150,7 @@
     next_ticket: int = 0
     in_flight_cost: float = 0.0
     peers: dict[str, Heard] = dataclasses.field(default_factory=dict)
-    peer_demand: dict[str, float] = dataclasses.field(default_factory=dict)
+    peer_demand: dict[str, demands.NamedSum] = dataclasses.field(default_factory=dict)
     totals: dict[str, float] = dataclasses.field(default_factory=dict)
     rest_per_s: float = 0.0
     fair_level: float = math.inf
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -130,13 +130,13 @@
         chance = shares.sparse_chance(now_ms, state, team, request.team, policy)
         if _unit(request.request_id) >= chance:
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
-    elif not level.is_within_share:
+    elif not level.is_within_fair:
         if level.level < _needed_level(state, level, team, request.priority):
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
     if len(state.tickets) >= MAX_TICKETS:
         return _shed(state, level, request, ShedReason.OVERLOAD)
     if level is not None:
-        least = 0.0 if level.is_within_share else -math.inf
+        least = 0.0 if level.is_within_fair else -math.inf
         level.level = max(least, level.level - request.cost)
     state.admitted.add(now_ms, request.cost)
     ticket = Ticket(state.next_ticket, request.team, request.cost)
--- a/src/dotterelplank/shares.py
+++ b/src/dotterelplank/shares.py
@@ -15,7 +15,7 @@
 from .limit_state import LimitPolicy, LimitState, TeamState, worth_per_s
 
 IDLE_MS = 120_000.0
-RECENT_MS = 10_000.0
+RECENT_MS = 20_000.0
 DIGEST_INTERVAL_MIN_MS = 500.0
 DIGEST_INTERVAL_ENTRY_MS = 25.0
 DIGEST_LIFE_MIN_MS = 2_500.0
@@ -61,11 +61,13 @@
     _forget_silent(now_ms, state)
     own = digest(now_ms, state)
     peers = [heard.digest for heard in state.peers.values()]
-    state.peer_demand = _sum_named(peers)
+    state.peer_demand = demands.sum_named(peers)
     worth = worth_per_s(state.request_cost)
-    sums = _sum_named(itertools.chain([own], peers))
+    sums = demands.sum_named(itertools.chain([own], peers))
     state.totals = {
-        name: rate for name, rate in sums.items() if rate >= NAMED_REQUESTS * worth
+        name: one.demand_per_s * state.live_entries / one.entries
+        for name, one in sums.items()
+        if one.demand_per_s >= NAMED_REQUESTS * worth
     }
     claims = _claims(state, [own, *peers], policy)
     _update_trim(state, [own, *peers], policy)
@@ -78,18 +80,18 @@
 ) -> None:
     """Work out this entry's part of the rate of a team with a level of its own."""
     own_per_s = team.demand.at(now_ms)
-    total_per_s = own_per_s + state.peer_demand.get(name, 0.0)
-    fair_per_s = policy.share(name) * state.fair_level
-    _set_part(state, team, own_per_s, total_per_s, fair_per_s)
+    peers = state.peer_demand.get(name, demands.NamedSum())
+    unknown = state.live_entries - 1 - peers.entries
+    total_per_s = own_per_s * (1 + unknown) + peers.demand_per_s
+    _set_part(state, team, own_per_s, total_per_s, policy.share(name))
 
 
 def refresh_rest(now_ms: float, state: LimitState, policy: LimitPolicy) -> None:
     """Work out this entry's part of the rate of the rest of the teams."""
-    fair_per_s = policy.rest_share * state.fair_level
     state.rest.request_cost = state.request_cost
     own_per_s = state.rest.demand.at(now_ms)
     total_per_s = max(own_per_s, state.rest_per_s)
-    _set_part(state, state.rest, own_per_s, total_per_s, fair_per_s)
+    _set_part(state, state.rest, own_per_s, total_per_s, policy.rest_share)
 
 
 def sparse_chance(
@@ -115,11 +117,13 @@
     team: TeamState,
     own_per_s: float,
     total_per_s: float,
-    fair_per_s: float,
+    share: float,
 ) -> None:
     """Split a fair rate by demand, evened out by one request at each entry."""
     team.refreshed_ms = state.refreshed_ms
-    team.is_within_share = total_per_s <= fair_per_s
+    team.is_within_share = total_per_s <= share * state.capacity_per_s
+    fair_per_s = share * state.fair_level
+    team.is_within_fair = total_per_s <= fair_per_s
     if math.isinf(state.fair_level):
         team.rate_per_s = math.inf
         return
@@ -145,14 +149,6 @@
         del state.teams[name]
 
 
-def _sum_named(digests: t.Iterable[DemandDigest]) -> dict[str, float]:
-    totals: dict[str, float] = {}
-    for one in digests:
-        for team in one.named:
-            totals[team.team] = totals.get(team.team, 0.0) + team.demand_per_s
-    return totals
-
-
 def _claims(
     state: LimitState, digests: t.Sequence[DemandDigest], policy: LimitPolicy
 ) -> list[demands.Claim]:
