--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -288,7 +288,7 @@
         )
 
     def _limit_policy(self, configuration: Configuration) -> limits.LimitPolicy:
-        return limits.LimitPolicy(configuration.share_by_team, 0.0)
+        return limits.LimitPolicy(configuration.share_by_team, 0.0, 0.0)
 
     def _note_capacity(self, now_ms: float, configuration: Configuration) -> None:
         own = self._settings.domain
@@ -570,7 +570,6 @@
             self._next_follow_ms = now_ms + defaults.FOLLOW_INTERVAL_MS
             self._follow(now_ms)
         if now_ms >= self._next_demand_ms:
-            self._next_demand_ms = now_ms + defaults.DEMAND_INTERVAL_MS
             self._tell_demand(now_ms)
 
     def _follow(self, now_ms: float) -> None:
@@ -587,12 +586,10 @@
         self._forget_endpoints(board.hosts.hosts)
 
     def _tell_demand(self, now_ms: float) -> None:
-        configuration = self._board.configuration.configuration
-        if configuration is None:
-            return
         with self._lock:
-            policy = self._limit_policy(configuration)
-            digest = limits.digest(now_ms, self._limits, policy)
+            digest = limits.digest(now_ms, self._limits)
+            interval_ms = limits.digest_interval_ms(self._limits)
+        self._next_demand_ms = now_ms + interval_ms
         coordination = self.daemon.coordination
         coordination.tell_demand(digest, coordination.entries_of_domain())
 
