Choose the expert to replicate by the delay it causes

The search weighed experts by surplus tokens, so on a stalled rank, whose few tokens take long, the last expert was never chosen.

--- a/src/dotterelplank/placement.py
+++ b/src/dotterelplank/placement.py
@@ -137,16 +137,19 @@
     excess = work.sum(axis=1) - ideal
     ratio = np.maximum(excess / ideal, 0)
     experts = len(load.tokens)
-    pressure = np.bincount(slots[held], (work * ratio[:, None])[held], experts)
-    pressure[~load.addable] = 0
+    surplus = work * ratio[:, None]
+    left = np.bincount(slots[held], surplus[held], experts)
+    surplus_of = np.maximum(left, 1e-9)
+    delay = np.bincount(slots[held], (surplus / ideal[:, None])[held], experts)
+    delay[~load.addable] = 0
     sound = sound_ranks(load.speeds)
     replicas = np.bincount(slots[held & sound[:, None]], minlength=experts)
     moves = []
     for rank in np.argsort(np.where(sound & ~refused, excess, np.inf)):
         if len(moves) == count or excess[rank] >= 0 or refused[rank]:
             break
-        slot = _slot_to_fill(slots[rank], replicas, pressure, load)
-        wanted = pressure.copy()
+        slot = _slot_to_fill(slots[rank], replicas, left, load)
+        wanted = delay * np.maximum(left, 0) / surplus_of
         wanted[slots[rank][slots[rank] != EMPTY]] = 0
         expert = int(wanted.argmax())
         if slot is None or wanted[expert] <= 0:
@@ -156,20 +159,20 @@
             replicas[evicted] -= 1
         replicas[expert] += 1
         slots[rank, slot] = expert
-        pressure[expert] = max(pressure[expert] + excess[rank], 0)
+        left[expert] += excess[rank]
         moves.append(Move(layer, expert, int(rank), slot, evicted))
     return moves
 
 
 def _slot_to_fill(
-    held: np.ndarray, replicas: np.ndarray, pressure: np.ndarray, load: LayerLoad
+    held: np.ndarray, replicas: np.ndarray, surplus: np.ndarray, load: LayerLoad
 ) -> int | None:
     """Return the slot of a rank whose expert will be missed least, if any."""
     empty = held == EMPTY
     if empty.any():
         return int(empty.argmax())
     others = replicas[held] - 1
-    missed = (load.reserve[held] + pressure[held]) / np.maximum(others, 1)
+    missed = (load.reserve[held] + np.maximum(surplus[held], 0)) / np.maximum(others, 1)
     missed[(others < 1) | ~load.evictable[held]] = np.inf
     slot = int(missed.argmin())
     return slot if np.isfinite(missed[slot]) else None
