Lift the locks on moves one at a time

A layer more than a tenth over the ideal lost all locks at once, so at night replicas were evicted within the hour that they came. Now experts that lost a replica may gain first, at 1.1 times the ideal; only at 1.5 times may one that gained lose. Each search goes on where the last one ended, eight trials each.

--- a/src/dotterelplank/baselines.py
+++ b/src/dotterelplank/baselines.py
@@ -101,10 +101,10 @@
     free = np.ones(placed.experts, dtype=bool)
     for layer in range(placed.layers):
         load = LayerLoad(tokens[layer], tokens[layer], speeds, free, free)
-        start = settle((), slots[layer], shares[layer], load)
-        best = search(layer, start, load, slots[layer].size)[-1]
-        slots[layer] = best.slots
-        shares[layer] = best.shares
+        stages = [settle((), slots[layer], shares[layer], load)]
+        search(layer, stages, load, slots[layer].size)
+        slots[layer] = stages[-1].slots
+        shares[layer] = stages[-1].shares
     return ExpertMap(0, placed.experts, slots, shares)
 
 
--- a/src/dotterelplank/placement.py
+++ b/src/dotterelplank/placement.py
@@ -13,7 +13,7 @@
 GOOD_ENOUGH: t.Final = 0.005
 LEAST_GAIN: t.Final = 0.0005
 LARGEST_BATCH_DIVISOR: t.Final = 8
-MOST_TRIALS: t.Final = 12
+MOST_TRIALS: t.Final = 8
 STALLED_PART: t.Final = 0.25
 NEW_SHARE: t.Final = 0.05
 
@@ -51,21 +51,20 @@
     excess_ms: float
 
 
-def search(
-    layer: int, start: Stage, load: LayerLoad, most_moves: int
-) -> t.Sequence[Stage]:
-    """Return stages of fewer to more moves, each faster than the one before.
+def search(layer: int, stages: list[Stage], load: LayerLoad, most_moves: int) -> None:
+    """Append to ``stages`` ones of more moves, each faster than the one before.
 
     Ranks that are short of work are offered replicas of experts from the slowest
     ranks, in batches that are halved when they bring nothing; a rank for which a
     single move brings nothing is passed over. The search doesn't look at what a
     move costs, so that its stages are the same for every weight.
 
-    :param start: the stage without a move, its shares balanced.
+    :param stages: the stage without a move, its shares balanced, and those that an
+        earlier search has found.
     :param most_moves: most moves of the last stage.
     """
-    stages = [start]
-    last = start
+    start = stages[0]
+    last = stages[-1]
     refused = np.zeros(len(load.speeds), dtype=bool)
     batch = max(1, start.slots.shape[0] // LARGEST_BATCH_DIVISOR)
     good_ms = ideal_time_ms(load) * (1 + GOOD_ENOUGH)
@@ -86,7 +85,6 @@
         refused[:] = False
         if found.time_ms < stages[-1].time_ms:
             stages.append(found)
-    return stages
 
 
 def sound_ranks(speeds: np.ndarray) -> np.ndarray:
@@ -94,6 +92,11 @@
     return speeds >= STALLED_PART * np.median(speeds)
 
 
+def may_gain(load: LayerLoad) -> LayerLoad:
+    """Return ``load`` with every expert free to gain replicas."""
+    return dataclasses.replace(load, addable=np.ones(len(load.tokens), dtype=bool))
+
+
 def unlocked(load: LayerLoad) -> LayerLoad:
     """Return ``load`` with every expert free to gain and to lose replicas."""
     free = np.ones(len(load.tokens), dtype=bool)
--- a/src/dotterelplank/rebalancing.py
+++ b/src/dotterelplank/rebalancing.py
@@ -12,7 +12,16 @@
 
 from .errors import SettingsError
 from .experts import EMPTY, ExpertMap, Move, Observation
-from .placement import LayerLoad, Stage, extend, ideal_time_ms, search, settle, unlocked
+from .placement import (
+    LayerLoad,
+    Stage,
+    extend,
+    ideal_time_ms,
+    may_gain,
+    search,
+    settle,
+    unlocked,
+)
 from .popularity import Estimate, first_estimate, update
 from .shares import balance, rank_times_ms
 
@@ -21,6 +30,7 @@
 NOISE_DEVIATIONS: t.Final = 3.0
 SPLIT_ROUNDS: t.Final = 120
 URGENT_RATIO: t.Final = 1.1
+DIRE_RATIO: t.Final = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -211,13 +221,23 @@
     for layer, load in enumerate(loads):
         start = settle((), split.slots[layer], split.shares[layer], load)
         noise_ms = _noise(state) * ideal_time_ms(load)
-        stages = search(layer, start, load, policy.most_moves)
-        if stages[-1].time_ms > ideal_time_ms(load) * URGENT_RATIO:
-            stages = search(layer, start, unlocked(load), policy.most_moves)
+        stages = [start]
+        for ratio, eased in _easing(load):
+            if stages[-1].time_ms > ideal_time_ms(load) * ratio:
+                search(layer, stages, eased, policy.most_moves)
         chosen.append(_worthiest(stages, noise_ms, step_ms, policy))
     return _assemble(state, split, loads, chosen, policy)
 
 
+def _easing(load: LayerLoad) -> t.Sequence[tuple[float, LayerLoad]]:
+    """Return how far over the ideal a layer must be for locks to be lifted."""
+    return (
+        (1.0, load),
+        (URGENT_RATIO, may_gain(load)),
+        (DIRE_RATIO, unlocked(load)),
+    )
+
+
 def _layer_loads(now_ms: float, state: State, policy: Policy) -> t.Sequence[LayerLoad]:
     estimate = state.estimate
     evictable = now_ms - state.gained_ms >= policy.settle_ms
