--- a/src/dotterelplank/placement.py
+++ b/src/dotterelplank/placement.py
@@ -13,7 +13,7 @@
 GOOD_ENOUGH: t.Final = 0.005
 LEAST_GAIN: t.Final = 0.0005
 LARGEST_BATCH_DIVISOR: t.Final = 8
-MOST_TRIALS: t.Final = 12
+MOST_TRIALS: t.Final = 8
 STALLED_PART: t.Final = 0.25
 NEW_SHARE: t.Final = 0.05
 
@@ -51,21 +51,20 @@
     excess_ms: float
 
 
-def search(
-    layer: int, start: Stage, load: LayerLoad, most_moves: int
-) -> t.Sequence[Stage]:
-    """Return stages of fewer to more moves, each faster than the one before.
+def search(layer: int, stages: list[Stage], load: LayerLoad, most_moves: int) -> None:
+    """Append to ``stages`` ones of more moves, each faster than the one before.
 
     Ranks that are short of work are offered replicas of experts from the slowest
     ranks, in batches that are halved when they bring nothing; a rank for which a
     single move brings nothing is passed over. The search doesn't look at what a
     move costs, so that its stages are the same for every weight.
 
-    :param start: the stage without a move, its shares balanced.
+    :param stages: the stage without a move, its shares balanced, and those that an
+        earlier search has found.
     :param most_moves: most moves of the last stage.
     """
-    stages = [start]
-    last = start
+    start = stages[0]
+    last = stages[-1]
     refused = np.zeros(len(load.speeds), dtype=bool)
     batch = max(1, start.slots.shape[0] // LARGEST_BATCH_DIVISOR)
     good_ms = ideal_time_ms(load) * (1 + GOOD_ENOUGH)
@@ -73,7 +72,8 @@
         room = most_moves - len(last.moves)
         if last.time_ms < good_ms or not room:
             break
-        moves = _offer(layer, last, load, min(batch, room), refused)
+        kept = last.slots == start.slots
+        moves = _offer(layer, last, load, min(batch, room), kept, refused)
         if not moves:
             break
         found = extend(last, moves, load)
@@ -85,7 +85,6 @@
         refused[:] = False
         if found.time_ms < stages[-1].time_ms:
             stages.append(found)
-    return stages
 
 
 def sound_ranks(speeds: np.ndarray) -> np.ndarray:
@@ -93,6 +92,11 @@
     return speeds >= STALLED_PART * np.median(speeds)
 
 
+def may_gain(load: LayerLoad) -> LayerLoad:
+    """Return ``load`` with every expert free to gain replicas."""
+    return dataclasses.replace(load, addable=np.ones(len(load.tokens), dtype=bool))
+
+
 def unlocked(load: LayerLoad) -> LayerLoad:
     """Return ``load`` with every expert free to gain and to lose replicas."""
     free = np.ones(len(load.tokens), dtype=bool)
@@ -127,9 +131,20 @@
 
 
 def _offer(
-    layer: int, stage: Stage, load: LayerLoad, count: int, refused: np.ndarray
+    layer: int,
+    stage: Stage,
+    load: LayerLoad,
+    count: int,
+    kept: np.ndarray,
+    refused: np.ndarray,
 ) -> t.Sequence[Move]:
-    """Return up to ``count`` moves from the slowest to the least loaded ranks."""
+    """Return up to ``count`` moves from the slowest to the least loaded ranks.
+
+    :param kept: whether a slot is as it was at the start, ``[rank, slot]``. Only
+        these count as homes and may be overwritten, since the interim map serves
+        from them alone.
+    :param refused: ranks to pass over.
+    """
     slots = stage.slots.copy()
     held = slots != EMPTY
     work = stage.shares * load.tokens[slots]
@@ -137,16 +152,20 @@
     excess = work.sum(axis=1) - ideal
     ratio = np.maximum(excess / ideal, 0)
     experts = len(load.tokens)
-    pressure = np.bincount(slots[held], (work * ratio[:, None])[held], experts)
-    pressure[~load.addable] = 0
+    surplus = work * ratio[:, None]
+    left = np.bincount(slots[held], surplus[held], experts)
+    surplus_of = np.maximum(left, 1e-9)
+    delay = np.bincount(slots[held], (surplus / ideal[:, None])[held], experts)
+    delay[~load.addable] = 0
     sound = sound_ranks(load.speeds)
-    replicas = np.bincount(slots[held & sound[:, None]], minlength=experts)
+    homes = held & kept & sound[:, None]
+    replicas = np.bincount(slots[homes], minlength=experts)
     moves = []
     for rank in np.argsort(np.where(sound & ~refused, excess, np.inf)):
         if len(moves) == count or excess[rank] >= 0 or refused[rank]:
             break
-        slot = _slot_to_fill(slots[rank], replicas, pressure, load)
-        wanted = pressure.copy()
+        slot = _slot_to_fill(slots[rank], kept[rank], replicas, left, load)
+        wanted = delay * np.maximum(left, 0) / surplus_of
         wanted[slots[rank][slots[rank] != EMPTY]] = 0
         expert = int(wanted.argmax())
         if slot is None or wanted[expert] <= 0:
@@ -154,23 +173,26 @@
         evicted = int(slots[rank, slot])
         if evicted != EMPTY:
             replicas[evicted] -= 1
-        replicas[expert] += 1
         slots[rank, slot] = expert
-        pressure[expert] = max(pressure[expert] + excess[rank], 0)
+        left[expert] += excess[rank]
         moves.append(Move(layer, expert, int(rank), slot, evicted))
     return moves
 
 
 def _slot_to_fill(
-    held: np.ndarray, replicas: np.ndarray, pressure: np.ndarray, load: LayerLoad
+    held: np.ndarray,
+    kept: np.ndarray,
+    replicas: np.ndarray,
+    surplus: np.ndarray,
+    load: LayerLoad,
 ) -> int | None:
     """Return the slot of a rank whose expert will be missed least, if any."""
     empty = held == EMPTY
     if empty.any():
         return int(empty.argmax())
     others = replicas[held] - 1
-    missed = (load.reserve[held] + pressure[held]) / np.maximum(others, 1)
-    missed[(others < 1) | ~load.evictable[held]] = np.inf
+    missed = (load.reserve[held] + np.maximum(surplus[held], 0)) / np.maximum(others, 1)
+    missed[(others < 1) | ~kept | ~load.evictable[held]] = np.inf
     slot = int(missed.argmin())
     return slot if np.isfinite(missed[slot]) else None
 
