Wait out the orders of an engine that stalls

Cause: the wait after an order without an answer counted from the moment the agent gave up. An engine that is stalled for longer takes the order when it goes on, after the agent has spoken. The wait now counts answered reads without a gap.

Also: the model stalls engines, and lets a paused process that was replaced send what it had to say.

Ruled out: a longer bound, which a longer stall breaks again.

--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/mapchange.py
@@ -61,7 +61,8 @@
     :param stagger_ms: what each later host of the group waits longer.
     :param poll_ms: how often the engine is read.
     :param view_age_ms: how old a read may be when an agent speaks of its engine.
-    :param order_bound_ms: after it an order without an answer can't take effect.
+    :param order_bound_ms: once an engine has answered reads for so long, with no gap
+        above ``view_age_ms``, no order from before can take effect any more.
     :param lead_steps: how many steps lie between a proposal and the first step with
         the new map.
     :param near_steps: how many steps before that step the holders ask each other.
@@ -88,6 +89,18 @@
     voters: t.Mapping[str, int]
 
 
+@dataclasses.dataclass
+class Quiet:
+    """A wait for the end of orders that may yet take effect.
+
+    :param since_ms: the first of the answered reads without a gap.
+    :param last_ms: the last of them.
+    """
+
+    since_ms: int | None = None
+    last_ms: int = 0
+
+
 @dataclasses.dataclass
 class State:
     """What one agent of a group knows; it is lost with the process.
@@ -96,7 +109,7 @@
     :param hosts: all hosts of the group, sorted.
     :param incarnation: higher than that of each earlier agent on this host.
     :param initial: payload of the first map, used by the first host alone.
-    :param quiet_until_ms: until then an order of a predecessor may take effect.
+    :param quiet: set while an older order may take effect.
     :param known: the highest incarnation met of each other host.
     :param statuses: what each other host answered to this incarnation.
     :param settled: whether every other host has answered this incarnation.
@@ -114,7 +127,7 @@
     hosts: tuple[str, ...]
     incarnation: int
     initial: bytes | None
-    quiet_until_ms: int
+    quiet: Quiet | None = dataclasses.field(default_factory=Quiet)
     known: dict[str, int] = dataclasses.field(default_factory=dict)
     statuses: dict[str, Status] = dataclasses.field(default_factory=dict)
     settled: bool = False
@@ -127,9 +140,9 @@
     fence: int = 0
     last_id: int = 0
     order_id: int | None = None
-    order_free_at_ms: int | None = None
     read_id: int | None = None
     must_read: bool = True
+    polled_at_ms: int | None = None
     read_at_ms: int = 0
     view: EngineView | None = None
     tally: Tally | None = None
@@ -146,14 +159,12 @@
 
 
 def new_state(
-    now_ms: int,
     host: str,
     hosts: t.Iterable[str],
     incarnation: int,
-    policy: Policy,
     initial: bytes | None = None,
 ) -> State:
-    """Return the state of an agent that starts at ``now_ms``.
+    """Return the state of an agent that starts.
 
     :param incarnation: wall-clock milliseconds at the start will do; a lower one than
         before is noticed by the other agents and raised.
@@ -163,7 +174,6 @@
         hosts=tuple(sorted(hosts)),
         incarnation=incarnation,
         initial=initial,
-        quiet_until_ms=now_ms + policy.order_bound_ms,
     )
 
 
@@ -192,24 +202,19 @@
 
 
 def _on_tick(turn: _Turn, event: Tick) -> None:
-    state = turn.state
-    free_at_ms = state.order_free_at_ms
-    if free_at_ms is not None and turn.now_ms >= free_at_ms:
-        state.order_id = None
-        state.order_free_at_ms = None
+    """Do nothing: what is due follows from the state."""
 
 
 def _on_order_done(turn: _Turn, event: OrderDone) -> None:
-    state = turn.state
-    if event.order_id == state.order_id:
-        state.order_id = None
-        state.order_free_at_ms = None
+    if event.order_id == turn.state.order_id:
+        turn.state.order_id = None
 
 
 def _on_order_lost(turn: _Turn, event: OrderLost) -> None:
     state = turn.state
     if event.order_id == state.order_id:
-        state.order_free_at_ms = turn.now_ms + turn.policy.order_bound_ms
+        state.order_id = None
+        state.quiet = Quiet()
         _report(turn, events.ORDER_WAITED_OUT)
 
 
@@ -224,6 +229,9 @@
         return
     before, view = state.view, event.view
     state.read_id = None
+    if state.quiet is not None:
+        _prolong(turn, state.quiet)
+        return
     if before is not None and view.highest_fence > state.fence:
         state.superseded = True
         _report(turn, events.AGENT_SUPERSEDED)
@@ -239,6 +247,15 @@
     _check_view(state, before, view)
 
 
+def _prolong(turn: _Turn, quiet: Quiet) -> None:
+    gap_ms = turn.now_ms - quiet.last_ms
+    if quiet.since_ms is None or gap_ms > turn.policy.view_age_ms:
+        quiet.since_ms = turn.now_ms
+    quiet.last_ms = turn.now_ms
+    if quiet.last_ms - quiet.since_ms >= turn.policy.order_bound_ms:
+        turn.state.quiet = None
+
+
 def _check_view(state: State, before: EngineView | None, view: EngineView) -> None:
     if before is not None and view.version < before.version:
         raise InvariantError(f"map {before.version} was undone by {view.version}")
@@ -410,14 +427,21 @@
 
 def _poll(turn: _Turn) -> None:
     state = turn.state
-    if turn.now_ms < state.quiet_until_ms or state.order_id is not None:
+    if state.order_id is not None or state.read_id is not None:
         return
-    due = turn.now_ms - state.read_at_ms >= turn.policy.poll_ms
-    if state.read_id is None and (state.must_read or due):
+    if _is_poll_due(turn):
+        state.polled_at_ms = turn.now_ms
         state.read_id = _next_id(state)
         turn.commands.append(Read(state.read_id))
 
 
+def _is_poll_due(turn: _Turn) -> bool:
+    state = turn.state
+    if state.polled_at_ms is None or (state.must_read and state.quiet is None):
+        return True
+    return turn.now_ms - state.polled_at_ms >= turn.policy.poll_ms
+
+
 def _greet(turn: _Turn) -> None:
     state = turn.state
     if state.settled:
--- a/src/dotterelplank/soak.py
+++ b/src/dotterelplank/soak.py
@@ -40,6 +40,8 @@
     "messages cut",
     "messages blocked",
     "pauses",
+    "engines stalled",
+    "ghosts stirred",
     "crashes",
     "map-asked",
     "settled",
@@ -125,6 +127,7 @@
     (0.6, lambda model, rng: model.heal()),
     (2, _restart),
     (1.5, lambda model, rng: model.wake(_host(model, rng))),
+    (1.5, lambda model, rng: model.unstall(_host(model, rng))),
 )
 _FAULTS: tuple[tuple[float, Act], ...] = (
     (2, lambda model, rng: model.deliver(_index(rng), keep=True)),
@@ -135,6 +138,8 @@
     (0.1, _hold_all),
     (0.5, _hold_votes),
     (0.6, _strike),
+    (0.4, lambda model, rng: model.stall(_host(model, rng))),
+    (0.4, lambda model, rng: model.stir(_index(rng))),
     (0.5, _block),
     (1, lambda model, rng: model.lose_order(_index(rng))),
     (0.3, lambda model, rng: model.forget_order(_index(rng))),
