Read the host list before the configuration, so that a start asks its peers first

Cause: a restarted process knew no peer until it had read the host list, but its wait for peers ran out meanwhile, so it trusted its own read of the configuration; with a stale read it fell back from revision 2 to 1. Ruled out: the exchange of revisions (with peers known it asks them) and the stand-in. Now the configuration's decisions begin once a host list or a seed gave peers to ask.

--- a/src/dotterelplank/coordination.py
+++ b/src/dotterelplank/coordination.py
@@ -84,6 +84,7 @@
         self._places: dict[str, Place] = {}
         self._waiting: dict[str, list[Message]] = {}
         self._answer_place: Place | None = None
+        self._knows_peers = False
         role = Role.ENTRY if identity.role == "entry" else Role.AGENT
         self._own = Peer(identity.host, identity.domain, role)
         self._member_policy = MembershipPolicy()
@@ -132,8 +133,10 @@
         if not self._board.hosts.version:
             self._greet_seeds()
         self._judge_members(now_ms, members.Tick())
-        for document in Document:
-            self._judge_revision(now_ms, document, revs.Tick())
+        self._judge_revision(now_ms, Document.HOST_LIST, revs.Tick())
+        # Without the host list there is no peer to ask, and a read may be stale.
+        if self._board.hosts.version or self._knows_peers:
+            self._judge_revision(now_ms, Document.CONFIGURATION, revs.Tick())
 
     def on_datagram(self, now_ms: float, data: bytes, place: Place) -> None:
         """Take a datagram; one that isn't the system's is dropped and counted."""
@@ -229,6 +232,7 @@
                 self._on_member(command)
             case members.PeersKnown(domain, elsewhere):
                 event = revs.PeersChanged(domain, elsewhere)
+                self._knows_peers = bool(domain or elsewhere)
                 for document in Document:
                     self._judge_revision(now_ms, document, event)
             case members.Supersede():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 from dotterelplank.peers import Peer, Role
 from dotterelplank.revision_messages import Document, Offer
 
+SECRET = b"a secret of the tests"
 POLICY = membership.MembershipPolicy()
 OWN = Peer("en-0", "d0", Role.ENTRY)
 AGENT = Peer("ep-0", "d0", Role.AGENT)
@@ -139,17 +140,15 @@
         offer=Offer(Document.HOST_LIST, 4, b"12345678", 5),
         echo=11,
     )
-    packed = datagrams.pack_heartbeat(full)
-    assert datagrams.unpack(packed) == mm.HeartbeatHeard(full)
     notice = mm.Notice("en-0", "ep-0", 7, mm.MemberStatus.DEAD, 900, 3)
-    packed = datagrams.pack_notice(notice)
-    assert datagrams.unpack(packed) == mm.NoticeHeard(notice)
     digest = mm.DomainDigest("en-0", "d0", 20, 3, 1, 9, 0, ("ep-0",))
-    packed = datagrams.pack_digest(digest)
-    assert datagrams.unpack(packed) == mm.DigestHeard(digest)
+    for message in (full, notice, digest):
+        sealed = datagrams.seal(message, SECRET)
+        assert datagrams.unseal(sealed, SECRET) == message
 
 
 @pytest.mark.parametrize("datagram", [b"", b"\xc1", b"\x90", b"\x91\x63", b"\x93\x00"])
 def test_malformed_datagram_is_a_protocol_error(datagram):
+    sealed = datagrams._mac(datagram, SECRET) + datagram
     with pytest.raises(errors.ProtocolError):
-        datagrams.unpack(datagram)
+        datagrams.unseal(sealed, SECRET)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -309,7 +309,7 @@
             wait_until(lambda: made.status(entry)["configuration_revision"] == 2)
         made.control("platform", "faults", {"serve_revision": 1})
         made.processes["entry-1"].kill()
-        made.ready(made.entry(Place("entry-1", "fd-1")))
+        made.ready(made.entry(Place("entry-1", "fd-1"), join_alone_ms=0))
         made.publish_hosts()
         revision = wait_until(lambda: made.status("entry-1")["configuration_revision"])
         self.assertEqual(2, revision)
