--- a/src/dotterelplank/status.py
+++ b/src/dotterelplank/status.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import json
+import pathlib
+import resource
 import time
 import typing as t
 
@@ -12,6 +14,8 @@
 from .metrics import Metrics
 from .settings import AgentSettings, EntrySettings
 
+_STATM = pathlib.Path("/proc/self/statm")
+
 
 @dataclasses.dataclass(frozen=True)
 class HostStatus:
@@ -39,7 +43,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Status:
-    """The status of one process."""
+    """The status of one process.
+
+    :param cpu_ms: processor time used since the start.
+    :param memory_bytes: resident memory.
+    """
 
     host: str
     role: str
@@ -52,6 +60,8 @@
     refused_why: str
     host_list_version: int
     in_flight: int
+    cpu_ms: float
+    memory_bytes: int
     hosts: tuple[HostStatus, ...]
 
 
@@ -77,10 +87,23 @@
         part.refused_why,
         board.hosts.version,
         in_flight,
+        _cpu_ms(),
+        _memory_bytes(),
         tuple(_host(now_ms, board, hosts[name]) for name in sorted(hosts)),
     )
 
 
+def _cpu_ms() -> float:
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return (used.ru_utime + used.ru_stime) * 1000
+
+
+def _memory_bytes() -> int:
+    """Return the resident memory of this process."""
+    pages = int(_STATM.read_text("ascii").split()[1])
+    return pages * resource.getpagesize()
+
+
 def _host(now_ms: float, board: Blackboard, host: Host) -> HostStatus:
     peer = board.peers.get(host.host)
     view = board.endpoints.get(host.host)
@@ -127,6 +150,10 @@
         lines.append(f"  because: {status.refused_why}")
     lines.append(f"host list: version {status.host_list_version}")
     lines.append(f"in flight: {status.in_flight}")
+    lines.append(
+        f"processor time: {status.cpu_ms / 1000:.1f} s, "
+        f"memory: {status.memory_bytes / 1e6:.0f} MB"
+    )
     lines.append(
         f"{'host':<20}{'domain':<12}{'role':<8}{'state':<10}"
         f"{'linked':<8}{'usable':<8}heard  load"
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -144,7 +144,7 @@
         self.places[place.host] = (place, "entry")
         settings = {
             "caller_port": 0,
-            "caller_threads": 64,
+            "caller_threads": 160,
             "balancer_notice_ms": self.balancer_notice_ms,
             **extra,
         }
@@ -156,7 +156,7 @@
         settings = {
             "endpoint_url": self.url(endpoint),
             "endpoint_kind": kind,
-            "slots": 64,
+            "slots": 160,
             **extra,
         }
         return self._start(place.host, "agent", self._settings(place, settings))
