Never hold a team below its share, and measure the tokens generated

Cause: small teams were shed because a trimmed level fell below the share itself, and a single request of a new team looked like a great demand. It now counts tokens as they are generated, for requests that met the deadline.

Ruled out: a trim down to 0.5 of what is given out, which the first seconds of an overload drove low (a test of priorities met it).

--- a/src/dotterelplank/bench_limits.py
+++ b/src/dotterelplank/bench_limits.py
@@ -256,14 +256,24 @@
 
 def _goodput(options: LimitsWorldOptions, tally: LimitsTally) -> float:
     done = sum(
-        call.output_tokens
+        _tokens_within(options, call)
         for call in tally.calls
-        if options.warm_up_ms <= call.end_ms < options.duration_ms
+        if call.asked_ms + options.deadline_ms >= call.first_token_ms
     )
     measured_s = (options.duration_ms - options.warm_up_ms) / 1_000.0
     return done / measured_s / options.capacity_per_s()
 
 
+def _tokens_within(options: LimitsWorldOptions, call: Call) -> float:
+    """Return the tokens of ``call`` that were generated after the warm-up."""
+    planned_ms = call.first_token_ms + call.output_tokens * options.engine.step_ms
+    end_ms = call.end_ms if call.end_ms < options.duration_ms else planned_ms
+    from_ms = max(call.first_token_ms, options.warm_up_ms)
+    within_ms = min(end_ms, options.duration_ms) - from_ms
+    total_ms = max(1.0, end_ms - call.first_token_ms)
+    return call.output_tokens * max(0.0, within_ms) / total_ms
+
+
 def _wanted(options: LimitsWorldOptions) -> float:
     """Return the mean over time of the lesser of demand and capacity."""
     demand = sum(team.demand for team in options.teams)
--- a/src/dotterelplank/bench_limits_world.py
+++ b/src/dotterelplank/bench_limits_world.py
@@ -80,13 +80,14 @@
 class Call:
     """A request with all its attempts.
 
-    :param calls: how often the caller asked.
+    :param calls: how often the caller asked, last at ``asked_ms``.
     """
 
     request_id: str
     team: int
     at_ms: float
     output_tokens: int
+    asked_ms: float = 0.0
     calls: int = 0
     attempts: int = 0
     entry: int = -1
@@ -177,6 +178,7 @@
     def _ask(self, call: Call) -> Act:
         def act(now_ms: float) -> None:
             call.calls += 1
+            call.asked_ms = now_ms
             call.attempts = 0
             call.entry = self.rng.choice(self.alive)
             request = limits.LimitRequest(
--- a/src/dotterelplank/demands.py
+++ b/src/dotterelplank/demands.py
@@ -41,25 +41,58 @@
     named: tuple[TeamDemand, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class NamedSum:
-    """The demand of one team in the digests that name it, and how many do."""
+    """The demand of one team in several digests.
+
+    :param demand_per_s: the sum over the digests that name it.
+    :param entries: how many do.
+    :param unseen_per_s: the most that it can ask for at the other entries, which
+        have named other teams instead.
+    """
 
     demand_per_s: float = 0.0
     entries: int = 0
+    unseen_per_s: float = 0.0
+
+    def estimate_per_s(self, entries: int) -> float:
+        """Return the likely demand over ``entries`` entries.
+
+        Where it isn't named it is taken to be what it is elsewhere, as far as it
+        can be.
+        """
+        if not self.entries:
+            return 0.0
+        mean_per_s = self.demand_per_s / self.entries
+        likely_per_s = mean_per_s * (entries - self.entries)
+        return self.demand_per_s + min(likely_per_s, self.unseen_per_s)
 
 
-def sum_named(digests: t.Iterable[DemandDigest]) -> dict[str, NamedSum]:
-    """Return for each team that is named its demand over ``digests``."""
+def sum_named(digests: t.Sequence[DemandDigest], count: int) -> dict[str, NamedSum]:
+    """Return for each team that is named its demand over ``digests``.
+
+    :param count: the number of teams that a digest names at most.
+    """
+    least_per_s = [_least_named(one, count) for one in digests]
+    all_least_per_s = sum(least_per_s)
     sums: dict[str, NamedSum] = {}
-    for one in digests:
+    for one, least in zip(digests, least_per_s):
         for team in one.named:
-            known = sums.get(team.team, NamedSum())
-            demand_per_s = known.demand_per_s + team.demand_per_s
-            sums[team.team] = NamedSum(demand_per_s, known.entries + 1)
+            known = sums.get(team.team)
+            if known is None:
+                known = sums[team.team] = NamedSum(unseen_per_s=all_least_per_s)
+            known.demand_per_s += team.demand_per_s
+            known.entries += 1
+            known.unseen_per_s -= least
     return sums
 
 
+def _least_named(digest: DemandDigest, count: int) -> float:
+    if len(digest.named) < count:
+        return 0.0
+    return digest.named[-1].demand_per_s
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """A demand, the share it is weighed by, and no name: input of the fair level."""
--- a/src/dotterelplank/limit_state.py
+++ b/src/dotterelplank/limit_state.py
@@ -14,9 +14,10 @@
 
 DEMAND_TIME_MS = 10_000.0
 TOTAL_TIME_MS = 2_000.0
-MIN_KNOWN_MS = 1_000.0
+KNOWN_PART_MIN = 0.4
+TOTAL_KNOWN_PART_MIN = 0.1
 SPARSE_TIME_MS = 60_000.0
-BURST_REQUESTS = 3.0
+BURST_REQUESTS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +34,7 @@
     shares: t.Mapping[str, float]
     default_share: float
     rest_share: float
-    fill: float = 0.97
+    fill: float = 0.96
 
     def share(self, team: str) -> float:
         """Return the share of ``team``."""
@@ -44,10 +45,13 @@
 class Rate:
     """A rate in cost a second that decays over ``time_ms``.
 
-    It counts from its first cost on, so that it is no lower for being new.
+    It counts from its first cost on, so that it is little lower for being new. A
+    part of ``known_part_min`` is taken as known at once, since a single request
+    shows no rate.
     """
 
     time_ms: float = DEMAND_TIME_MS
+    known_part_min: float = KNOWN_PART_MIN
     value_per_s: float = 0.0
     updated_ms: float = 0.0
     started_ms: float = math.inf
@@ -55,9 +59,16 @@
     def at(self, now_ms: float) -> float:
         """Return the rate as of ``now_ms``."""
         age_ms = max(0.0, now_ms - self.updated_ms)
-        known_ms = max(MIN_KNOWN_MS, now_ms - self.started_ms)
-        known = 1.0 - math.exp(-known_ms / self.time_ms)
-        return self.value_per_s * math.exp(-age_ms / self.time_ms) / known
+        decayed_per_s = self.value_per_s * math.exp(-age_ms / self.time_ms)
+        return decayed_per_s / self._known(now_ms)
+
+    def worth_at(self, now_ms: float, cost: float) -> float:
+        """Return what a single request of ``cost`` adds at ``now_ms``."""
+        return worth_per_s(cost, self.time_ms) / self._known(now_ms)
+
+    def _known(self, now_ms: float) -> float:
+        known_ms = max(0.0, now_ms - self.started_ms)
+        return max(self.known_part_min, 1.0 - math.exp(-known_ms / self.time_ms))
 
     def add(self, now_ms: float, cost: float) -> None:
         """Count ``cost`` at ``now_ms``."""
@@ -138,8 +149,12 @@
     capacity_per_s: float
     backlog_ms: float = 0.0
     request_cost: float = 0.0
-    offered: Rate = dataclasses.field(default_factory=lambda: Rate(TOTAL_TIME_MS))
-    admitted: Rate = dataclasses.field(default_factory=lambda: Rate(TOTAL_TIME_MS))
+    offered: Rate = dataclasses.field(
+        default_factory=lambda: Rate(TOTAL_TIME_MS, TOTAL_KNOWN_PART_MIN)
+    )
+    admitted: Rate = dataclasses.field(
+        default_factory=lambda: Rate(TOTAL_TIME_MS, TOTAL_KNOWN_PART_MIN)
+    )
     teams: "collections.OrderedDict[str, TeamState]" = dataclasses.field(
         default_factory=collections.OrderedDict
     )
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -13,7 +13,6 @@
 from . import prefixes, shares
 from .demands import DemandDigest
 from .limit_state import (
-    BURST_REQUESTS,
     Heard,
     LimitPolicy,
     LimitState,
@@ -131,7 +130,7 @@
         if _unit(request.request_id) >= chance:
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
     elif not level.is_within_fair:
-        if level.level < _needed_level(state, level, team, request.priority):
+        if level.level < _needed_level(state, level, team, request):
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
     if len(state.tickets) >= MAX_TICKETS:
         return _shed(state, level, request, ShedReason.OVERLOAD)
@@ -179,8 +178,7 @@
     """Return the team's state, with the request counted as demand."""
     team = state.teams.get(request.team)
     if team is None:
-        burst = BURST_REQUESTS * request.cost
-        team = TeamState(burst, now_ms, request.cost)
+        team = TeamState(0.0, now_ms, request.cost)
         state.teams[request.team] = team
         if len(state.teams) > MAX_TEAMS:
             state.teams.popitem(last=False)
@@ -225,15 +223,18 @@
 
 
 def _needed_level(
-    state: LimitState, level: TeamState, team: TeamState, priority: int
+    state: LimitState, level: TeamState, team: TeamState, request: LimitRequest
 ) -> float:
-    """Return the level from which a request of ``priority`` is let in.
+    """Return the level from which ``request`` is let in.
 
+    It lies by chance between nothing and the request's cost, so that a request
+    that an entry can't pay in full is let in as often as its part is worth.
     Among the rest, teams that asked for more than a request or two come after
     the others.
     """
-    steps = max(-MAX_PRIORITY_STEPS, min(MAX_PRIORITY_STEPS, priority))
-    needed = -steps * PRIORITY_STEP_MS / 1_000.0 * level.rate_per_s
+    steps = max(-MAX_PRIORITY_STEPS, min(MAX_PRIORITY_STEPS, request.priority))
+    needed = _unit(request.request_id) * request.cost
+    needed -= steps * PRIORITY_STEP_MS / 1_000.0 * level.rate_per_s
     if level is state.rest:
         light_per_s = LIGHT_REQUESTS * worth_per_s(state.request_cost)
         if team.demand.value_per_s > light_per_s:
--- a/src/dotterelplank/shares.py
+++ b/src/dotterelplank/shares.py
@@ -6,7 +6,6 @@
 level for them together.
 """
 
-import itertools
 import math
 import typing as t
 
@@ -23,12 +22,14 @@
 NAMED_TEAMS_MIN = 8
 NAMED_TEAMS_SUM = 1_000
 NAMED_REQUESTS = 3.0
-MIN_TRIM = 0.5
+MIN_TRIM = 0.8
 MAX_TRIM = 1.25
-TRIM_GAIN = 0.1
+TRIM_GAIN = 0.05
 BACKLOG_HORIZON_MS = 2_000.0
 MIN_BACKLOG_FACTOR = 0.4
 MIN_SHARE = 1e-9
+MIN_COST = 1e-9
+CHANCE = 1.0
 
 
 def digest_interval_ms(state: LimitState) -> float:
@@ -37,6 +38,11 @@
     return max(DIGEST_INTERVAL_MIN_MS, grown_ms)
 
 
+def _named_count(state: LimitState) -> int:
+    count = NAMED_TEAMS_SUM // state.live_entries
+    return max(NAMED_TEAMS_MIN, min(demands.MAX_NAMED_TEAMS, count))
+
+
 def digest(now_ms: float, state: LimitState) -> DemandDigest:
     """Return this entry's demand for the other entries, and forget idle teams."""
     _evict_idle(now_ms, state)
@@ -46,9 +52,9 @@
             break
         rates.append((team.demand.at(now_ms), name))
     rates.sort(reverse=True)
-    count = NAMED_TEAMS_SUM // state.live_entries
-    count = max(NAMED_TEAMS_MIN, min(demands.MAX_NAMED_TEAMS, count))
-    named = tuple(demands.TeamDemand(name, rate) for rate, name in rates[:count])
+    named = tuple(
+        demands.TeamDemand(name, rate) for rate, name in rates[: _named_count(state)]
+    )
     offered_per_s = state.offered.at(now_ms)
     admitted_per_s = state.admitted.at(now_ms)
     rest_per_s = state.rest.demand.at(now_ms)
@@ -61,13 +67,14 @@
     _forget_silent(now_ms, state)
     own = digest(now_ms, state)
     peers = [heard.digest for heard in state.peers.values()]
-    state.peer_demand = demands.sum_named(peers)
-    worth = worth_per_s(state.request_cost)
-    sums = demands.sum_named(itertools.chain([own], peers))
+    count = _named_count(state)
+    state.peer_demand = demands.sum_named(peers, count)
+    sums = demands.sum_named([own, *peers], count)
+    least_per_s = NAMED_REQUESTS * worth_per_s(state.request_cost)
     state.totals = {
-        name: one.demand_per_s * state.live_entries / one.entries
+        name: one.estimate_per_s(state.live_entries)
         for name, one in sums.items()
-        if one.demand_per_s >= NAMED_REQUESTS * worth
+        if one.demand_per_s >= least_per_s
     }
     claims = _claims(state, [own, *peers], policy)
     _update_trim(state, [own, *peers], policy)
@@ -81,8 +88,7 @@
     """Work out this entry's part of the rate of a team with a level of its own."""
     own_per_s = team.demand.at(now_ms)
     peers = state.peer_demand.get(name, demands.NamedSum())
-    unknown = state.live_entries - 1 - peers.entries
-    total_per_s = own_per_s * (1 + unknown) + peers.demand_per_s
+    total_per_s = own_per_s + peers.estimate_per_s(state.live_entries - 1)
     _set_part(state, team, own_per_s, total_per_s, policy.share(name))
 
 
@@ -104,9 +110,9 @@
     """
     if math.isinf(state.fair_level):
         return 1.0
-    worth = worth_per_s(team.request_cost, team.sparse_demand.time_ms)
-    own_per_s = team.sparse_demand.at(now_ms) - worth
-    fair_per_s = policy.share(name) * state.fair_level
+    rate = team.sparse_demand
+    own_per_s = rate.at(now_ms) - rate.worth_at(now_ms, team.request_cost)
+    fair_per_s = policy.share(name) * max(state.fair_level, state.capacity_per_s)
     if own_per_s * state.live_entries <= fair_per_s:
         return 1.0
     return fair_per_s / (own_per_s * state.live_entries)
@@ -119,11 +125,17 @@
     total_per_s: float,
     share: float,
 ) -> None:
-    """Split a fair rate by demand, evened out by one request at each entry."""
+    """Split a fair rate by demand, evened out by one request at each entry.
+
+    A team is within its share up to a demand that chance alone may show.
+    """
     team.refreshed_ms = state.refreshed_ms
-    team.is_within_share = total_per_s <= share * state.capacity_per_s
+    requests = total_per_s / worth_per_s(max(MIN_COST, team.request_cost))
+    chance = 1.0 + CHANCE / math.sqrt(max(1.0, requests))
+    share_per_s = share * state.capacity_per_s * chance
     fair_per_s = share * state.fair_level
-    team.is_within_fair = total_per_s <= fair_per_s
+    team.is_within_share = total_per_s <= share_per_s
+    team.is_within_fair = total_per_s <= max(fair_per_s, share_per_s)
     if math.isinf(state.fair_level):
         team.rate_per_s = math.inf
         return
