--- a/src/dotterelplank/shares.py
+++ b/src/dotterelplank/shares.py
@@ -106,16 +106,19 @@
     """Return the part of the requests of a team with few of them that is let in.
 
     What it asks for at this entry, less one request, stands for what it asks for
-    at each other.
+    at each other. The last factor corrects the mean of one over so small a count.
     """
     if math.isinf(state.fair_level):
         return 1.0
     rate = team.sparse_demand
-    own_per_s = rate.at(now_ms) - rate.worth_at(now_ms, team.request_cost)
+    worth_per_request = rate.worth_at(now_ms, max(MIN_COST, team.request_cost))
+    own_per_s = rate.at(now_ms) - worth_per_request
     fair_per_s = policy.share(name) * max(state.fair_level, state.capacity_per_s)
-    if own_per_s * state.live_entries <= fair_per_s:
+    total_per_s = own_per_s * state.live_entries
+    if total_per_s <= fair_per_s:
         return 1.0
-    return fair_per_s / (own_per_s * state.live_entries)
+    requests = own_per_s / worth_per_request
+    return fair_per_s / total_per_s * requests / (requests + 1.0)
 
 
 def _set_part(
