Follow the free places in batches when giving out the capacity

Cause: with only arrivals held to a rate, what runs wanders by several percent, so engines were full at times and small teams waited for a place.

--- a/src/dotterelplank/bench_limits_world.py
+++ b/src/dotterelplank/bench_limits_world.py
@@ -333,7 +333,8 @@
         capacity = capacities.capacity_per_s(self.views, places)
         if capacity > 0.0:
             backlog_ms = capacities.backlog_ms(self.views, places, OUTPUT_TOKENS)
-            limits.on_load(now_ms, state, capacity, backlog_ms)
+            free_share = capacities.free_share(self.views, places)
+            limits.on_load(now_ms, state, capacity, backlog_ms, free_share)
 
     def _changer(self, change: Change) -> Act:
         def act(now_ms: float) -> None:
--- a/src/dotterelplank/capacities.py
+++ b/src/dotterelplank/capacities.py
@@ -35,6 +35,15 @@
     return waiting * request_tokens / capacity * 1_000.0
 
 
+def free_share(views: t.Sequence[EndpointView], default_places: float) -> float:
+    """Return the part of the places in batches that no request holds, 0 to 1."""
+    places = sum(_places(view, default_places) for view in views)
+    if places <= 0.0:
+        return 0.0
+    running = sum(view.report.running for view in views if view.report)
+    return max(0.0, 1.0 - running / places)
+
+
 def _places(view: EndpointView, default_places: float) -> float:
     if view.places < math.inf:
         return view.places
--- a/src/dotterelplank/limit_state.py
+++ b/src/dotterelplank/limit_state.py
@@ -140,6 +140,7 @@
     :param entry: name of this entry.
     :param capacity_per_s: cost a second that the endpoints of the domain can do.
     :param backlog_ms: time that the endpoints need for what waits before them.
+    :param free_share: part of the places in batches that is free, if known.
     :param totals: demand of each team that any digest names, over all entries.
     :param fair_level: rate for each unit of share; infinite without overload.
     :param trim: factor on what is given out, from what was let in before.
@@ -148,6 +149,7 @@
     entry: str
     capacity_per_s: float
     backlog_ms: float = 0.0
+    free_share: float | None = None
     request_cost: float = 0.0
     offered: Rate = dataclasses.field(
         default_factory=lambda: Rate(TOTAL_TIME_MS, TOTAL_KNOWN_PART_MIN)
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -161,11 +161,16 @@
 
 
 def on_load(
-    now_ms: float, state: LimitState, capacity_per_s: float, backlog_ms: float
+    now_ms: float,
+    state: LimitState,
+    capacity_per_s: float,
+    backlog_ms: float,
+    free_share: float | None = None,
 ) -> None:
-    """Take in the capacity of the domain and the time for what waits there."""
+    """Take in what the load reports of the domain show; see :mod:`capacities`."""
     state.capacity_per_s = capacity_per_s
     state.backlog_ms = backlog_ms
+    state.free_share = free_share
 
 
 def on_digest(now_ms: float, state: LimitState, digest: DemandDigest) -> None:
--- a/src/dotterelplank/shares.py
+++ b/src/dotterelplank/shares.py
@@ -27,6 +27,9 @@
 TRIM_GAIN = 0.05
 BACKLOG_HORIZON_MS = 2_000.0
 MIN_BACKLOG_FACTOR = 0.4
+PLACES_GAIN = 2.5
+MIN_FILLING = 0.8
+MAX_FILLING = 1.1
 MIN_SHARE = 1e-9
 MIN_COST = 1e-9
 CHANCE = 1.0
@@ -188,9 +191,17 @@
 
 
 def _given_out(state: LimitState, policy: LimitPolicy) -> float:
-    """Return the rate that all entries let in together, less while work queues."""
-    factor = max(MIN_BACKLOG_FACTOR, 1.0 - state.backlog_ms / BACKLOG_HORIZON_MS)
-    return state.capacity_per_s * policy.fill * factor
+    """Return the rate that all entries let in together.
+
+    It is less while work queues. It follows the free places too, since what runs
+    wanders far when only its arrivals are held to a rate.
+    """
+    queueing = max(MIN_BACKLOG_FACTOR, 1.0 - state.backlog_ms / BACKLOG_HORIZON_MS)
+    filling = 1.0
+    if state.free_share is not None:
+        filling += PLACES_GAIN * (state.free_share - (1.0 - policy.fill))
+        filling = max(MIN_FILLING, min(MAX_FILLING, filling))
+    return state.capacity_per_s * policy.fill * queueing * filling
 
 
 def _update_trim(
