--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -41,7 +41,6 @@
 
 MAX_TEAMS = 8_192
 MAX_TICKETS = 65_536
-REFRESH_MS = 250.0
 BURST_MS = 2_000.0
 REQUEST_COST_WEIGHT = 0.1
 PRIORITY_STEP_MS = 100.0
@@ -119,7 +118,7 @@
     team = _team(now_ms, state, request)
     if request.team not in policy.shares:
         state.rest.demand.add(now_ms, request.cost)
-    if now_ms - state.refreshed_ms >= REFRESH_MS:
+    if now_ms - state.refreshed_ms >= shares.refresh_interval_ms(state):
         shares.refresh(now_ms, state, policy)
         shares.refresh_rest(now_ms, state, policy)
     level = _level(now_ms, state, team, request, policy)
--- a/src/dotterelplank/prefixes.py
+++ b/src/dotterelplank/prefixes.py
@@ -106,12 +106,13 @@
         seen_ms = self.seen_ms
         matched = 0
         last_ms = 0.0
-        for position, block in enumerate(blocks):
-            block_ms = seen_ms.get(block)
-            if block_ms is not None:
-                matched = position + 1
-                last_ms = block_ms
-            elif position - matched >= GAP_BLOCKS:
+        position = 0
+        for block in blocks:
+            position += 1
+            if block in seen_ms:
+                matched = position
+                last_ms = seen_ms[block]
+            elif position - matched > GAP_BLOCKS:
                 break
         return Match(matched, last_ms) if matched else NO_MATCH
 
--- a/src/dotterelplank/routing.py
+++ b/src/dotterelplank/routing.py
@@ -151,26 +151,45 @@
     A caller that can ask the endpoints for their present load does so and hands
     the answers to :func:`inquiry.settle`. A probe comes alone.
     """
-    present = [view for view in endpoints if view.liveness is not Liveness.LEAVING]
-    near = [view for view in present if view.domain == request.domain]
-    probed = _probe(now_ms, request, near, policy)
+    own, avoided, far = _sort_out(now_ms, request, endpoints, policy)
+    probed = _probe(now_ms, request, avoided, policy)
     if probed is not None:
         return (Choice(probed.host, probed.domain, 0.0, Reason.PROBE),)
-    own = [view for view in near if not is_avoided(view, now_ms, policy)]
     if rng.random() < _spill_share(own):
-        far = [view for view in present if view.domain != request.domain]
         choices = _choose_far(now_ms, request, own, far, policy, rng, count)
         if choices:
             return choices
-    candidates = _candidates(own or near or present, policy)
+    candidates = _candidates(own or avoided or far, policy)
     return tuple(_draw_choices(now_ms, request, candidates, policy, rng, count))
 
 
+def _sort_out(
+    now_ms: float,
+    request: RouteRequest,
+    endpoints: t.Sequence[EndpointView],
+    policy: RoutingPolicy,
+) -> tuple[list[EndpointView], list[EndpointView], list[EndpointView]]:
+    """Return the own domain's usable and avoided endpoints, and all of others."""
+    own = []
+    avoided = []
+    far = []
+    for view in endpoints:
+        if view.liveness is Liveness.LEAVING:
+            continue
+        if view.domain != request.domain:
+            far.append(view)
+        elif is_avoided(view, now_ms, policy):
+            avoided.append(view)
+        else:
+            own.append(view)
+    return own, avoided, far
+
+
 def is_avoided(view: EndpointView, now_ms: float, policy: RoutingPolicy) -> bool:
     """Return whether ``view`` seems frozen, failing or gone."""
     if view.is_stalled or view.liveness is Liveness.SUSPECT:
         return True
-    if endpoint_view.silence_ms(view, now_ms) > policy.silence_limit_ms:
+    if view.in_flight and now_ms - view.answered_ms > policy.silence_limit_ms:
         return _owes_an_answer(view, now_ms, policy)
     if view.failure_score >= policy.failure_limit:
         return endpoint_view.failure_score(view, now_ms) >= policy.failure_limit
@@ -192,14 +211,12 @@
     views: t.Sequence[EndpointView],
     policy: RoutingPolicy,
 ) -> EndpointView | None:
-    """Return an avoided endpoint that is due to be tried again, if any."""
+    """Return which of the avoided ``views`` is due to be tried again, if any."""
     if request.priority > 0:
         return None
     interval_ms = policy.probe_interval_ms * policy.live_entries
     interval_ms = min(interval_ms, MAX_PROBE_INTERVAL_MS)
     for view in views:
-        if not is_avoided(view, now_ms, policy):
-            continue
         started_ms = max(view.last_probe_ms, view.failure_ms, view.answered_ms)
         if now_ms - started_ms >= interval_ms:
             return view
@@ -371,7 +388,7 @@
     """
     if not request.blocks:
         return ()
-    best = None
+    holders = []
     for candidate in candidates:
         match = candidate.view.index.match(request.blocks)
         if match.blocks:
@@ -379,12 +396,11 @@
             candidate.likely_blocks = prefixes.likely_blocks(
                 match, now_ms, policy.cache_half_life_ms
             )
-            if best is None or candidate.likely_blocks > best.likely_blocks:
-                best = candidate
-    best_blocks = best.matched_blocks if best else 0
-    holders = [one for one in candidates if one.matched_blocks]
+            holders.append(candidate)
     if not holders:
         holders = _homes(request.blocks[0], candidates)
+    best = max(holders, key=lambda one: one.likely_blocks)
+    best_blocks = best.matched_blocks
     limit = max(level * (1.0 + policy.affinity_slack), policy.light_requests)
     for holder in holders:
         most = min(limit * holder.speed, holder.view.places)
--- a/src/dotterelplank/shares.py
+++ b/src/dotterelplank/shares.py
@@ -41,6 +41,11 @@
     return max(DIGEST_INTERVAL_MIN_MS, grown_ms)
 
 
+def refresh_interval_ms(state: LimitState) -> float:
+    """Return how long a fair level is used before it is worked out anew."""
+    return digest_interval_ms(state) / 2.0
+
+
 def _named_count(state: LimitState) -> int:
     count = NAMED_TEAMS_SUM // state.live_entries
     return max(NAMED_TEAMS_MIN, min(demands.MAX_NAMED_TEAMS, count))
