Guard choices against joining engines, short waits and early cancels

Cause: found by reading. An endpoint that joins empty drew all requests, since the fill level lay below all others; a single waiting request in a report was taken for a full batch, which would have throttled admission at a low load; a caller that left 0.7 s after sending marked the endpoint as stalled; and an endpoint without a report stopped all following of prefixes.

--- a/src/dotterelplank/candidates.py
+++ b/src/dotterelplank/candidates.py
@@ -20,6 +20,8 @@
 HASH_MASK = (1 << 64) - 1
 HASH_MULTIPLIER = 0x9E3779B97F4A7C15
 MIN_SPEED = 0.1
+MAX_ROOM = 0.25
+MAX_AGE_MS = 5_000.0
 HOMES = 2
 MIN_LIKELIHOOD = 0.01
 BLOCK_FACTOR = 3.0
@@ -81,13 +83,14 @@
     follows_prefix = room > 0.0 and rng.random() * max(room, expected) < room
     if not follows_prefix:
         holders = ()
+    most = MAX_ROOM * max(1.0, level)
     for _ in range(min(count, len(candidates))):
         drawn = _draw(holders, rng)
         if drawn is None:
             holders = ()
             for candidate in candidates:
                 spare = level * candidate.speed - candidate.held
-                candidate.weight = max(0.0, spare)
+                candidate.weight = min(most, max(0.0, spare))
                 if candidate.is_drawn:
                     candidate.weight = 0.0
             drawn = _draw(candidates, rng) or _least_held(candidates)
@@ -103,7 +106,11 @@
 
 
 def _fill_level(candidates: t.Sequence[Candidate], policy: RoutingPolicy) -> float:
-    """Return the load for each unit of speed that the expected requests fill to."""
+    """Return the load for each unit of speed that the expected requests fill to.
+
+    It is the median load at least, so that an endpoint that has just joined
+    doesn't get all the requests at once.
+    """
     sent = sum(candidate.view.sent_since_report for candidate in candidates)
     expected = max(sent * policy.live_entries, MIN_ROOM_REQUESTS * len(candidates))
     ordered = sorted((item.held / item.speed, item.speed) for item in candidates)
@@ -116,7 +123,8 @@
         level = filled / speeds
         if position + 1 == len(ordered) or ordered[position + 1][0] >= level:
             break
-    return level
+    median, _ = ordered[len(ordered) // 2]
+    return max(level, median)
 
 
 def _draw(candidates: t.Sequence[Candidate], rng: random.Random) -> Candidate | None:
@@ -161,7 +169,8 @@
         holders = _homes(request.blocks[0], candidates)
     best = max(holders, key=lambda one: one.likely_blocks)
     best_blocks = best.matched_blocks
-    limit = max(level * (1.0 + policy.affinity_slack), policy.light_requests)
+    limit = level * (1.0 + policy.affinity_slack) + 1.0
+    limit = max(limit, policy.light_requests)
     for holder in holders:
         most = min(limit * holder.speed, holder.view.places)
         holder.room = max(0.0, most - holder.held)
@@ -185,11 +194,11 @@
     policy: RoutingPolicy,
 ) -> float:
     """Return the family's requests that all entries send while a report is current."""
-    if not candidates:
+    ages_ms = [now_ms - one.view.measured_ms for one in candidates if one.view.report]
+    if not ages_ms:
         return 0.0
-    ages_ms = sum(now_ms - one.view.measured_ms for one in candidates)
-    age_s = ages_ms / len(candidates) / 1_000.0
-    return request.family_per_s * policy.live_entries * age_s
+    age_ms = min(MAX_AGE_MS, sum(ages_ms) / len(ages_ms))
+    return request.family_per_s * policy.live_entries * age_ms / 1_000.0
 
 
 def _rank(family: int, host_hash: int) -> int:
--- a/src/dotterelplank/endpoint_view.py
+++ b/src/dotterelplank/endpoint_view.py
@@ -8,7 +8,6 @@
 import dataclasses
 import enum
 import math
-import typing as t
 
 from . import prefixes
 
@@ -17,6 +16,9 @@
 LATENCY_WEIGHT = 0.2
 MAX_CHANGES = 4_096
 STALL_SILENCE_MS = 600.0
+STALL_FIRST_TOKEN_MS = 1_500.0
+FULL_REPORTS = 4
+MAX_WAITING_COUNTED = 10
 
 
 class Liveness(enum.Enum):
@@ -75,10 +77,11 @@
 
     ``net_since_report`` is the number of own requests sent less those finished
     since the last report was measured; ``sent_since_report`` counts the sends.
-    ``is_stalled`` is set when a request was given up on after a silence of
-    :data:`STALL_SILENCE_MS`, and holds until the endpoint answers again.
+    ``is_stalled`` is set when a request was given up on while the endpoint owed an
+    answer, see :func:`owes_answer`, and holds until it answers again.
     ``places`` is the size of its batch as far as reports have shown it: what ran
-    while others waited. It is infinite until some have waited.
+    while others waited in :data:`FULL_REPORTS` reports in a row. It is infinite
+    until then.
     """
 
     host: str
@@ -87,6 +90,7 @@
     report: LoadReport | None = None
     measured_ms: float = 0.0
     places: float = math.inf
+    full_reports: int = 0
     in_flight: dict[str, Sent] = dataclasses.field(default_factory=dict)
     unanswered: int = 0
     answered_ms: float = 0.0
@@ -166,14 +170,14 @@
 
 def note_cancelled(view: EndpointView, now_ms: float, request_id: str) -> None:
     """Record that a request was given up on, by its caller or its deadline."""
-    if silence_ms(view, now_ms) > STALL_SILENCE_MS:
+    if owes_answer(view, now_ms, STALL_SILENCE_MS, STALL_FIRST_TOKEN_MS):
         view.is_stalled = True
     _forget(view, now_ms, request_id)
 
 
 def note_failure(view: EndpointView, now_ms: float, request_id: str) -> None:
     """Record that a request failed at the endpoint or on the way to it."""
-    if silence_ms(view, now_ms) > STALL_SILENCE_MS:
+    if owes_answer(view, now_ms, STALL_SILENCE_MS, STALL_FIRST_TOKEN_MS):
         view.is_stalled = True
     view.failure_score = failure_score(view, now_ms) + 1.0
     view.failure_ms = now_ms
@@ -195,10 +199,7 @@
         return
     view.report = report
     view.measured_ms = measured_ms
-    if report.waiting:
-        view.places = report.running
-    elif report.running > view.places:
-        view.places = report.running
+    _learn_places(view, report)
     while view.changes and view.changes[0][0] <= measured_ms:
         _, change = view.changes.popleft()
         view.net_since_report -= change
@@ -242,21 +243,31 @@
     return float(max(0, reported + view.net_since_report))
 
 
-def silence_ms(view: EndpointView, now_ms: float) -> float:
-    """Return for how long the endpoint owes this entry an answer, else 0."""
-    if not view.in_flight:
-        return 0.0
-    return max(0.0, now_ms - view.answered_ms)
-
+def owes_answer(
+    view: EndpointView,
+    now_ms: float,
+    silence_limit_ms: float,
+    first_token_limit_ms: float,
+) -> bool:
+    """Return whether the endpoint has been silent for too long.
 
-def oldest_unanswered(view: EndpointView) -> t.Optional[Sent]:
-    """Return the longest-waiting request that has had no first token."""
-    if not view.unanswered:
-        return None
-    for sent in view.in_flight.values():
-        if sent.first_token_ms is None:
-            return sent
-    return None
+    A stream has tokens all the time, so any silence of a stream counts. Without
+    one a first token may take longer, and longer still while requests wait there.
+    """
+    if not view.in_flight or now_ms - view.answered_ms <= silence_limit_ms:
+        return False
+    if view.unanswered < len(view.in_flight):
+        return True
+    waiting = view.report.waiting if view.report else 0
+    patience = 1.0 + min(waiting, MAX_WAITING_COUNTED) / 2.0
+    oldest = next(iter(view.in_flight.values()))
+    return now_ms - oldest.sent_ms > first_token_limit_ms * patience
+
+
+def _learn_places(view: EndpointView, report: LoadReport) -> None:
+    view.full_reports = view.full_reports + 1 if report.waiting else 0
+    if view.full_reports >= FULL_REPORTS or report.running > view.places:
+        view.places = report.running
 
 
 def _note_change(view: EndpointView, now_ms: float, change: int) -> None:
--- a/src/dotterelplank/limit_state.py
+++ b/src/dotterelplank/limit_state.py
@@ -118,11 +118,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
-    """The right to run one request; give it back with :func:`limits.release`."""
+    """The right to run one request; give it back with :func:`limits.release`.
+
+    :param is_of_rest: whether the rest of the teams together paid for it.
+    """
 
     number: int
     team: str
     cost: float
+    is_of_rest: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -137,7 +137,7 @@
         least = 0.0 if level.is_within_fair else -math.inf
         level.level = max(least, level.level - request.cost)
     state.admitted.add(now_ms, request.cost)
-    ticket = Ticket(state.next_ticket, request.team, request.cost)
+    ticket = Ticket(state.next_ticket, request.team, request.cost, level is state.rest)
     state.next_ticket += 1
     state.tickets[ticket.number] = ticket
     state.in_flight_cost += request.cost
@@ -154,7 +154,7 @@
     state.in_flight_cost = max(0.0, state.in_flight_cost - ticket.cost)
     if outcome is not Outcome.FAILED:
         return
-    level = state.teams.get(ticket.team)
+    level = state.rest if ticket.is_of_rest else state.teams.get(ticket.team)
     if level is not None:
         level.level = min(level.level + ticket.cost, level.burst(BURST_MS))
 
--- a/src/dotterelplank/routing.py
+++ b/src/dotterelplank/routing.py
@@ -124,22 +124,15 @@
     """Return whether ``view`` seems frozen, failing or gone."""
     if view.is_stalled or view.liveness is Liveness.SUSPECT:
         return True
-    if view.in_flight and now_ms - view.answered_ms > policy.silence_limit_ms:
-        return _owes_an_answer(view, now_ms, policy)
+    if view.in_flight and endpoint_view.owes_answer(
+        view, now_ms, policy.silence_limit_ms, policy.first_token_limit_ms
+    ):
+        return True
     if view.failure_score >= policy.failure_limit:
         return endpoint_view.failure_score(view, now_ms) >= policy.failure_limit
     return False
 
 
-def _owes_an_answer(view: EndpointView, now_ms: float, policy: RoutingPolicy) -> bool:
-    if view.unanswered < len(view.in_flight):
-        return True
-    oldest = endpoint_view.oldest_unanswered(view)
-    if oldest is None:
-        return False
-    return now_ms - oldest.sent_ms > policy.first_token_limit_ms
-
-
 def _probe(
     now_ms: float,
     request: RouteRequest,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,6 +1,7 @@
 """Tests of choosing an endpoint."""
 
 import collections
+import math
 import random
 
 from hypothesis import given, strategies as st
@@ -27,6 +28,12 @@
     return routing.choose(now_ms, make_request(**options), views, policy, rng)
 
 
+def fill(view):
+    full = routing.LoadReport(80, 5, 0.9, 25.0, 400.0)
+    for now_ms in range(4):
+        routing.note_report(view, now_ms, full, 0.0)
+
+
 def stall(view, now_ms=0.0):
     routing.note_sent(view, now_ms, "streaming", ())
     routing.note_first_token(view, now_ms + 50.0, "streaming")
@@ -88,15 +95,13 @@
 def test_other_domains_are_asked_only_when_the_own_is_full():
     views = [make_view("near", running=50), make_view("far", "b", running=0)]
     assert choose(views).host == "near"
-    full = routing.LoadReport(80, 5, 0.9, 25.0, 400.0)
-    routing.note_report(views[0], 50.0, full, 0.0)
+    fill(views[0])
     assert choose(views).reason is routing.Reason.OTHER_DOMAIN
 
 
 def test_a_domain_that_is_not_reached_is_not_asked():
     views = [make_view("near", running=50), make_view("far", "b", running=0)]
-    full = routing.LoadReport(80, 5, 0.9, 25.0, 400.0)
-    routing.note_report(views[0], 50.0, full, 0.0)
+    fill(views[0])
     hosts = {choose(views, 8_000.0, seed, priority=1).host for seed in range(20)}
     assert hosts == {"near"}
 
@@ -123,6 +128,46 @@
     assert inquiry.settle(choices, (), inquiry.InquiryPolicy()) == choices[0]
 
 
+def test_a_short_wait_does_not_show_the_size_of_a_batch():
+    view = make_view("0")
+    waiting = routing.LoadReport(3, 1, 0.1, 25.0, 100.0)
+    for now_ms in range(1, 20):
+        report = REPORT if now_ms % 4 == 0 else waiting
+        routing.note_report(view, now_ms, report, 0.0)
+    assert view.places == math.inf
+    fill(view)
+    routing.note_report(view, 30.0, waiting, 0.0)
+    assert view.places < math.inf
+
+
+def test_a_first_token_may_take_longer_where_requests_wait():
+    views = [make_view("0"), make_view("1")]
+    routing.note_sent(views[0], 0.0, "slow", ())
+    assert routing.is_avoided(views[0], 2_000.0, POLICY)
+    busy = routing.LoadReport(10, 4, 0.5, 25.0, 400.0)
+    routing.note_report(views[0], 1_900.0, busy, 0.0)
+    assert not routing.is_avoided(views[0], 2_000.0, POLICY)
+    assert routing.is_avoided(views[0], 10_000.0, POLICY)
+
+
+def test_a_cancel_soon_after_sending_shows_no_stall():
+    view = make_view("0")
+    routing.note_sent(view, 0.0, "slow", ())
+    routing.note_cancelled(view, 700.0, "slow")
+    assert not routing.is_avoided(view, 800.0, POLICY)
+
+
+def test_an_endpoint_without_a_report_does_not_stop_following_prefixes():
+    views = [make_view(str(number)) for number in range(4)]
+    views.append(routing.EndpointView("new", "a"))
+    for view in views[:4]:
+        routing.note_report(view, 9e8, REPORT, 0.0)
+    routing.note_sent(views[2], 9e8, "before", (1, 2))
+    request = routing.RouteRequest("0", (1, 2), 100, 0, "a", family_per_s=0.1)
+    choice = routing.choose(9e8 + 100.0, request, views, POLICY, random.Random(1))
+    assert choice.host == "2"
+
+
 def test_own_sends_count_until_a_report_covers_them():
     view = make_view("0")
     routing.note_sent(view, 100.0, "first", ())
