Measure what control costs a daemon at full size

Before: an entry's control traffic was 8,075 B/s at 234 processes in its domain, with the configuration's share 9,505 of 17,000 B/s; half of the budget was broken. An offer on each full heartbeat and short periods took it; most offers told nothing. Now one full heartbeat in four carries an offer, watchers are served each 300 ms instead of 250, entries send full ones each 30 s instead of 20, and the numbers in the measured messages have the width that they have after months.

Ruled out: fewer watchers (two of three have to agree), and a longer period of the agents' full heartbeats (the lease of 2.9 s leaves room for three probes now).

--- a/src/dotterelplank/bench_loop.py
+++ b/src/dotterelplank/bench_loop.py
@@ -21,6 +21,10 @@
 from .bench_carriers import DOCUMENT_CARRIERS, MEMBER_CARRIERS
 from .peers import Peer, Role
 
+# Numbers of the width that they have after months.
+FIRST_MS = 1_000_000_000
+FIRST_INCARNATION = 900_000_000
+FIRST_SEQUENCE = 10_000_000
 TEXT_RATE_BYTES_PER_MS = 50_000
 DOCUMENTS = (rm.Document.CONFIGURATION, rm.Document.HOST_LIST)
 
@@ -88,6 +92,8 @@
     """The processes, the network between them, and the clock.
 
     :param policies: policy of each document; a text that is refused raises in it.
+
+    A host in ``records`` has what it takes in noted there, ``None`` for a tick.
     """
 
     def __init__(
@@ -98,7 +104,7 @@
         member_policy: membership.MembershipPolicy,
         policies: dict[rm.Document, revisions.RevisionPolicy],
     ) -> None:
-        self.now_ms = 1_000
+        self.now_ms = FIRST_MS
         self.draw = random.Random(seed)
         self.conditions = conditions
         self.member_policy = member_policy
@@ -107,6 +113,7 @@
         self.peers = {peer.host: peer for peer in peers}
         self.processes: dict[str, Process] = {}
         self.sender: Process | None = None
+        self.records: dict[str, list[tuple[int, bytes | None]]] = {}
         self.cuts: set[frozenset[str]] = set()
         self.isolated: dict[str, int] = {}
         self.reports: collections.Counter[str] = collections.Counter()
@@ -115,14 +122,14 @@
         self.listeners: list[t.Callable[[Process, t.Any], None]] = []
         self._queue: list[tuple[int, int, t.Callable[[], None]]] = []
         self._order = itertools.count()
-        self._incarnations = itertools.count(1)
+        self._incarnations = itertools.count(FIRST_INCARNATION, 100)
 
     # Processes
 
     def boot(self, host: str) -> None:
         """Start a new process on ``host``."""
         peer = self.peers[host]
-        incarnation = next(self._incarnations) * 100
+        incarnation = next(self._incarnations)
         seed = self.draw.getrandbits(32)
         states = {
             document: revisions.start(
@@ -131,6 +138,7 @@
             for document in DOCUMENTS
         }
         member = membership.start(self.now_ms, peer, incarnation, seed)
+        member.sequence = FIRST_SEQUENCE
         process = Process(peer, incarnation, member, states)
         self.processes[host] = process
         listed = tuple(mm.ListedHost(other, False) for other in self.peers.values())
@@ -159,6 +167,7 @@
             return
         wait_ms = self.member_policy.tick_ms
         if not process.paused and process.busy_until_ms <= self.now_ms:
+            self._record(process, None)
             self.feed(process, mm.Tick())
             for document in DOCUMENTS:
                 self.feed_document(process, document, rm.Tick())
@@ -215,12 +224,18 @@
             return
         target.received_bytes += len(datagram) + datagrams.HEADER_BYTES
         target.received += 1
+        self._record(target, datagram)
         event = datagrams.unpack(datagram)
         if target.paused:
             target.backlog.append((source, event))
         else:
             self._take(source, target, event)
 
+    def _record(self, process: Process, datagram: bytes | None) -> None:
+        record = self.records.get(process.peer.host)
+        if record is not None:
+            record.append((self.clock(process), datagram))
+
     def _take(self, source: Process, target: Process, event: t.Any) -> None:
         self.sender = source
         self.feed(target, event)
--- /dev/null
+++ b/src/dotterelplank/bench_replay.py
@@ -0,0 +1,199 @@
+"""Replay of what one process took in, to measure what deciding costs it."""
+
+import copy
+import dataclasses
+import random
+import socket
+import time
+import typing as t
+
+from . import datagrams, member_messages as mm, membership, revisions
+from .bench_loop import DOCUMENTS, Conditions, Loop, Process, make_peers
+from .revision_messages import Document, PeerOffer, PeersChanged, Tick
+
+SYSTEM_CALLS = 20_000
+
+
+@dataclasses.dataclass(frozen=True)
+class DomainSize:
+    """Processes in the measured domain, and the number of listed domains."""
+
+    entries: int
+    agents: int
+    domains: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Span:
+    """Seeds to average over, and the virtual seconds of each."""
+
+    seeds: int
+    warm_s: int
+    measured_s: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What control costs one process, both directions together."""
+
+    messages_per_s: float
+    bytes_per_s: float
+    cpu_ms_per_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Setting:
+    loop: Loop
+    hosts: tuple[str, str]
+
+
+def control_costs(size: DomainSize, span: Span, call_ms: float) -> dict[str, Cost]:
+    """Return what control costs an entry and an agent, by role."""
+    costs: dict[str, list[Cost]] = {"entry": [], "agent": []}
+    for seed in range(span.seeds):
+        setting = _warm(size, seed, span)
+        before = {}
+        for host in setting.hosts:
+            before[host] = copy.deepcopy(setting.loop.processes[host])
+            setting.loop.records[host] = []
+        setting.loop.run(span.measured_s * 1_000)
+        for role, host in zip(costs, setting.hosts, strict=True):
+            cost = _replay(setting.loop, before[host], span, call_ms)
+            costs[role].append(cost)
+    return {role: _mean(found) for role, found in costs.items()}
+
+
+def _warm(size: DomainSize, seed: int, span: Span) -> _Setting:
+    policies = {
+        document: revisions.RevisionPolicy(validate=lambda text: text)
+        for document in DOCUMENTS
+    }
+    peers = make_peers(size.entries, size.agents, size.domains)
+    conditions = Conditions(loss=0.01)
+    loop = Loop(peers, seed, conditions, membership.MembershipPolicy(), policies)
+    loop.publish(Document.CONFIGURATION, 12_345, "text")
+    loop.publish(Document.HOST_LIST, 54_321, "text")
+    for peer in peers:
+        if peer.domain == "d0":
+            loop.boot(peer.host)
+            load = mm.Load(130, 12, 870)
+            loop.feed(loop.processes[peer.host], mm.LoadMeasured(load))
+    loop.run(span.warm_s * 1_000)
+    draw = random.Random(seed)
+    entry = f"en-0-{draw.randrange(size.entries):03}"
+    agent = f"ep-0-{draw.randrange(size.agents):03}"
+    _hear_elsewhere(loop, size.domains)
+    return _Setting(loop, (entry, agent))
+
+
+def _hear_elsewhere(loop: Loop, domains: int) -> None:
+    # Each domain is told of each other one once a second by one of its speakers.
+    for number in range(1, domains):
+        digest = mm.DomainDigest(
+            f"en-{number}-000",
+            f"d{number}",
+            age_ms=0,
+            endpoints_live=150,
+            endpoints_gone=2,
+            running=19_000,
+            waiting=300,
+            sample=tuple(f"ep-{number}-{index:03}" for index in range(4)),
+        )
+        entries = [h for h in loop.processes if h.startswith("en-")]
+        host = loop.draw.choice(entries)
+        loop.feed(loop.processes[host], mm.DigestHeard(digest))
+    loop.after(1_000, lambda: _hear_elsewhere(loop, domains))
+
+
+def _replay(loop: Loop, process: Process, span: Span, call_ms: float) -> Cost:
+    record = loop.records[process.peer.host]
+    after = loop.processes[process.peer.host]
+    started_ms = time.process_time() * 1_000
+    for now_ms, datagram in record:
+        if datagram is None:
+            _replay_tick(loop, process, now_ms)
+        else:
+            _replay_event(loop, process, now_ms, datagrams.unpack(datagram))
+    cpu_ms = time.process_time() * 1_000 - started_ms
+    messages = after.sent - process.sent + after.received - process.received
+    sent_bytes = after.sent_bytes - process.sent_bytes
+    received_bytes = after.received_bytes - process.received_bytes
+    cpu_ms += messages * call_ms
+    return Cost(
+        messages / span.measured_s,
+        (sent_bytes + received_bytes) / span.measured_s,
+        cpu_ms / span.measured_s,
+    )
+
+
+def _replay_tick(loop: Loop, process: Process, now_ms: int) -> None:
+    _replay_event(loop, process, now_ms, mm.Tick())
+    for document, state in process.revisions.items():
+        revisions.decide(now_ms, state, Tick(), loop.policies[document])
+
+
+def _replay_event(loop: Loop, process: Process, now_ms: int, event: t.Any) -> None:
+    if isinstance(event, PeerOffer):
+        _replay_offer(loop, process, now_ms, event)
+        return
+    if isinstance(event, datagrams.OfferQuestion):
+        return
+    if isinstance(event, mm.HeartbeatHeard) and event.heartbeat.offer:
+        offer = PeerOffer(event.heartbeat.host, event.heartbeat.offer)
+        _replay_offer(loop, process, now_ms, offer)
+    commands = membership.decide(now_ms, process.membership, event, loop.member_policy)
+    for command in commands:
+        _pack(loop, process, now_ms, command)
+
+
+def _replay_offer(loop: Loop, process: Process, now_ms: int, event: PeerOffer) -> None:
+    document = event.offer.document
+    state = process.revisions[document]
+    for command in revisions.decide(now_ms, state, event, loop.policies[document]):
+        if isinstance(command, revisions.OfferTo):
+            datagrams.pack_offer(process.peer.host, command.offer)
+
+
+def _pack(loop: Loop, process: Process, now_ms: int, command: t.Any) -> None:
+    host = process.peer.host
+    if isinstance(command, mm.SendHeartbeat):
+        datagrams.pack_heartbeat(command.heartbeat)
+    elif isinstance(command, mm.SendProbe):
+        datagrams.pack_probe(host, command.nonce)
+    elif isinstance(command, mm.AskVouch):
+        datagrams.pack_vouch_question(host, command.subject, command.nonce)
+    elif isinstance(command, mm.SendNotice):
+        datagrams.pack_notice(command.notice)
+    elif isinstance(command, mm.SendDigest):
+        datagrams.pack_digest(command.digest)
+    elif isinstance(command, mm.PeersKnown):
+        changed = PeersChanged(command.domain, command.elsewhere)
+        for document, state in process.revisions.items():
+            revisions.decide(now_ms, state, changed, loop.policies[document])
+
+
+def _mean(costs: t.Sequence[Cost]) -> Cost:
+    count = len(costs)
+    return Cost(
+        sum(cost.messages_per_s for cost in costs) / count,
+        sum(cost.bytes_per_s for cost in costs) / count,
+        sum(cost.cpu_ms_per_s for cost in costs) / count,
+    )
+
+
+def system_call_ms() -> float:
+    """Return the processor time of one datagram sent or received, on loopback."""
+    with _socket() as source, _socket() as target:
+        address = target.getsockname()
+        payload = bytes(64)
+        started_ms = time.process_time() * 1_000
+        for _ in range(SYSTEM_CALLS):
+            source.sendto(payload, address)
+            target.recvfrom(datagrams.DATAGRAM_BYTES_MAX)
+        return (time.process_time() * 1_000 - started_ms) / (2 * SYSTEM_CALLS)
+
+
+def _socket() -> socket.socket:
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.bind(("127.0.0.1", 0))
+    return made
--- a/src/dotterelplank/member_beats.py
+++ b/src/dotterelplank/member_beats.py
@@ -93,8 +93,9 @@
     """Send ``hosts`` a heartbeat with the load and an offer."""
     state = turn.state
     offer = None
-    if state.offers:
-        offer = state.offers[state.mesh_round % len(state.offers)]
+    turn_number, rest = divmod(state.mesh_round, turn.policy.offer_period)
+    if state.offers and not rest:
+        offer = state.offers[turn_number % len(state.offers)]
     for watch in (False, True):
         chosen = tuple(host for host in hosts if (host in state.watchers) is watch)
         if chosen:
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -27,6 +27,7 @@
 
     :param agent_watch_ms: period of an agent's heartbeats to its watchers.
     :param agent_mesh_ms: period in which an agent reaches each entry of its domain.
+    :param offer_period: rounds of full heartbeats of which one carries an offer.
     :param misses: heartbeats that may be missed before a watcher probes.
     :param lease_ms: how old a sign of life may be for new work to be given.
     :param pause_ms: a gap between two events that means a pause of this process.
@@ -36,21 +37,22 @@
     tick_ms: int = 50
     watchers: int = 3
     accusers: int = 2
-    agent_watch_ms: int = 250
-    entry_watch_ms: int = 500
-    agent_mesh_ms: int = 2_400
-    entry_mesh_ms: int = 20_000
+    agent_watch_ms: int = 300
+    entry_watch_ms: int = 600
+    agent_mesh_ms: int = 2_500
+    entry_mesh_ms: int = 30_000
+    offer_period: int = 4
     misses: int = 2
     slack_ms: int = 60
     probes: int = 3
     probe_interval_ms: int = 50
     lease_ms: int = 2_900
-    lease_probe_ms: int = 2_500
+    lease_probe_ms: int = 2_600
     lease_scan_ms: int = 100
     unheard_probe_ms: int = 1_200
     probes_per_scan: int = 48
     accusation_ms: int = 2_000
-    entry_silence_ms: int = 70_000
+    entry_silence_ms: int = 100_000
     pause_ms: int = 250
     pause_ticks: int = 2
     settle_ms: int = 2_000
@@ -62,7 +64,7 @@
     prober_ms: int = 5_000
     ask_interval_ms: int = 1_000
     question_ms: int = 2_000
-    digest_interval_ms: int = 1_000
+    digest_interval_ms: int = 2_000
     digest_fanout: int = 2
     digest_sample: int = 4
     digest_age_ms: int = 15_000
@@ -175,7 +177,7 @@
     """Return the state of a process that has just started and has heard of nobody.
 
     :param incarnation: higher than that of the host's last process, if it can be;
-        the wall clock at the start in milliseconds serves.
+        the wall clock at the start in tenths of a second serves.
     :param seed: makes the choice of peers differ between processes.
     """
     return MembershipState(
