--- a/src/dotterelplank/bench_loop.py
+++ b/src/dotterelplank/bench_loop.py
@@ -126,8 +126,11 @@
 
     # Processes
 
-    def boot(self, host: str) -> None:
-        """Start a new process on ``host``."""
+    def boot(self, host: str, joined: bool = False) -> None:
+        """Start a new process on ``host``.
+
+        :param joined: leave out the question to the peers, as for a running fleet.
+        """
         peer = self.peers[host]
         incarnation = next(self._incarnations)
         seed = self.draw.getrandbits(32)
@@ -137,6 +140,8 @@
             )
             for document in DOCUMENTS
         }
+        for state in states.values():
+            state.joined = joined
         member = membership.start(self.now_ms, peer, incarnation, seed)
         member.sequence = FIRST_SEQUENCE
         process = Process(peer, incarnation, member, states)
