Stop using a dead endpoint of another domain within a second too

Nobody tells of a death across domains, so what an entry follows there is now probed each 400 ms and has a lease of 950 ms, for at most two endpoints. To pay for it, entries send their full heartbeats each 60 s instead of 30; an entry that comes back after it was counted as dead now tells everyone at once when two peers say so.

Ruled out: notices of death to other domains, which need a register of followers at the watchers; following four endpoints, which breaks half of the budget.

--- a/src/dotterelplank/bench_membership.py
+++ b/src/dotterelplank/bench_membership.py
@@ -108,7 +108,7 @@
     ]
     if size.domains > 1:
         lost = failures.domain_death(fleet)
-        found.append(("domain dead, out of use elsewhere", lost, UNHEARD_MS))
+        found.append(("domain dead, out of use elsewhere", lost, NOTICE_MS))
         cut = failures.region_cut(fleet)
         found.append(("leaving in a cut-off region, out of use", cut, UNHEARD_MS))
     in_domain, everywhere = failures.publication(fleet, None)
--- a/src/dotterelplank/bench_replay.py
+++ b/src/dotterelplank/bench_replay.py
@@ -82,10 +82,19 @@
     draw = random.Random(seed)
     entry = f"en-0-{draw.randrange(size.entries):03}"
     agent = f"ep-0-{draw.randrange(size.agents):03}"
+    _follow_elsewhere(loop, loop.processes[entry])
     _hear_elsewhere(loop, size.domains)
     return _Setting(loop, (entry, agent))
 
 
+def _follow_elsewhere(loop: Loop, entry: Process) -> None:
+    hosts = ("ep-1-000", "ep-1-001")
+    for host in hosts:
+        loop.boot(host, joined=True)
+    loop.feed(entry, mm.Follow(hosts))
+    loop.run(1_000)
+
+
 def _hear_elsewhere(loop: Loop, domains: int) -> None:
     # Each domain is told of each other one once a second by one of its speakers.
     for number in range(1, domains):
--- a/src/dotterelplank/member_list.py
+++ b/src/dotterelplank/member_list.py
@@ -137,7 +137,9 @@
             turn.add(MemberChanged(*gone))
     for host in wanted:
         if host not in state.members:
-            state.members[host] = Member(state.elsewhere[host], received_ms=turn.now_ms)
+            member = Member(state.elsewhere[host], received_ms=turn.now_ms)
+            member.followed = True
+            state.members[host] = member
     state.followed = wanted
 
 
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -30,6 +30,8 @@
     :param offer_period: rounds of full heartbeats of which one carries an offer.
     :param misses: heartbeats that may be missed before a watcher probes.
     :param lease_ms: how old a sign of life may be for new work to be given.
+    :param follow_lease_ms: the same for an endpoint of another domain.
+    :param refute_tellers: hosts that must call a live entry dead before it tells all.
     :param pause_ms: a gap between two events that means a pause of this process.
     :param settle_ms: how long after its start a process may raise its incarnation.
     """
@@ -40,7 +42,7 @@
     agent_watch_ms: int = 300
     entry_watch_ms: int = 600
     agent_mesh_ms: int = 2_500
-    entry_mesh_ms: int = 30_000
+    entry_mesh_ms: int = 60_000
     offer_period: int = 4
     misses: int = 2
     slack_ms: int = 60
@@ -52,15 +54,18 @@
     unheard_probe_ms: int = 1_200
     probes_per_scan: int = 48
     accusation_ms: int = 2_000
-    entry_silence_ms: int = 100_000
+    entry_silence_ms: int = 200_000
     pause_ms: int = 250
     pause_ticks: int = 2
     settle_ms: int = 2_000
     forget_ms: int = 60_000
     leave_rounds: int = 4
     leave_interval_ms: int = 200
-    follow_probe_ms: int = 800
-    follow_max: int = 4
+    follow_probe_ms: int = 400
+    follow_lease_ms: int = 950
+    follow_max: int = 2
+    refute_ms: int = 10_000
+    refute_tellers: int = 2
     prober_ms: int = 5_000
     ask_interval_ms: int = 1_000
     question_ms: int = 2_000
@@ -79,6 +84,7 @@
     :param offset_ms: least difference seen between its clock and the own one.
     :param received_ms: when its last heartbeat was taken in, or when it was met.
     :param watched: whether it counts this process among its watchers.
+    :param followed: whether it is of another domain and this entry wants to use it.
     :param checked: whether a peer's suspicion made this process probe it.
     :param withdrawn: whether the host list takes it out of use.
     :param unlisted_ms: since when the host list doesn't show it, if it doesn't.
@@ -94,6 +100,7 @@
     offset_ms: float | None = None
     received_ms: int = 0
     watched: bool = False
+    followed: bool = False
     checked: bool = False
     withdrawn: bool = False
     unlisted_ms: int | None = None
@@ -165,6 +172,8 @@
     next_leave_ms: int = 0
     introduced: bool = False
     peers_changed: bool = True
+    called_dead_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    next_refute_ms: int = 0
     questions: dict[int, Question] = dataclasses.field(default_factory=dict)
     asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     probers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -237,7 +246,15 @@
         return False
     if member.peer.role is Role.ENTRY:
         return True
-    return now_ms - member.heard_ms <= policy.lease_ms
+    return now_ms - member.heard_ms <= lease_ms(member, policy)
+
+
+def lease_ms(member: Member, policy: MembershipPolicy) -> int:
+    """Return how old a sign of life of ``member`` may be for it to get new work.
+
+    Nobody else tells of a death in another domain, so that the own word is shorter.
+    """
+    return policy.follow_lease_ms if member.followed else policy.lease_ms
 
 
 def live_entries(state: MembershipState) -> list[str]:
--- a/src/dotterelplank/member_watch.py
+++ b/src/dotterelplank/member_watch.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from . import events
+from .member_beats import send_full
 from .member_messages import (
     AskVouch,
     Intent,
@@ -22,6 +23,7 @@
     Member,
     Turn,
     is_usable,
+    lease_ms,
     live_entries,
     overdue_ms,
     settle,
@@ -145,7 +147,8 @@
             settle(turn, member, member.status)
         if budget and _wants_probe(turn, member):
             budget -= 1
-            late = not member.usable and silence_ms(turn, member) > policy.lease_ms
+            age_ms = silence_ms(turn, member)
+            late = not member.usable and age_ms > lease_ms(member, policy)
             pause_ms = policy.unheard_probe_ms if late else policy.lease_scan_ms
             member.next_probe_ms = turn.now_ms + pause_ms
             probe(turn, member)
@@ -157,8 +160,8 @@
     if turn.now_ms < member.next_probe_ms:
         return False
     heard_ms = member.heard_ms
-    followed = member.peer.domain != turn.state.own.domain
-    limit_ms = turn.policy.follow_probe_ms if followed else turn.policy.lease_probe_ms
+    policy = turn.policy
+    limit_ms = policy.follow_probe_ms if member.followed else policy.lease_probe_ms
     return heard_ms is None or turn.now_ms - heard_ms >= limit_ms
 
 
@@ -206,12 +209,31 @@
     if notice.incarnation > turn.state.incarnation:
         meet_newer_self(turn, notice.incarnation)
         return
+    if notice.status is MemberStatus.DEAD and turn.state.own.role is Role.ENTRY:
+        _refute(turn, notice.host)
     if notice.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
         watch = notice.host in turn.state.watchers
         beat = turn.heartbeat(watch=watch, load=turn.state.load)
         turn.add(SendHeartbeat((notice.host,), beat))
 
 
+def _refute(turn: Turn, teller: str) -> None:
+    # One teller may be the one that was cut off; then it alone needs an answer.
+    state, policy = turn.state, turn.policy
+    state.called_dead_ms[teller] = turn.now_ms
+    since_ms = turn.now_ms - policy.refute_ms
+    state.called_dead_ms = {
+        host: told_ms
+        for host, told_ms in state.called_dead_ms.items()
+        if told_ms >= since_ms
+    }
+    if len(state.called_dead_ms) < policy.refute_tellers:
+        return
+    if turn.now_ms >= state.next_refute_ms:
+        state.next_refute_ms = turn.now_ms + policy.refute_ms
+        send_full(turn, state.mesh)
+
+
 def _hear_alive(turn: Turn, member: Member, notice: Notice) -> None:
     question = turn.state.questions.get(notice.nonce)
     if question is None or question.subject != notice.subject:
@@ -269,15 +291,24 @@
         _quiet(member)
         away = member.withdrawn or member.intent is Intent.LEAVING
         status = MemberStatus.LEAVING if away else MemberStatus.ALIVE
+        _tell_revived(turn, member)
     settle(turn, member, status)
 
 
+def _tell_revived(turn: Turn, member: Member) -> None:
+    # It tells everyone that it lives, sooner than its slow heartbeats would.
+    if member.status is MemberStatus.DEAD and member.peer.role is Role.ENTRY:
+        notice = notice_about(turn, member)
+        turn.add(SendNotice((member.peer.host,), notice))
+
+
 def begin_incarnation(turn: Turn, member: Member, incarnation: int) -> None:
     """Forget what was known of the last process on the host of ``member``."""
     if member.incarnation:
         detail = f"{member.incarnation} to {incarnation}"
         turn.report(events.MEMBER_REPLACED, member.peer.host, detail)
     fresh = Member(peer=member.peer, unlisted_ms=member.unlisted_ms)
+    fresh.followed = member.followed
     # A host list that withdrew a host before any process was heard means this one.
     if member.withdrawn and not member.incarnation:
         fresh.withdrawn = True
--- a/src/dotterelplank/membership.py
+++ b/src/dotterelplank/membership.py
@@ -133,6 +133,8 @@
     state.mesh_ms = turn.now_ms
     state.next_watch_ms = state.next_scan_ms = turn.now_ms
     state.next_digest_ms = state.next_leave_ms = turn.now_ms
+    state.next_refute_ms = turn.now_ms
+    state.called_dead_ms.clear()
     state.questions.clear()
     state.asked_ms.clear()
     state.probers.clear()
