--- a/src/dotterelplank/bench_membership.py
+++ b/src/dotterelplank/bench_membership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 import typing as t
 
 import typer
@@ -201,7 +202,7 @@
     least = min(calls, key=lambda finding: finding.processes)
     most = max(calls, key=lambda finding: finding.processes)
     fleet_growth = most.processes / least.processes
-    growth = most.value / least.value
+    growth = most.value / least.value if least.value else math.inf
     name = f"growth of platform calls while the fleet grows {fleet_growth:g}-fold"
     target = f"< {fleet_growth:g}-fold"
     holds = growth < fleet_growth
