Let a process without peers read the host list for seeds alone

A new process must ask its peers before it trusts a read, yet it learns its peers from the host list. The first read now only yields hosts to ask; nothing of it is in force until they have answered or the wait is over.

--- a/src/dotterelplank/member_list.py
+++ b/src/dotterelplank/member_list.py
@@ -153,7 +153,13 @@
         if member.peer.domain == state.own.domain
         and member.status <= MemberStatus.SUSPECT
     )
-    turn.add(PeersKnown(domain, tuple(state.elsewhere.values())))
+    elsewhere = tuple(state.elsewhere.values())
+    if not state.list_version:
+        known = {peer.host for peer in (*domain, *elsewhere, state.own)}
+        seeds = [peer for peer in state.seeds if peer.host not in known]
+        domain += tuple(p for p in seeds if p.domain == state.own.domain)
+        elsewhere += tuple(p for p in seeds if p.domain != state.own.domain)
+    turn.add(PeersKnown(domain, elsewhere))
 
 
 def refresh(turn: Turn, member: Member) -> None:
--- a/src/dotterelplank/member_messages.py
+++ b/src/dotterelplank/member_messages.py
@@ -148,6 +148,13 @@
     hosts: tuple[ListedHost, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSeeded:
+    """Hosts to ask for revisions until a host list is in force here."""
+
+    peers: tuple[Peer, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeHeard:
     """A peer asks for a heartbeat at once."""
@@ -218,6 +225,7 @@
     | PeerIntroduced
     | IntroductionAsked
     | HostListAdopted
+    | PeersSeeded
     | ProbeHeard
     | NoticeHeard
     | VouchAsked
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -156,6 +156,7 @@
     load: Load | None = None
     offers: tuple[Offer, ...] = ()
     list_version: int = 0
+    seeds: tuple[Peer, ...] = ()
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     elsewhere: dict[str, Peer] = dataclasses.field(default_factory=dict)
     elsewhere_entries: tuple[tuple[str, ...], ...] = ()
--- a/src/dotterelplank/membership.py
+++ b/src/dotterelplank/membership.py
@@ -49,6 +49,7 @@
     NoticeHeard,
     OffersChanged,
     PeerIntroduced,
+    PeersSeeded,
     ProbeHeard,
     SendHeartbeat,
     Tick,
@@ -278,6 +279,11 @@
     turn.state.offers = event.offers
 
 
+def _on_seeds(turn: Turn, event: PeersSeeded) -> None:
+    turn.state.seeds = event.peers
+    turn.state.peers_changed = True
+
+
 def _on_leave(turn: Turn, event: LeaveOrdered) -> None:
     order_leave(turn)
 
@@ -292,6 +298,7 @@
     PeerIntroduced: on_introduced,
     IntroductionAsked: _on_introduction_asked,
     HostListAdopted: on_host_list,
+    PeersSeeded: _on_seeds,
     ProbeHeard: _on_probe,
     NoticeHeard: on_notice_heard,
     VouchAsked: on_vouch_asked,
--- a/src/dotterelplank/revision_messages.py
+++ b/src/dotterelplank/revision_messages.py
@@ -205,6 +205,24 @@
     detail: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeedPeers:
+    """Ask the hosts of a list what they hold; the list itself isn't in force.
+
+    A process that knows no peer reads the host list for this alone.
+    """
+
+    validated: object
+
+
 Command = (
-    ReadPlatform | AskOffers | OfferTo | AskPeer | SendText | Decline | Adopt | Report
+    ReadPlatform
+    | SeedPeers
+    | AskOffers
+    | OfferTo
+    | AskPeer
+    | SendText
+    | Decline
+    | Adopt
+    | Report
 )
--- a/src/dotterelplank/revisions.py
+++ b/src/dotterelplank/revisions.py
@@ -7,7 +7,7 @@
 
 import typing as t
 
-from . import events
+from . import errors, events
 from .peers import Role, highest
 from .revision_exchange import (
     ask_at_start,
@@ -40,6 +40,7 @@
     ReadFailed,
     ReadPlatform,
     Report,
+    SeedPeers,
     SendText,
     TextAsked,
     TextSent,
@@ -85,6 +86,7 @@
     "Report",
     "RevisionPolicy",
     "RevisionState",
+    "SeedPeers",
     "SendText",
     "TEXT_BYTES_MAX",
     "TextAsked",
@@ -138,7 +140,11 @@
     if not turn.state.joined:
         turn.state.joined = ask_at_start(turn)
         if not turn.state.joined:
+            _read_for_seeds(turn)
             return
+        # A read that began before the question to the peers isn't trusted.
+        turn.state.read = None
+        turn.state.next_read_ms = turn.now_ms
         answered = f"{len(turn.state.answered)} peers answered"
         turn.report(events.JOIN_FINISHED, floor_of(turn.state), answered)
         _choose_reader(turn)
@@ -181,12 +187,35 @@
     turn.report(event, revision_of(state))
 
 
+def _read_for_seeds(turn: Turn) -> None:
+    state = turn.state
+    alone = not any(known_hosts(state))
+    idle = state.read is None and turn.now_ms >= state.next_read_ms
+    if state.document is Document.HOST_LIST and alone and idle:
+        _start_read(turn)
+
+
+def _seed(turn: Turn, event: ReadAnswered) -> None:
+    turn.state.next_read_ms = turn.now_ms + turn.policy.join_wait_ms
+    if event.text is None:
+        return
+    try:
+        validated = turn.policy.validate(event.text)
+    except errors.ConfigurationError:
+        return
+    turn.commands.append(SeedPeers(validated))
+
+
 def _read(turn: Turn) -> None:
-    state, policy = turn.state, turn.policy
+    state = turn.state
     if state.read is not None and turn.now_ms >= state.read.deadline_ms:
         _read_failed(turn)
-    if not state.reader or state.read is not None or turn.now_ms < state.next_read_ms:
-        return
+    if state.reader and state.read is None and turn.now_ms >= state.next_read_ms:
+        _start_read(turn)
+
+
+def _start_read(turn: Turn) -> None:
+    state, policy = turn.state, turn.policy
     state.read_count += 1
     deadline_ms = turn.now_ms + policy.read_wait_ms + policy.read_grace_ms
     state.read = Read(state.read_count, deadline_ms)
@@ -206,6 +235,9 @@
     if state.read is None or state.read.read_id != event.read_id:
         return
     state.read = None
+    if not state.joined:
+        _seed(turn, event)
+        return
     floor = floor_of(state) if state.held is None else state.held.revision
     if event.revision < max(floor, _judged_revision(state)):
         _read_trouble(turn, events.STALE_READ, event.revision)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -127,6 +127,14 @@
     assert state.members[AGENT.host].incarnation == 6
 
 
+def test_seeds_are_peers_until_a_host_list_is_in_force():
+    state = membership.start(0, OWN, 1, seed=1)
+    feed(0, state, mm.PeersSeeded((AGENT, OTHER, OWN)))
+    assert mm.PeersKnown((AGENT, OTHER), ()) in feed(0, state, mm.Tick())
+    feed(10, state, mm.HostListAdopted(2, (mm.ListedHost(OTHER, False),)))
+    assert mm.PeersKnown((OTHER,), ()) in feed(50, state, mm.Tick())
+
+
 def test_messages_survive_their_encoding():
     full = mm.Heartbeat(
         "ep-0",
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -104,3 +104,15 @@
     left = [p for p in loop.processes.values() if p.alive]
     held = {revisions.revision_of(p.revisions[CONFIGURATION]) for p in left}
     assert held == {5}
+
+
+def test_process_without_peers_reads_the_host_list_for_seeds_alone():
+    state = revisions.start(0, rm.Document.HOST_LIST, OWN, 1, POLICY)
+    read = revisions.decide(50, state, rm.Tick(), POLICY)[0]
+    assert isinstance(read, rm.ReadPlatform)
+    answer = rm.ReadAnswered(read.read_id, 3, "good 3")
+    commands = revisions.decide(60, state, answer, POLICY)
+    assert commands == [rm.SeedPeers("good 3")]
+    revisions.decide(70, state, rm.PeersChanged(OTHERS, ()), POLICY)
+    commands = revisions.decide(100, state, rm.Tick(), POLICY)
+    assert kinds(commands) == [rm.AskOffers]
