Pass on only a process's own word that it leaves

A process that was told LEAVING by a peer whose host list was behind kept that for good, since its own list had nothing to restore. Each process now reads the list for itself.

--- a/src/dotterelplank/member_beats.py
+++ b/src/dotterelplank/member_beats.py
@@ -31,12 +31,19 @@
         if member.peer.domain == state.own.domain
         and (state.own.role is Role.ENTRY or member.peer.role is Role.ENTRY)
     ]
-    hosts.sort()
-    if set(hosts) == set(state.mesh):
+    _change_mesh(state, set(hosts))
+
+
+def _change_mesh(state: MembershipState, hosts: set[str]) -> None:
+    if hosts == set(state.mesh):
         return
-    state.draw.shuffle(hosts)
-    state.mesh = tuple(hosts)
-    state.mesh_at = 0
+    # The order stays, so that nobody waits longer for its turn.
+    upcoming = [host for host in state.mesh[state.mesh_at :] if host in hosts]
+    mesh = [host for host in state.mesh if host in hosts]
+    for host in sorted(hosts.difference(mesh)):
+        mesh.insert(state.draw.randrange(len(mesh) + 1), host)
+    state.mesh = tuple(mesh)
+    state.mesh_at = mesh.index(upcoming[0]) if upcoming else 0
 
 
 def introduce(turn: Turn) -> None:
--- a/src/dotterelplank/member_watch.py
+++ b/src/dotterelplank/member_watch.py
@@ -96,13 +96,17 @@
 
 def notice_about(turn: Turn, member: Member, nonce: int = 0) -> Notice:
     """Return what this process holds true of ``member``, to be told to others."""
+    status = member.status
+    if status is MemberStatus.LEAVING and member.intent is Intent.SERVING:
+        # Each process reads the host list for itself; only the own word is passed on.
+        status = MemberStatus.ALIVE
     heard_ms = member.heard_ms
     unheard_ms = turn.now_ms - (turn.state.started_ms if heard_ms is None else heard_ms)
     return Notice(
         host=turn.state.own.host,
         subject=member.peer.host,
         incarnation=member.incarnation,
-        status=member.status,
+        status=status,
         unheard_ms=unheard_ms,
         nonce=nonce,
     )
@@ -274,6 +278,7 @@
 
 
 def _hear_leaving(turn: Turn, member: Member, notice: Notice) -> None:
+    member.intent = Intent.LEAVING
     settle(turn, member, MemberStatus.LEAVING)
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -127,6 +127,29 @@
     assert state.members[AGENT.host].incarnation == 6
 
 
+def test_only_the_own_word_that_it_leaves_is_passed_on():
+    state = entry()
+    feed(50, state, beat(1, 1_050))
+    listed = (mm.ListedHost(AGENT, True), mm.ListedHost(OTHER, False))
+    feed(60, state, mm.HostListAdopted(2, listed))
+    asked = mm.VouchAsked("en-1", AGENT.host, 9)
+    answer = feed(70, state, asked)[0]
+    assert answer.notice.status is mm.MemberStatus.ALIVE
+    feed(80, state, beat(2, 1_080, intent=mm.Intent.LEAVING))
+    answer = feed(90, state, asked)[0]
+    assert answer.notice.status is mm.MemberStatus.LEAVING
+
+
+def test_newcomer_makes_nobody_wait_longer_for_its_heartbeat():
+    state = entry(listed=tuple(Peer(f"en-{n}", "d0", Role.ENTRY) for n in range(1, 9)))
+    state.mesh_at = 5
+    upcoming = state.mesh[5:]
+    feed(10, state, mm.PeerIntroduced(Peer("en-9", "d0", Role.ENTRY), 1))
+    feed(50, state, mm.Tick())
+    rest = [host for host in state.mesh[state.mesh_at :] if host != "en-9"]
+    assert rest == list(upcoming)
+
+
 def test_seeds_are_peers_until_a_host_list_is_in_force():
     state = membership.start(0, OWN, 1, seed=1)
     feed(0, state, mm.PeersSeeded((AGENT, OTHER, OWN)))
