--- a/src/dotterelplank/bench_path.py
+++ b/src/dotterelplank/bench_path.py
@@ -333,7 +333,8 @@
     lines = [
         f"machine: {report.machine}",
         f"{'load':<22}{'target':<9}{'req/s':>8}{'tok/s':>9}{'open':>7}"
-        f"{'first p50':>11}{'p99':>9}{'gap p50':>9}{'p99':>9}{'whole p50':>11}{'p99':>9}",
+        f"{'first p50':>11}{'p99':>9}{'gap p50':>9}{'p99':>9}"
+        f"{'whole p50':>11}{'p99':>9}",
     ]
     direct: dict[str, Measurement] = {}
     for item in report.measurements:
--- a/src/dotterelplank/endpoints.py
+++ b/src/dotterelplank/endpoints.py
@@ -49,8 +49,8 @@
 def to_follow(board: Blackboard, domain: str, seed: str) -> tuple[str, ...]:
     """Return endpoints of other domains to keep at hand.
 
-    For each rule a few are chosen by rendezvous hash, so that the entries of a domain
-    spread over them and a choice outlives most changes.
+    For each rule that has few usable endpoints in the own domain, some are chosen by
+    rendezvous hash, so that the entries of a domain spread over them.
 
     :param seed: the entry that chooses.
     """
@@ -61,14 +61,23 @@
     for rule in configuration.rules:
         for group in _groups_of(configuration, rule):
             hosts = [
-                host.host
+                host
                 for host, reason in selected(board.hosts.hosts.values(), group, rule)
-                if reason is None and host.domain != domain and not host.is_leaving
+                if reason is None and not host.is_leaving
             ]
+            if _usable_count(board, hosts, domain) >= defaults.ENOUGH_ENDPOINTS:
+                continue
+            elsewhere = [host.host for host in hosts if host.domain != domain]
             key = f"follow:{group.name}:{rule.name}:{seed}"
-            chosen = peers.highest(key, hosts, defaults.FOLLOWED_PER_RULE)
+            chosen = peers.highest(key, elsewhere, defaults.FOLLOWED_PER_RULE)
             followed.update(dict.fromkeys(chosen))
-    return tuple(followed)[: defaults.FOLLOWED_BOUND]
+    return tuple(followed)
+
+
+def _usable_count(board: Blackboard, hosts: t.Iterable[Host], domain: str) -> int:
+    own = [host.host for host in hosts if host.domain == domain]
+    parts = [board.members[host] for host in own if host in board.members]
+    return sum(part.is_usable for part in parts)
 
 
 def _groups_of(configuration: Configuration, rule: Rule) -> t.Iterator[Group]:
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -10,7 +10,7 @@
 import enum
 import math
 
-from . import prefixes, team_shares
+from . import prefixes, shares
 from .demands import DemandDigest
 from .limit_state import (
     Heard,
@@ -20,7 +20,7 @@
     Ticket,
     worth_per_s,
 )
-from .team_shares import digest, digest_interval_ms
+from .shares import digest, digest_interval_ms
 
 __all__ = [
     "Admitted",
@@ -118,20 +118,14 @@
     team = _team(now_ms, state, request)
     if request.team not in policy.shares:
         state.rest.demand.add(now_ms, request.cost)
-<<<<<<< HEAD
-    if now_ms - state.refreshed_ms >= REFRESH_MS:
-        team_shares.refresh(now_ms, state, policy)
-        team_shares.refresh_rest(now_ms, state, policy)
-=======
-    if now_ms - state.refreshed_ms >= team_shares.refresh_interval_ms(state):
-        team_shares.refresh(now_ms, state, policy)
-        team_shares.refresh_rest(now_ms, state, policy)
->>>>>>> routing
+    if now_ms - state.refreshed_ms >= shares.refresh_interval_ms(state):
+        shares.refresh(now_ms, state, policy)
+        shares.refresh_rest(now_ms, state, policy)
     level = _level(now_ms, state, team, request, policy)
     if now_ms + state.backlog_ms + request.expected_ms > request.deadline_ms:
         return _shed(state, level, request, ShedReason.DEADLINE)
     if level is None:
-        chance = team_shares.sparse_chance(now_ms, state, team, request.team, policy)
+        chance = shares.sparse_chance(now_ms, state, team, request.team, policy)
         if _unit(request.request_id) >= chance:
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
     elif not level.is_within_fair:
@@ -219,7 +213,7 @@
     if request.team in state.totals:
         level = team
         if level.refreshed_ms < state.refreshed_ms:
-            team_shares.refresh_team(now_ms, state, level, request.team, policy)
+            shares.refresh_team(now_ms, state, level, request.team, policy)
     elif request.team in policy.shares:
         return None
     elapsed_s = max(0.0, now_ms - level.level_ms) / 1_000.0
--- a/src/dotterelplank/member_beats.py
+++ b/src/dotterelplank/member_beats.py
@@ -31,12 +31,19 @@
         if member.peer.domain == state.own.domain
         and (state.own.role is Role.ENTRY or member.peer.role is Role.ENTRY)
     ]
-    hosts.sort()
-    if set(hosts) == set(state.mesh):
+    _change_mesh(state, set(hosts))
+
+
+def _change_mesh(state: MembershipState, hosts: set[str]) -> None:
+    if hosts == set(state.mesh):
         return
-    state.draw.shuffle(hosts)
-    state.mesh = tuple(hosts)
-    state.mesh_at = 0
+    # The order stays, so that nobody waits longer for its turn.
+    upcoming = [host for host in state.mesh[state.mesh_at :] if host in hosts]
+    mesh = [host for host in state.mesh if host in hosts]
+    for host in sorted(hosts.difference(mesh)):
+        mesh.insert(state.draw.randrange(len(mesh) + 1), host)
+    state.mesh = tuple(mesh)
+    state.mesh_at = mesh.index(upcoming[0]) if upcoming else 0
 
 
 def introduce(turn: Turn) -> None:
@@ -93,8 +100,9 @@
     """Send ``hosts`` a heartbeat with the load and an offer."""
     state = turn.state
     offer = None
-    if state.offers:
-        offer = state.offers[state.mesh_round % len(state.offers)]
+    turn_number, rest = divmod(state.mesh_round, turn.policy.offer_period)
+    if state.offers and not rest:
+        offer = state.offers[turn_number % len(state.offers)]
     for watch in (False, True):
         chosen = tuple(host for host in hosts if (host in state.watchers) is watch)
         if chosen:
--- a/src/dotterelplank/membership.py
+++ b/src/dotterelplank/membership.py
@@ -49,6 +49,7 @@
     NoticeHeard,
     OffersChanged,
     PeerIntroduced,
+    PeersSeeded,
     ProbeHeard,
     SendHeartbeat,
     Tick,
@@ -133,6 +134,8 @@
     state.mesh_ms = turn.now_ms
     state.next_watch_ms = state.next_scan_ms = turn.now_ms
     state.next_digest_ms = state.next_leave_ms = turn.now_ms
+    state.next_refute_ms = turn.now_ms
+    state.called_dead_ms.clear()
     state.questions.clear()
     state.asked_ms.clear()
     state.probers.clear()
@@ -276,6 +279,11 @@
     turn.state.offers = event.offers
 
 
+def _on_seeds(turn: Turn, event: PeersSeeded) -> None:
+    turn.state.seeds = event.peers
+    turn.state.peers_changed = True
+
+
 def _on_leave(turn: Turn, event: LeaveOrdered) -> None:
     order_leave(turn)
 
@@ -290,6 +298,7 @@
     PeerIntroduced: on_introduced,
     IntroductionAsked: _on_introduction_asked,
     HostListAdopted: on_host_list,
+    PeersSeeded: _on_seeds,
     ProbeHeard: _on_probe,
     NoticeHeard: on_notice_heard,
     VouchAsked: on_vouch_asked,
