Spread the cost weight over its range

A store millisecond at weight 0.5 now has to save 20 ms of step time over the horizon in place of 100.

A search that even a perfect result could not pay for is no longer begun; its result would have been dropped, so plans stay as they were.

--- a/src/dotterelplank/rebalancing.py
+++ b/src/dotterelplank/rebalancing.py
@@ -25,7 +25,7 @@
 from .popularity import Estimate, first_estimate, update
 from .shares import balance, rank_times_ms
 
-STEP_MS_PER_STORE_MS: t.Final = 100.0
+STEP_MS_PER_STORE_MS: t.Final = 20.0
 LEAST_SPREAD_FALL: t.Final = 0.005
 NOISE_DEVIATIONS: t.Final = 3.0
 SPLIT_ROUNDS: t.Final = 120
@@ -222,7 +222,10 @@
         start = settle((), split.slots[layer], split.shares[layer], load)
         noise_ms = _noise(state) * ideal_time_ms(load)
         stages = [start]
+        best_fall = (start.time_ms - ideal_time_ms(load) - noise_ms) / step_ms
         for ratio, eased in _easing(load):
+            if _worth(best_fall, 1, policy) <= 0:
+                break
             if stages[-1].time_ms > ideal_time_ms(load) * ratio:
                 search(layer, stages, eased, policy.most_moves)
         chosen.append(_worthiest(stages, noise_ms, step_ms, policy))
@@ -264,15 +267,19 @@
     best = (0.0, stages[0])
     for stage in stages[1:]:
         fall = (stages[0].time_ms - stage.time_ms - noise_ms) / step_ms
-        saved_ms = max(fall, 0) * (policy.horizon_ms - policy.stage_bound_ms)
-        spent_ms = len(stage.moves) * policy.move_ms * STEP_MS_PER_STORE_MS
-        weight = policy.cost_weight
-        worth = (1 - weight) * saved_ms - weight * spent_ms
+        worth = _worth(fall, len(stage.moves), policy)
         if worth > best[0]:
             best = (worth, stage)
     return best
 
 
+def _worth(fall: float, moves: int, policy: Policy) -> float:
+    """Return what moves are worth that cut a step by the part ``fall``."""
+    saved_ms = max(fall, 0) * max(policy.horizon_ms - policy.stage_bound_ms, 0)
+    spent_ms = moves * policy.move_ms * STEP_MS_PER_STORE_MS
+    return (1 - policy.cost_weight) * saved_ms - policy.cost_weight * spent_ms
+
+
 def _assemble(
     state: State,
     split: ExpertMap,
