--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -76,3 +76,17 @@
     logging.CRITICAL,
     "A promise that must always hold was found broken; report it.",
 )
+
+# 450: expert maps
+SPLIT_PLANNED = _define(
+    450,
+    "expert-split-planned",
+    logging.INFO,
+    "Tokens are split anew over replicas that ranks hold already; nothing is loaded.",
+)
+MOVES_PLANNED = _define(
+    451,
+    "expert-moves-planned",
+    logging.INFO,
+    "Replicas are loaded from the weight store; the step time should fall by then.",
+)
