Measure recovery, and the floor that sampling leaves

The bench reports how long the skew stays above 1.15 after a sudden change, and planning in processor time, which other work on the machine doesn't lengthen.

--- a/src/dotterelplank/bench_experts.py
+++ b/src/dotterelplank/bench_experts.py
@@ -15,19 +15,20 @@
 
 from . import baselines
 from .errors import InputError
-from .experts import EMPTY, ExpertMap
+from .experts import ExpertMap
 from .fake_group import HOUR_MS, MINUTE_MS, FakeGroup, Workload
 from .placement import place_map
 from .rebalancing import Plan, Policy
+from .skew import Ledger, Samples
 
 WINDOW_MS: t.Final = 15_000.0
 STEPS_PER_WINDOW: t.Final = 2
 FORESIGHT_EVERY_MS: t.Final = 4 * MINUTE_MS
 HIGH_SKEW: t.Final = 1.1
-UNDONE_WITHIN_MS: t.Final = HOUR_MS
 KAPLAN_WEIGHT: t.Final = 0.2
 MARISOL_WEIGHT: t.Final = 0.8
-WEIGHTS: t.Final = (0.0, KAPLAN_WEIGHT, 0.5, MARISOL_WEIGHT, 0.95, 0.99, 1.0)
+WEIGHTS: t.Final = (0.0, KAPLAN_WEIGHT, 0.5, MARISOL_WEIGHT, 0.95, 0.99, 0.999, 1.0)
+FLOOR_TOKENS_PER_RANK: t.Final = (32, 64, 128, 256, 512, 1024)
 BYTES_PER_GB: t.Final = 1e9
 
 
@@ -35,7 +36,8 @@
 class Options:
     """What to run.
 
-    :param seeds: number of seeds, counted from 0.
+    :param seeds: number of seeds, counted from ``first_seed``.
+    :param tokens_per_rank: tokens that enter a step for each rank.
     :param spare_slots: slots of a rank in each layer beyond its part of the experts.
     :param hours: virtual time of each run.
     :param interval_ms: time between two full re-placements of the baselines.
@@ -46,6 +48,8 @@
     experts: int = 32
     layers: int = 4
     seeds: int = 5
+    first_seed: int = 0
+    tokens_per_rank: int = 256
     spare_slots: int = 3
     hours: float = 24.0
     interval_ms: float = 10 * MINUTE_MS
@@ -65,7 +69,11 @@
 
     def workload(self) -> Workload:
         """Return the workload of that size."""
-        return Workload(self.ranks, self.experts, self.layers)
+        return Workload(self.ranks, self.experts, self.layers, self.tokens_per_rank)
+
+    def seed_numbers(self) -> range:
+        """Return the seeds."""
+        return range(self.first_seed, self.first_seed + self.seeds)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +90,9 @@
     :param reversed: replicas by which an expert's number went back within an hour,
         on whatever rank.
     :param staging_s: time for which moves were being loaded.
+    :param recovery_max_s: longest time from a jump, a stall or a recovery until the
+        skew was at most 1.15 again.
+    :param plan_p50_ms_per_layer: processor time of a decision; so is the next.
     """
 
     skew_p50: float
@@ -97,6 +108,7 @@
     reversed: int
     maps: int
     staging_s: float
+    recovery_max_s: float
     plan_p50_ms_per_layer: float
     plan_max_ms_per_layer: float
 
@@ -135,68 +147,6 @@
         return [row for row in self.rows if row.weight is not None]
 
 
-class _Ledger:
-    """The replicas of a group over time, and which moves were undone."""
-
-    def __init__(self, first: ExpertMap) -> None:
-        self._held = _presence(first)
-        never = np.full(self._held.shape, -np.inf)
-        self._added_ms = never.copy()
-        self._removed_ms = never.copy()
-        self._gained_ms = never[:, :, 0].copy()
-        self._lost_ms = never[:, :, 0].copy()
-        self.undone = 0
-        self.reversed = 0
-
-    def record(self, now_ms: float, target: ExpertMap) -> None:
-        """Take in a new map."""
-        held = _presence(target)
-        added = held & ~self._held
-        removed = self._held & ~held
-        since_ms = now_ms - UNDONE_WITHIN_MS
-        self.undone += int((added & (self._removed_ms > since_ms)).sum())
-        self.undone += int((removed & (self._added_ms > since_ms)).sum())
-        self._added_ms[added] = now_ms
-        self._removed_ms[removed] = now_ms
-        change = held.sum(axis=2) - self._held.sum(axis=2)
-        back = ((change > 0) & (self._lost_ms > since_ms)) | (
-            (change < 0) & (self._gained_ms > since_ms)
-        )
-        self.reversed += int(np.abs(change[back]).sum())
-        self._gained_ms[change > 0] = now_ms
-        self._lost_ms[change < 0] = now_ms
-        self._held = held
-
-
-def _presence(expert_map: ExpertMap) -> np.ndarray:
-    """Return whether a rank holds an expert, ``[layer, expert, rank]``."""
-    shape = (expert_map.layers, expert_map.experts, expert_map.ranks)
-    held = np.zeros(shape, dtype=bool)
-    layer, rank, slot = np.nonzero(expert_map.slots != EMPTY)
-    held[layer, expert_map.slots[layer, rank, slot], rank] = True
-    return held
-
-
-class _Samples:
-    """Sampled steps of one run."""
-
-    def __init__(self, workload: Workload) -> None:
-        self._sudden_ms = np.array(workload.sudden_ms)
-        self._step_tokens = workload.step_tokens
-        self.skews: list[float] = []
-        self.step_times: list[float] = []
-        self.calm: list[bool] = []
-
-    def take(self, now_ms: float, times_ms: np.ndarray, speeds: np.ndarray) -> None:
-        """Take in the times ``[layer, rank]`` of one step."""
-        per_rank = times_ms.sum(axis=0)
-        ideal_ms = len(times_ms) * self._step_tokens / speeds.sum()
-        self.skews.append(per_rank.max() / per_rank.min())
-        self.step_times.append(times_ms.max(axis=1).sum() / ideal_ms)
-        since_ms = now_ms - self._sudden_ms
-        self.calm.append(not ((since_ms >= 0) & (since_ms < MINUTE_MS)).any())
-
-
 def run(options: Options) -> Report:
     """Run every strategy under every seed."""
     policy = options.policy
@@ -215,7 +165,7 @@
             greedily, each, policy
         ),
     }
-    seeds = range(options.seeds)
+    seeds = options.seed_numbers()
     rows = [Row("perfect knowledge", None, tuple(_foresee(options, s) for s in seeds))]
     for name, make in fixed.items():
         results = tuple(_play(options, seed, make) for seed in seeds)
@@ -227,6 +177,16 @@
     return Report(options, tuple(rows))
 
 
+def run_floor(options: Options) -> Report:
+    """Run perfect knowledge alone, over tokens in a step."""
+    rows = []
+    for tokens_per_rank in FLOOR_TOKENS_PER_RANK:
+        sized = dataclasses.replace(options, tokens_per_rank=tokens_per_rank)
+        results = tuple(_foresee(sized, seed) for seed in options.seed_numbers())
+        rows.append(Row(f"{tokens_per_rank} tokens a rank", None, results))
+    return Report(options, tuple(rows))
+
+
 def _rebalance(policy: Policy) -> t.Callable[[ExpertMap], baselines.Strategy]:
     return lambda first: baselines.rebalance(first, policy)
 
@@ -246,8 +206,8 @@
     group = FakeGroup(workload, np.random.default_rng(seed))
     in_force = _first_map(group, options)
     decide = make(in_force)
-    samples = _Samples(workload)
-    ledger = _Ledger(in_force)
+    samples = Samples(workload)
+    ledger = Ledger(in_force)
     plans: list[Plan] = []
     planning_s: list[float] = []
     staged: tuple[float, Plan] | None = None
@@ -260,9 +220,9 @@
             times_ms = group.step_times_ms(now_ms, in_force)
             samples.take(now_ms, times_ms, group.speeds(now_ms))
         observation = group.window(now_ms, WINDOW_MS, in_force)
-        began_s = time.perf_counter()
+        began_s = time.thread_time()
         plan = decide(now_ms, in_force, observation)
-        planning_s.append(time.perf_counter() - began_s)
+        planning_s.append(time.thread_time() - began_s)
         if plan is None:
             continue
         plans.append(plan)
@@ -278,7 +238,7 @@
     """Sample steps under maps that know the true popularity and speeds."""
     workload = options.workload()
     group = FakeGroup(workload, np.random.default_rng(seed))
-    samples = _Samples(workload)
+    samples = Samples(workload)
     per_map = int(STEPS_PER_WINDOW * FORESIGHT_EVERY_MS / WINDOW_MS)
     end_ms = options.hours * HOUR_MS
     for now_ms in np.arange(FORESIGHT_EVERY_MS, end_ms, FORESIGHT_EVERY_MS):
@@ -297,8 +257,8 @@
 
 def _result(
     options: Options,
-    samples: _Samples,
-    ledger: _Ledger | None,
+    samples: Samples,
+    ledger: Ledger | None,
     plans: t.Sequence[Plan],
     planning_s: t.Sequence[float],
 ) -> Result:
@@ -321,6 +281,7 @@
         reversed=ledger.reversed if ledger else 0,
         maps=sum(2 if plan.interim else 1 for plan in plans),
         staging_s=sum(plan.stage_ms for plan in plans) / 1000,
+        recovery_max_s=max(samples.recoveries_s(), default=0.0),
         plan_p50_ms_per_layer=float(np.percentile(per_layer_ms, 50)),
         plan_max_ms_per_layer=float(per_layer_ms.max()),
     )
@@ -339,6 +300,7 @@
     "reversed": ("reversed", ".0f"),
     "maps": ("maps", ".0f"),
     "staging s": ("staging_s", ".0f"),
+    "recovery s": ("recovery_max_s", ".0f"),
     "plan ms/layer p50": ("plan_p50_ms_per_layer", ".2f"),
     "max": ("plan_max_ms_per_layer", ".1f"),
 }
@@ -390,14 +352,27 @@
     ranks: int = typer.Option(8, help="Ranks of the group."),
     experts: int = typer.Option(32, help="Experts in each layer."),
     layers: int = typer.Option(4, help="Layers with experts."),
-    seeds: int = typer.Option(5, help="Number of seeds, counted from 0."),
+    seeds: int = typer.Option(5, help="Number of seeds."),
+    first_seed: int = typer.Option(0, help="First of the seeds."),
+    tokens_per_rank: int = typer.Option(256, help="Tokens of a rank in a step."),
     spare_slots: int = typer.Option(3, help="Spare slots of a rank in each layer."),
     hours: float = typer.Option(24.0, help="Virtual hours of each run."),
+    floor: bool = typer.Option(False, help="Only show what sampling noise leaves."),
     as_json: bool = typer.Option(False, "--json", help="Print JSON, not a table."),
     plot: t.Optional[pathlib.Path] = typer.Option(None, help="Write the frontier."),
 ) -> None:
     """Measure step-time skew and the cost of rebalancing on a virtual clock."""
-    report = run(Options(ranks, experts, layers, seeds, spare_slots, hours))
+    options = Options(
+        ranks=ranks,
+        experts=experts,
+        layers=layers,
+        seeds=seeds,
+        first_seed=first_seed,
+        tokens_per_rank=tokens_per_rank,
+        spare_slots=spare_slots,
+        hours=hours,
+    )
+    report = run_floor(options) if floor else run(options)
     if as_json:
         typer.echo(json.dumps(dataclasses.asdict(report), indent=2))
     else:
--- a/src/dotterelplank/placement.py
+++ b/src/dotterelplank/placement.py
@@ -231,15 +231,21 @@
 ) -> np.ndarray:
     """Return slots ``[rank, slot]`` of a layer placed anew, the largest first.
 
-    Each replica goes to the rank that would be done first. A replica that no rank
-    can take leaves a slot empty.
+    Each replica goes to the rank that would be done first. Where the other ranks
+    have room for all experts, a stalled rank gets second replicas only. A replica
+    that no rank can take leaves a slot empty.
 
     :param tokens: tokens of each expert, ``[expert]``.
     :param speeds: tokens that each rank runs in a millisecond, ``[rank]``.
     """
     ranks = len(speeds)
-    counts = replica_counts(tokens, ranks, slots_per_rank)
     slots = np.full((ranks, slots_per_rank), EMPTY)
+    sound = sound_ranks(speeds)
+    if not sound.all() and sound.sum() * slots_per_rank >= len(tokens):
+        slots[sound] = place_all(tokens, speeds[sound], slots_per_rank)
+        slots[~sound] = np.argsort(-tokens)[:slots_per_rank]
+        return slots
+    counts = replica_counts(tokens, ranks, slots_per_rank)
     filled = np.zeros(ranks, dtype=int)
     work = np.zeros(ranks)
     for expert in np.argsort(-tokens / counts, kind="stable"):
--- a/src/dotterelplank/worth.py
+++ b/src/dotterelplank/worth.py
@@ -35,6 +35,9 @@
         for name in ("expert_bytes", "store_bytes_per_s", "horizon_ms"):
             if getattr(self, name) <= 0:
                 raise SettingsError(name, str(getattr(self, name)), "more than 0")
+        for name in ("stage_bound_ms", "settle_ms"):
+            if getattr(self, name) < 0:
+                raise SettingsError(name, str(getattr(self, name)), "0 or more")
 
     @property
     def move_ms(self) -> float:
