Print step time and cost as two tables, and test the bench

A run shorter than the four minutes between two samples of perfect knowledge ended in an index error; it is refused now. A window whose layers, experts or ranks aren't the map's is refused by the decision.

--- a/src/dotterelplank/bench_experts.py
+++ b/src/dotterelplank/bench_experts.py
@@ -24,6 +24,7 @@
 WINDOW_MS: t.Final = 15_000.0
 STEPS_PER_WINDOW: t.Final = 2
 FORESIGHT_EVERY_MS: t.Final = 4 * MINUTE_MS
+SHORTEST_HOURS: t.Final = 0.1
 HIGH_SKEW: t.Final = 1.1
 KAPLAN_WEIGHT: t.Final = 0.2
 MARISOL_WEIGHT: t.Final = 0.8
@@ -59,6 +60,8 @@
     def __post_init__(self) -> None:
         if self.experts % self.ranks:
             raise InputError("experts", str(self.experts), "a multiple of the ranks")
+        if self.hours < SHORTEST_HOURS:
+            raise InputError("hours", str(self.hours), f"{SHORTEST_HOURS} or more")
         if self.seeds < 1:
             raise InputError("seeds", str(self.seeds), "1 or more")
 
@@ -287,33 +290,41 @@
     )
 
 
-COLUMNS: t.Final = {
+STEP_COLUMNS: t.Final = {
     "skew p50": ("skew_p50", ".3f"),
     "skew p99": ("skew_p99", ".3f"),
-    "p99 with jumps": ("skew_p99_with_jumps", ".2f"),
     "over 1.1": ("high_skew_part", ".4f"),
+    "p99 with jumps": ("skew_p99_with_jumps", ".3f"),
     "step p50": ("step_time_p50", ".3f"),
     "step p99": ("step_time_p99", ".3f"),
-    "step mean, all": ("step_time_mean_with_jumps", ".3f"),
-    "moved GB": ("moved_gb", ".0f"),
+    "step mean with jumps": ("step_time_mean_with_jumps", ".3f"),
+    "recovery s": ("recovery_max_s", ".0f"),
+}
+COST_COLUMNS: t.Final = {
+    "moved GB": ("moved_gb", ".1f"),
+    "moves": ("moves", ".0f"),
     "undone": ("undone", ".0f"),
     "reversed": ("reversed", ".0f"),
-    "maps": ("maps", ".0f"),
     "staging s": ("staging_s", ".0f"),
-    "recovery s": ("recovery_max_s", ".0f"),
-    "plan ms/layer p50": ("plan_p50_ms_per_layer", ".2f"),
-    "max": ("plan_max_ms_per_layer", ".1f"),
+    "maps": ("maps", ".0f"),
+    "planning p50 ms/layer": ("plan_p50_ms_per_layer", ".2f"),
+    "most": ("plan_max_ms_per_layer", ".1f"),
 }
 
 
 def format_table(report: Report) -> str:
-    """Return the report as a Markdown table: median, then least and most."""
+    """Return the report as two Markdown tables: median, then least and most."""
+    tables = [_table(report, columns) for columns in (STEP_COLUMNS, COST_COLUMNS)]
+    return "\n\n".join(tables)
+
+
+def _table(report: Report, columns: t.Mapping[str, tuple[str, str]]) -> str:
     lines = [
-        "| strategy | " + " | ".join(COLUMNS) + " |",
-        "|---" * (len(COLUMNS) + 1) + "|",
+        "| strategy | " + " | ".join(columns) + " |",
+        "|---" * (len(columns) + 1) + "|",
     ]
     for row in report.rows:
-        cells = [_cell(row, field, form) for field, form in COLUMNS.values()]
+        cells = [_cell(row, field, form) for field, form in columns.values()]
         lines.append(f"| {row.name} | " + " | ".join(cells) + " |")
     return "\n".join(lines)
 
--- a/src/dotterelplank/rebalancing.py
+++ b/src/dotterelplank/rebalancing.py
@@ -12,6 +12,7 @@
 import numpy as np
 
 from . import events
+from .errors import InvariantError
 from .experts import EMPTY, ExpertMap, Observation
 from .moves import SPLIT_ROUNDS, Base, Plan, noise_part, plan_moves, step_time_ms
 from .placement import LayerLoad
@@ -74,8 +75,10 @@
     """Take in one window and decide whether the group gets a new map.
 
     While the moves of a plan are being loaded no other is made, unless the plan is
-    overdue by the longest time that a plan may take.
+    overdue by the longest time that a plan may take. Raise
+    :class:`~dotterelplank.errors.InvariantError` for a window of another group.
     """
+    _check_size(state, observation)
     state = _observed(state, observation)
     if state.estimate is None or _is_staging(now_ms, state, policy):
         return Decision(state, None)
@@ -121,6 +124,14 @@
     )
 
 
+def _check_size(state: State, observation: Observation) -> None:
+    present = state.map
+    if observation.tokens.shape != (present.layers, present.experts):
+        raise InvariantError("the window has other layers or experts than the map")
+    if observation.rank_tokens.shape != (present.layers, present.ranks):
+        raise InvariantError("the window has other ranks than the map")
+
+
 def _observed(state: State, observation: Observation) -> State:
     if observation.steps == 0:
         return state
--- /dev/null
+++ b/tests/test_bench_experts.py
@@ -0,0 +1,85 @@
+import dataclasses
+import json
+import pathlib
+import tempfile
+
+import numpy as np
+import testtools
+
+from dotterelplank import bench_experts
+from dotterelplank.errors import InputError
+from dotterelplank.experts import ExpertMap, even_shares
+from dotterelplank.fake_group import HOUR_MS, FakeGroup, Workload
+from dotterelplank.skew import Ledger, Samples
+
+
+class LedgerTests(testtools.TestCase):
+    def record(self, *times_ms):
+        """Let expert 0 go from rank 1 to rank 2 and back at the times."""
+        there = np.array([[[0], [0], [1]]])
+        moved = np.array([[[0], [1], [0]]])
+        maps = [
+            ExpertMap(0, 2, slots, even_shares(slots, 2)) for slots in (there, moved)
+        ]
+        ledger = Ledger(maps[0])
+        for turn, time_ms in enumerate(times_ms):
+            ledger.record(time_ms, maps[(turn + 1) % 2])
+        return ledger
+
+    def test_move_that_stays_is_not_undone(self):
+        self.assertEqual(0, self.record(0.0).undone)
+
+    def test_swing_back_within_the_hour_is_undone(self):
+        self.assertEqual(4, self.record(0.0, HOUR_MS / 2).undone)
+
+    def test_swing_back_after_the_hour_is_not_undone(self):
+        self.assertEqual(0, self.record(0.0, HOUR_MS * 1.1).undone)
+
+
+class SamplesTests(testtools.TestCase):
+    def test_first_minute_after_a_jump_is_not_calm(self):
+        workload = Workload(2, 2, layers=1, jump_hours=(1.0,))
+        samples = Samples(workload)
+        for now_ms in (HOUR_MS - 1, HOUR_MS, HOUR_MS + 59_000, HOUR_MS + 60_000):
+            samples.take(now_ms, np.array([[1.0, 2.0]]), np.ones(2))
+        self.assertEqual([True, False, False, True], samples.calm)
+        self.assertEqual([2.0] * 4, samples.skews)
+
+
+class BenchTests(testtools.TestCase):
+    def options(self, **changes):
+        options = bench_experts.Options(
+            ranks=4, experts=8, layers=1, seeds=1, hours=0.3, weights=(0.2, 1.0)
+        )
+        return dataclasses.replace(options, **changes)
+
+    def test_same_seed_meets_the_same_load(self):
+        workload = self.options().workload()
+        one, other = (FakeGroup(workload, np.random.default_rng(5)) for _ in "ab")
+        np.testing.assert_array_equal(
+            one.popularity(HOUR_MS), other.popularity(HOUR_MS)
+        )
+
+    def test_run_reports_every_strategy_and_the_frontier(self):
+        report = bench_experts.run(self.options())
+        self.assertEqual([0.2, 1.0], [row.weight for row in report.frontier])
+        self.assertEqual(0, report.frontier[-1].median("moves"))
+        names = [row.name for row in report.rows]
+        self.assertEqual(7, len(names))
+        table = bench_experts.format_table(report)
+        for name in names:
+            self.assertEqual(2, table.count(f"| {name} |"))
+        json.dumps(dataclasses.asdict(report))
+
+    def test_frontier_is_plotted(self):
+        report = bench_experts.run(self.options(hours=0.1))
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "frontier.png"
+            bench_experts.plot_frontier(report, path)
+            self.assertGreater(path.stat().st_size, 0)
+
+    def test_experts_that_ranks_can_not_share_evenly_are_refused(self):
+        self.assertRaises(InputError, self.options, experts=9)
+
+    def test_run_too_short_for_a_sample_is_refused(self):
+        self.assertRaises(InputError, self.options, hours=0.05)
--- a/tests/test_rebalancing.py
+++ b/tests/test_rebalancing.py
@@ -5,7 +5,7 @@
 from hypothesis import example, given, settings, strategies as st
 
 from dotterelplank import rebalancing
-from dotterelplank.errors import SettingsError
+from dotterelplank.errors import InvariantError, SettingsError
 from dotterelplank.experts import EMPTY, Observation
 from dotterelplank.placement import place_map
 from dotterelplank.popularity import first_estimate, update
@@ -217,6 +217,17 @@
             emptied = made.interim.slots == EMPTY
             np.testing.assert_array_equal(emptied, slots != before.slots)
 
+    def test_window_of_another_group_is_refused(self):
+        group, other = Group(ranks=8), Group(ranks=4, slots=6)
+        self.assertRaises(
+            InvariantError,
+            rebalancing.plan,
+            WINDOW_MS,
+            group.state,
+            other.observe(),
+            group.policy,
+        )
+
     def test_no_plan_is_made_while_another_is_staged(self):
         group = Group()
         group.run(4)
