Test that a fixed time in each step leaves the speeds sound

Speed is tokens over busy time, so a rank with little work and a fixed part in its time looks slow. It still gets its work back: shares move until times are equal, and a time grows with its tokens.

--- a/tests/test_rebalancing.py
+++ b/tests/test_rebalancing.py
@@ -23,6 +23,7 @@
         self.rng = np.random.default_rng(seed)
         self.tokens = self.rng.uniform(500, 1500, (2, experts))
         self.speeds = np.full(ranks, SPEED)
+        self.fixed_ms = 0.0
         self.policy = rebalancing.Policy(**policy)
         start = place_map(self.tokens, self.speeds, slots)
         self.state = rebalancing.initial_state(start)
@@ -32,7 +33,7 @@
     def observe(self):
         tokens = self.rng.poisson(self.tokens * STEPS)
         rank_tokens = self.state.map.rank_tokens(tokens)
-        busy_ms = rank_tokens / self.speeds
+        busy_ms = rank_tokens / self.speeds + self.fixed_ms * STEPS
         return Observation(WINDOW_MS, STEPS, tokens, rank_tokens, busy_ms)
 
     def decide(self):
@@ -49,7 +50,7 @@
         return [made for _ in range(windows) if (made := self.decide()) is not None]
 
     def skew(self):
-        times = self.state.map.rank_tokens(self.tokens) / self.speeds
+        times = self.state.map.rank_tokens(self.tokens) / self.speeds + self.fixed_ms
         return (times.max(axis=1) / times.min(axis=1)).max()
 
 
@@ -105,6 +106,19 @@
         group.run(8)
         self.assertLess(group.skew(), 1.1)
 
+    def test_fixed_time_of_a_step_does_not_keep_a_recovered_rank_idle(self):
+        group = Group()
+        group.fixed_ms = 5.0
+        group.run(4)
+        group.speeds[2] *= 0.1
+        group.run(8)
+        idle = group.state.map.rank_tokens(group.tokens)[:, 2].sum()
+        group.speeds[2] = SPEED
+        group.run(12)
+        busy = group.state.map.rank_tokens(group.tokens)[:, 2].sum()
+        self.assertGreater(busy, 5 * idle)
+        self.assertLess(group.skew(), 1.1)
+
     def test_jump_is_answered_in_the_window_that_shows_it(self):
         group = Group()
         group.run(4)
