Let changes fall within a window, and skip searches that can't pay

The fake group's jumps and stalls fell on the edges of windows, which is kind to the estimate. They now fall between, and a window's popularity is the mean of five points in it. The balance before a search is skipped where even the ideal would not pay for a move.

--- a/src/dotterelplank/fake_group.py
+++ b/src/dotterelplank/fake_group.py
@@ -15,6 +15,7 @@
 HOUR_MS: t.Final = 3_600_000.0
 MINUTE_MS: t.Final = 60_000.0
 NIGHT_HOURS: t.Final = (0.0, 6.0)
+WINDOW_PARTS: t.Final = 5
 BRAND_PERIOD_MS: t.Final = 80 * MINUTE_MS
 BRAND_RAMP_MS: t.Final = 3 * MINUTE_MS
 
@@ -44,11 +45,11 @@
     speed_spread: float = 0.1
     step_ms: float = 27.0
     timing_noise: float = 0.005
-    jump_hours: tuple[float, ...] = (3.3, 9.1, 14.6, 19.2)
+    jump_hours: tuple[float, ...] = (3.301, 9.102, 14.603, 19.2)
     jump_part: float = 0.08
-    stall_hours: tuple[float, float] = (11.0, 11.5)
+    stall_hours: tuple[float, float] = (11.0015, 11.5)
     stall_factor: float = 0.05
-    slow_hours: tuple[float, float] = (16.0, 20.5)
+    slow_hours: tuple[float, float] = (16.001, 20.5025)
     slow_factor: float = 0.6
 
     @property
@@ -124,10 +125,12 @@
     ) -> Observation:
         """Return what the ranks report about the window that ends now."""
         middle_ms = now_ms - window_ms / 2
-        steps = int(window_ms // self.workload.step_ms)
-        tokens = self._rng.multinomial(
-            steps * self.workload.step_tokens, self.popularity(middle_ms)
+        parts = (np.arange(WINDOW_PARTS) + 0.5) / WINDOW_PARTS
+        popularity = np.mean(
+            [self.popularity(now_ms - window_ms * part) for part in parts], axis=0
         )
+        steps = int(window_ms // self.workload.step_ms)
+        tokens = self._rng.multinomial(steps * self.workload.step_tokens, popularity)
         rank_tokens = expert_map.rank_tokens(tokens)
         error = self._rng.normal(1, self.workload.timing_noise, rank_tokens.shape)
         busy_ms = rank_tokens / self.speeds(middle_ms) * error
--- a/src/dotterelplank/moves.py
+++ b/src/dotterelplank/moves.py
@@ -67,34 +67,44 @@
     loads: t.Sequence[LayerLoad]
 
 
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """The stage that is taken of a layer, and what it is worth."""
+
+    stage: Stage
+    worth_ms: float
+
+
 def plan_moves(base: Base, policy: Policy) -> Plan | None:
     """Return the plan whose moves are worth most, or none."""
     if not policy.most_moves or policy.cost_weight == 1:
         return None
     step_ms = step_time_ms(base.split, base.estimate)
     noise = noise_part(base.present, base.estimate)
-    chosen = []
+    chosen = {}
     for layer, load in enumerate(base.loads):
         noise_ms = noise * ideal_time_ms(load)
         stages = _search_layer(layer, base, noise_ms / step_ms, policy)
-        chosen.append(_worthiest(stages, noise_ms, step_ms, policy))
+        choice = _worthiest(stages, noise_ms, step_ms, policy)
+        if choice is not None:
+            chosen[layer] = choice
     return _assemble(base, chosen, policy)
 
 
 def _search_layer(
     layer: int, base: Base, noise: float, policy: Policy
 ) -> t.Sequence[Stage]:
-    """Return the stages of a layer, only the first if none could pay.
+    """Return the stages of a layer, none if even the ideal could not pay.
 
     :param noise: fall of the step time that sampling explains, as a part of it.
     """
     load = base.loads[layer]
-    stages = [_start(base, layer)]
     ideal_ms = ideal_time_ms(load)
-    step_ms = step_time_ms(base.split, base.estimate)
-    best_fall = (stages[0].time_ms - ideal_ms) / step_ms - noise
+    layers_ms = layer_times_ms(base.split, base.estimate)
+    best_fall = (layers_ms[layer] - ideal_ms) / layers_ms.sum() - noise
     if worth_ms(best_fall, 1, policy) <= 0:
-        return stages
+        return []
+    stages = [_start(base, layer)]
     for ratio, eased in _easing(load):
         if stages[-1].time_ms > ideal_ms * ratio:
             search(layer, stages, eased, policy.most_moves)
@@ -117,32 +127,36 @@
 
 def _worthiest(
     stages: t.Sequence[Stage], noise_ms: float, step_ms: float, policy: Policy
-) -> tuple[float, Stage]:
-    """Return the worth of the best stage and that stage, the shortest of equals.
+) -> Choice | None:
+    """Return the stage of greatest worth, the shortest of equals, if any has worth.
 
     A fall in step time counts only beyond what the noise of the estimate explains.
     """
-    best = (0.0, stages[0])
+    best = None
     for stage in stages[1:]:
         fall = (stages[0].time_ms - stage.time_ms - noise_ms) / step_ms
         worth = worth_ms(fall, len(stage.moves), policy)
-        if worth > best[0]:
-            best = (worth, stage)
+        if worth > (best.worth_ms if best else 0):
+            best = Choice(stage, worth)
     return best
 
 
 def _assemble(
-    base: Base, chosen: t.Sequence[tuple[float, Stage]], policy: Policy
+    base: Base, chosen: t.Mapping[int, Choice], policy: Policy
 ) -> Plan | None:
     """Return one plan of the stages of all layers, the worthiest layer first."""
-    layers = [layer for layer, (worth, _) in enumerate(chosen) if worth > 0]
-    layers.sort(key=lambda layer: -chosen[layer][0] / len(chosen[layer][1].moves))
+    if not chosen:
+        return None
+
+    def worth_of_a_move(layer: int) -> float:
+        return chosen[layer].worth_ms / len(chosen[layer].stage.moves)
+
     split = base.split
     slots = split.slots.copy()
     shares = split.shares.copy()
     moves: list[Move] = []
-    for layer in layers:
-        stage = chosen[layer][1]
+    for layer in sorted(chosen, key=worth_of_a_move, reverse=True):
+        stage = chosen[layer].stage
         room = policy.most_moves - len(moves)
         if len(stage.moves) > room:
             start = _start(base, layer)
@@ -150,8 +164,6 @@
         slots[layer] = stage.slots
         shares[layer] = stage.shares
         moves.extend(stage.moves)
-    if not moves:
-        return None
     target = ExpertMap(split.version + 1, split.experts, slots, shares)
     return Plan(
         _interim(base, moves),
@@ -176,12 +188,17 @@
     return dataclasses.replace(split, slots=slots, shares=shares)
 
 
-def step_time_ms(expert_map: ExpertMap, estimate: Estimate) -> float:
-    """Return the step time, as the ranks wait for one another in each layer."""
+def layer_times_ms(expert_map: ExpertMap, estimate: Estimate) -> np.ndarray:
+    """Return the time of the slowest rank in each layer, ``[layer]``."""
     times = rank_times_ms(
         expert_map.slots, expert_map.shares, estimate.tokens, estimate.speeds
     )
-    return float(times.max(axis=1).sum())
+    return times.max(axis=1)
+
+
+def step_time_ms(expert_map: ExpertMap, estimate: Estimate) -> float:
+    """Return the step time, as the ranks wait for one another in each layer."""
+    return float(layer_times_ms(expert_map, estimate).sum())
 
 
 def noise_part(expert_map: ExpertMap, estimate: Estimate) -> float:
