Name what the search and the tables pass around

Bare tuples between the parts of the search and of the table give way to small data classes, and the long function that offers moves is split.

--- a/src/dotterelplank/bench_experts.py
+++ b/src/dotterelplank/bench_experts.py
@@ -290,48 +290,59 @@
     )
 
 
-STEP_COLUMNS: t.Final = {
-    "skew p50": ("skew_p50", ".3f"),
-    "skew p99": ("skew_p99", ".3f"),
-    "over 1.1": ("high_skew_part", ".4f"),
-    "p99 with jumps": ("skew_p99_with_jumps", ".3f"),
-    "step p50": ("step_time_p50", ".3f"),
-    "step p99": ("step_time_p99", ".3f"),
-    "step mean with jumps": ("step_time_mean_with_jumps", ".3f"),
-    "recovery s": ("recovery_max_s", ".0f"),
-}
-COST_COLUMNS: t.Final = {
-    "moved GB": ("moved_gb", ".1f"),
-    "moves": ("moves", ".0f"),
-    "undone": ("undone", ".0f"),
-    "reversed": ("reversed", ".0f"),
-    "staging s": ("staging_s", ".0f"),
-    "maps": ("maps", ".0f"),
-    "planning p50 ms/layer": ("plan_p50_ms_per_layer", ".2f"),
-    "most": ("plan_max_ms_per_layer", ".1f"),
-}
+@dataclasses.dataclass(frozen=True)
+class _Column:
+    """A column of a table: its title, the field of the results, and its format."""
+
+    title: str
+    field: str
+    form: str
+
+
+_STEP_COLUMNS: t.Final = (
+    _Column("skew p50", "skew_p50", ".3f"),
+    _Column("skew p99", "skew_p99", ".3f"),
+    _Column("over 1.1", "high_skew_part", ".4f"),
+    _Column("p99 with jumps", "skew_p99_with_jumps", ".3f"),
+    _Column("step p50", "step_time_p50", ".3f"),
+    _Column("step p99", "step_time_p99", ".3f"),
+    _Column("step mean with jumps", "step_time_mean_with_jumps", ".3f"),
+    _Column("recovery s", "recovery_max_s", ".0f"),
+)
+_COST_COLUMNS: t.Final = (
+    _Column("moved GB", "moved_gb", ".1f"),
+    _Column("moves", "moves", ".0f"),
+    _Column("undone", "undone", ".0f"),
+    _Column("reversed", "reversed", ".0f"),
+    _Column("staging s", "staging_s", ".0f"),
+    _Column("maps", "maps", ".0f"),
+    _Column("planning p50 ms/layer", "plan_p50_ms_per_layer", ".2f"),
+    _Column("most", "plan_max_ms_per_layer", ".1f"),
+)
 
 
 def format_table(report: Report) -> str:
     """Return the report as two Markdown tables: median, then least and most."""
-    tables = [_table(report, columns) for columns in (STEP_COLUMNS, COST_COLUMNS)]
+    tables = [_table(report, columns) for columns in (_STEP_COLUMNS, _COST_COLUMNS)]
     return "\n\n".join(tables)
 
 
-def _table(report: Report, columns: t.Mapping[str, tuple[str, str]]) -> str:
-    lines = [
-        "| strategy | " + " | ".join(columns) + " |",
-        "|---" * (len(columns) + 1) + "|",
-    ]
+def _table(report: Report, columns: t.Sequence[_Column]) -> str:
+    titles = ["strategy", *(column.title for column in columns)]
+    lines = [_line(titles), "|---" * len(titles) + "|"]
     for row in report.rows:
-        cells = [_cell(row, field, form) for field, form in columns.values()]
-        lines.append(f"| {row.name} | " + " | ".join(cells) + " |")
+        lines.append(_line([row.name, *(_cell(row, column) for column in columns)]))
     return "\n".join(lines)
 
 
-def _cell(row: Row, field: str, form: str) -> str:
-    least, most = row.spread(field)
-    return f"{row.median(field):{form}} ({least:{form}}-{most:{form}})"
+def _line(cells: t.Sequence[str]) -> str:
+    return "| " + " | ".join(cells) + " |"
+
+
+def _cell(row: Row, column: _Column) -> str:
+    least, most = row.spread(column.field)
+    form = column.form
+    return f"{row.median(column.field):{form}} ({least:{form}}-{most:{form}})"
 
 
 def plot_frontier(report: Report, path: pathlib.Path) -> None:
--- a/src/dotterelplank/fake_group.py
+++ b/src/dotterelplank/fake_group.py
@@ -29,8 +29,16 @@
     :param zipf_exponent: 0 for equal popularity, higher for fewer hot experts.
     :param drift: amplitude of the daily drift of the logarithm of popularity.
     :param brand_boost: factor by which a brand's experts gain while it is busy.
+    :param brand_part: part of the experts of each layer that a brand uses.
+    :param speed_spread: standard deviation of the logarithm of a rank's speed.
     :param step_ms: time between two steps.
     :param timing_noise: relative error of a reported busy time.
+    :param jump_hours: times at which hot experts change places with others.
+    :param jump_part: part of the experts of a layer that a jump touches.
+    :param stall_hours: begin and end of the stall of the first rank.
+    :param stall_factor: what is left of its speed.
+    :param slow_hours: begin and end of the slow time of the last rank.
+    :param slow_factor: what is left of its speed.
     """
 
     ranks: int
@@ -75,13 +83,12 @@
         self._rng = rng
         shape = (workload.layers, workload.experts)
         order = np.arange(workload.experts)
-        zipf = -workload.zipf_exponent * np.log(order + 1)
+        self._zipf = -workload.zipf_exponent * np.log(order + 1)
         self._places = [
             np.array([rng.permutation(order) for _ in range(workload.layers)])
         ]
         for _ in workload.jump_hours:
             self._places.append(self._jumped(self._places[-1]))
-        self._zipf = zipf
         self._phase = rng.uniform(0, 2 * np.pi, shape)
         brand = rng.uniform(size=shape)
         self._brands = (
--- a/src/dotterelplank/moves.py
+++ b/src/dotterelplank/moves.py
@@ -105,9 +105,11 @@
     if worth_ms(best_fall, 1, policy) <= 0:
         return []
     stages = [_start(base, layer)]
-    for ratio, eased in _easing(load):
-        if stages[-1].time_ms > ideal_ms * ratio:
-            search(layer, stages, eased, policy.most_moves)
+    search(layer, stages, load, policy.most_moves)
+    if stages[-1].time_ms > ideal_ms * URGENT_RATIO:
+        search(layer, stages, may_gain(load), policy.most_moves)
+    if stages[-1].time_ms > ideal_ms * DIRE_RATIO:
+        search(layer, stages, unlocked(load), policy.most_moves)
     return stages
 
 
@@ -116,15 +118,6 @@
     return settle((), split.slots[layer], split.shares[layer], base.loads[layer])
 
 
-def _easing(load: LayerLoad) -> t.Sequence[tuple[float, LayerLoad]]:
-    """Return how far over the ideal a layer must be for locks to be lifted."""
-    return (
-        (1.0, load),
-        (URGENT_RATIO, may_gain(load)),
-        (DIRE_RATIO, unlocked(load)),
-    )
-
-
 def _worthiest(
     stages: t.Sequence[Stage], noise_ms: float, step_ms: float, policy: Policy
 ) -> Choice | None:
--- a/src/dotterelplank/placement.py
+++ b/src/dotterelplank/placement.py
@@ -14,6 +14,7 @@
 LEAST_GAIN: t.Final = 0.0005
 LARGEST_BATCH_DIVISOR: t.Final = 8
 MOST_TRIALS: t.Final = 8
+SMALLEST_SURPLUS: t.Final = 1e-9
 STALLED_PART: t.Final = 0.25
 NEW_SHARE: t.Final = 0.05
 
@@ -51,6 +52,19 @@
     excess_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Claims:
+    """What each expert has on ranks that are over the ideal, ``[expert]``.
+
+    :param surplus: tokens that other ranks could take.
+    :param delay: what they add to the times of those ranks, as parts of the ideal;
+        it says which expert comes first.
+    """
+
+    surplus: np.ndarray
+    delay: np.ndarray
+
+
 def search(layer: int, stages: list[Stage], load: LayerLoad, most_moves: int) -> None:
     """Append to ``stages`` ones of more moves, each faster than the one before.
 
@@ -146,26 +160,19 @@
     :param refused: ranks to pass over.
     """
     slots = stage.slots.copy()
-    held = slots != EMPTY
-    work = stage.shares * load.tokens[slots]
-    ideal = ideal_time_ms(load) * load.speeds
-    excess = work.sum(axis=1) - ideal
-    ratio = np.maximum(excess / ideal, 0)
-    experts = len(load.tokens)
-    surplus = work * ratio[:, None]
-    left = np.bincount(slots[held], surplus[held], experts)
-    surplus_of = np.maximum(left, 1e-9)
-    delay = np.bincount(slots[held], (surplus / ideal[:, None])[held], experts)
-    delay[~load.addable] = 0
+    excess = _excess_tokens(stage, load)
+    claims = _claims(stage, load, excess)
+    left = claims.surplus.copy()
     sound = sound_ranks(load.speeds)
-    homes = held & kept & sound[:, None]
-    replicas = np.bincount(slots[homes], minlength=experts)
+    homes = kept & (slots != EMPTY) & sound[:, None]
+    replicas = np.bincount(slots[homes], minlength=len(load.tokens))
     moves = []
     for rank in np.argsort(np.where(sound & ~refused, excess, np.inf)):
         if len(moves) == count or excess[rank] >= 0 or refused[rank]:
             break
         slot = _slot_to_fill(slots[rank], kept[rank], replicas, left, load)
-        wanted = delay * np.maximum(left, 0) / surplus_of
+        part_left = np.maximum(left, 0) / np.maximum(claims.surplus, SMALLEST_SURPLUS)
+        wanted = claims.delay * part_left
         wanted[slots[rank][slots[rank] != EMPTY]] = 0
         expert = int(wanted.argmax())
         if slot is None or wanted[expert] <= 0:
@@ -179,6 +186,25 @@
     return moves
 
 
+def _excess_tokens(stage: Stage, load: LayerLoad) -> np.ndarray:
+    """Return the tokens of each rank beyond its part of the ideal, ``[rank]``."""
+    work = stage.shares * load.tokens[stage.slots]
+    return work.sum(axis=1) - ideal_time_ms(load) * load.speeds
+
+
+def _claims(stage: Stage, load: LayerLoad, excess: np.ndarray) -> _Claims:
+    held = stage.slots != EMPTY
+    ideal = ideal_time_ms(load) * load.speeds
+    ratio = np.maximum(excess / ideal, 0)
+    surplus = stage.shares * load.tokens[stage.slots] * ratio[:, None]
+    delay = surplus / ideal[:, None]
+    experts = len(load.tokens)
+    return _Claims(
+        np.bincount(stage.slots[held], surplus[held], experts),
+        np.bincount(stage.slots[held], delay[held], experts) * load.addable,
+    )
+
+
 def _slot_to_fill(
     held: np.ndarray,
     kept: np.ndarray,
--- a/src/dotterelplank/popularity.py
+++ b/src/dotterelplank/popularity.py
@@ -43,7 +43,8 @@
 
 def first_estimate(observation: Observation) -> Estimate:
     """Return the estimate that a single window gives."""
-    tokens, variance = _window_tokens(observation)
+    tokens = observation.tokens / observation.steps
+    variance = _sampling_variance(observation)
     speeds = _window_speeds(observation, np.ones(observation.rank_tokens.shape[1]))
     return Estimate(tokens, variance, tokens, speeds, tokens, np.zeros_like(tokens))
 
@@ -53,7 +54,8 @@
     if observation.steps == 0:
         return estimate
     gain = 1 - np.exp(-observation.window_ms / AVERAGING_MS)
-    seen, noise = _window_tokens(observation)
+    seen = observation.tokens / observation.steps
+    noise = _sampling_variance(observation)
     tokens = estimate.tokens + gain * (seen - estimate.tokens)
     variance = (1 - gain) ** 2 * estimate.variance + gain**2 * noise
     jumped = _jumped(estimate, seen, noise)[:, None]
@@ -68,10 +70,9 @@
     return Estimate(tokens, variance, reserve, speeds, seen, change)
 
 
-def _window_tokens(observation: Observation) -> tuple[np.ndarray, np.ndarray]:
-    """Return the mean of a window and its squared error, as of Poisson counts."""
-    tokens = observation.tokens / observation.steps
-    return tokens, (observation.tokens + 1) / observation.steps**2
+def _sampling_variance(observation: Observation) -> np.ndarray:
+    """Return the squared error of a window's tokens in a step, as of Poisson counts."""
+    return (observation.tokens + 1) / observation.steps**2
 
 
 def _jumped(estimate: Estimate, seen: np.ndarray, noise: np.ndarray) -> np.ndarray:
