--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -47,7 +47,6 @@
             event.level, event.name, extra={"event": event, "event_fields": fields}
         )
 
-
 # 100: processes
 PROCESS_STARTED = _define(
     100, "process-started", logging.INFO, "A daemon serves from now on."
@@ -319,6 +318,20 @@
     "Another process gives orders to this agent's engine; this agent ends.",
 )
 
+# 450: expert maps
+SPLIT_PLANNED = _define(
+    450,
+    "expert-split-planned",
+    logging.INFO,
+    "Tokens are split anew over replicas that ranks hold already; nothing is loaded.",
+)
+MOVES_PLANNED = _define(
+    451,
+    "expert-moves-planned",
+    logging.INFO,
+    "Replicas are loaded from the weight store; the step time should fall by then.",
+)
+
 # 600: stand-ins of the outside systems
 STANDIN_LISTENING = _define(
     600, "standin-listening", logging.INFO, "A stand-in accepts connections."
