Resolve a staged change without waiting out the predecessor

Cause: an agent that starts beside an engine with a staged change kept the whole group waiting for the bound on late orders. What may follow the order that staged is only its resolution, and each agent orders the same one.

--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/mapchange.py
@@ -229,10 +229,14 @@
         return
     before, view = state.view, event.view
     state.read_id = None
-    if state.quiet is not None:
+    if state.quiet is not None and view.staged is None:
         _prolong(turn, state.quiet)
         return
-    if before is not None and view.highest_fence > state.fence:
+    # What may follow the order that staged is its resolution, which is the same
+    # whoever orders it.
+    state.quiet = None
+    # A predecessor's late order carries a token below this incarnation.
+    if before is not None and view.highest_fence > max(state.fence, state.incarnation):
         state.superseded = True
         _report(turn, events.AGENT_SUPERSEDED)
         turn.commands.append(Stop())
--- a/src/dotterelplank/soak.py
+++ b/src/dotterelplank/soak.py
@@ -97,6 +97,13 @@
     model.block(kind, _host(model, rng))
 
 
+def _crash_with_order(model: Model, rng: random.Random) -> None:
+    if model.orders:
+        host = rng.choice(model.orders).host
+        model.crash(host)
+        model.start(host)
+
+
 def _cut(model: Model, rng: random.Random) -> None:
     model.cut(*rng.sample(model.hosts, 2))
 
@@ -138,6 +145,7 @@
     (0.1, _hold_all),
     (0.5, _hold_votes),
     (0.6, _strike),
+    (0.5, _crash_with_order),
     (0.4, lambda model, rng: model.stall(_host(model, rng))),
     (0.4, lambda model, rng: model.stir(_index(rng))),
     (0.5, _block),
