--- a/src/dotterelplank/mapchange_cost.py
+++ b/src/dotterelplank/mapchange_cost.py
@@ -7,8 +7,8 @@
 import time
 import typing as t
 
-from .mapchange import Policy, State, decide, new_state
-from .mapchange_model import Engine
+from .mapchange import decide
+from .mapengine import Engine
 from .mapmessages import (
     Closed,
     Closure,
@@ -23,6 +23,7 @@
     Send,
     Tick,
 )
+from .mapstate import Policy, State, new_state
 
 TICK_MS = 25
 SETTLE_MS = 3_000
--- /dev/null
+++ b/src/dotterelplank/mapstate.py
@@ -0,0 +1,243 @@
+"""What an agent knows of its group's map, and the acts that all decisions share."""
+
+import collections
+import dataclasses
+import typing as t
+
+from . import events
+from .ballots import Ballot, Change
+from .errors import InvariantError
+from .mapmessages import (
+    Action,
+    Ask,
+    Closed,
+    Closure,
+    Command,
+    EngineView,
+    Envelope,
+    Hello,
+    Message,
+    Order,
+    Outcome,
+    Participant,
+    Report,
+    Send,
+    Status,
+)
+from .maptally import Tally
+
+_DENIED_KEPT = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """Settings of the protocol, equal in all agents of a group.
+
+    :param retry_ms: after it an unanswered message is sent again.
+    :param patience_ms: how long a ballot stays open before its holders ask each other.
+    :param stagger_ms: what each later host of the group waits longer.
+    :param poll_ms: how often the engine is read.
+    :param view_age_ms: how old a read may be when an agent speaks of its engine.
+    :param order_bound_ms: once an engine has answered reads for so long, with no gap
+        above ``view_age_ms``, no order from before can take effect any more.
+    :param lead_steps: how many steps lie between a proposal and the first step with
+        the new map.
+    :param near_steps: how many steps before that step the patience ends.
+    """
+
+    retry_ms: int = 50
+    patience_ms: int = 250
+    stagger_ms: int = 20
+    poll_ms: int = 100
+    view_age_ms: int = 300
+    order_bound_ms: int = 1000
+    lead_steps: int = 20
+    near_steps: int = 3
+
+
+@dataclasses.dataclass
+class Quiet:
+    """A wait for the end of orders that may yet take effect.
+
+    :param since_ms: the first of the answered reads without a gap.
+    :param last_ms: the last of them.
+    """
+
+    since_ms: int | None = None
+    last_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Proposal:
+    """A change that this agent proposed and that isn't closed.
+
+    :param voters: the incarnations of the other agents that may stage it.
+    """
+
+    change: Change
+    voters: t.Mapping[str, int]
+
+
+@dataclasses.dataclass
+class State:
+    """What one agent of a group knows; it is lost with the process.
+
+    :param host: this agent's host.
+    :param hosts: all hosts of the group, sorted.
+    :param incarnation: higher than that of each earlier agent on this host.
+    :param initial: payload of the first map, used by the first host alone.
+    :param quiet: set while an older order may take effect.
+    :param known: the highest incarnation met of each other host.
+    :param statuses: what each other host answered to this incarnation.
+    :param settled: whether every other host has answered this incarnation.
+    :param floor: this agent stages no ballot at or below it.
+    :param denied: ballots denied since the engine got its map.
+    :param order_id: the open order.
+    :param read_id: the open read.
+    :param must_read: whether the view is older than an order.
+    :param announce: the outcome to tell once the engine has taken it.
+    :param questions: votes owed, by host.
+    :param greetings: statuses owed.
+    """
+
+    host: str
+    hosts: tuple[str, ...]
+    incarnation: int
+    initial: bytes | None
+    quiet: Quiet | None = dataclasses.field(default_factory=Quiet)
+    known: dict[str, int] = dataclasses.field(default_factory=dict)
+    statuses: dict[str, Status] = dataclasses.field(default_factory=dict)
+    settled: bool = False
+    hello_at_ms: int = 0
+    round: int = 0
+    floor: Ballot | None = None
+    denied: collections.deque[Ballot] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=_DENIED_KEPT)
+    )
+    fence: int = 0
+    last_id: int = 0
+    order_id: int | None = None
+    read_id: int | None = None
+    must_read: bool = True
+    polled_at_ms: int | None = None
+    read_at_ms: int = 0
+    view: EngineView | None = None
+    tally: Tally | None = None
+    proposal: Proposal | None = None
+    announce: Outcome | None = None
+    questions: dict[str, Ask] = dataclasses.field(default_factory=dict)
+    greetings: dict[str, Hello] = dataclasses.field(default_factory=dict)
+    superseded: bool = False
+
+    @property
+    def peers(self) -> list[str]:
+        """Return the other hosts of the group."""
+        return [host for host in self.hosts if host != self.host]
+
+
+def new_state(
+    host: str,
+    hosts: t.Iterable[str],
+    incarnation: int,
+    initial: bytes | None = None,
+) -> State:
+    """Return the state of an agent that starts.
+
+    :param incarnation: wall-clock milliseconds at the start will do; a lower one than
+        before is noticed by the other agents and raised.
+    """
+    return State(
+        host=host,
+        hosts=tuple(sorted(hosts)),
+        incarnation=incarnation,
+        initial=initial,
+    )
+
+
+@dataclasses.dataclass
+class Turn:
+    """One call of :func:`~dotterelplank.mapchange.decide`, for its helpers."""
+
+    now_ms: int
+    state: State
+    policy: Policy
+    commands: list[Command]
+
+
+def participants(state: State) -> tuple[Participant, ...]:
+    """Return this agent and the other incarnations that it has met."""
+    own = Participant(state.host, state.incarnation)
+    known = [peer for peer in state.peers if peer in state.known]
+    others = [Participant(peer, state.known[peer]) for peer in known]
+    return (own, *others)
+
+
+def can_speak(turn: Turn) -> bool:
+    """Return whether the agent may speak of its engine and give it an order."""
+    state = turn.state
+    return (
+        state.view is not None
+        and not state.must_read
+        and turn.now_ms - state.read_at_ms <= turn.policy.view_age_ms
+    )
+
+
+def fence_peer(state: State, peer: Participant) -> None:
+    """Take note of an agent's incarnation and drop what came from older ones."""
+    if peer.incarnation <= state.known.get(peer.host, 0):
+        return
+    state.known[peer.host] = peer.incarnation
+    state.statuses.pop(peer.host, None)
+    state.questions.pop(peer.host, None)
+    state.greetings.pop(peer.host, None)
+    if state.tally is not None:
+        state.tally.answers.pop(peer.host, None)
+
+
+def begin_incarnation(turn: Turn) -> None:
+    """Take a higher incarnation, which has yet to meet the others."""
+    state = turn.state
+    state.incarnation += 1
+    state.settled = False
+    state.statuses.clear()
+    state.hello_at_ms = turn.now_ms
+    state.tally = None
+    state.announce = None
+    if state.proposal is not None:
+        ballot = state.proposal.change.ballot
+        turn.commands.append(Closed(ballot, Closure.UNKNOWN))
+        state.proposal = None
+
+
+def next_id(state: State) -> int:
+    """Return a number for an order or a read."""
+    state.last_id += 1
+    return state.last_id
+
+
+def give_order(turn: Turn, action: Action) -> None:
+    """Give the engine an order; nothing is said of it before the next read."""
+    state = turn.state
+    if state.order_id is not None:
+        raise InvariantError("two orders are open at one engine")
+    state.fence = max(state.fence + 1, state.incarnation)
+    state.order_id = next_id(state)
+    state.read_id = None  # opened before the order
+    state.must_read = True
+    turn.commands.append(Order(state.order_id, state.fence, action))
+
+
+def send(turn: Turn, host: str, message: Message) -> None:
+    """Send a message to another agent."""
+    envelope = Envelope(turn.state.host, turn.state.incarnation, message)
+    turn.commands.append(Send(host, envelope))
+
+
+def report(
+    turn: Turn,
+    event: events.Event,
+    ballot: Ballot | None = None,
+    map_version: int | None = None,
+) -> None:
+    """Log an event."""
+    turn.commands.append(Report(event, turn.state.host, ballot, map_version))
--- a/src/dotterelplank/soak.py
+++ b/src/dotterelplank/soak.py
@@ -6,9 +6,9 @@
 import typing as t
 
 from .errors import InvariantError
-from .mapchange import Policy
 from .mapchange_model import Model
 from .mapmessages import Ask, Hello, Outcome, Stage, Status, Vote
+from .mapstate import Policy
 
 SETTLE_EVERY = 400
 REBUILD_EVERY = 4000
--- a/tests/test_mapchange.py
+++ b/tests/test_mapchange.py
@@ -3,7 +3,7 @@
 from dotterelplank import events, soak
 from dotterelplank.ballots import Ballot, Change, ExpertMap
 from dotterelplank.errors import InvariantError
-from dotterelplank.mapchange import decide, new_state
+from dotterelplank.mapchange import decide
 from dotterelplank.mapchange_model import Model
 from dotterelplank.mapjoin import choose_install
 from dotterelplank.mapmessages import (
@@ -35,6 +35,7 @@
     Tick,
     Vote,
 )
+from dotterelplank.mapstate import new_state
 from dotterelplank.maptally import verdict
 
 POLICY = soak.POLICY
