Let a group live with a clock that was set back

Changed: any message of an older incarnation gets that answer, and a new agent also raises its incarnation above the fencing tokens that its engine has met.

--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/mapchange.py
@@ -116,7 +116,8 @@
         report(turn, events.AGENT_SUPERSEDED)
         turn.commands.append(Stop())
         return
-    state.fence = max(state.fence, view.highest_fence)
+    if before is None and view.highest_fence >= state.incarnation:
+        _raise_incarnation(turn, view.highest_fence)
     state.view = view
     state.must_read = False
     state.read_at_ms = turn.now_ms
@@ -175,7 +176,7 @@
         return
     known = state.known.get(envelope.host, 0)
     if envelope.incarnation < known:
-        if isinstance(envelope.message, Hello):
+        if not isinstance(envelope.message, Stale):
             send(turn, envelope.host, Stale(known))
         return
     fence_peer(state, Participant(envelope.host, envelope.incarnation))
@@ -200,9 +201,13 @@
 
 def _on_stale(turn: Turn, host: str, message: Stale) -> None:
     if message.highest_incarnation >= turn.state.incarnation:
-        turn.state.incarnation = message.highest_incarnation
-        report(turn, events.INCARNATION_RAISED)
-        begin_incarnation(turn)
+        _raise_incarnation(turn, message.highest_incarnation)
+
+
+def _raise_incarnation(turn: Turn, highest: int) -> None:
+    turn.state.incarnation = highest
+    report(turn, events.INCARNATION_RAISED)
+    begin_incarnation(turn)
 
 
 def _advance(turn: Turn) -> None:
--- a/src/dotterelplank/mapchange_model.py
+++ b/src/dotterelplank/mapchange_model.py
@@ -126,16 +126,18 @@
 
     # Agents
 
-    def start(self, host: str) -> None:
-        """Start an agent with no memory."""
-        self._note(f"start {host}")
+    def start(self, host: str, is_set_back: bool = False) -> None:
+        """Start an agent with no memory, maybe with a clock that was set back."""
+        self._note(f"start {host}{' set back' if is_set_back else ''}")
+        self.reach["clocks set back"] += is_set_back
         self.serial += 1
+        step = 1 if is_set_back else INCARNATION_STEP
         self.agents[host] = Agent(
             self.serial,
             new_state(
                 host,
                 self.hosts,
-                self.serial * INCARNATION_STEP,
+                self.serial * step,
                 f"initial {self.serial}".encode(),
             ),
         )
@@ -214,9 +216,18 @@
         """
         if not self.ghosts:
             return
-        host, agent = self.ghosts[index % len(self.ghosts)]
+        index %= len(self.ghosts)
+        host, agent = self.ghosts[index]
         self._note(f"stir {host}")
         self.reach["ghosts stirred"] += 1
+        try:
+            self._stir(host, agent)
+        except InvariantError:
+            # Its engine is another one by now, so it ends itself.
+            self.reach["ghosts ended"] += 1
+            self.ghosts.pop(index)
+
+    def _stir(self, host: str, agent: Agent) -> None:
         view = self.engines[host].view()
         read = ReadDone(agent.state.read_id or 0, view)
         for event in (*agent.inbox, Tick(), read):
--- a/src/dotterelplank/mapmessages.py
+++ b/src/dotterelplank/mapmessages.py
@@ -166,7 +166,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Stale:
-    """Tell the sender of a :class:`Hello` that a higher incarnation was met."""
+    """Tell the sender of a message that a higher incarnation of it was met."""
 
     highest_incarnation: int
 
--- a/src/dotterelplank/soak.py
+++ b/src/dotterelplank/soak.py
@@ -41,6 +41,8 @@
     "messages blocked",
     "pauses",
     "engines stalled",
+    "clocks set back",
+    "incarnation-raised",
     "ghosts stirred",
     "crashes",
     "map-asked",
@@ -104,6 +106,12 @@
         model.start(host)
 
 
+def _set_back(model: Model, rng: random.Random) -> None:
+    host = _host(model, rng)
+    model.crash(host)
+    model.start(host, is_set_back=True)
+
+
 def _cut(model: Model, rng: random.Random) -> None:
     model.cut(*rng.sample(model.hosts, 2))
 
@@ -146,6 +154,7 @@
     (0.5, _hold_votes),
     (0.6, _strike),
     (0.5, _crash_with_order),
+    (0.3, _set_back),
     (0.4, lambda model, rng: model.stall(_host(model, rng))),
     (0.4, lambda model, rng: model.stir(_index(rng))),
     (0.5, _block),
