Decide in jobs what an agent does with a request it has started

The agent's shell decided by itself whether a cancelled request still goes to the endpoint and what its end means to the ledger. A model of the failures could not drive that. It is moved as it was; 50 tests of ledger, exchanges and the path pass before and after.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -90,7 +90,7 @@
         events.emit(log, events.STOP_BOUND_REACHED, requests_cut=len(cut))
         for job in cut:
             self._tell(job, results.STOP_BOUND)
-            job.cancel()
+            self._abandon(job)
 
     def _on_ready(self, link: Link) -> None:
         self.daemon.on_ready(link)
@@ -209,9 +209,8 @@
 
     def _call(self, job: Job, traceparent: str) -> Ended:
         with self._lock:
-            if job.cancelled.is_set():
+            if not jobs.may_send(job.progress):
                 return Ended(results.DEADLINE_BEFORE_START)
-            job.sent_to_endpoint = True
         timeout_ms = job.submit.deadline_ms
         if job.ticket is not None:
             # The caller may come back for the answer after its own deadline.
@@ -232,18 +231,8 @@
 
     def _remember(self, ticket: Ticket, ended: Ended) -> None:
         now_ms = _now_ms()
-        policy = self.state.ledger_policy
         with self._lock:
-            ledger = self.state.ledger
-            if ended.answer is not None:
-                ledgers.finish(now_ms, ledger, ticket, ended.answer, policy)
-            elif ended.result is results.DEADLINE_BEFORE_START:
-                ledgers.withdraw(now_ms, ledger, ticket, policy)
-                ledgers.cancel(now_ms, ledger, ticket, policy)
-            elif ended.result is results.ENDPOINT_UNREACHABLE:
-                ledgers.withdraw(now_ms, ledger, ticket, policy)
-            else:
-                ledgers.lose(now_ms, ledger, ticket, policy)
+            jobs.conclude(now_ms, self.state, ticket, ended.result, ended.answer)
 
     def _give(self, job: Job, ended: Ended) -> None:
         try:
@@ -262,14 +251,18 @@
         job = self._jobs.get((link, request_id))
         if job is None:
             return
-        with self._lock:
-            is_unsent = not job.sent_to_endpoint
-            job.cancel()
-        if not is_unsent and self._is_model:
+        if self._abandon(job) and self._is_model:
             start_thread("cancel", self._stop_job, job)
 
-    def _stop_job(self, job: Job) -> None:
+    def _abandon(self, job: Job) -> bool:
+        """Cancel ``job`` and return whether the endpoint may hold it."""
+        with self._lock:
+            may_be_held = jobs.cancel(job.progress)
         job.cancel()
+        return may_be_held
+
+    def _stop_job(self, job: Job) -> None:
+        self._abandon(job)
         if self._is_model and self._client.cancel(job.name):
             self._tell(job, results.DEADLINE_BEFORE_START)
 
--- a/src/dotterelplank/answers.py
+++ b/src/dotterelplank/answers.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from . import defaults, endpoint_calls, results, sse
+from . import defaults, endpoint_calls, jobs, results, sse
 from .endpoint_calls import EndpointClient
 from .errors import LinkClosedError, UpstreamError
 from .ledger import Answer
@@ -20,17 +20,14 @@
 
 
 class Job:
-    """One request that holds a slot at an agent.
-
-    :ivar sent_to_endpoint: the endpoint may have received it.
-    """
+    """One request that holds a slot at an agent."""
 
     def __init__(self, link: Link, submit: Submit, ticket: Ticket | None, name: str):
         self.link = link
         self.submit = submit
         self.ticket = ticket
         self.name = name
-        self.sent_to_endpoint = False
+        self.progress = jobs.Progress()
         self.cancelled = threading.Event()
         self._credit_bytes = defaults.CREDIT_BYTES
         self._changed = threading.Condition()
--- a/src/dotterelplank/jobs.py
+++ b/src/dotterelplank/jobs.py
@@ -1,4 +1,4 @@
-"""Whether an agent takes a request, decided as a plain function."""
+"""What an agent decides on a request: take it, hand it on, cancel it, remember it."""
 
 import dataclasses
 
@@ -78,6 +78,51 @@
     return _verdict(decision)
 
 
+@dataclasses.dataclass
+class Progress:
+    """How far a request that was started has come.
+
+    :param sent: the endpoint may have received it.
+    """
+
+    sent: bool = False
+    cancelled: bool = False
+
+
+def may_send(progress: Progress) -> bool:
+    """Decide whether the request goes to the endpoint; if so it may run from now on."""
+    if progress.cancelled:
+        return False
+    progress.sent = True
+    return True
+
+
+def cancel(progress: Progress) -> bool:
+    """Take in that nobody waits; return whether the endpoint may hold the request."""
+    progress.cancelled = True
+    return progress.sent
+
+
+def conclude(
+    now_ms: float,
+    state: AgentState,
+    ticket: Ticket,
+    result: results.Result,
+    answer: ledgers.Answer | None,
+) -> None:
+    """Remember how the request under ``ticket`` ended."""
+    ledger, policy = state.ledger, state.ledger_policy
+    if answer is not None:
+        ledgers.finish(now_ms, ledger, ticket, answer, policy)
+    elif result is results.DEADLINE_BEFORE_START:
+        ledgers.withdraw(now_ms, ledger, ticket, policy)
+        ledgers.cancel(now_ms, ledger, ticket, policy)
+    elif result is results.ENDPOINT_UNREACHABLE:
+        ledgers.withdraw(now_ms, ledger, ticket, policy)
+    else:
+        ledgers.lose(now_ms, ledger, ticket, policy)
+
+
 def _verdict(known: ledgers.Repeat | ledgers.Refused) -> Verdict:
     if isinstance(known, ledgers.Repeat):
         return Give(known.answer)
