Prove orders at random, and let only a ticket's home say that it was not run

A model drives exchanges, jobs, ledger and tickets through lost, held and broken streams, restarts, pauses, predecessors that wake, moved selections and a service that runs what nobody waits for.

- 24 "told not run, but it runs later": an agent that was full or leaving, or could not reach its endpoint, said "not run" of one copy of an order and let another copy, which was on its way through another entry, start afterwards.
- 13 "told endpoint-unreachable / deadline-before-start, but it ran": an entry that had sent nothing said so of an order that had run through another entry.
- "told overloaded / stopping / unknown-team, but it ran": the same from the refusals an entry makes before it looks for the home.

Ruled out: the ledger itself (no order ran twice in any run) and the relaying of answers.

Now an agent that says "not run" of a ticket spends it, also when its epoch is full; and an entry says ticket-home-not-asked (409, outcome unknown) of a ticket that it did not take to its home. The price: a caller turned away by a full or leaving agent takes a new ticket.

--- a/src/dotterelplank/calls.py
+++ b/src/dotterelplank/calls.py
@@ -264,3 +264,25 @@
             f"Dotterelplank-Priority: met {text!r}, expected 0 to {_MAX_PRIORITY}",
         )
     return int(text)
+
+
+def ticket_of(environ: dict[str, t.Any]) -> str:
+    """Return the ticket under which a service call comes, or nothing."""
+    key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    is_service_call = environ["PATH_INFO"].startswith(SERVICES_PREFIX)
+    return key if is_service_call and tickets.is_ticket(key) else ""
+
+
+def unless_ticketed(key: str, error: CallRefusedError) -> CallRefusedError:
+    """Return ``error``, or what may be said instead if ``key`` is a ticket.
+
+    A refusal by an entry says nothing of earlier requests under the ticket, which only
+    the ticket's home knows.
+    """
+    is_about_key = error.result in (results.TICKET_OTHER_TEAM, results.TICKET_REQUIRED)
+    is_not_run = error.result.outcome is results.Outcome.NOT_RUN
+    if is_about_key or not is_not_run or not tickets.is_ticket(key):
+        return error
+    detail = f"{error.result.name}: {error.detail}"
+    told = results.TICKET_HOME_NOT_ASKED
+    return CallRefusedError(told, detail, error.retry_after_ms)
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -126,21 +126,20 @@
             is_full = self._in_flight >= bound
             self._in_flight += not is_full
         if is_full:
-            return self._refuse(
-                start_response,
-                CallRefusedError(
-                    results.OVERLOADED, retry_after_ms=self._come_back_ms()
-                ),
+            full = CallRefusedError(
+                results.OVERLOADED, retry_after_ms=self._come_back_ms()
             )
+            return self._refuse(environ, start_response, full)
         body: t.Iterable[bytes] = []
         try:
             body = self._serve(environ, start_response)
         except CallRefusedError as error:
-            body = self._refuse(start_response, error)
+            body = self._refuse(environ, start_response, error)
         except Exception:
             events.emit(log, events.REQUEST_FAILED)
             log.exception("request failed")
-            body = self._refuse(start_response, CallRefusedError(results.ENDPOINT_LOST))
+            lost = CallRefusedError(results.ENDPOINT_LOST)
+            body = self._refuse(environ, start_response, lost)
         return _Body(body, lambda: self._ended(started_ms))
 
     def _ended(self, started_ms: float) -> None:
@@ -150,8 +149,12 @@
             self._idle.notify_all()
 
     def _refuse(
-        self, start_response: StartResponse, error: CallRefusedError
+        self,
+        environ: dict[str, t.Any],
+        start_response: StartResponse,
+        error: CallRefusedError,
     ) -> t.Iterable[bytes]:
+        error = calls.unless_ticketed(calls.ticket_of(environ), error)
         self._metrics.count(self._metrics.results, result=error.result.name)
         return replies.give_error(
             start_response,
--- a/src/dotterelplank/exchanges.py
+++ b/src/dotterelplank/exchanges.py
@@ -200,7 +200,7 @@
     if exchange.home is not None and event.host != exchange.home:
         raise InvariantError(f"{event.host} was chosen, its home is {exchange.home}")
     if now_ms >= exchange.deadline_at_ms:
-        return _give_up(exchange, results.DEADLINE_BEFORE_START)
+        return _give_up_unsent(exchange, results.DEADLINE_BEFORE_START)
     exchange.phase = Phase.SENT
     exchange.host = event.host
     exchange.tried.add(event.host)
@@ -280,7 +280,7 @@
         return _lost_midway(now_ms, exchange, results.ENDPOINT_LOST, cancel=False)
     if _may_try_again(exchange):
         return _try_again(exchange)
-    return _give_up(exchange, results.ENDPOINT_UNREACHABLE)
+    return _give_up_unsent(exchange, results.ENDPOINT_UNREACHABLE)
 
 
 def _on_tick(now_ms: float, exchange: Exchange) -> t.Sequence[Command]:
@@ -291,7 +291,7 @@
     if now_ms < exchange.deadline_at_ms:
         return []
     if exchange.phase is Phase.CHOOSING:
-        return _give_up(exchange, results.DEADLINE_BEFORE_START)
+        return _give_up_unsent(exchange, results.DEADLINE_BEFORE_START)
     host = t.cast(str, exchange.host)
     if exchange.phase is Phase.RELAYING or exchange.head is not None:
         late = _give_up(exchange, results.DEADLINE_AFTER_START)
@@ -342,6 +342,13 @@
     exchange.body.clear()
 
 
+def _give_up_unsent(exchange: Exchange, result: results.Result) -> t.Sequence[Command]:
+    """End an exchange that sent nothing; only its home knows what else ran."""
+    if exchange.home is not None:
+        result = results.TICKET_HOME_NOT_ASKED
+    return _give_up(exchange, result)
+
+
 def _give_up(
     exchange: Exchange,
     result: results.Result,
--- a/src/dotterelplank/jobs.py
+++ b/src/dotterelplank/jobs.py
@@ -53,7 +53,8 @@
 ) -> Verdict:
     """Decide on ``submit``; a ticket that has been met is answered from the ledger.
 
-    An agent that is leaving or full still gives the answers that it has kept.
+    An agent that is leaving or full still gives the answers that it has kept. What it
+    turns away as not run never runs later under the same ticket.
     """
     if not submit.ticket:
         return _unless_closed(state) or _start(state, None)
@@ -69,6 +70,8 @@
         return _verdict(known)
     closed = _unless_closed(state)
     if closed is not None:
+        # An earlier copy of the request may arrive when there is room again.
+        ledgers.cancel(now_ms, state.ledger, ticket, state.ledger_policy)
         return closed
     decision = ledgers.begin(
         now_ms, state.ledger, ticket, request_digest, state.ledger_policy
@@ -114,10 +117,7 @@
     ledger, policy = state.ledger, state.ledger_policy
     if answer is not None:
         ledgers.finish(now_ms, ledger, ticket, answer, policy)
-    elif result is results.DEADLINE_BEFORE_START:
-        ledgers.withdraw(now_ms, ledger, ticket, policy)
-        ledgers.cancel(now_ms, ledger, ticket, policy)
-    elif result is results.ENDPOINT_UNREACHABLE:
+    elif result.outcome is results.Outcome.NOT_RUN:
         ledgers.withdraw(now_ms, ledger, ticket, policy)
     else:
         ledgers.lose(now_ms, ledger, ticket, policy)
--- a/src/dotterelplank/ledger.py
+++ b/src/dotterelplank/ledger.py
@@ -169,10 +169,15 @@
 
 
 def withdraw(now_ms: float, ledger: Ledger, ticket: Ticket, policy: Policy) -> None:
-    """Forget a start that provably reached nobody, so that the ticket may run later."""
+    """Remember a start that provably reached nobody; the ticket never runs later.
+
+    Another copy of the request may still be on its way when its caller is told that
+    it was not run.
+    """
     advance(now_ms, ledger, policy)
-    if _running(ledger, ticket) is not None:
-        del ledger.records_by_epoch[ticket.epoch][ticket.nonce]
+    record = _running(ledger, ticket)
+    if record is not None:
+        record.state = State.CANCELLED
 
 
 def cancel(now_ms: float, ledger: Ledger, ticket: Ticket, policy: Policy) -> bool:
@@ -187,7 +192,9 @@
         return False
     record = records.get(ticket.nonce)
     if record is None:
-        records[ticket.nonce] = Record(ticket.team, b"", State.CANCELLED)
+        # An epoch that is full starts nothing more, remembered or not.
+        if len(records) < policy.tickets_per_epoch:
+            records[ticket.nonce] = Record(ticket.team, b"", State.CANCELLED)
         return True
     return record.state is State.CANCELLED
 
--- a/src/dotterelplank/results.py
+++ b/src/dotterelplank/results.py
@@ -224,6 +224,14 @@
     503,
     "The bound on a shutdown ended the request.",
 )
+TICKET_HOME_NOT_ASKED = _define(
+    409,
+    "ticket-home-not-asked",
+    Outcome.UNKNOWN,
+    503,
+    "This attempt sent nothing, but an earlier one under the ticket may have run; "
+    "come back with the same ticket.",
+)
 TICKET_INVALID = _define(
     408,
     "ticket-invalid",
