Take a refusal after an answer began for no proof

An exchange that had met the head of an answer believed a "not run" that followed it. An agent that sends both contradicts itself, so the outcome is unknown. Found by reading the paths of Refuse; the new test was red before (endpoint-full was told) and is green now.

--- a/src/dotterelplank/exchanges.py
+++ b/src/dotterelplank/exchanges.py
@@ -264,7 +264,8 @@
         return _give_up(exchange, results.DEADLINE_AFTER_START)
     if exchange.phase not in (Phase.SENT, Phase.RELAYING):
         return []
-    if result.outcome is results.Outcome.UNKNOWN:
+    has_begun = exchange.head is not None
+    if result.outcome is results.Outcome.UNKNOWN or has_begun:
         return _lost_midway(now_ms, exchange, result, False, event.retry_after_ms)
     if result.number in _TRY_ELSEWHERE and _may_try_again(exchange):
         return _try_again(exchange)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -105,6 +105,11 @@
         (command,) = play(subject, Chosen("a"), Lost(written=False))
         self.assertIs(results.TICKET_HOME_NOT_ASKED, command.result)
 
+    def test_a_refusal_after_the_answer_began_is_no_proof(self):
+        subject = exchange(repeatable=False, home="a", stream=False)
+        (command,) = play(subject, Chosen("a"), HEAD, refuse(results.ENDPOINT_FULL))
+        self.assertIs(results.ENDPOINT_LOST, command.result)
+
     def test_a_late_choice_of_the_home_leaves_the_outcome_unknown(self):
         subject = exchange(repeatable=False, home="a", stream=False)
         (command,) = play(subject, Chosen("a"), now_ms=1000.0)
