--- a/src/dotterelplank/jobs.py
+++ b/src/dotterelplank/jobs.py
@@ -1,4 +1,4 @@
-"""Whether an agent takes a request, decided as a plain function."""
+"""What an agent decides on a request: take it, hand it on, cancel it, remember it."""
 
 import dataclasses
 
@@ -53,7 +53,8 @@
 ) -> Verdict:
     """Decide on ``submit``; a ticket that has been met is answered from the ledger.
 
-    An agent that is leaving or full still gives the answers that it has kept.
+    An agent that is leaving or full still gives the answers that it has kept. What it
+    turns away as not run never runs later under the same ticket.
     """
     if not submit.ticket:
         return _unless_closed(state) or _start(state, None)
@@ -69,6 +70,8 @@
         return _verdict(known)
     closed = _unless_closed(state)
     if closed is not None:
+        # An earlier copy of the request may arrive when there is room again.
+        ledgers.cancel(now_ms, state.ledger, ticket, state.ledger_policy)
         return closed
     decision = ledgers.begin(
         now_ms, state.ledger, ticket, request_digest, state.ledger_policy
@@ -78,6 +81,48 @@
     return _verdict(decision)
 
 
+@dataclasses.dataclass
+class Progress:
+    """How far a request that was started has come.
+
+    :param sent: the endpoint may have received it.
+    """
+
+    sent: bool = False
+    cancelled: bool = False
+
+
+def may_send(progress: Progress) -> bool:
+    """Decide whether the request goes to the endpoint; if so it may run from now on."""
+    if progress.cancelled:
+        return False
+    progress.sent = True
+    return True
+
+
+def cancel(progress: Progress) -> bool:
+    """Take in that nobody waits; return whether the endpoint may hold the request."""
+    progress.cancelled = True
+    return progress.sent
+
+
+def conclude(
+    now_ms: float,
+    state: AgentState,
+    ticket: Ticket,
+    result: results.Result,
+    answer: ledgers.Answer | None,
+) -> None:
+    """Remember how the request under ``ticket`` ended."""
+    ledger, policy = state.ledger, state.ledger_policy
+    if answer is not None:
+        ledgers.finish(now_ms, ledger, ticket, answer, policy)
+    elif result.outcome is results.Outcome.NOT_RUN:
+        ledgers.withdraw(now_ms, ledger, ticket, policy)
+    else:
+        ledgers.lose(now_ms, ledger, ticket, policy)
+
+
 def _verdict(known: ledgers.Repeat | ledgers.Refused) -> Verdict:
     if isinstance(known, ledgers.Repeat):
         return Give(known.answer)
