Bring the event page up to date by a command

Cause: each merge that adds events left the page behind, and the test red. make catalogue rewrites both tables.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: demo test lint format soak breaks
+.PHONY: demo test lint format catalogue soak breaks bench-path
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,3 +24,12 @@
 format: $(VENV)/installed
 	$(VENV)/bin/black --quiet src tests
 	$(VENV)/bin/isort --quiet src tests
+
+catalogue: $(VENV)/installed
+	$(VENV)/bin/python -m dotterelplank.catalogue
+
+breaks: $(VENV)/installed
+	$(VENV)/bin/python tests/breaks.py
+
+bench-path: $(VENV)/installed
+	$(VENV)/bin/python tests/run_bench_path.py
--- a/src/dotterelplank/catalogue.py
+++ b/src/dotterelplank/catalogue.py
@@ -1,6 +1,7 @@
 """The tables of result codes and of log events, as the docs hold them."""
 
 import logging
+import pathlib
 import typing as t
 
 from . import events, results
@@ -43,3 +44,18 @@
 
 def _row(cells: t.Sequence[str]) -> str:
     return "| " + " | ".join(cells) + " |"
+
+
+def rewrite(folder: pathlib.Path) -> None:
+    """Bring the tables of the two pages in ``folder`` up to date."""
+    for name, table in (
+        ("RESULT-CODES.md", result_table()),
+        ("EVENTS.md", event_table()),
+    ):
+        path = folder / name
+        prose, _, _ = path.read_text(encoding="utf-8").partition("\n| ")
+        path.write_text(f"{prose}\n{table}", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    rewrite(pathlib.Path("docs"))
