--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 bench-path: $(VENV)/installed
 	$(VENV)/bin/python tests/run_bench_path.py
+
+soak: $(VENV)/installed
+	$(VENV)/bin/dotterelplank soak --seed $(SEED) --steps $(STEPS)
--- a/src/dotterelplank/cli.py
+++ b/src/dotterelplank/cli.py
@@ -16,11 +16,14 @@
     demo as demo_module,
     explain as explaining,
     logs,
+    order_soak,
     settings as settings_module,
+    soak as soaks,
 )
 from .agent import Agent
+from .benches import app as benches_app
 from .entry import Entry
-from .errors import ConfigurationError, InputError
+from .errors import ConfigurationError, InputError, InvariantError
 from .platform_client import parse_host_list
 from .selectors import Work
 from .settings import AgentSettings, EntrySettings
@@ -30,6 +33,7 @@
     help="Load balancer for expert-parallel model groups.", no_args_is_help=True
 )
 app.add_typer(standins_app, name="standin")
+app.add_typer(benches_app, name="bench")
 
 _BAD_INPUT = 2
 _CUT_OFF = 3
@@ -178,6 +182,36 @@
     typer.echo(response.data.decode(), nl=False)
 
 
+_SOAKS = {
+    "map-changes": (soaks.run_map_changes, soaks.missing),
+    "orders": (order_soak.run_orders, order_soak.missing),
+}
+
+
+@app.command()
+def soak(
+    seed: t.Annotated[int, typer.Option(help="Seed of the run.")] = 1,
+    steps: t.Annotated[int, typer.Option(help="Random steps of each model.")] = 200_000,
+) -> None:
+    """Run the models of the protocols under random faults; a seed replays exactly."""
+    is_whole = True
+    for name, (run, missing) in _SOAKS.items():
+        try:
+            reach = run(seed, steps)
+        except InvariantError as error:
+            typer.echo(f"{name}: broken promise: {error}", err=True)
+            raise typer.Exit(1) from error
+        unmet = missing(reach)
+        is_whole = is_whole and not unmet
+        typer.echo(f"{name}: seed {seed}, {steps} steps, no promise broken")
+        for what in sorted(reach):
+            typer.echo(f"  {what}: {reach[what]}")
+        for what in unmet:
+            typer.echo(f"  not reached: {what}", err=True)
+    if not is_whole:
+        raise typer.Exit(1)
+
+
 @app.command()
 def demo() -> None:
     """Run the whole path on loopback inside one process and check what comes out."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -57,6 +57,19 @@
         remaining = [item for item in value["endpoints"] if item["remains"]]
         self.assertEqual(16, len(remaining))
 
+    def test_soak_replays_a_seed_and_says_what_it_reached(self):
+        first = run("soak", "--seed", 3, "--steps", 4_000)
+        self.assertIn("map-changes: seed 3, 4000 steps, no promise", first.output)
+        self.assertIn("orders: seed 3, 4000 steps, no promise", first.output)
+        second = run("soak", "--seed", 3, "--steps", 4_000)
+        self.assertEqual(first.output, second.output)
+
+    def test_every_bench_explains_itself(self):
+        for name in ("path", "experts", "routing", "limits", "membership", "capacity"):
+            result = run("bench", name, "--help")
+            self.assertEqual(0, result.exit_code, name)
+            self.assertIn("--json", result.output)
+
     def test_explain_refuses_an_unknown_team(self):
         result = run(
             "explain",
