Propose a map only while every agent answers

Cause: with one agent dead before the proposal, the change was staged by all others and the whole group waited at the hold until that agent came back, though its rank was alive.

Also: an agent that finds a change staged when it starts asks the others at once, in place of after its patience and stagger.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -123,3 +123,9 @@
     logging.ERROR,
     "Another process gives orders to this agent's engine; this agent ends.",
 )
+PROPOSAL_UNANSWERED = _define(
+    409,
+    "proposal-unanswered",
+    logging.WARNING,
+    "A new map was not proposed since some agent of the group didn't answer.",
+)
--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/mapchange.py
@@ -9,13 +9,10 @@
 import typing as t
 
 from . import events
-from .ballots import Ballot, Change, ExpertMap
 from .errors import InvariantError
 from .mapjoin import choose_install
 from .mapmessages import (
     Ask,
-    Closed,
-    Closure,
     Command,
     EngineView,
     Event,
@@ -24,22 +21,23 @@
     OrderLost,
     Outcome,
     Participant,
+    Probe,
     Propose,
     Read,
     ReadDone,
     ReadLost,
+    Ready,
     Received,
     Stage,
-    StageOrder,
     Stale,
     Status,
     Stop,
     Tick,
     Vote,
 )
+from .mapproposals import on_probe, on_propose, on_ready, propose
 from .mapstate import (
     Policy,
-    Proposal,
     Quiet,
     State,
     Turn,
@@ -143,32 +141,6 @@
         raise InvariantError(f"{view.staged.ballot} was denied and is staged")
 
 
-def _on_propose(turn: Turn, event: Propose) -> None:
-    state = turn.state
-    view = state.view
-    if view is None or not _may_propose(turn, view, event):
-        turn.commands.append(Closed(None, Closure.REFUSED))
-        return
-    state.round += 1
-    ballot = Ballot(state.round, state.host, state.incarnation)
-    expert_map = ExpertMap(view.version + 1, event.payload)
-    change = Change(ballot, expert_map, view.step + turn.policy.lead_steps)
-    state.proposal = Proposal(change, {peer: state.known[peer] for peer in state.peers})
-    state.floor = ballot
-    give_order(turn, StageOrder(change))
-
-
-def _may_propose(turn: Turn, view: EngineView, event: Propose) -> bool:
-    return (
-        can_speak(turn)
-        and turn.state.settled
-        and turn.state.proposal is None
-        and view.staged is None
-        and view.committed is None
-        and view.version == event.base_version
-    )
-
-
 def _on_received(turn: Turn, event: Received) -> None:
     state = turn.state
     envelope = event.envelope
@@ -222,6 +194,7 @@
     else:
         close(turn, view)
         resolve(turn, view)
+        propose(turn, view)
     if can_speak(turn):
         answer_questions(turn, view)
 
@@ -292,7 +265,7 @@
     OrderLost: _on_order_lost,
     ReadDone: _on_read_done,
     ReadLost: _on_read_lost,
-    Propose: _on_propose,
+    Propose: on_propose,
 }
 
 _MESSAGE_HANDLERS: dict[type, t.Callable[[Turn, str, t.Any], None]] = {
@@ -303,4 +276,6 @@
     Ask: on_ask,
     Vote: on_vote,
     Outcome: on_outcome,
+    Probe: on_probe,
+    Ready: on_ready,
 }
--- a/src/dotterelplank/mapmessages.py
+++ b/src/dotterelplank/mapmessages.py
@@ -171,7 +171,27 @@
     highest_incarnation: int
 
 
-Message = t.Union[Stage, Ask, Vote, Outcome, Hello, Status, Stale]
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Ask an agent whether it is ready for a change.
+
+    :param number: names the question for its asker.
+    :param base_version: the version that the change starts from.
+    """
+
+    number: int
+    base_version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Ready:
+    """Answer a :class:`Probe`; the sender promises nothing."""
+
+    number: int
+    is_ready: bool
+
+
+Message = t.Union[Stage, Ask, Vote, Outcome, Hello, Status, Stale, Probe, Ready]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/dotterelplank/mapstate.py
+++ b/src/dotterelplank/mapstate.py
@@ -20,6 +20,7 @@
     Order,
     Outcome,
     Participant,
+    Propose,
     Report,
     Send,
     Status,
@@ -55,6 +56,21 @@
     near_steps: int = 3
 
 
+@dataclasses.dataclass
+class Draft:
+    """A proposal for which the agent asks the others whether they are ready.
+
+    :param number: names the question.
+    :param ready: the hosts that are.
+    """
+
+    number: int
+    event: Propose
+    since_ms: int
+    next_send_ms: int = 0
+    ready: set[str] = dataclasses.field(default_factory=set)
+
+
 @dataclasses.dataclass
 class Quiet:
     """A wait for the end of orders that may yet take effect.
@@ -123,6 +139,7 @@
     read_at_ms: int = 0
     view: EngineView | None = None
     tally: Tally | None = None
+    draft: Draft | None = None
     proposal: Proposal | None = None
     announce: Outcome | None = None
     questions: dict[str, Ask] = dataclasses.field(default_factory=dict)
@@ -203,6 +220,9 @@
     state.hello_at_ms = turn.now_ms
     state.tally = None
     state.announce = None
+    if state.draft is not None:
+        turn.commands.append(Closed(None, Closure.REFUSED))
+        state.draft = None
     if state.proposal is not None:
         ballot = state.proposal.change.ballot
         turn.commands.append(Closed(ballot, Closure.UNKNOWN))
--- a/src/dotterelplank/maptally.py
+++ b/src/dotterelplank/maptally.py
@@ -13,6 +13,7 @@
     """The votes that an agent has met on the ballot that its engine has staged.
 
     :param since_ms: when the agent first saw the ballot staged.
+    :param found: whether the ballot was staged before this process knew of it.
     :param next_send_ms: when to ask again those who haven't answered.
     :param answers: one valid answer a host.
     :param asked: whether the agent has begun to ask the others.
@@ -21,6 +22,7 @@
 
     ballot: Ballot
     since_ms: int
+    found: bool = False
     next_send_ms: int = 0
     answers: dict[str, Answer] = dataclasses.field(default_factory=dict)
     asked: bool = False
--- a/src/dotterelplank/mapvotes.py
+++ b/src/dotterelplank/mapvotes.py
@@ -110,7 +110,8 @@
         return
     tally = state.tally
     if tally is None or tally.ballot != staged.ballot:
-        tally = state.tally = Tally(staged.ballot, since_ms=turn.now_ms)
+        found = state.floor is None or staged.ballot > state.floor
+        tally = state.tally = Tally(staged.ballot, turn.now_ms, found)
         report(turn, events.MAP_STAGED, staged.ballot, staged.map.version)
     if not state.settled:
         return
@@ -134,7 +135,7 @@
     open_ms = turn.now_ms - tally.since_ms
     if is_own and open_ms < turn.policy.patience_ms:
         messages = _stages(t.cast(Proposal, proposal))
-    elif _is_overdue(turn, staged, open_ms):
+    elif _is_overdue(turn, tally, staged):
         messages = _asks(turn, tally, staged)
     else:
         return
@@ -153,13 +154,15 @@
     }
 
 
-def _is_overdue(turn: Turn, staged: Change, open_ms: int) -> bool:
+def _is_overdue(turn: Turn, tally: Tally, staged: Change) -> bool:
+    if tally.found:
+        return True
     state, policy = turn.state, turn.policy
     wait_ms = policy.stagger_ms * state.hosts.index(state.host)
     near_step = staged.hold_step - policy.near_steps
     if t.cast(EngineView, state.view).step < near_step:
         wait_ms += policy.patience_ms
-    return open_ms >= wait_ms
+    return turn.now_ms - tally.since_ms >= wait_ms
 
 
 def _asks(turn: Turn, tally: Tally, staged: Change) -> dict[str, Message]:
