Let the reports of an agent not grow with the entries

Now the interval grows with the entries from ten on: 40 reports a second from an agent, 74 a second into an entry at that size.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -130,7 +130,8 @@
             if own is not None and own.is_leaving:
                 self.state.is_leaving = True
         if now_ms >= self._next_report_ms:
-            self._next_report_ms = now_ms + defaults.REPORT_INTERVAL_MS
+            links = self.daemon.entry_links()
+            self._next_report_ms = now_ms + report_interval_ms(len(links))
             self._send_reports(now_ms)
 
     def _send_reports(self, now_ms: float) -> None:
@@ -268,6 +269,14 @@
             self._tell(job, results.DEADLINE_BEFORE_START)
 
 
+def report_interval_ms(entries: int) -> float:
+    """Return the time between two reports to each of ``entries`` entries.
+
+    It grows with them, so that what an agent sends in a second does not.
+    """
+    return max(defaults.REPORT_INTERVAL_MS, defaults.REPORT_SPACING_MS * entries)
+
+
 def _request_digest(submit: Submit) -> bytes:
     digest = hashlib.sha256()
     for part in (submit.target, submit.method, submit.path):
