Bring published expert maps into use through the agents of a group

Cause: the protocol was proved as a decision, but no process carried it out. An agent beside a rank takes part in the group that the configuration names; each agent proposes the published map, so two proposers at once are the usual case. Frames go over the links between agents; orders go to the rank one at a time. Ruled out: proposing by revision alone, since a restarted agent would then change the map for another of the same content.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -7,13 +7,15 @@
 
 from . import answers, defaults, events, jobs, ledger as ledgers, results
 from .answers import Ended, Job
+from .configuration import RankGroup
 from .daemon import Daemon
 from .endpoint_calls import EndpointClient, EndpointLoad
 from .errors import LinkClosedError, UpstreamError
 from .jobs import AgentState
 from .ledger import Ledger
 from .links import Handlers, Link
-from .messages import Cancel, Credit, Message, Report, Submit
+from .mapdriver import Hooks, MapDriver
+from .messages import Cancel, Credit, MapFrame, Message, Report, Submit
 from .results import Result
 from .settings import AgentSettings
 from .threads import WorkerPool, start_thread
@@ -40,6 +42,7 @@
         self._load = EndpointLoad()
         self._load_read_ms = now_ms
         self._report_sequence = 0
+        self._maps: MapDriver | None = None
         self._next_report_ms = now_ms
         self._idle = threading.Condition(self._lock)
 
@@ -107,6 +110,9 @@
                 job = self._jobs.get((link, request_id))
                 if job is not None:
                     job.add_credit(size_bytes)
+            case MapFrame():
+                if self._maps is not None:
+                    self._maps.on_frame(link, message)
             case _:
                 self.daemon.on_message(link, message)
 
@@ -134,6 +140,34 @@
             self._next_report_ms = now_ms + report_interval_ms(len(links))
             self._send_reports(now_ms)
 
+        self._drive_maps(now_ms)
+
+    def _drive_maps(self, now_ms: float) -> None:
+        """Take part in the rank group that the configuration names, if any."""
+        part = self.daemon.board.configuration
+        if part.configuration is None:
+            return
+        group = part.configuration.rank_group_of(self._settings.host)
+        if group is not None and self._maps is None:
+            self._maps = self._new_driver(group, part.revision)
+        if self._maps is None:
+            return
+        if group is not None and group is not self._maps.group:
+            self._maps.want(group, part.revision)
+        self._maps.on_tick(now_ms)
+
+    def _new_driver(self, group: RankGroup, revision: int) -> MapDriver:
+        daemon = self.daemon
+        return MapDriver(
+            self._settings.host,
+            daemon.identity.incarnation,
+            group,
+            revision,
+            self._client,
+            daemon.links,
+            Hooks(daemon.link_to, _now_ms, daemon.superseded.set),
+        )
+
     def _send_reports(self, now_ms: float) -> None:
         for link in self.daemon.entry_links():
             self._send_report(link, now_ms)
--- a/src/dotterelplank/cli.py
+++ b/src/dotterelplank/cli.py
@@ -37,6 +37,7 @@
 
 _BAD_INPUT = 2
 _CUT_OFF = 3
+_SUPERSEDED_CHECK_S = 0.2
 
 SettingsPath = t.Annotated[
     pathlib.Path, typer.Argument(help="Settings of the process.")
@@ -76,13 +77,15 @@
 
 
 def _run(daemon: Entry | Agent, ports: t.Callable[[], dict[str, int]]) -> None:
-    """Run until the first signal; further ones change nothing."""
+    """Run until the first signal, or until a newer process takes the host."""
     told_to_stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: told_to_stop.set())
     daemon.start()
     typer.echo(json.dumps(ports()))
-    told_to_stop.wait()
+    while not told_to_stop.wait(_SUPERSEDED_CHECK_S):
+        if daemon.daemon.superseded.is_set():
+            break
     if not daemon.stop():
         raise typer.Exit(_CUT_OFF)
 
--- a/src/dotterelplank/codec.py
+++ b/src/dotterelplank/codec.py
@@ -1,7 +1,7 @@
 """Typed messages as msgpack arrays, checked field by field when they are read.
 
 A message is an array: the number of its kind, then its fields in order. A field may
-be a plain value, an :class:`enum.IntEnum`, a data class (an array of its fields), a
+be a plain value, an enum, a data class (an array of its fields), a
 tuple of one type, or one of these or nothing.
 """
 
@@ -68,6 +68,8 @@
 def _plain(value: t.Any) -> t.Any:
     if dataclasses.is_dataclass(value):
         return [getattr(value, name) for name in _names(type(value))]
+    if isinstance(value, enum.Enum):
+        return value.value
     raise TypeError(f"met a {type(value).__name__}, expected a message field")
 
 
@@ -94,7 +96,7 @@
         return _tuple_decoder(hint, place)
     if dataclasses.is_dataclass(hint):
         return _fields_decoder(hint)
-    if issubclass(hint, enum.IntEnum):
+    if issubclass(hint, enum.Enum):
         return _enum_decoder(hint, place)
     if hint is float:
         return _number_decoder(place)
--- a/src/dotterelplank/configuration.py
+++ b/src/dotterelplank/configuration.py
@@ -105,6 +105,17 @@
     skew_weight: float = pydantic.Field(0.5, ge=0, le=1)
 
 
+class RankGroupModel(_Model):
+    """A group of ranks in lock-step, one host each, and the expert map they use.
+
+    :param hosts: the hosts of the group's ranks; they stay the same for its life.
+    """
+
+    name: Name
+    hosts: list[Name] = pydantic.Field(min_length=1, max_length=1024)
+    map: dict[str, t.Any]
+
+
 class ConfigurationModel(_Model):
     """The whole configuration as operators write it."""
 
@@ -113,6 +124,7 @@
     rules: list[RuleModel] = pydantic.Field(min_length=1)
     team_classes: list[TeamClassModel] = pydantic.Field(min_length=1)
     keys: list[KeyModel] = []
+    rank_groups: list[RankGroupModel] = []
     limits: LimitsModel = LimitsModel()
     policy: PolicyModel = PolicyModel()
 
@@ -128,6 +140,18 @@
     resumable: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class RankGroup:
+    """A group of ranks in lock-step.
+
+    :param hosts: sorted.
+    """
+
+    name: str
+    hosts: tuple[str, ...]
+    map: t.Mapping[str, t.Any]
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """Bounds that hold for every request."""
@@ -152,6 +176,14 @@
     teams_with_keys: frozenset[str]
     limits: Limits
     skew_weight: float
+    rank_groups: tuple[RankGroup, ...] = ()
+
+    def rank_group_of(self, host: str) -> RankGroup | None:
+        """Return the rank group that ``host`` belongs to, if any."""
+        for group in self.rank_groups:
+            if host in group.hosts:
+                return group
+        return None
 
 
 def parse(text: str) -> Configuration:
@@ -199,6 +231,7 @@
         path = f"rules[{index}].servers"
         yield from _selector_faults(path, rule.servers, model.labels)
     yield from _unreachable_rules(model)
+    yield from _rank_group_faults(model)
     for index, key in enumerate(model.keys):
         if key.team not in teams:
             yield InputError(f"keys[{index}].team", key.team, "a team of a class")
@@ -233,6 +266,20 @@
             return
 
 
+def _rank_group_faults(model: ConfigurationModel) -> t.Iterator[InputError]:
+    yield from _repeats("rank_groups", [item.name for item in model.rank_groups])
+    seen: set[str] = set()
+    for index, item in enumerate(model.rank_groups):
+        for place, host in enumerate(item.hosts):
+            if host in seen:
+                path = f"rank_groups[{index}].hosts[{place}]"
+                yield InputError(path, f"{host} again", "each host in one group")
+            seen.add(host)
+        if "revision" in item.map:
+            path = f"rank_groups[{index}].map.revision"
+            yield InputError(path, "a value", "none; it is set from the revision")
+
+
 def _selector_faults(
     path: str, model: SelectorModel, labels: t.Mapping[str, list[str]]
 ) -> t.Iterator[InputError]:
@@ -303,6 +350,10 @@
         teams_with_keys=frozenset(item.team for item in model.keys),
         limits=limits,
         skew_weight=model.policy.skew_weight,
+        rank_groups=tuple(
+            RankGroup(item.name, tuple(sorted(item.hosts)), item.map)
+            for item in model.rank_groups
+        ),
     )
 
 
--- a/src/dotterelplank/daemon.py
+++ b/src/dotterelplank/daemon.py
@@ -196,6 +196,14 @@
                 lambda: host in self.board.peers, timeout_ms / 1000
             )
 
+    def link_to(self, host: str) -> Link | None:
+        """Return a link to ``host``, or ``None`` after beginning to dial it."""
+        part = self.board.peers.get(host)
+        if part is None:
+            self.dial(host)
+            return None
+        return part.link
+
     def part_of(self, host: str) -> PeerPart:
         """Return the linked peer ``host``.
 
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -47,6 +47,7 @@
             event.level, event.name, extra={"event": event, "event_fields": fields}
         )
 
+
 # 100: processes
 PROCESS_STARTED = _define(
     100, "process-started", logging.INFO, "A daemon serves from now on."
@@ -124,6 +125,17 @@
     "A read of the configuration service or the host list failed.",
 )
 
+# 160: expert maps in the agent
+RANK_GROUP_CHANGED = _define(
+    160,
+    "rank-group-changed",
+    logging.ERROR,
+    "The hosts of a rank group differ from those at the start; they stay as they were.",
+)
+PROPOSAL_CLOSED = _define(
+    161, "proposal-closed", logging.INFO, "A proposed expert map came to its end here."
+)
+
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
     200, "revision-adopted", logging.INFO, "A newer revision is in force here."
--- /dev/null
+++ b/src/dotterelplank/maporders.py
@@ -0,0 +1,170 @@
+"""The orders of the map change protocol as a rank's HTTP interface takes them."""
+
+import dataclasses
+import json
+import typing as t
+
+import pydantic
+
+from . import defaults, mapmessages
+from .ballots import Ballot, Change, ExpertMap
+from .endpoint_calls import Call, EndpointClient
+from .errors import UpstreamError
+from .mapmessages import (
+    Action,
+    EngineView,
+    InstallOrder,
+    Order,
+    Refusal,
+    ResolveOrder,
+    StageOrder,
+)
+from .messages import Header
+
+_REFUSAL_BY_REASON = {
+    "passed": Refusal.PASSED,
+    "staged": Refusal.STAGED,
+    "fence": Refusal.FENCE,
+    "unknown": Refusal.UNKNOWN,
+    "resolved": Refusal.UNKNOWN,
+    "has_map": Refusal.MAP,
+    "no_map": Refusal.MAP,
+}
+_JSON = (Header("Content-Type", "application/json"),)
+
+
+class _MapModel(pydantic.BaseModel):
+    map_version: int
+    map: dict[str, t.Any]
+
+
+class _ChangeModel(_MapModel):
+    ballot: tuple[int, str, int]
+    hold_step: int
+
+
+class _ViewModel(pydantic.BaseModel):
+    step: int
+    map: _MapModel | None
+    staged: _ChangeModel | None
+    committed: _ChangeModel | None
+    highest_fence: int
+
+
+class _RefusalModel(pydantic.BaseModel):
+    reason: str
+
+
+def payload_of(value: t.Mapping[str, t.Any]) -> bytes:
+    """Return a map as the bytes that agents compare and pass on."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+@dataclasses.dataclass(frozen=True)
+class PublishedMap:
+    """A map, and the configuration revision that it was published with.
+
+    :param revision: 0 for a map that the engine brought itself.
+    """
+
+    revision: int
+    value: t.Mapping[str, t.Any]
+
+
+def published_map(payload: bytes) -> PublishedMap:
+    """Return what ``payload`` holds."""
+    value = json.loads(payload)
+    revision = value.pop("revision", 0)
+    return PublishedMap(revision, value)
+
+
+def read(client: EndpointClient) -> EngineView:
+    """Return what the rank reports of its maps.
+
+    :raises UpstreamError: if it can't be read.
+    """
+    call = Call("GET", "/v1/rank/maps", (), b"", defaults.MAP_CALL_TIMEOUT_MS, True)
+    with client.opened(call) as response:
+        data = response.read()
+        if response.status != 200:
+            raise UpstreamError(f"the rank answered {response.status}", sent=True)
+    try:
+        model = _ViewModel.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        raise UpstreamError(str(error), sent=True) from error
+    return EngineView(
+        model.step,
+        None if model.map is None else _map(model.map),
+        None if model.staged is None else _change(model.staged),
+        None if model.committed is None else _change(model.committed),
+        model.highest_fence,
+    )
+
+
+def _map(model: _MapModel) -> ExpertMap:
+    return ExpertMap(model.map_version, payload_of(model.map))
+
+
+def _change(model: _ChangeModel) -> Change:
+    return Change(Ballot(*model.ballot), _map(model), model.hold_step)
+
+
+def give(client: EndpointClient, order: Order) -> Refusal | None:
+    """Give the rank an order and return why it was refused, or ``None``.
+
+    :raises UpstreamError: if no answer came; the order may still take effect.
+    """
+    body = json.dumps({"fence": order.fence, **_fields(order.action)}).encode()
+    # A connection of its own: urllib3 must not send an order twice.
+    timeout_ms = defaults.MAP_CALL_TIMEOUT_MS
+    call = Call("POST", "/v1/orders", _JSON, body, timeout_ms, False)
+    with client.opened(call) as response:
+        data = response.read()
+        status = response.status
+    if status == 200:
+        return None
+    try:
+        return _REFUSAL_BY_REASON[_RefusalModel.model_validate_json(data).reason]
+    except (pydantic.ValidationError, KeyError) as error:
+        raise UpstreamError(f"the rank answered {status}", sent=True) from error
+
+
+def _fields(action: Action) -> dict[str, t.Any]:
+    match action:
+        case StageOrder(change):
+            return {"kind": "map_stage", **_change_fields(change)}
+        case ResolveOrder(ballot, commit):
+            return {
+                "kind": "map_resolve",
+                "ballot": _ballot_fields(ballot),
+                "commit": commit,
+            }
+        case InstallOrder(expert_map, change, committed):
+            fields = {"kind": "map_install", **_map_fields(expert_map)}
+            if change is not None:
+                fields["change"] = _change_fields(change)
+                fields["committed"] = committed
+            return fields
+    raise TypeError(f"no such order: {action!r}")
+
+
+def _map_fields(expert_map: ExpertMap) -> dict[str, t.Any]:
+    return {
+        "map_version": expert_map.version,
+        "map": json.loads(expert_map.payload),
+    }
+
+
+def _change_fields(change: Change) -> dict[str, t.Any]:
+    return {
+        "ballot": _ballot_fields(change.ballot),
+        "hold_step": change.hold_step,
+        **_map_fields(change.map),
+    }
+
+
+def _ballot_fields(ballot: Ballot) -> list[t.Any]:
+    return [ballot.round, ballot.host, ballot.incarnation]
+
+
+MESSAGE_KINDS = t.get_args(mapmessages.Message)
--- a/src/dotterelplank/messages.py
+++ b/src/dotterelplank/messages.py
@@ -176,6 +176,18 @@
     document: Document
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MapFrame:
+    """Carries a message about the expert map between agents of a group.
+
+    :param incarnation: the sender's, as the map change protocol counts it.
+    :param body: the packed message.
+    """
+
+    incarnation: int
+    body: bytes
+
+
 _KINDS: tuple[type, ...] = (
     Hello,
     Proof,
@@ -190,6 +202,7 @@
     TextAsk,
     TextAnswer,
     TextDecline,
+    MapFrame,
 )
 _CODEC = Codec(_KINDS)
 
@@ -207,6 +220,7 @@
     | TextAsk
     | TextAnswer
     | TextDecline
+    | MapFrame
 )
 
 
--- a/src/dotterelplank/settings.py
+++ b/src/dotterelplank/settings.py
@@ -76,10 +76,11 @@
     """The settings of an agent.
 
     :param endpoint_url: the engine or plain service beside it.
+    :param endpoint_kind: ``rank`` for a rank that takes orders but no requests.
     """
 
     endpoint_url: str = pydantic.Field(pattern=r"^http://")
-    endpoint_kind: t.Literal["model", "service"]
+    endpoint_kind: t.Literal["model", "service", "rank"]
     slots: int = pydantic.Field(defaults.AGENT_SLOTS, ge=1, le=4096)
 
 
--- a/src/dotterelplank/standin_rank.py
+++ b/src/dotterelplank/standin_rank.py
@@ -32,16 +32,21 @@
     fence: int = pydantic.Field(ge=0, lt=2**63)
 
 
-class StageOrder(_Order):
-    """Stage a map, and hold the rank before ``hold_step`` until it is resolved."""
+class Change(shell.StrictModel):
+    """A map, and the first step in which it is used if its ballot is committed."""
 
-    kind: t.Literal["map_stage"]
     ballot: Ballot
     map_version: int
     map: ExpertMap
     hold_step: int = pydantic.Field(ge=1)
 
 
+class StageOrder(_Order, Change):
+    """Stage a map, and hold the rank before ``hold_step`` until it is resolved."""
+
+    kind: t.Literal["map_stage"]
+
+
 class ResolveOrder(_Order):
     """Use the staged map from its ``hold_step`` on, or drop it."""
 
@@ -51,11 +56,17 @@
 
 
 class InstallOrder(_Order):
-    """Give a map to a rank that has none."""
+    """Give a map to a rank that has none.
+
+    :param change: what the group has staged or committed and not yet begun.
+    :param committed: whether ``change`` is committed.
+    """
 
     kind: t.Literal["map_install"]
     map_version: int
     map: ExpertMap
+    change: Change | None = None
+    committed: bool = False
 
 
 RankOrder = t.Annotated[
@@ -111,6 +122,22 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RankMaps:
+    """All maps that a rank holds, and how far it has come.
+
+    :param map: the map in use, None without one.
+    :param staged: a change whose ballot is unresolved.
+    :param committed: a change that is resolved and whose first step is ahead.
+    """
+
+    step: int
+    map: VersionedMap | None
+    staged: Change | None
+    committed: Change | None
+    highest_fence: int
+
+
 class Rank:
     """One rank; what it holds is lost when it is replaced."""
 
@@ -123,9 +150,9 @@
         self.step = 0
         self.step_ms = 0.0
         self.current: VersionedMap | None = None
-        self.staged: StageOrder | None = None
+        self.staged: Change | None = None
         self.resolved: ResolveOrder | None = None
-        self.committed: dict[int, VersionedMap] = {}
+        self.committed: dict[int, Change] = {}
         self.tokens_by_expert = [0.0] * experts
         self.orders: OrderDesk[RankOrder] = OrderDesk(refuses_old_fences, self._execute)
 
@@ -141,7 +168,8 @@
         """Begin a step, with the map that was committed for it."""
         for hold_step in sorted(self.committed):
             if hold_step <= step:
-                self.current = self.committed.pop(hold_step)
+                change = self.committed.pop(hold_step)
+                self.current = VersionedMap(change.map_version, change.map)
         self.step = step
 
     def report(self) -> RankReport:
@@ -159,6 +187,13 @@
             incarnation=self.incarnation,
         )
 
+    def maps(self) -> RankMaps:
+        """Return the maps that the rank holds."""
+        ahead = self.committed[min(self.committed)] if self.committed else None
+        return RankMaps(
+            self.step, self.current, self.staged, ahead, self.orders.highest_fence
+        )
+
     def halted(self) -> bool:
         """Return whether a fault keeps the rank from ending its step."""
         return self.faults.stalled or self.faults.freeze
@@ -193,7 +228,7 @@
         if self.step >= order.hold_step:
             message = f"hold_step: met {order.hold_step}, the rank is at {self.step}"
             raise _conflict(shell.Code.PASSED, "passed", message)
-        self.staged = order
+        self.staged = Change.model_validate(order.model_dump(exclude={"fence", "kind"}))
 
     def _resolve(self, order: ResolveOrder) -> None:
         if self.staged is not None and self.staged.ballot == order.ballot:
@@ -206,10 +241,9 @@
             message = f"the ballot was resolved with commit {self.resolved.commit}"
             raise _conflict(shell.Code.RESOLVED, "resolved", message)
 
-    def _settle(self, staged: StageOrder, order: ResolveOrder) -> None:
+    def _settle(self, staged: Change, order: ResolveOrder) -> None:
         if order.commit:
-            versioned = VersionedMap(staged.map_version, staged.map)
-            self.committed[staged.hold_step] = versioned
+            self.committed[staged.hold_step] = staged
         self.staged = None
         self.resolved = order
 
@@ -217,9 +251,15 @@
         if self.current is not None:
             raise _conflict(shell.Code.HAS_MAP, "has_map", "the rank has a map")
         self.current = VersionedMap(order.map_version, order.map)
+        if order.change is None:
+            return
+        if order.committed:
+            self.committed[order.change.hold_step] = order.change
+        else:
+            self.staged = order.change
 
 
-def _staged_report(staged: StageOrder | None) -> StagedReport | None:
+def _staged_report(staged: Change | None) -> StagedReport | None:
     if staged is None:
         return None
     return StagedReport(staged.ballot, staged.map_version, staged.hold_step)
--- a/src/dotterelplank/standin_ranks_http.py
+++ b/src/dotterelplank/standin_ranks_http.py
@@ -9,7 +9,14 @@
 from . import events, standin_http as shell
 from .errors import StandinRefusalError
 from .standin_popularity import Popularity
-from .standin_rank import RankFaults, RankOrder, RankReport, StageOrder, VersionedMap
+from .standin_rank import (
+    RankFaults,
+    RankMaps,
+    RankOrder,
+    RankReport,
+    StageOrder,
+    VersionedMap,
+)
 from .standin_ranks import GroupReport, GroupSettings, RankGroup
 from .standin_steps import Stepping, driven
 
@@ -49,6 +56,12 @@
             raise StandinRefusalError(404, shell.Code.NO_MAP, message, reason="no_map")
         return current
 
+    def maps(self, number: int) -> RankMaps:
+        """Return the maps that a rank holds, once it isn't frozen."""
+        with self._thawed(number) as now_ms:
+            self.group.report(number, now_ms)
+            return self.group.rank(number).maps()
+
     def group_report(self) -> GroupReport:
         """Return the state of the group."""
         with self._acting() as now_ms:
@@ -116,6 +129,9 @@
     def current_map(_request: shell.Request) -> shell.Response:
         return shell.reply(ranks.current_map(number))
 
+    def maps(_request: shell.Request) -> shell.Response:
+        return shell.reply(ranks.maps(number))
+
     def order(request: shell.Request) -> shell.Response:
         checked = request.read_as(rank_order)
         ranks.order(request, number, checked)
@@ -140,6 +156,7 @@
     return [
         shell.Route("GET", "/v1/rank", report),
         shell.Route("GET", "/v1/rank/map", current_map),
+        shell.Route("GET", "/v1/rank/maps", maps),
         shell.Route("POST", "/v1/orders", order),
         shell.Route("GET", "/control/group", group_report),
         shell.Route("POST", "/control/ranks/{rank}/faults", change_rank),
--- /dev/null
+++ b/tests/test_mapdriver.py
@@ -0,0 +1,129 @@
+"""Expert maps of real ranks, changed through real agents under failure."""
+
+import contextlib
+import json
+import signal
+
+import testtools
+from processes import CONFIGURATION, Place, pool, system, wait_until
+
+HOSTS = ("rank-1", "rank-2", "rank-3")
+SPREAD = {"experts_by_rank": [[0, 1], [2, 3], [4, 5]]}
+SWAPPED = {"experts_by_rank": [[4, 5], [0, 1], [2, 3]]}
+THIRD = {"experts_by_rank": [[0, 5], [1, 4], [2, 3]]}
+SETTINGS = {"ranks": 3, "experts": 6, "base_step_ms": 5.0, "map_version": None}
+
+
+def configuration(expert_map):
+    group = {"name": "drafting", "hosts": list(HOSTS), "map": expert_map}
+    return json.dumps({**CONFIGURATION, "rank_groups": [group]})
+
+
+class MapDriverTests(testtools.TestCase):
+    def start(self, **settings):
+        context = system()
+        self.made = context.__enter__()
+        self.addCleanup(context.__exit__, None, None, None)
+        made = self.made
+        made.ready(made.standin("platform", "platform"))
+        options = json.dumps({**SETTINGS, **settings})
+        made.ready(made.standin("group", "ranks", "--settings", options))
+        self.publish(SPREAD)
+        # An entry, since agents exchange heartbeats through entries.
+        made.ready(made.entry(Place("entry-1", "fd-1")))
+        for host in HOSTS:
+            self.start_agent(host)
+        made.publish_hosts()
+        self.wait_for(SPREAD)
+
+    def start_agent(self, host):
+        number = HOSTS.index(host)
+        url = "http://" + self.made.processes["group"].ports["ranks"][number]
+        agent = self.made.agent(
+            Place(host, "fd-1", "drafting"), "group", "rank", endpoint_url=url
+        )
+        self.made.ready(agent)
+
+    def publish(self, expert_map):
+        text = configuration(expert_map)
+        self.made.control("platform", "configuration", {"text": text})
+
+    def maps(self):
+        for address in self.made.processes["group"].ports["ranks"]:
+            response = pool.request("GET", f"http://{address}/v1/rank/maps")
+            yield response.json()
+
+    def group(self):
+        return self.made.read("group", "group")
+
+    def is_used(self, expert_map):
+        wanted = expert_map["experts_by_rank"]
+        return all(
+            (one["map"] or {}).get("map", {}).get("experts_by_rank") == wanted
+            for one in self.maps()
+        )
+
+    def wait_for(self, expert_map):
+        wait_until(lambda: self.is_used(expert_map), what="the map at all ranks")
+        steps = self.group()["steps"]
+        wait_until(lambda: self.group()["steps"] > steps + 5, what="further steps")
+
+    def tearDown(self):
+        # The promise itself: no step ran on two maps, whatever was done.
+        self.assertEqual(0, self.group()["violations"])
+        self.assertGreater(self.group()["steps"], 0)
+        super().tearDown()
+
+    def test_a_published_map_is_used_by_all_ranks_from_one_step_on(self):
+        self.start()
+        self.publish(SWAPPED)
+        self.wait_for(SWAPPED)
+
+    def test_agents_killed_and_replaced_during_changes(self):
+        self.start()
+        for number, expert_map in enumerate((SWAPPED, THIRD, SPREAD)):
+            self.publish(expert_map)
+            host = HOSTS[number]
+            self.made.processes[host].kill()
+            self.start_agent(host)
+            self.made.publish_hosts()
+            self.wait_for(expert_map)
+
+    def test_a_rank_that_was_replaced_learns_the_map_from_its_group(self):
+        self.start()
+        self.publish(SWAPPED)
+        self.wait_for(SWAPPED)
+        address = self.made.processes["group"].ports["ranks"][1]
+        pool.request("POST", f"http://{address}/control/ranks/1/replace", json={})
+        self.wait_for(SWAPPED)
+
+    def test_an_agent_frozen_in_a_change_and_woken_after_the_next(self):
+        self.start()
+        frozen = self.made.processes["rank-2"]
+        frozen.signal(signal.SIGSTOP)
+        self.publish(SWAPPED)
+        steps = self.group()["steps"]
+        wait_until(lambda: self.group()["steps"] > steps + 50, what="steps go on")
+        frozen.signal(signal.SIGCONT)
+        self.wait_for(SWAPPED)
+
+    def test_steps_and_changes_go_on_without_the_platform(self):
+        self.start()
+        self.publish(SWAPPED)
+        self.wait_for(SWAPPED)
+        self.made.processes["platform"].kill()
+        steps = self.group()["steps"]
+        wait_until(lambda: self.group()["steps"] > steps + 50, what="steps go on")
+
+    def test_a_late_order_and_an_engine_that_ignores_fencing(self):
+        self.start(refuses_old_fences=False)
+        address = self.made.processes["group"].ports["ranks"][0]
+        url = f"http://{address}/control/ranks/0/faults"
+        pool.request("POST", url, json={"order_delay_ms": 300})
+        self.publish(SWAPPED)
+        with contextlib.suppress(Exception):
+            wait_until(lambda: self.is_used(SWAPPED), bound_s=0.5)
+        self.made.processes["rank-1"].kill()
+        self.start_agent("rank-1")
+        self.made.publish_hosts()
+        self.wait_for(SWAPPED)
