Believe a notice of death where the endpoint was heard a little later

Cause: an entry that had a full heartbeat after the watchers' last short one took its own word for newer, ignored the notice and used the dead endpoint until the lease ended (2,640 ms at 200 processes, 2,900 ms at 1,200; target 1,000 ms). It now stops using the endpoint and probes it; a live one is back after one round trip. Red first: test_notice_of_a_death_ends_use_even_where_it_was_heard_a_little_later failed with 'assert not True' before.

--- a/src/dotterelplank/member_watch.py
+++ b/src/dotterelplank/member_watch.py
@@ -41,7 +41,8 @@
         if member.status > MemberStatus.SUSPECT:
             continue
         if silence_ms(turn, member) < overdue_ms(member, turn.policy):
-            _quiet(member)
+            if member.status is MemberStatus.ALIVE:
+                _quiet(member)
         elif turn.now_ms >= member.next_probe_ms:
             _press(turn, member)
 
@@ -271,10 +272,22 @@
         return
     slack_ms = turn.policy.slack_ms
     last_ms = turn.now_ms - notice.unheard_ms + slack_ms
+    if member.status > MemberStatus.SUSPECT:
+        return
     if member.heard_ms is not None and member.heard_ms > last_ms:
+        _doubt(turn, member, notice.host)
         return
-    if member.status <= MemberStatus.SUSPECT:
-        settle(turn, member, MemberStatus.DEAD)
+    settle(turn, member, MemberStatus.DEAD)
+
+
+def _doubt(turn: Turn, member: Member, accuser: str) -> None:
+    # Heard here after its watchers heard it last: out of use until it answers.
+    member.accusers[accuser] = turn.now_ms
+    member.checked = True
+    settle(turn, member, MemberStatus.SUSPECT)
+    if turn.now_ms >= member.next_probe_ms:
+        member.next_probe_ms = turn.now_ms + turn.policy.probe_interval_ms
+        probe(turn, member)
 
 
 def _hear_leaving(turn: Turn, member: Member, notice: Notice) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -150,6 +150,18 @@
     assert rest == list(upcoming)
 
 
+def test_notice_of_a_death_ends_use_even_where_it_was_heard_a_little_later():
+    state = entry()
+    feed(1_000, state, beat(1, 2_000, watch=False))
+    dead = mm.Notice("en-1", AGENT.host, 5, mm.MemberStatus.DEAD, 900)
+    commands = feed(1_700, state, mm.NoticeHeard(dead))
+    assert not usable(1_700, state)
+    probed = next(c for c in commands if isinstance(c, mm.SendProbe))
+    answer = beat(2, 2_701, watch=False, echo=probed.nonce)
+    feed(1_702, state, answer)
+    assert usable(1_702, state)
+
+
 def test_seeds_are_peers_until_a_host_list_is_in_force():
     state = membership.start(0, OWN, 1, seed=1)
     feed(0, state, mm.PeersSeeded((AGENT, OTHER, OWN)))
