Tell a death three times

Cause: the first of two watchers to confirm told the other, so that each entry got one notice only. At 1% loss one entry of 40 missed it in 1 of 24 deaths and used the dead endpoint for 2,560 ms, until its lease ended. The confirming watcher now tells it three times, 50 ms apart.

Ruled out: every watcher telling it, three times the traffic of a rack's loss without a bound on it.

--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -28,6 +28,7 @@
     :param agent_watch_ms: period of an agent's heartbeats to its watchers.
     :param agent_mesh_ms: period in which an agent reaches each entry of its domain.
     :param offer_period: rounds of full heartbeats of which one carries an offer.
+    :param death_notices: how often a death is told, since each may be lost.
     :param misses: heartbeats that may be missed before a watcher probes.
     :param lease_ms: how old a sign of life may be for new work to be given.
     :param follow_lease_ms: the same for an endpoint of another domain.
@@ -48,6 +49,7 @@
     slack_ms: int = 60
     probes: int = 3
     probe_interval_ms: int = 50
+    death_notices: int = 3
     lease_ms: int = 2_900
     lease_probe_ms: int = 2_600
     lease_scan_ms: int = 100
@@ -87,6 +89,7 @@
     :param followed: whether it is of another domain and this entry wants to use it.
     :param checked: whether a peer's suspicion made this process probe it.
     :param withdrawn: whether the host list takes it out of use.
+    :param notices_left: how often its death is still to be told.
     :param unlisted_ms: since when the host list doesn't show it, if it doesn't.
     """
 
@@ -107,6 +110,8 @@
     usable: bool = False
     probes: int = 0
     next_probe_ms: int = 0
+    notices_left: int = 0
+    next_notice_ms: int = 0
     accusers: dict[str, int] = dataclasses.field(default_factory=dict)
     corrected_ms: int | None = None
 
--- a/src/dotterelplank/member_watch.py
+++ b/src/dotterelplank/member_watch.py
@@ -36,6 +36,8 @@
 def judge_watched(turn: Turn) -> None:
     """Probe those that this entry watches and doesn't hear; suspect the silent."""
     for member in turn.state.members.values():
+        if member.notices_left:
+            _repeat_notice(turn, member)
         if not (member.watched or member.checked):
             continue
         if member.status > MemberStatus.SUSPECT:
@@ -47,6 +49,13 @@
             _press(turn, member)
 
 
+def _repeat_notice(turn: Turn, member: Member) -> None:
+    if member.status is not MemberStatus.DEAD:
+        member.notices_left = 0
+    elif turn.now_ms >= member.next_notice_ms:
+        _spread_death(turn, member)
+
+
 def _quiet(member: Member) -> None:
     member.probes = 0
     member.checked = False
@@ -122,10 +131,13 @@
     if len(accusers) < min(turn.policy.accusers, len(judges)):
         return
     settle(turn, member, MemberStatus.DEAD)
+    member.notices_left = turn.policy.death_notices
     _spread_death(turn, member)
 
 
 def _spread_death(turn: Turn, member: Member) -> None:
+    member.notices_left -= 1
+    member.next_notice_ms = turn.now_ms + turn.policy.probe_interval_ms
     hosts = tuple(
         host
         for host, other in turn.state.members.items()
--- a/src/dotterelplank/membership.py
+++ b/src/dotterelplank/membership.py
@@ -129,6 +129,7 @@
         member.received_ms = turn.now_ms
         member.next_probe_ms = turn.now_ms
         member.corrected_ms = None
+        member.next_notice_ms = turn.now_ms
     _judge_afresh(turn)
     state.started_ms = min(state.started_ms, turn.now_ms)
     state.mesh_ms = turn.now_ms
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -61,8 +61,9 @@
     suspected = mm.Notice("en-1", AGENT.host, 5, mm.MemberStatus.SUSPECT, 800)
     commands = feed(910, state, mm.NoticeHeard(suspected))
     assert status(state) is mm.MemberStatus.DEAD
-    told = [c for c in commands if isinstance(c, mm.SendNotice)]
-    assert told[-1].notice.status is mm.MemberStatus.DEAD
+    commands += run_ticks(state, 950, 1_100)
+    told = [c.notice.status for c in commands if isinstance(c, mm.SendNotice)]
+    assert told.count(mm.MemberStatus.DEAD) == POLICY.death_notices
 
 
 def test_woken_process_judges_nobody_by_its_own_pause():
@@ -152,7 +153,9 @@
 
 def test_notice_of_a_death_ends_use_even_where_it_was_heard_a_little_later():
     state = entry()
+    run_ticks(state, 50, 950)
     feed(1_000, state, beat(1, 2_000, watch=False))
+    run_ticks(state, 1_000, 1_650)
     dead = mm.Notice("en-1", AGENT.host, 5, mm.MemberStatus.DEAD, 900)
     commands = feed(1_700, state, mm.NoticeHeard(dead))
     assert not usable(1_700, state)
