Don't take a predecessor's late message for a clock set back

Cause: an agent was told the highest incarnation met whenever a late message of its predecessor arrived, took it as a sign that its own was too low and began a new one, which ended its proposal and its votes. The answer now names the incarnation that sent the message.

--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/mapchange.py
@@ -149,7 +149,7 @@
     known = state.known.get(envelope.host, 0)
     if envelope.incarnation < known:
         if not isinstance(envelope.message, Stale):
-            send(turn, envelope.host, Stale(known))
+            send(turn, envelope.host, Stale(envelope.incarnation, known))
         return
     fence_peer(state, Participant(envelope.host, envelope.incarnation))
     handler = _MESSAGE_HANDLERS[type(envelope.message)]
@@ -172,7 +172,8 @@
 
 
 def _on_stale(turn: Turn, host: str, message: Stale) -> None:
-    if message.highest_incarnation >= turn.state.incarnation:
+    # The message may have come from a predecessor.
+    if message.incarnation == turn.state.incarnation:
         _raise_incarnation(turn, message.highest_incarnation)
 
 
--- a/src/dotterelplank/mapmessages.py
+++ b/src/dotterelplank/mapmessages.py
@@ -166,8 +166,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Stale:
-    """Tell the sender of a message that a higher incarnation of it was met."""
+    """Tell the sender of a message that a higher incarnation of it was met.
 
+    :param incarnation: the one that sent the message.
+    """
+
+    incarnation: int
     highest_incarnation: int
 
 
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -268,10 +268,17 @@
     Break(
         "a clock set back is not noticed",
         "mapchange",
-        "if message.highest_incarnation >= turn.state.incarnation:",
+        "if message.incarnation == turn.state.incarnation:",
         "if False:",
         f"{ORDER}::test_clock_set_back_raises_the_incarnation",
     ),
+    Break(
+        "a predecessor's late message raises the incarnation",
+        "mapchange",
+        "if message.incarnation == turn.state.incarnation:",
+        "if message.highest_incarnation >= turn.state.incarnation:",
+        f"{ORDER}::test_late_message_of_the_predecessor_does_not_raise_the_incarnation",
+    ),
     Break(
         "only a hello of an old incarnation is answered",
         "mapchange",
--- a/tests/test_mapchange.py
+++ b/tests/test_mapchange.py
@@ -352,17 +352,22 @@
 
     def test_clock_set_back_raises_the_incarnation(self):
         driver = Driver(IDLE)
-        commands = driver.hear("b", Stale(30))
+        commands = driver.hear("b", Stale(10, 30))
         self.assertEqual(31, driver.state.incarnation)
         reported = [one.event for one in commands if isinstance(one, Report)]
         self.assertEqual([events.INCARNATION_RAISED], reported)
         self.assertEqual(2, len(sent(commands, Hello)))
 
+    def test_late_message_of_the_predecessor_does_not_raise_the_incarnation(self):
+        driver = settled(IDLE)
+        driver.hear("b", Stale(9, 10))
+        self.assertEqual(10, driver.state.incarnation)
+
     def test_older_incarnation_is_told_the_higher_one(self):
         driver = settled(IDLE)
         for message in (Hello((Participant("b", 9),)), Ask(BALLOT, 2)):
             commands = driver.hear("b", message, 9)
-            self.assertEqual([Stale(10)], sent(commands, Stale))
+            self.assertEqual([Stale(9, 10)], sent(commands, Stale))
 
 
 class Script:
