Put real processes behind proxies, and cut callers that hold every thread

Datagrams pass by a relay beside each proxy, since the proxy carries TCP only; both ends of a stream are proxied because either may have dialled.

Fault found: 30 connections that send half a request, or half a body, kept an entry of 6 threads from answering anybody: both tests ended in a read time-out after 30 s. Cause: a pool thread reads a request for as long as the caller likes, 10 s for each byte, and a slow body also held a place among the requests in progress. Ruled out: the refusing threads, which help only once a request was read. Now the body is read before the application is called, and while every thread is in use a caller that has sent for longer than read_bound_ms (2 s) is cut off. After: both answered, 4.8 and 5.1 s with the start of the processes. Not mended: as many callers as there are threads still cost others up to that bound for each round.

--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -89,6 +89,7 @@
                 str(self._settings.address),
                 self._settings.caller_port,
                 threads,
+                self._settings.read_bound_ms,
             )
         )
 
--- a/src/dotterelplank/http_server.py
+++ b/src/dotterelplank/http_server.py
@@ -1,23 +1,94 @@
 """Serving HTTP through cheroot, with the connection at hand and bounds on input."""
 
 import contextlib
+import io
 import select
 import socket
 import threading
+import time
 import typing as t
 
+import cheroot.server
 import cheroot.wsgi
 
 from . import defaults
+from .threads import start_thread
 
 CONNECTION_KEY = "dotterelplank.connection"
+_LOOKS_PER_BOUND = 4
 
 StartResponse = t.Callable[[str, list[tuple[str, str]]], t.Any]
 Application = t.Callable[[dict[str, t.Any], StartResponse], t.Iterable[bytes]]
 
 
+class _Readers:
+    """The connections whose request is being read, each by a thread of the pool."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._started_ms: dict[socket.socket, float] = {}
+
+    def begin(self, connection: socket.socket) -> None:
+        """Note that a thread begins to read from ``connection``."""
+        with self._lock:
+            self._started_ms[connection] = _now_ms()
+
+    def end(self, connection: socket.socket) -> None:
+        """Note that the request was read, or given up."""
+        with self._lock:
+            self._started_ms.pop(connection, None)
+
+    def cut_overdue(self, bound_ms: float) -> None:
+        """Cut off the callers that have been sending for more than ``bound_ms``."""
+        with self._lock:
+            for connection in overdue(_now_ms(), self._started_ms, bound_ms):
+                with contextlib.suppress(OSError):
+                    connection.shutdown(socket.SHUT_RDWR)
+
+
+_C = t.TypeVar("_C")
+
+
+def overdue(
+    now_ms: float, started_ms: t.Mapping[_C, float], bound_ms: float
+) -> list[_C]:
+    """Return the connections whose reading began more than ``bound_ms`` ago."""
+    return [
+        connection
+        for connection, since_ms in started_ms.items()
+        if now_ms - since_ms > bound_ms
+    ]
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    """Tells the readers for how long its request is being read."""
+
+    def communicate(self) -> bool:
+        sock = self.socket
+        self.server.readers.begin(sock)
+        try:
+            return super().communicate()
+        finally:
+            self.server.readers.end(sock)
+
+
 class _Gateway(cheroot.wsgi.Gateway_10):
-    """Adds the caller's socket to the environment, to see whether it is still there."""
+    """Reads the body before the application is called, and shows it the connection.
+
+    A caller that sends its body slowly so holds a thread of the pool for a bounded
+    time, and no place among the requests in progress.
+    """
+
+    def respond(self) -> None:
+        """Call the application once the request was read."""
+        length = self.env.get("CONTENT_LENGTH") or "0"
+        if self.env.get("wsgi.input_terminated"):
+            body = self.req.rfile.read(defaults.BODY_BOUND_BYTES + 1)
+            self.env["wsgi.input"] = io.BytesIO(body)
+        elif length.isdecimal() and int(length) <= defaults.BODY_BOUND_BYTES:
+            self.env["wsgi.input"] = io.BytesIO(self.req.rfile.read(int(length)))
+        self.req.server.readers.end(self.req.conn.socket)
+        super().respond()
 
     def get_environ(self) -> dict[str, t.Any]:
         environ = super().get_environ()
@@ -40,11 +111,21 @@
 
 @contextlib.contextmanager
 def serving(
-    application: Application, address: str, port: int, threads: int
+    application: Application,
+    address: str,
+    port: int,
+    threads: int,
+    read_bound_ms: float = defaults.READ_BOUND_MS,
 ) -> t.Iterator[int]:
-    """Serve ``application`` until the block ends and yield the port that was bound."""
+    """Serve ``application`` until the block ends and yield the port that was bound.
+
+    :param read_bound_ms: how long a caller may take to send its request while every
+        thread is in use.
+    """
     server = cheroot.wsgi.Server((address, port), application, numthreads=threads)
     server.gateway = _Gateway
+    server.ConnectionClass = _Connection
+    server.readers = _Readers()
     server.max_request_header_size = defaults.HEADER_BOUND_BYTES
     server.max_request_body_size = defaults.FRAME_BOUND_BYTES
     server.timeout = defaults.SOCKET_TIMEOUT_MS / 1000
@@ -54,8 +135,24 @@
     server.prepare()
     thread = threading.Thread(target=server.serve, name="http", daemon=True)
     thread.start()
+    stopping = threading.Event()
+    watch = start_thread("readers", _watch_readers, server, read_bound_ms, stopping)
     try:
         yield server.bind_addr[1]
     finally:
+        stopping.set()
         server.stop()
         thread.join()
+        watch.join()
+
+
+def _watch_readers(
+    server: cheroot.wsgi.Server, bound_ms: float, stopping: threading.Event
+) -> None:
+    while not stopping.wait(bound_ms / _LOOKS_PER_BOUND / 1000):
+        if server.requests.idle == 0:
+            server.readers.cut_overdue(bound_ms)
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
--- a/src/dotterelplank/settings.py
+++ b/src/dotterelplank/settings.py
@@ -64,9 +64,14 @@
 
 
 class EntrySettings(_Settings):
-    """The settings of an entry."""
+    """The settings of an entry.
+
+    :param read_bound_ms: how long a caller may take to send its request while every
+        thread for callers is in use.
+    """
 
     caller_port: Port
+    read_bound_ms: float = pydantic.Field(defaults.READ_BOUND_MS, gt=0)
     caller_threads: int = pydantic.Field(defaults.CALLER_THREADS, ge=1, le=4096)
     refusing_threads: int = pydantic.Field(defaults.REFUSING_THREADS, ge=1, le=512)
     balancer_notice_ms: float = pydantic.Field(defaults.BALANCER_NOTICE_MS, ge=0)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,10 +5,13 @@
 import json
 import os
 import pathlib
+import select
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 import urllib3
@@ -58,6 +61,31 @@
         return self.popen.poll() is None
 
 
+class DatagramRelay:
+    """Passes datagrams on to a process whose streams go through a proxy."""
+
+    def __init__(self, port, target_port):
+        self.is_cut = False
+        self._target = ("127.0.0.1", target_port)
+        self._taker = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._taker.bind(("127.0.0.1", port))
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        while not self._stopping:
+            if select.select([self._taker], [], [], POLL_S)[0]:
+                data = self._taker.recv(65_536)
+                if not self.is_cut:
+                    self._taker.sendto(data, self._target)
+
+    def close(self):
+        self._stopping = True
+        self._thread.join()
+        self._taker.close()
+
+
 @dataclasses.dataclass(frozen=True)
 class Place:
     """A host of a scenario."""
@@ -78,6 +106,7 @@
     processes: dict = dataclasses.field(default_factory=dict)
     places: dict = dataclasses.field(default_factory=dict)
     peer_ports: dict = dataclasses.field(default_factory=dict)
+    relays: dict = dataclasses.field(default_factory=dict)
 
     def _start(self, name, *arguments):
         log = self.folder / f"{name}-{len(os.listdir(self.folder))}.log"
@@ -181,6 +210,22 @@
             )
         return self.control("platform", "hosts", hosts, method="PUT")
 
+    def put_proxy(self, host):
+        """Let others reach ``host`` through a proxy, as the next host list says."""
+        target = self.processes[host].ports["peer_port"]
+        name = f"proxy-{host}"
+        proxy = self.standin(name, "proxy", "--target", f"127.0.0.1:{target}")
+        self.ready(proxy)
+        port = int(proxy.ports["listening"].rpartition(":")[2])
+        self.relays[host] = DatagramRelay(port, target)
+        self.peer_ports[host] = port
+
+    def change_rules(self, host, **rules):
+        """Change the faults of the proxy before ``host``."""
+        control = self.processes[f"proxy-{host}"].ports["control"]
+        response = pool.request("POST", f"http://{control}/control/rules", json=rules)
+        assert response.status == 200, response.data
+
     def status(self, host):
         port = self.processes[host].ports["status_port"]
         return pool.request("GET", f"http://127.0.0.1:{port}/status").json()
@@ -209,6 +254,8 @@
         return found
 
     def stop(self):
+        for relay in self.relays.values():
+            relay.close()
         for process in self.processes.values():
             if process.is_running():
                 process.signal(signal.SIGCONT)
@@ -248,8 +295,14 @@
 }
 
 
-def start_small(made, entries=2, engines=2, services=1, engine_arguments=()):
-    """Start a platform, ``entries`` entries and agents with their endpoints."""
+def start_small(
+    made, entries=2, engines=2, services=1, engine_arguments=(), proxied=(), **fields
+):
+    """Start a platform, ``entries`` entries and agents with their endpoints.
+
+    Hosts that are ``proxied`` are reached through a proxy; ``fields`` are settings of
+    the entries.
+    """
     made.ready(made.standin("platform", "platform"))
     endpoints = [
         made.standin(f"engine-{number}", "engine", *engine_arguments)
@@ -263,7 +316,8 @@
         made.ready(endpoint)
     made.control("platform", "configuration", {"text": json.dumps(CONFIGURATION)})
     daemons = [
-        made.entry(Place(f"entry-{number}", "fd-1")) for number in range(1, entries + 1)
+        made.entry(Place(f"entry-{number}", "fd-1"), **fields)
+        for number in range(1, entries + 1)
     ]
     daemons += [
         made.agent(
@@ -279,6 +333,8 @@
     ]
     for daemon in daemons:
         made.ready(daemon)
+    for host in proxied:
+        made.put_proxy(host)
     made.publish_hosts()
     wait_linked(made)
 
