--- a/src/dotterelplank/bench_loop.py
+++ b/src/dotterelplank/bench_loop.py
@@ -21,11 +21,16 @@
 from .bench_carriers import DOCUMENT_CARRIERS, MEMBER_CARRIERS, SECRET
 from .peers import Peer, Role
 
+# Numbers of the width that they have after months.
+FIRST_MS = 1_000_000_000
+FIRST_INCARNATION = 900_000_000
+FIRST_SEQUENCE = 10_000_000
 TEXT_RATE_BYTES_PER_MS = 50_000
 DOCUMENTS = (rm.Document.CONFIGURATION, rm.Document.HOST_LIST)
 
 
-def _event_of(datagram: datagrams.Datagram) -> t.Any:
+def event_of(datagram: datagrams.Datagram) -> t.Any:
+    """Return the event that ``datagram`` is for its receiver."""
     match datagram:
         case datagrams.OfferTold(host, offer):
             return rm.PeerOffer(host, offer)
@@ -97,6 +102,8 @@
     """The processes, the network between them, and the clock.
 
     :param policies: policy of each document; a text that is refused raises in it.
+
+    A host in ``records`` has what it takes in noted there, ``None`` for a tick.
     """
 
     def __init__(
@@ -107,7 +114,7 @@
         member_policy: membership.MembershipPolicy,
         policies: dict[rm.Document, revisions.RevisionPolicy],
     ) -> None:
-        self.now_ms = 1_000
+        self.now_ms = FIRST_MS
         self.draw = random.Random(seed)
         self.conditions = conditions
         self.member_policy = member_policy
@@ -116,6 +123,7 @@
         self.peers = {peer.host: peer for peer in peers}
         self.processes: dict[str, Process] = {}
         self.sender: Process | None = None
+        self.records: dict[str, list[tuple[int, bytes | None]]] = {}
         self.cuts: set[frozenset[str]] = set()
         self.isolated: dict[str, int] = {}
         self.reports: collections.Counter[str] = collections.Counter()
@@ -124,14 +132,17 @@
         self.listeners: list[t.Callable[[Process, t.Any], None]] = []
         self._queue: list[tuple[int, int, t.Callable[[], None]]] = []
         self._order = itertools.count()
-        self._incarnations = itertools.count(1)
+        self._incarnations = itertools.count(FIRST_INCARNATION, 100)
 
     # Processes
 
-    def boot(self, host: str) -> None:
-        """Start a new process on ``host``."""
+    def boot(self, host: str, joined: bool = False) -> None:
+        """Start a new process on ``host``.
+
+        :param joined: leave out the question to the peers, as for a running fleet.
+        """
         peer = self.peers[host]
-        incarnation = next(self._incarnations) * 100
+        incarnation = next(self._incarnations)
         seed = self.draw.getrandbits(32)
         states = {
             document: revisions.start(
@@ -139,7 +150,10 @@
             )
             for document in DOCUMENTS
         }
+        for state in states.values():
+            state.joined = joined
         member = membership.start(self.now_ms, peer, incarnation, seed)
+        member.sequence = FIRST_SEQUENCE
         process = Process(peer, incarnation, member, states)
         self.processes[host] = process
         listed = tuple(mm.ListedHost(other, False) for other in self.peers.values())
@@ -168,6 +182,7 @@
             return
         wait_ms = self.member_policy.tick_ms
         if not process.paused and process.busy_until_ms <= self.now_ms:
+            self._record(process, None)
             self.feed(process, mm.Tick())
             for document in DOCUMENTS:
                 self.feed_document(process, document, rm.Tick())
@@ -224,12 +239,18 @@
             return
         target.received_bytes += len(datagram) + datagrams.HEADER_BYTES
         target.received += 1
-        event = _event_of(datagrams.unseal(datagram, SECRET))
+        self._record(target, datagram)
+        event = event_of(datagrams.unseal(datagram, SECRET))
         if target.paused:
             target.backlog.append((source, event))
         else:
             self._take(source, target, event)
 
+    def _record(self, process: Process, datagram: bytes | None) -> None:
+        record = self.records.get(process.peer.host)
+        if record is not None:
+            record.append((self.clock(process), datagram))
+
     def _take(self, source: Process, target: Process, event: t.Any) -> None:
         self.sender = source
         self.feed(target, event)
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -100,7 +100,7 @@
     115,
     "handler-failed",
     logging.ERROR,
-    "A fault of this program met while handling a peer's message; report it.",
+    "A fault of this program ended the handling of a message or task; report it.",
 )
 
 # 120: requests
@@ -319,6 +319,20 @@
     "Another process gives orders to this agent's engine; this agent ends.",
 )
 
+# 450: expert maps
+SPLIT_PLANNED = _define(
+    450,
+    "expert-split-planned",
+    logging.INFO,
+    "Tokens are split anew over replicas that ranks hold already; nothing is loaded.",
+)
+MOVES_PLANNED = _define(
+    451,
+    "expert-moves-planned",
+    logging.INFO,
+    "Replicas are loaded from the weight store; the step time should fall by then.",
+)
+
 # 600: stand-ins of the outside systems
 STANDIN_LISTENING = _define(
     600, "standin-listening", logging.INFO, "A stand-in accepts connections."
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/limits.py
@@ -13,7 +13,6 @@
 from . import prefixes, team_shares
 from .demands import DemandDigest
 from .limit_state import (
-    BURST_REQUESTS,
     Heard,
     LimitPolicy,
     LimitState,
@@ -42,7 +41,6 @@
 
 MAX_TEAMS = 8_192
 MAX_TICKETS = 65_536
-REFRESH_MS = 250.0
 BURST_MS = 2_000.0
 REQUEST_COST_WEIGHT = 0.1
 PRIORITY_STEP_MS = 100.0
@@ -120,7 +118,7 @@
     team = _team(now_ms, state, request)
     if request.team not in policy.shares:
         state.rest.demand.add(now_ms, request.cost)
-    if now_ms - state.refreshed_ms >= REFRESH_MS:
+    if now_ms - state.refreshed_ms >= team_shares.refresh_interval_ms(state):
         team_shares.refresh(now_ms, state, policy)
         team_shares.refresh_rest(now_ms, state, policy)
     level = _level(now_ms, state, team, request, policy)
@@ -131,7 +129,7 @@
         if _unit(request.request_id) >= chance:
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
     elif not level.is_within_fair:
-        if level.level < _needed_level(state, level, team, request.priority):
+        if level.level < _needed_level(state, level, team, request):
             return _shed(state, level, request, ShedReason.TEAM_OVER_SHARE)
     if len(state.tickets) >= MAX_TICKETS:
         return _shed(state, level, request, ShedReason.OVERLOAD)
@@ -139,7 +137,7 @@
         least = 0.0 if level.is_within_fair else -math.inf
         level.level = max(least, level.level - request.cost)
     state.admitted.add(now_ms, request.cost)
-    ticket = Ticket(state.next_ticket, request.team, request.cost)
+    ticket = Ticket(state.next_ticket, request.team, request.cost, level is state.rest)
     state.next_ticket += 1
     state.tickets[ticket.number] = ticket
     state.in_flight_cost += request.cost
@@ -156,17 +154,22 @@
     state.in_flight_cost = max(0.0, state.in_flight_cost - ticket.cost)
     if outcome is not Outcome.FAILED:
         return
-    level = state.teams.get(ticket.team)
+    level = state.rest if ticket.is_of_rest else state.teams.get(ticket.team)
     if level is not None:
         level.level = min(level.level + ticket.cost, level.burst(BURST_MS))
 
 
 def on_load(
-    now_ms: float, state: LimitState, capacity_per_s: float, backlog_ms: float
+    now_ms: float,
+    state: LimitState,
+    capacity_per_s: float,
+    backlog_ms: float,
+    free_share: float | None = None,
 ) -> None:
-    """Take in the capacity of the domain and the time for what waits there."""
+    """Take in what the load reports of the domain show; see :mod:`capacities`."""
     state.capacity_per_s = capacity_per_s
     state.backlog_ms = backlog_ms
+    state.free_share = free_share
 
 
 def on_digest(now_ms: float, state: LimitState, digest: DemandDigest) -> None:
@@ -179,8 +182,7 @@
     """Return the team's state, with the request counted as demand."""
     team = state.teams.get(request.team)
     if team is None:
-        burst = BURST_REQUESTS * request.cost
-        team = TeamState(burst, now_ms, request.cost)
+        team = TeamState(0.0, now_ms, request.cost)
         state.teams[request.team] = team
         if len(state.teams) > MAX_TEAMS:
             state.teams.popitem(last=False)
@@ -225,15 +227,18 @@
 
 
 def _needed_level(
-    state: LimitState, level: TeamState, team: TeamState, priority: int
+    state: LimitState, level: TeamState, team: TeamState, request: LimitRequest
 ) -> float:
-    """Return the level from which a request of ``priority`` is let in.
+    """Return the level from which ``request`` is let in.
 
+    It lies by chance between nothing and the request's cost, so that a request
+    that an entry can't pay in full is let in as often as its part is worth.
     Among the rest, teams that asked for more than a request or two come after
     the others.
     """
-    steps = max(-MAX_PRIORITY_STEPS, min(MAX_PRIORITY_STEPS, priority))
-    needed = -steps * PRIORITY_STEP_MS / 1_000.0 * level.rate_per_s
+    steps = max(-MAX_PRIORITY_STEPS, min(MAX_PRIORITY_STEPS, request.priority))
+    needed = _unit(request.request_id) * request.cost
+    needed -= steps * PRIORITY_STEP_MS / 1_000.0 * level.rate_per_s
     if level is state.rest:
         light_per_s = LIGHT_REQUESTS * worth_per_s(state.request_cost)
         if team.demand.value_per_s > light_per_s:
--- a/src/dotterelplank/soak.py
+++ b/src/dotterelplank/soak.py
@@ -6,9 +6,9 @@
 import typing as t
 
 from .errors import InvariantError
-from .mapchange import Policy
 from .mapchange_model import Model
 from .mapmessages import Ask, Hello, Outcome, Stage, Status, Vote
+from .mapstate import Policy
 
 SETTLE_EVERY = 400
 REBUILD_EVERY = 4000
@@ -41,6 +41,8 @@
     "messages blocked",
     "pauses",
     "engines stalled",
+    "clocks set back",
+    "incarnation-raised",
     "ghosts stirred",
     "crashes",
     "map-asked",
@@ -97,6 +99,19 @@
     model.block(kind, _host(model, rng))
 
 
+def _crash_with_order(model: Model, rng: random.Random) -> None:
+    if model.orders:
+        host = rng.choice(model.orders).host
+        model.crash(host)
+        model.start(host)
+
+
+def _set_back(model: Model, rng: random.Random) -> None:
+    host = _host(model, rng)
+    model.crash(host)
+    model.start(host, is_set_back=True)
+
+
 def _cut(model: Model, rng: random.Random) -> None:
     model.cut(*rng.sample(model.hosts, 2))
 
@@ -138,6 +153,8 @@
     (0.1, _hold_all),
     (0.5, _hold_votes),
     (0.6, _strike),
+    (0.5, _crash_with_order),
+    (0.3, _set_back),
     (0.4, lambda model, rng: model.stall(_host(model, rng))),
     (0.4, lambda model, rng: model.stir(_index(rng))),
     (0.5, _block),
