Let peers take what was sent before a stop closes the streams

A process that stopped flushed each stream once and closed it. What a slow peer had not taken was lost, with it whole answers of a graceful stop: an agent counts a request as over when its answer is queued. Ruled out: the slots' count and the kernel's own sending, which goes on after a close unless bytes lie unread.

--- a/src/dotterelplank/links.py
+++ b/src/dotterelplank/links.py
@@ -26,6 +26,7 @@
 _READ_SIZE_BYTES = 256 * 1024
 _DATAGRAM_BOUND_BYTES = 64 * 1024
 _PORT_ATTEMPTS = 20
+_DRAIN_STEP_S = 0.01
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -131,6 +132,25 @@
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
+    def end_sending(self) -> None:
+        """Tell the peer that nothing more comes."""
+        self.flush()
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def wait_closed(self, bound_ms: float) -> None:
+        """Wait until the peer has closed its side.
+
+        A socket that is closed with bytes unread resets the stream, and with it what
+        the peer has not taken yet.
+        """
+        end_ms = _now_ms() + bound_ms
+        with contextlib.suppress(OSError):
+            while _now_ms() < end_ms:
+                self._sock.settimeout(max(0.001, (end_ms - _now_ms()) / 1000))
+                if not self._sock.recv(_READ_SIZE_BYTES):
+                    return
+
     def fileno(self) -> int:
         """Return the socket's descriptor, for a selector."""
         return self._sock.fileno()
@@ -231,12 +251,18 @@
         """Start the serving thread."""
         self._thread.start()
 
-    def stop(self) -> None:
-        """Close all links and end the thread."""
+    def stop(self, drain_bound_ms: float = defaults.DRAIN_BOUND_MS) -> None:
+        """Let the peers take what was sent, close all links and end the thread."""
+        end_ms = _now_ms() + drain_bound_ms
+        while self._has_unsent() and _now_ms() < end_ms:
+            time.sleep(_DRAIN_STEP_S)
         self._stopping = True
         self._wake()
         self._thread.join()
 
+    def _has_unsent(self) -> bool:
+        return any(link.is_ready and link.has_unsent() for link in list(self._links))
+
     def abort_all(self) -> None:
         """Break every link off, with what has arrived and was not read."""
         for link in list(self._links):
@@ -447,8 +473,11 @@
         self._guarded(self._handlers.on_closed, link, dialled)
 
     def _shut(self) -> None:
+        end_ms = _now_ms() + defaults.FAREWELL_BOUND_MS
+        for link in self._links:
+            link.end_sending()
         for link in list(self._links):
-            link.flush()
+            link.wait_closed(end_ms - _now_ms())
             self._close(link, "this process stops")
         for sock in (self._listener, self._datagrams):
             if sock is not None:
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,63 @@
+import threading
+import time
+
+import testtools
+
+from dotterelplank import links
+from dotterelplank.links import Handlers, Identity, LinkServer
+from dotterelplank.messages import Chunk
+
+SECRET = b"a secret of sixteen bytes or more"
+PIECES = 24
+PIECE = b"x" * 1024 * 1024
+
+
+def handlers(on_ready=lambda link: None, on_message=lambda link, message: None):
+    return Handlers(
+        on_ready=on_ready,
+        on_message=on_message,
+        on_closed=lambda link, dialled: None,
+        on_tick=lambda now_ms: None,
+        on_datagram=lambda data, address, port: None,
+        on_pause=lambda late_ms: None,
+    )
+
+
+class StopTests(testtools.TestCase):
+    def serve(self, host, given):
+        server = LinkServer(Identity(host, "agent", "fd-1", 1, SECRET), given)
+        port = server.listen("127.0.0.1", 0)
+        server.start()
+        return server, port
+
+    def test_a_stop_lets_a_slow_peer_take_all_that_was_sent(self):
+        met = []
+        ended = threading.Event()
+        ready = threading.Event()
+        opened = []
+
+        def take(link, message):
+            time.sleep(0.005)
+            met.append(message.sequence)
+            if len(met) == PIECES:
+                ended.set()
+
+        def note(link):
+            opened.append(link)
+            ready.set()
+
+        reader, port = self.serve("reader", handlers(on_message=take))
+        self.addCleanup(reader.stop)
+        sender, _ = self.serve("sender", handlers(on_ready=note))
+        sender.call(lambda: sender.connect("reader", "127.0.0.1", port))
+        self.assertTrue(ready.wait(10))
+        for number in range(PIECES):
+            opened[0].send(Chunk(1, number, 0, PIECE))
+        sender.stop()
+        ended.wait(10)
+        self.assertEqual(list(range(PIECES)), met)
+
+    def test_incarnations_of_one_millisecond_differ_by_their_draw(self):
+        first = links.new_incarnation(5.0, 1)
+        self.assertNotEqual(first, links.new_incarnation(5.0, 2))
+        self.assertGreater(links.new_incarnation(6.0, 0), first)
