Let a stopping agent refuse the tickets made just before

An agent with nothing in progress ended at once. A ticket made a moment earlier then came to its successor, which can't know it was never used: "unknown" for ever, on a planned stop. The new test was red without the wait (home out of reach) and is green with it.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -69,6 +69,8 @@
         with self._lock:
             self.state.is_leaving = True
         self.daemon.links.call(lambda: self._send_reports(_now_ms()))
+        # A successor could not tell whether a ticket made just now was used.
+        time.sleep(self._settings.leave_notice_ms / 1000)
         whole = self._wait_idle(self._settings.stop_bound_ms)
         if not whole:
             self._cut_off()
--- a/src/dotterelplank/fleet.py
+++ b/src/dotterelplank/fleet.py
@@ -139,6 +139,7 @@
         stop_bound_ms=fleet.plan.stop_bound_ms,
         endpoint_url=fleet.endpoint_urls[host.host],
         endpoint_kind="model" if is_model(fleet, host) else "service",
+        leave_notice_ms=0.0,
         slots=64,
     )
     agent = Agent(settings)
--- a/src/dotterelplank/settings.py
+++ b/src/dotterelplank/settings.py
@@ -81,10 +81,13 @@
     """The settings of an agent.
 
     :param endpoint_url: the engine or plain service beside it.
+    :param leave_notice_ms: how long a stopping agent that has nothing in progress goes
+        on to say of the tickets that were made before that they do not run.
     """
 
     endpoint_url: str = pydantic.Field(pattern=r"^http://")
     endpoint_kind: t.Literal["model", "service"]
+    leave_notice_ms: float = pydantic.Field(defaults.LEAVE_NOTICE_MS, ge=0)
     slots: int = pydantic.Field(defaults.AGENT_SLOTS, ge=1, le=4096)
 
 
--- a/tests/test_processes_faults.py
+++ b/tests/test_processes_faults.py
@@ -251,6 +251,20 @@
         totals = [report["total"] for report in self.executions(made, services=2)]
         self.assert_nothing_lost(load, totals)
 
+    def test_a_ticket_made_just_before_its_home_leaves_is_proved_not_run(self):
+        made, caller = self.small(engines=0, services=0)
+        made.ready(made.standin("service-1", "service"))
+        place = Place("orders-1", "fd-1", "orders")
+        made.ready(made.agent(place, "service-1", "service", leave_notice_ms=4_000))
+        made.publish_hosts()
+        wait_linked(made)
+        key = caller.ticket()
+        made.processes["orders-1"].signal(signal.SIGTERM)
+        wait_until(lambda: "orders-1" not in made.links_of("entry-1"))
+        self.assertEqual("endpoint-leaving", result_name(caller.book(key)))
+        self.assertEqual(0, made.processes["orders-1"].wait())
+        self.assertEqual(0, self.executions(made)[0]["total"])
+
     def test_an_entry_replaced_under_load_cuts_nothing(self):
         made, caller = self.small(engines=0, system={"balancer_notice_ms": 300})
         load = Load(made, entries=("entry-2",))
