Tie a ticket to the service that it was made for

A ticket named its home and its team only. Used at another service's path it took that order to the home of the first one, whose endpoint ran it: agents don't know what their neighbour serves. Found by reading; the new test of jobs (a ticket of another service is not run) was red without the check and is green with it. Entry and agent both check, the entry so as to spare the way.

--- a/src/dotterelplank/calls.py
+++ b/src/dotterelplank/calls.py
@@ -266,6 +266,13 @@
     return int(text)
 
 
+_ABOUT_THE_KEY = (
+    results.TICKET_OTHER_TEAM,
+    results.TICKET_OTHER_REQUEST,
+    results.TICKET_REQUIRED,
+)
+
+
 def ticket_of(environ: dict[str, t.Any]) -> str:
     """Return the ticket under which a service call comes, or nothing."""
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
@@ -279,9 +286,8 @@
     A refusal by an entry says nothing of earlier requests under the ticket, which only
     the ticket's home knows.
     """
-    is_about_key = error.result in (results.TICKET_OTHER_TEAM, results.TICKET_REQUIRED)
     is_not_run = error.result.outcome is results.Outcome.NOT_RUN
-    if is_about_key or not is_not_run or not tickets.is_ticket(key):
+    if error.result in _ABOUT_THE_KEY or not is_not_run or not tickets.is_ticket(key):
         return error
     detail = f"{error.result.name}: {error.detail}"
     told = results.TICKET_HOME_NOT_ASKED
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -207,6 +207,9 @@
             raise CallRefusedError(results.TICKET_INVALID)
         if ticket.team != request.work.team:
             raise CallRefusedError(results.TICKET_OTHER_TEAM)
+        if ticket.target != request.group.name:
+            detail = f"the ticket is for {ticket.target}"
+            raise CallRefusedError(results.TICKET_OTHER_REQUEST, detail)
         return ticket.host
 
     def _ticket_required(self, request: CallerRequest, rule: Rule) -> CallRefusedError:
@@ -221,6 +224,7 @@
             part.link.peer.host,
             part.link.peer.incarnation,
             part.epoch,
+            request.group.name,
             request.work.team,
             secrets.token_bytes(tickets.NONCE_SIZE_BYTES),
         )
--- a/src/dotterelplank/jobs.py
+++ b/src/dotterelplank/jobs.py
@@ -63,6 +63,8 @@
         return TurnAway(results.TICKET_INVALID)
     if ticket.team != submit.team:
         return TurnAway(results.TICKET_OTHER_TEAM)
+    if ticket.target != submit.target:
+        return TurnAway(results.TICKET_OTHER_REQUEST)
     known = ledgers.look_up(
         now_ms, state.ledger, ticket, request_digest, state.ledger_policy
     )
--- a/src/dotterelplank/order_model.py
+++ b/src/dotterelplank/order_model.py
@@ -19,6 +19,7 @@
     POLICY,
     SECRET,
     SLOTS,
+    TARGET,
     TEAM,
     AgentProcess,
     Call,
@@ -242,7 +243,7 @@
         host = known[index % len(known)]
         seen = entry.seen[host]
         nonce = len(self.orders).to_bytes(tickets.NONCE_SIZE_BYTES, "big")
-        ticket = Ticket(host, seen.incarnation, seen.epoch, TEAM, nonce)
+        ticket = Ticket(host, seen.incarnation, seen.epoch, TARGET, TEAM, nonce)
         order = Order(tickets.mint(ticket, SECRET), ticket)
         self.orders.append(order)
         self._by_key[order.key] = order
--- a/src/dotterelplank/order_parts.py
+++ b/src/dotterelplank/order_parts.py
@@ -11,6 +11,7 @@
 from .tickets import Ticket
 
 SECRET = b"a secret of the model, long enough"
+TARGET = "orders"
 TEAM = "crew"
 POLICY = ledgers.Policy(
     epoch_ms=1_500.0,
@@ -130,7 +131,7 @@
     """Return the frame that hands a call to its home."""
     return Submit(
         call.request_id,
-        "orders",
+        TARGET,
         TEAM,
         call.order.key.encode(),
         1_000.0,
--- a/src/dotterelplank/tickets.py
+++ b/src/dotterelplank/tickets.py
@@ -26,6 +26,7 @@
     :param host: the home agent.
     :param incarnation: the home's process at the time of minting.
     :param epoch: the home's ticket epoch at the time of minting.
+    :param target: the only service that it is for.
     :param team: the only team that may use it.
     :param nonce: tells it from every other ticket of the same epoch.
     """
@@ -33,6 +34,7 @@
     host: str
     incarnation: int
     epoch: int
+    target: str
     team: str
     nonce: bytes
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -4,7 +4,9 @@
 from dotterelplank.calls import CallRefusedError
 from dotterelplank.tickets import Ticket
 
-KEY = tickets.mint(Ticket("a", 1, 1, "crew", b"n" * 12), b"a secret of sixteen bytes")
+KEY = tickets.mint(
+    Ticket("a", 1, 1, "orders", "crew", b"n" * 12), b"a secret of sixteen bytes"
+)
 
 
 class TicketedRefusalTests(testtools.TestCase):
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -7,14 +7,14 @@
 from dotterelplank.tickets import Ticket
 
 SECRET = b"a secret of sixteen bytes or more"
-TICKET = Ticket("crew-ops-1", 1, 1, "crew", b"n" * 12)
+TICKET = Ticket("crew-ops-1", 1, 1, "orders", "crew", b"n" * 12)
 ANSWER = Answer(200, (), b"answer")
 
 
-def submit(ticket=TICKET, team="crew", secret=SECRET):
+def submit(ticket=TICKET, team="crew", secret=SECRET, target="orders"):
     key = tickets.mint(ticket, secret).encode() if ticket else b""
     fields = ("POST", "/closures", (), b"lane 2", False, 0)
-    return Submit(1, "orders", team, key, 100.0, 0, "", *fields)
+    return Submit(1, target, team, key, 100.0, 0, "", *fields)
 
 
 class JobTests(testtools.TestCase):
@@ -49,7 +49,7 @@
         self.conclude(results.DONE, ANSWER)
         self.state.is_leaving = True
         self.assertEqual(Give(ANSWER), self.accept(submit()))
-        other = Ticket("crew-ops-1", 1, 1, "crew", b"m" * 12)
+        other = Ticket("crew-ops-1", 1, 1, "orders", "crew", b"m" * 12)
         self.assert_turned_away(results.ENDPOINT_LEAVING, submit(other))
 
     def test_a_full_agent_answers_a_known_ticket(self):
@@ -73,6 +73,10 @@
         self.assert_turned_away(results.TICKET_INVALID, forged)
         self.assert_turned_away(results.TICKET_OTHER_TEAM, submit(team="audit"))
 
+    def test_a_ticket_of_another_service_is_not_run(self):
+        asked = submit(target="stock")
+        self.assert_turned_away(results.TICKET_OTHER_REQUEST, asked)
+
     def test_a_cancel_before_the_start_proves_that_nothing_runs(self):
         progress = Progress()
         self.assertFalse(jobs.cancel(progress))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -29,7 +29,7 @@
 
 
 def ticket(nonce=b"n", epoch=1, incarnation=1, team="crew"):
-    return Ticket("crew-ops-1", incarnation, epoch, team, nonce)
+    return Ticket("crew-ops-1", incarnation, epoch, "orders", team, nonce)
 
 
 class LedgerTests(testtools.TestCase):
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -5,7 +5,7 @@
 from dotterelplank.tickets import Ticket
 
 SECRET = b"a secret of sixteen bytes or more"
-TICKET = Ticket("crew-ops-1", 77, 3, "crew-north", b"n" * 12)
+TICKET = Ticket("crew-ops-1", 77, 3, "crew-operations", "crew-north", b"n" * 12)
 
 
 class TicketTests(testtools.TestCase):
