--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -47,7 +47,6 @@
             event.level, event.name, extra={"event": event, "event_fields": fields}
         )
 
-
 # 100: processes
 PROCESS_STARTED = _define(
     100, "process-started", logging.INFO, "A daemon serves from now on."
@@ -318,6 +317,12 @@
     logging.ERROR,
     "Another process gives orders to this agent's engine; this agent ends.",
 )
+PROPOSAL_UNANSWERED = _define(
+    409,
+    "proposal-unanswered",
+    logging.WARNING,
+    "A new map was not proposed since some agent of the group didn't answer.",
+)
 
 # 450: expert maps
 SPLIT_PLANNED = _define(
