--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -47,6 +47,7 @@
             event.level, event.name, extra={"event": event, "event_fields": fields}
         )
 
+
 # 100: processes
 PROCESS_STARTED = _define(
     100, "process-started", logging.INFO, "A daemon serves from now on."
