--- a/src/dotterelplank/settings.py
+++ b/src/dotterelplank/settings.py
@@ -64,9 +64,14 @@
 
 
 class EntrySettings(_Settings):
-    """The settings of an entry."""
+    """The settings of an entry.
+
+    :param read_bound_ms: how long a caller may take to send its request while every
+        thread for callers is in use.
+    """
 
     caller_port: Port
+    read_bound_ms: float = pydantic.Field(defaults.READ_BOUND_MS, gt=0)
     caller_threads: int = pydantic.Field(defaults.CALLER_THREADS, ge=1, le=4096)
     refusing_threads: int = pydantic.Field(defaults.REFUSING_THREADS, ge=1, le=512)
     balancer_notice_ms: float = pydantic.Field(defaults.BALANCER_NOTICE_MS, ge=0)
@@ -77,10 +82,13 @@
 
     :param endpoint_url: the engine or plain service beside it.
     :param endpoint_kind: ``rank`` for a rank that takes orders but no requests.
+    :param leave_notice_ms: how long a stopping agent that has nothing in progress goes
+        on to say of the tickets that were made before that they do not run.
     """
 
     endpoint_url: str = pydantic.Field(pattern=r"^http://")
     endpoint_kind: t.Literal["model", "service", "rank"]
+    leave_notice_ms: float = pydantic.Field(defaults.LEAVE_NOTICE_MS, ge=0)
     slots: int = pydantic.Field(defaults.AGENT_SLOTS, ge=1, le=4096)
 
 
