--- a/src/dotterelplank/bench_limits.py
+++ b/src/dotterelplank/bench_limits.py
@@ -196,6 +196,9 @@
     if is_fault:
         yield verdict("retries / requests", "retry_share", RETRY_LIMIT)
         yield verdict("recovery, s", "recovery_s", RECOVERY_LIMIT_S)
+        yield verdict(
+            "recovery of first calls, s", "first_call_recovery_s", RECOVERY_LIMIT_S
+        )
 
 
 def _median(row: LimitsRow, name: str) -> float:
--- a/src/dotterelplank/bench_limits_figures.py
+++ b/src/dotterelplank/bench_limits_figures.py
@@ -17,6 +17,7 @@
 SETTLING_MS = 5_000.0
 BIN_MS = 2_000.0
 NORMAL_SHARE = 0.75
+FIRST_CALL_SHARE = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +36,10 @@
     :param spread: 90th less 10th percentile of the times to come back, divided by
         their median.
     :param retry_share: retries divided by admitted requests, in the fault.
-    :param recovery_s: time after the fault until requests did well again.
+    :param recovery_s: time after the fault until as many first tokens came in time
+        as usual.
+    :param first_call_recovery_s: the same until first calls were let in as usual;
+        callers that were shed in the fault come back until then.
     """
 
     goodput: float
@@ -48,6 +52,7 @@
     spread: float
     retry_share: float
     recovery_s: float
+    first_call_recovery_s: float
 
 
 def measure(options: LimitsWorldOptions, seed: int) -> LimitsFigures:
@@ -80,6 +85,7 @@
         spread=spread_ms / median_ms if median_ms else 0.0,
         retry_share=_retry_share(options, tally),
         recovery_s=_recovery_s(options, tally),
+        first_call_recovery_s=_first_call_recovery_s(options, tally),
     )
 
 
@@ -214,3 +220,22 @@
             good[number] += 1
     bad = [number for number, count in enumerate(good) if count < NORMAL_SHARE * usual]
     return (max(bad) + 1) * BIN_MS / 1_000.0 if bad else 0.0
+
+
+def _first_call_recovery_s(options: LimitsWorldOptions, tally: LimitsTally) -> float:
+    """Return when first calls did worse than usual for the last time."""
+    end_ms = _fault_end_ms(options)
+    if not end_ms or options.changes[-1].entries is not None:
+        return 0.0
+    made: dict[int, int] = {}
+    good: dict[int, int] = {}
+    for call in _measured(options, tally.calls):
+        if call.at_ms >= end_ms:
+            number = int((call.at_ms - end_ms) // BIN_MS)
+            is_good = call.calls == 1 and _first_token_delay_ms(call) < (
+                options.deadline_ms
+            )
+            made[number] = made.get(number, 0) + 1
+            good[number] = good.get(number, 0) + is_good
+    bad = [one for one in made if good[one] < FIRST_CALL_SHARE * made[one]]
+    return (max(bad) + 1) * BIN_MS / 1_000.0 if bad else 0.0
