--- a/src/dotterelplank/bench_choosers.py
+++ b/src/dotterelplank/bench_choosers.py
@@ -4,6 +4,7 @@
 entries' views of the engines.
 """
 
+import dataclasses
 import functools
 import math
 import random
@@ -11,9 +12,16 @@
 
 from . import endpoint_view, inquiry, prefixes, routing
 from .bench_traffic import Arrival
-from .bench_world import Chooser, World
+from .bench_world import Chooser, Chosen, World
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choosing:
+    """A chooser, and whether it needs the entries' views kept up to date."""
+
+    chooser: Chooser
+    keeps_views: bool
 
-Choosing = tuple[Chooser, bool]
 
 ORACLE_SPREAD_MS = 150.0
 ORACLE_PENDING = 3.0
@@ -25,9 +33,7 @@
 ) -> Choosing:
     families: dict[tuple[str, int], prefixes.FamilyRates] = {}
 
-    def chooser(
-        world: World, now_ms: float, arrival: Arrival
-    ) -> tuple[int, bool] | None:
+    def chooser(world: World, now_ms: float, arrival: Arrival) -> Chosen | None:
         job = arrival.job
         key = arrival.domain, arrival.entry
         rates = families.setdefault(key, prefixes.FamilyRates())
@@ -45,9 +51,10 @@
             return None
         answers = _ask(world, now_ms, arrival, choices, rng) if asked > 1 else ()
         choice = inquiry.settle(choices, answers, inquiry.InquiryPolicy())
-        return world.numbers[choice.host], choice.reason is routing.Reason.PROBE
+        is_probe = choice.reason is routing.Reason.PROBE
+        return Chosen(world.numbers[choice.host], is_probe)
 
-    return chooser, True
+    return Choosing(chooser, True)
 
 
 def _ask(
@@ -90,62 +97,53 @@
         load = engine.held() / engine.options.max_batch / max(engine.speed, 0.01)
         return delay_ms + ORACLE_PENDING * pending_ms + ORACLE_SPREAD_MS * load
 
-    def chooser(
-        world: World, now_ms: float, arrival: Arrival
-    ) -> tuple[int, bool] | None:
+    def chooser(world: World, now_ms: float, arrival: Arrival) -> Chosen | None:
         costs_ms = [
             cost_ms(world, now_ms, arrival, number)
             for number in range(len(world.engines))
         ]
-        return costs_ms.index(min(costs_ms)), False
+        return Chosen(costs_ms.index(min(costs_ms)))
 
-    return chooser, False
+    return Choosing(chooser, False)
 
 
 def _round_robin(policy: routing.RoutingPolicy, rng: random.Random) -> Choosing:
     turns: dict[tuple[str, int], int] = {}
 
-    def chooser(
-        world: World, now_ms: float, arrival: Arrival
-    ) -> tuple[int, bool] | None:
+    def chooser(world: World, now_ms: float, arrival: Arrival) -> Chosen | None:
         numbers = _own(world, arrival)
         key = arrival.domain, arrival.entry
         turn = turns.get(key, rng.randrange(len(numbers)))
         turns[key] = turn + 1
-        return numbers[turn % len(numbers)], False
+        return Chosen(numbers[turn % len(numbers)])
 
-    return chooser, False
+    return Choosing(chooser, False)
 
 
 def _least_reported(policy: routing.RoutingPolicy, rng: random.Random) -> Choosing:
-    def chooser(
-        world: World, now_ms: float, arrival: Arrival
-    ) -> tuple[int, bool] | None:
+    def chooser(world: World, now_ms: float, arrival: Arrival) -> Chosen | None:
         views = world.views[arrival.domain, arrival.entry]
         numbers = _own(world, arrival)
         rng.shuffle(numbers)
-        return min(numbers, key=lambda number: _reported(views[number])), False
+        return Chosen(min(numbers, key=lambda number: _reported(views[number])))
 
-    return chooser, True
+    return Choosing(chooser, True)
 
 
 def _power_of_two(policy: routing.RoutingPolicy, rng: random.Random) -> Choosing:
-    def chooser(
-        world: World, now_ms: float, arrival: Arrival
-    ) -> tuple[int, bool] | None:
+    def chooser(world: World, now_ms: float, arrival: Arrival) -> Chosen | None:
         views = world.views[arrival.domain, arrival.entry]
         pair = rng.sample(_own(world, arrival), 2)
-        return (
+        return Chosen(
             min(
                 pair,
                 key=lambda number: endpoint_view.held_requests(
                     views[number], policy.live_entries
                 ),
-            ),
-            False,
+            )
         )
 
-    return chooser, True
+    return Choosing(chooser, True)
 
 
 def _own(world: World, arrival: Arrival) -> list[int]:
--- a/src/dotterelplank/bench_limits.py
+++ b/src/dotterelplank/bench_limits.py
@@ -179,7 +179,9 @@
 
 
 def _verdicts(row: LimitsRow) -> t.Iterator[LimitsVerdict]:
-    def verdict(target: str, name: str, limit: float, is_floor: bool = False):
+    def verdict(
+        target: str, name: str, limit: float, is_floor: bool = False
+    ) -> LimitsVerdict:
         measured = _median(row, name)
         holds = measured >= limit if is_floor else measured <= limit
         return LimitsVerdict(target, row.scenario, row.teams, measured, limit, holds)
--- a/src/dotterelplank/bench_routing.py
+++ b/src/dotterelplank/bench_routing.py
@@ -148,8 +148,8 @@
 ) -> RoutingFigures:
     policy = dataclasses.replace(options.policy, live_entries=world_options.entries)
     rng = random.Random(f"chooser/{seed}")
-    chooser, keeps_views = CHOOSERS[name](policy, rng)
-    tally = World(world_options, seed, chooser, keeps_views).run()
+    choosing = CHOOSERS[name](policy, rng)
+    tally = World(world_options, seed, choosing.chooser, choosing.keeps_views).run()
     settled_ms = world_options.duration_ms - world_options.give_up_ms
     flights = [one for one in tally.flights if one.arrival.at_ms < settled_ms]
     ask_ms = ASK_ROUND_TRIP_MS if name.startswith("ask") else 0.0
--- a/src/dotterelplank/bench_world.py
+++ b/src/dotterelplank/bench_world.py
@@ -90,13 +90,21 @@
     lost_streams: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chosen:
+    """The number of the engine chosen, and whether it is only probed."""
+
+    engine: int
+    is_probe: bool = False
+
+
 class Chooser(t.Protocol):
-    """Choose the number of an engine for an arrival at ``views``, or None."""
+    """Choose an engine for an arrival."""
 
     def __call__(
         self, world: "World", now_ms: float, arrival: Arrival
-    ) -> tuple[int, bool] | None:
-        """Return the number of the engine, and whether it is only probed."""
+    ) -> Chosen | None:
+        """Return what was chosen, or None if there is none to choose."""
 
 
 class World:
@@ -197,12 +205,13 @@
         if chosen is None:
             self.tally.not_chosen += 1
             return
-        number, is_probe = chosen
-        flight.engine = number
+        number = flight.engine = chosen.engine
         job = arrival.job
         if self.keeps_views:
             view = self._view(flight)
-            endpoint_view.note_sent(view, now_ms, job.request_id, job.blocks, is_probe)
+            endpoint_view.note_sent(
+                view, now_ms, job.request_id, job.blocks, chosen.is_probe
+            )
         engine = self.engines[number]
         if self.is_cut(now_ms, arrival.domain, engine.domain):
             self.clock.at(now_ms + CUT_DETECTION_MS, self._fail(flight))
--- a/src/dotterelplank/routing.py
+++ b/src/dotterelplank/routing.py
@@ -86,38 +86,44 @@
     A caller that can ask the endpoints for their present load does so and hands
     the answers to :func:`inquiry.settle`. A probe comes alone.
     """
-    own, avoided, far = _sort_out(now_ms, request, endpoints, policy)
-    probed = _probe(now_ms, request, avoided, policy)
+    found = _sort_out(now_ms, request, endpoints, policy)
+    probed = _probe(now_ms, request, found.avoided, policy)
     if probed is not None:
         return (Choice(probed.host, probed.domain, 0.0, Reason.PROBE),)
-    if rng.random() < _spill_share(own):
-        choices = _choose_far(now_ms, request, own, far, policy, rng, count)
+    if rng.random() < _spill_share(found.usable):
+        choices = _choose_far(now_ms, request, found, policy, rng, count)
         if choices:
             return choices
-    candidates = make_candidates(own or avoided or far, policy)
+    candidates = make_candidates(found.usable or found.avoided or found.far, policy)
     return tuple(draw_choices(now_ms, request, candidates, policy, rng, count))
 
 
+@dataclasses.dataclass(slots=True)
+class _Found:
+    """The own domain's usable and avoided endpoints, and all those of others."""
+
+    usable: list[EndpointView] = dataclasses.field(default_factory=list)
+    avoided: list[EndpointView] = dataclasses.field(default_factory=list)
+    far: list[EndpointView] = dataclasses.field(default_factory=list)
+
+
 def _sort_out(
     now_ms: float,
     request: RouteRequest,
     endpoints: t.Sequence[EndpointView],
     policy: RoutingPolicy,
-) -> tuple[list[EndpointView], list[EndpointView], list[EndpointView]]:
-    """Return the own domain's usable and avoided endpoints, and all of others."""
-    own = []
-    avoided = []
-    far = []
+) -> _Found:
+    found = _Found()
     for view in endpoints:
         if view.liveness is Liveness.LEAVING:
             continue
         if view.domain != request.domain:
-            far.append(view)
+            found.far.append(view)
         elif is_avoided(view, now_ms, policy):
-            avoided.append(view)
+            found.avoided.append(view)
         else:
-            own.append(view)
-    return own, avoided, far
+            found.usable.append(view)
+    return found
 
 
 def is_avoided(view: EndpointView, now_ms: float, policy: RoutingPolicy) -> bool:
@@ -181,19 +187,19 @@
 def _choose_far(
     now_ms: float,
     request: RouteRequest,
-    own: t.Sequence[EndpointView],
-    far: t.Sequence[EndpointView],
+    found: _Found,
     policy: RoutingPolicy,
     rng: random.Random,
     count: int,
 ) -> tuple[Choice, ...]:
     """Choose in other domains, if they are reached and have more room."""
+    far = found.far
     usable = []
     for domain in sorted({view.domain for view in far}):
         views = [view for view in far if view.domain == domain]
         if _is_reached(now_ms, views):
             usable.extend(v for v in views if not is_avoided(v, now_ms, policy))
-    if usable and _spill_share(usable) <= _spill_share(own) / 2.0:
+    if usable and _spill_share(usable) <= _spill_share(found.usable) / 2.0:
         candidates = make_candidates(usable, policy)
         choices = draw_choices(now_ms, request, candidates, policy, rng, count)
         return tuple(
