--- a/src/dotterelplank/limit_state.py
+++ b/src/dotterelplank/limit_state.py
@@ -18,6 +18,7 @@
 TOTAL_KNOWN_PART_MIN = 0.1
 SPARSE_TIME_MS = 60_000.0
 BURST_REQUESTS = 1.0
+REST_SHARE_MIN = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,19 +28,26 @@
     :param shares: for each team named in the configuration its part of the
         capacity, 0 to 1.
     :param default_share: the same for any other team that asks for much.
-    :param rest_share: the part of all other teams together.
+    :param rest_share: the part of all other teams together; None for what the
+        shares leave, at least :data:`REST_SHARE_MIN`.
     :param fill: part of the capacity that is given out.
     """
 
     shares: t.Mapping[str, float]
     default_share: float
-    rest_share: float
+    rest_share: float | None = None
     fill: float = 0.96
 
     def share(self, team: str) -> float:
         """Return the share of ``team``."""
         return self.shares.get(team, self.default_share)
 
+    def share_of_rest(self) -> float:
+        """Return the part of all teams that have no share of their own."""
+        if self.rest_share is not None:
+            return self.rest_share
+        return max(REST_SHARE_MIN, 1.0 - sum(self.shares.values()))
+
 
 @dataclasses.dataclass(slots=True)
 class Rate:
--- a/src/dotterelplank/shares.py
+++ b/src/dotterelplank/shares.py
@@ -105,7 +105,7 @@
     state.rest.request_cost = state.request_cost
     own_per_s = state.rest.demand.at(now_ms)
     total_per_s = max(own_per_s, state.rest_per_s)
-    _set_part(state, state.rest, own_per_s, total_per_s, policy.rest_share)
+    _set_part(state, state.rest, own_per_s, total_per_s, policy.share_of_rest())
 
 
 def sparse_chance(
@@ -188,7 +188,9 @@
             listed_named += rate
             listed_shares += policy.shares[name]
     state.rest_per_s = max(0.0, rest - (named - listed_named))
-    claims.append(demands.Claim(state.rest_per_s, max(MIN_SHARE, policy.rest_share)))
+    claims.append(
+        demands.Claim(state.rest_per_s, max(MIN_SHARE, policy.share_of_rest()))
+    )
     sparse = max(0.0, offered - rest - listed_named)
     sparse_share = sum(policy.shares.values()) - listed_shares
     claims.append(demands.Claim(sparse, max(MIN_SHARE, sparse_share)))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -150,6 +150,12 @@
         assert admitted[team] <= 1.15 * fair_per_s + 20.0
 
 
+def test_the_rest_gets_what_the_shares_leave():
+    assert limits.LimitPolicy({"a": 0.7}, 0.1).share_of_rest() == 1.0 - 0.7
+    assert limits.LimitPolicy({"a": 0.7}, 0.1, 0.2).share_of_rest() == 0.2
+    assert limits.LimitPolicy({"a": 1.2}, 0.1).share_of_rest() > 0.0
+
+
 def test_a_silent_entry_is_no_longer_counted():
     state = limits.LimitState("0", 1_000.0)
     peer = demands.DemandDigest("1", 500.0, 500.0, 0.0, ())
