--- a/src/dotterelplank/bench_traffic.py
+++ b/src/dotterelplank/bench_traffic.py
@@ -76,19 +76,19 @@
         for _ in range(options.families)
     ]
     weights = zipf_weights(options.families, options.skew)
-    sessions: list[tuple[float, tuple[int, ...]]] = []
+    conversations: list[tuple[float, tuple[int, ...]]] = []
     now_ms = rng.expovariate(per_s) * 1_000.0
     for number in itertools.count():
         if now_ms >= duration_ms:
             return
         blocks = families[pick(rng, weights)]
-        if sessions and sessions[0][0] <= now_ms:
+        if conversations and conversations[0][0] <= now_ms:
             if rng.random() < options.follow_up_share:
-                _, blocks = heapq.heappop(sessions)
+                _, blocks = heapq.heappop(conversations)
         blocks = (blocks + _random_blocks(rng, 1))[: prefixes.MAX_CHAIN_BLOCKS]
         pause_ms = rng.uniform(options.follow_up_min_ms, options.follow_up_max_ms)
         if rng.random() < options.follow_up_share:
-            heapq.heappush(sessions, (now_ms + pause_ms, blocks))
+            heapq.heappush(conversations, (now_ms + pause_ms, blocks))
         job = _make_job(rng, options, f"{domain}/{number}", blocks)
         yield Arrival(now_ms, domain, rng.randrange(entries), job)
         now_ms += rng.expovariate(per_s) * 1_000.0
