--- a/src/dotterelplank/bench_limits.py
+++ b/src/dotterelplank/bench_limits.py
@@ -179,7 +179,9 @@
 
 
 def _verdicts(row: LimitsRow) -> t.Iterator[LimitsVerdict]:
-    def verdict(target: str, name: str, limit: float, is_floor: bool = False):
+    def verdict(
+        target: str, name: str, limit: float, is_floor: bool = False
+    ) -> LimitsVerdict:
         measured = _median(row, name)
         holds = measured >= limit if is_floor else measured <= limit
         return LimitsVerdict(target, row.scenario, row.teams, measured, limit, holds)
@@ -196,6 +198,9 @@
     if is_fault:
         yield verdict("retries / requests", "retry_share", RETRY_LIMIT)
         yield verdict("recovery, s", "recovery_s", RECOVERY_LIMIT_S)
+        yield verdict(
+            "recovery of first calls, s", "first_call_recovery_s", RECOVERY_LIMIT_S
+        )
 
 
 def _median(row: LimitsRow, name: str) -> float:
