Give what callers' threads share a module of its own, and feed limits from reports

Traffic holds the views, limits and the retry budget behind one lock. The rank stand-in refuses to stage while a committed change hasn't begun, and a broken invariant of the map protocol ends the process.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -185,13 +185,18 @@
             load.waiting,
             load.kv_used_share,
             load.step_ms,
-            now_ms - self._load_read_ms + load.measured_ms_ago,
+            self._load_age_ms(now_ms),
         )
         try:
             link.send(report)
         except LinkClosedError:
             return
 
+    def _load_age_ms(self, now_ms: float) -> float:
+        if not self._is_model:
+            return 0.0
+        return now_ms - self._load_read_ms + self._load.measured_ms_ago
+
     def _watch_load(self) -> None:
         while not self.daemon.stopped.wait(defaults.REPORT_INTERVAL_MS / 1000):
             try:
--- a/src/dotterelplank/calls.py
+++ b/src/dotterelplank/calls.py
@@ -17,7 +17,6 @@
 TEAM_HEADER = "HTTP_DOTTERELPLANK_TEAM"
 DEADLINE_HEADER = "HTTP_DOTTERELPLANK_DEADLINE_MS"
 PRIORITY_HEADER = "HTTP_DOTTERELPLANK_PRIORITY"
-_BYTES_PER_TOKEN = 4
 _EXPECTED_TOKENS = 256
 _MAX_PRIORITY = 9
 _OWN_HEADERS = frozenset({"authorization", "idempotency-key", "traceparent"})
@@ -50,7 +49,7 @@
 
     :param ticket: the ticket's text, or empty.
     :param idempotency_key: the caller's own key where it is no ticket, or empty.
-    :param cost_tokens: tokens that it will likely read and generate.
+    :param expected_tokens: tokens that it will likely generate.
     """
 
     group: Group
@@ -65,7 +64,6 @@
     idempotency_key: str
     blocks: tuple[int, ...]
     expected_tokens: int
-    cost_tokens: int
 
     @property
     def is_repeatable(self) -> bool:
@@ -138,7 +136,6 @@
         idempotency_key="",
         blocks=prefixes.chain(text),
         expected_tokens=expected_tokens,
-        cost_tokens=len(text) // _BYTES_PER_TOKEN + expected_tokens,
     )
 
 
@@ -197,7 +194,6 @@
         idempotency_key="" if is_ticket else key,
         blocks=(),
         expected_tokens=0,
-        cost_tokens=0,
     )
 
 
--- a/src/dotterelplank/configuration.py
+++ b/src/dotterelplank/configuration.py
@@ -82,14 +82,10 @@
 
 
 class LimitsModel(_Model):
-    """Bounds that hold for every request.
-
-    :param endpoint_tokens_per_s: tokens that one model endpoint reads and generates.
-    """
+    """Bounds that hold for every request."""
 
     deadline_ms: float = pydantic.Field(defaults.DEADLINE_MS, gt=0, le=3_600_000)
     requests_per_entry: int = pydantic.Field(defaults.CALLER_THREADS, ge=1, le=4096)
-    endpoint_tokens_per_s: float = pydantic.Field(defaults.ENDPOINT_TOKENS_PER_S, gt=0)
     body_size_bytes: int = pydantic.Field(
         defaults.BODY_BOUND_BYTES, ge=1024, le=defaults.FRAME_BOUND_BYTES // 2
     )
@@ -158,7 +154,6 @@
 
     deadline_ms: float
     requests_per_entry: int
-    endpoint_tokens_per_s: float
     body_size_bytes: int
 
 
@@ -339,7 +334,6 @@
     limits = Limits(
         model.limits.deadline_ms,
         model.limits.requests_per_entry,
-        model.limits.endpoint_tokens_per_s,
         model.limits.body_size_bytes,
     )
     return Configuration(
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -3,7 +3,6 @@
 import contextlib
 import itertools
 import logging
-import random
 import secrets
 import threading
 import time
@@ -12,17 +11,14 @@
 from . import (
     calls,
     defaults,
-    endpoint_view,
     endpoints,
     events,
     limits,
     replies,
     results,
     retries,
-    routing,
     tickets,
 )
-from .blackboard import PeerPart
 from .calls import CallerRequest, CallRefusedError
 from .configuration import Configuration
 from .conversations import Conversation, Effect
@@ -32,10 +28,10 @@
 from .http_server import CONNECTION_KEY, StartResponse, caller_is_gone, serving
 from .links import Handlers, Link
 from .messages import Begin, Chunk, End, Message, Refuse, Report, Submit
-from .results import Result
 from .selectors import Rule
 from .settings import EntrySettings
 from .tickets import Ticket
+from .traffic import Course, Traffic
 
 log = logging.getLogger(__name__)
 
@@ -58,9 +54,13 @@
         self._metrics = self.daemon.metrics
         self._lock = threading.Lock()
         self._conversations: dict[tuple[Link, int], tuple[Conversation, int]] = {}
-        self._limits = limits.LimitState(settings.host, 0.0)
-        self._budget = retries.RetryBudget()
-        self._rng = random.Random(secrets.randbits(64))
+        self._traffic = Traffic(
+            self._board,
+            settings.host,
+            settings.domain,
+            secrets.randbits(64),
+            self.daemon.coordination.is_usable,
+        )
         self._numbers = itertools.count(1)
         self._in_flight = 0
         self._next_follow_ms = 0.0
@@ -128,7 +128,7 @@
             self._in_flight += not is_full
         if is_full:
             full = CallRefusedError(
-                results.OVERLOADED, retry_after_ms=self._come_back_ms()
+                results.OVERLOADED, retry_after_ms=self._traffic.come_back_ms()
             )
             return self._refuse(environ, start_response, full)
         body: t.Iterable[bytes] = []
@@ -171,9 +171,6 @@
             return [("Connection", "close")]
         return []
 
-    def _come_back_ms(self) -> float:
-        return defaults.RETRY_AFTER_MS * (0.5 + self._rng.random())
-
     def _serve(
         self, environ: dict[str, t.Any], start_response: StartResponse
     ) -> t.Iterable[bytes]:
@@ -181,12 +178,12 @@
         notice_ms = self._settings.balancer_notice_ms
         if lifecycle.stopping and _now_ms() > lifecycle.stopping_since_ms + notice_ms:
             raise CallRefusedError(
-                results.STOPPING, retry_after_ms=self._come_back_ms()
+                results.STOPPING, retry_after_ms=self._traffic.come_back_ms()
             )
         configuration = self._board.configuration.configuration
         if configuration is None:
             raise CallRefusedError(
-                results.NO_CONFIGURATION, retry_after_ms=self._come_back_ms()
+                results.NO_CONFIGURATION, retry_after_ms=self._traffic.come_back_ms()
             )
         request = calls.read(environ, configuration)
         rule = endpoints.taking_rule(configuration, request.work)
@@ -213,12 +210,11 @@
         return ticket.host
 
     def _ticket_required(self, request: CallerRequest, rule: Rule) -> CallRefusedError:
-        with self._lock:
-            choice = self._choose_view(request, rule, frozenset())
-            part = self._board.peers.get(choice.host) if choice else None
+        choice = self._traffic.choose(_now_ms(), request, rule)
+        part = self._board.peers.get(choice.host) if choice else None
         if part is None:
             return CallRefusedError(
-                results.NO_ENDPOINT, retry_after_ms=self._come_back_ms()
+                results.NO_ENDPOINT, retry_after_ms=self._traffic.come_back_ms()
             )
         ticket = Ticket(
             part.link.peer.host,
@@ -244,7 +240,7 @@
     ) -> t.Iterable[bytes]:
         now_ms = _now_ms()
         name = f"{self._settings.host}-{next(self._numbers)}"
-        admitted = self._admit(now_ms, name, configuration, request)
+        admitted = self._traffic.admit(now_ms, name, configuration, request)
         exchange = Exchange(
             repeatable=request.is_repeatable,
             resumable=request.group.resumable,
@@ -252,8 +248,7 @@
             stream=request.stream,
             deadline_at_ms=now_ms + request.deadline_ms,
         )
-        span = self.daemon.tracer.span("entry", request.traceparent)
-        course = _Course(name, request, rule, admitted, exchange, span, now_ms)
+        course = Course(name, request, rule, exchange, now_ms, admitted)
         connection = environ[CONNECTION_KEY]
         conversation = Conversation(
             exchange,
@@ -269,45 +264,11 @@
             raise
         return self._relay(start_response, course, first, effects)
 
-    def _admit(
-        self,
-        now_ms: float,
-        name: str,
-        configuration: Configuration,
-        request: CallerRequest,
-    ) -> limits.Ticket | None:
-        if not request.group.is_model:
-            return None
-        asked = limits.LimitRequest(
-            name,
-            request.work.team,
-            float(request.cost_tokens),
-            request.work.priority,
-            now_ms + request.deadline_ms,
-        )
-        with self._lock:
-            policy = self._limit_policy(configuration)
-            self._note_capacity(now_ms, configuration)
-            decision = limits.admit(now_ms, self._limits, asked, policy)
-        if isinstance(decision, limits.Admitted):
-            return decision.ticket
-        raise CallRefusedError(
-            _SHED_RESULTS[decision.reason], retry_after_ms=decision.retry_after_ms
-        )
-
-    def _limit_policy(self, configuration: Configuration) -> limits.LimitPolicy:
-        return limits.LimitPolicy(configuration.share_by_team, 0.0, 0.0)
-
-    def _note_capacity(self, now_ms: float, configuration: Configuration) -> None:
-        own = self._settings.domain
-        count = sum(view.domain == own for view in self._board.endpoints.values())
-        per_endpoint = configuration.limits.endpoint_tokens_per_s
-        limits.on_load(now_ms, self._limits, max(1, count) * per_endpoint, 0.0)
-
-    def _noted(self, course: "_Course", talk: Conversation) -> t.Iterator[Effect]:
+    def _noted(self, course: Course, talk: Conversation) -> t.Iterator[Effect]:
         """Yield the effects, and settle the accounts however the exchange ends."""
         outcome = limits.Outcome.CANCELLED
-        with course.span as span:
+        parent = course.request.traceparent
+        with self.daemon.tracer.span("entry", parent) as span:
             course.traceparent = span.traceparent
             try:
                 for effect in talk.effects():
@@ -317,10 +278,10 @@
             finally:
                 talk.close()
                 self._detach(course)
-                self._settle(course, outcome)
+                self._traffic.settle(_now_ms(), course, outcome)
                 span.note("outcome", outcome.value)
 
-    def _conclude(self, course: "_Course", effect: Complete | GiveUp) -> limits.Outcome:
+    def _conclude(self, course: Course, effect: Complete | GiveUp) -> limits.Outcome:
         is_done = isinstance(effect, Complete)
         result = results.DONE if is_done else effect.result
         self._metrics.count(self._metrics.results, result=result.name)
@@ -335,83 +296,34 @@
         )
         return limits.Outcome.DONE if is_done else limits.Outcome.FAILED
 
-    def _settle(self, course: "_Course", outcome: limits.Outcome) -> None:
-        now_ms = _now_ms()
-        with self._lock:
-            if course.admitted is not None:
-                limits.release(now_ms, self._limits, course.admitted, outcome)
-            if outcome is limits.Outcome.DONE:
-                retries.note_success(now_ms, self._budget)
-            view = self._board.endpoints.get(course.host)
-            if view is None:
-                return
-            if outcome is limits.Outcome.DONE:
-                endpoint_view.note_finished(view, now_ms, course.name)
-            elif outcome is limits.Outcome.FAILED:
-                endpoint_view.note_failure(view, now_ms, course.name)
-            else:
-                endpoint_view.note_cancelled(view, now_ms, course.name)
-
-    def _choose(self, course: "_Course", command: Choose) -> Chosen:
+    def _choose(self, course: Course, command: Choose) -> Chosen:
         now_ms = _now_ms()
         if command.home is not None:
             is_linked = self.daemon.reach(command.home, defaults.REACH_TIMEOUT_MS)
-            return Chosen(command.home if is_linked else None, self._come_back_ms())
+            return Chosen(
+                command.home if is_linked else None, self._traffic.come_back_ms()
+            )
         if command.is_retry:
             refused = self._wait_for_retry(now_ms, course)
             if refused is not None:
                 return refused
-        with self._lock:
-            choice = self._choose_view(course.request, course.rule, command.excluded)
+        choice = self._traffic.choose(
+            _now_ms(), course.request, course.rule, command.excluded
+        )
         if choice is None:
-            return Chosen(None, self._come_back_ms())
+            return Chosen(None, self._traffic.come_back_ms())
         return Chosen(choice.host)
 
-    def _wait_for_retry(self, now_ms: float, course: "_Course") -> Chosen | None:
+    def _wait_for_retry(self, now_ms: float, course: Course) -> Chosen | None:
         """Sleep as the retry budget says, or return that it has nothing left."""
-        exchange = course.exchange
-        proof = retries.Proof.UNKNOWN if exchange.unproven else retries.Proof.NOT_RUN
-        asked = retries.RetryRequest(
-            course.name,
-            exchange.repeatable,
-            exchange.attempts,
-            exchange.deadline_at_ms,
-        )
-        failure = retries.Failure(proof, is_refusal=not exchange.unproven)
-        with self._lock:
-            view = self._board.endpoints.get(course.host)
-            if view is not None:
-                endpoint_view.note_failure(view, now_ms, course.name)
-            decision = retries.decide(now_ms, self._budget, failure, asked)
+        decision = self._traffic.decide_retry(now_ms, course)
         if isinstance(decision, retries.GiveUp):
             return Chosen(None, decision.retry_after_ms)
         time.sleep(decision.after_ms / 1000)
         return None
 
-    def _choose_view(
-        self, request: CallerRequest, rule: Rule, excluded: t.Collection[str]
-    ) -> routing.Choice | None:
-        now_ms = _now_ms()
-        coordination = self.daemon.coordination
-        views = [
-            view
-            for view in endpoints.usable_views(
-                self._board, request.group, rule, excluded
-            )
-            if coordination.is_usable(now_ms, view.host)
-        ]
-        asked = routing.RouteRequest(
-            "",
-            request.blocks,
-            request.expected_tokens,
-            request.work.priority,
-            self._settings.domain,
-        )
-        policy = routing.RoutingPolicy(live_entries=self._limits.live_entries)
-        return routing.choose(now_ms, asked, views, policy, self._rng)
-
     def _send(
-        self, course: "_Course", talk: Conversation, command: Send
+        self, course: Course, talk: Conversation, command: Send
     ) -> tuple[Link, int]:
         self._detach(course)
         part = self.daemon.part_of(command.host)
@@ -436,16 +348,12 @@
         )
         with self._lock:
             self._conversations[key] = (talk, talk.attempt)
-            view = self._board.endpoints.get(command.host)
-            if view is not None:
-                endpoint_view.note_sent(view, now_ms, course.name, request.blocks)
         course.key = key
-        course.host = command.host
-        course.sent_ms = now_ms
+        self._traffic.note_sent(now_ms, course, command.host)
         part.link.send(submit)
         return key
 
-    def _detach(self, course: "_Course") -> None:
+    def _detach(self, course: Course) -> None:
         if course.key is not None:
             with self._lock:
                 self._conversations.pop(course.key, None)
@@ -454,7 +362,7 @@
     def _relay(
         self,
         start_response: StartResponse,
-        course: "_Course",
+        course: Course,
         first: Effect | None,
         effects: t.Iterator[Effect],
     ) -> t.Iterable[bytes]:
@@ -478,9 +386,7 @@
         replies.begin_answer(start_response, first.head, extra)
         return self._stream(course, effects)
 
-    def _stream(
-        self, course: "_Course", effects: t.Iterator[Effect]
-    ) -> t.Iterator[bytes]:
+    def _stream(self, course: Course, effects: t.Iterator[Effect]) -> t.Iterator[bytes]:
         with contextlib.closing(t.cast(t.Generator, effects)):
             for effect in effects:
                 match effect:
@@ -491,31 +397,20 @@
                         yield replies.stream_error(result, retry_after_ms)
                         raise StreamCutError(result.name)
 
-    def _time_tokens(self, course: "_Course") -> None:
+    def _time_tokens(self, course: Course) -> None:
         now_ms = _now_ms()
+        self._traffic.note_token(now_ms, course)
         if course.last_token_ms == 0.0:
             self._metrics.timing("first_token").observe(now_ms - course.started_ms)
-            self._note_first_token(course, now_ms)
         else:
             gap_ms = now_ms - course.last_token_ms
             self._metrics.timing("between_tokens").observe(gap_ms)
         course.last_token_ms = now_ms
 
-    def _note_first_token(self, course: "_Course", now_ms: float) -> None:
-        with self._lock:
-            view = self._board.endpoints.get(course.host)
-            if view is not None:
-                endpoint_view.note_first_token(view, now_ms, course.name)
-
     def _on_ready(self, link: Link) -> None:
         self.daemon.on_ready(link)
-        if link.peer.role != "agent":
-            return
-        host = link.peer.host
-        with self._lock:
-            if host not in self._board.endpoints:
-                view = endpoint_view.EndpointView(host, link.peer.domain)
-                self._board.endpoints[host] = view
+        if link.peer.role == "agent":
+            self._traffic.add_endpoint(link)
 
     def _on_message(self, link: Link, message: Message) -> None:
         if isinstance(message, _ANSWERS):
@@ -527,34 +422,10 @@
             talk, attempt = found
             talk.post(attempt, message)
         elif isinstance(message, Report):
-            self._on_report(link, message)
+            self._traffic.on_report(_now_ms(), link, message)
         else:
             self.daemon.on_message(link, message)
 
-    def _on_report(self, link: Link, report: Report) -> None:
-        now_ms = _now_ms()
-        host = link.peer.host
-        part = self._board.peers.get(host)
-        if part is None or part.link is not link:
-            return
-        if report.sequence <= part.report_sequence:
-            return
-        self._board.peers[host] = PeerPart(
-            link, report.leaving, report.epoch, report.sequence, now_ms
-        )
-        load = endpoint_view.LoadReport(
-            report.running,
-            report.waiting,
-            report.kv_used_share,
-            report.step_ms,
-            0.0,
-        )
-        with self._lock:
-            view = self._board.endpoints.get(host)
-            if view is not None:
-                age_ms = report.measured_ms_ago
-                endpoint_view.note_report(view, now_ms, load, age_ms)
-
     def _on_closed(self, link: Link, dialled: str | None) -> None:
         self.daemon.on_closed(link, dialled)
         with self._lock:
@@ -577,6 +448,7 @@
         if now_ms >= self._next_follow_ms:
             self._next_follow_ms = now_ms + defaults.FOLLOW_INTERVAL_MS
             self._follow(now_ms)
+            self._traffic.note_capacity(now_ms)
         if now_ms >= self._next_demand_ms:
             self._tell_demand(now_ms)
 
@@ -591,63 +463,16 @@
             is_own = host.domain == self._settings.domain
             if host.role == "agent" and (is_own or host.host in followed):
                 self.daemon.dial(host.host)
-        self._forget_endpoints(board.hosts.hosts)
+        self._traffic.forget_endpoints()
 
     def _tell_demand(self, now_ms: float) -> None:
-        with self._lock:
-            digest = limits.digest(now_ms, self._limits)
-            interval_ms = limits.digest_interval_ms(self._limits)
+        digest, interval_ms = self._traffic.digest(now_ms)
         self._next_demand_ms = now_ms + interval_ms
         coordination = self.daemon.coordination
         coordination.tell_demand(digest, coordination.entries_of_domain())
 
     def _on_demand(self, digest: DemandDigest) -> None:
-        with self._lock:
-            limits.on_digest(_now_ms(), self._limits, digest)
-
-    def _forget_endpoints(self, hosts: t.Mapping[str, t.Any]) -> None:
-        gone = [
-            host
-            for host in self._board.endpoints
-            if host not in hosts and host not in self._board.peers
-        ]
-        with self._lock:
-            for host in gone:
-                del self._board.endpoints[host]
-
-
-_SHED_RESULTS: dict[limits.ShedReason, Result] = {
-    limits.ShedReason.TEAM_OVER_SHARE: results.TEAM_OVER_SHARE,
-    limits.ShedReason.OVERLOAD: results.OVERLOADED,
-    limits.ShedReason.DEADLINE: results.DEADLINE_BEFORE_START,
-}
-
-
-class _Course:
-    """What an entry keeps of one request beside its exchange."""
-
-    def __init__(
-        self,
-        name: str,
-        request: CallerRequest,
-        rule: Rule,
-        admitted: limits.Ticket | None,
-        exchange: Exchange,
-        span: t.ContextManager,
-        started_ms: float,
-    ) -> None:
-        self.name = name
-        self.request = request
-        self.rule = rule
-        self.admitted = admitted
-        self.exchange = exchange
-        self.span = span
-        self.started_ms = started_ms
-        self.traceparent = ""
-        self.key: tuple[Link, int] | None = None
-        self.host = ""
-        self.sent_ms = 0.0
-        self.last_token_ms = 0.0
+        self._traffic.on_digest(_now_ms(), digest)
 
 
 class _Body:
--- a/src/dotterelplank/mapdriver.py
+++ b/src/dotterelplank/mapdriver.py
@@ -12,7 +12,7 @@
 from .codec import Codec
 from .configuration import RankGroup
 from .endpoint_calls import EndpointClient
-from .errors import LinkClosedError, UpstreamError
+from .errors import InvariantError, LinkClosedError, UpstreamError
 from .links import Link, LinkServer
 from .mapmessages import (
     Closed,
@@ -87,6 +87,7 @@
         initial = self._wanted if host == first else None
         self.state: State = new_state(host, group.hosts, incarnation, initial)
         self._next_proposal_ms = 0.0
+        self._is_over = False
 
     def want(self, group: RankGroup, revision: int) -> None:
         """Take the map that a newer configuration names."""
@@ -125,10 +126,23 @@
         self._decide(Received(Envelope(host, frame.incarnation, message)))
 
     def _decide(self, event: Event) -> None:
+        if self._is_over:
+            return
         now_ms = int(self._hooks.clock())
-        for command in mapchange.decide(now_ms, self.state, event, self._policy):
+        try:
+            commands = mapchange.decide(now_ms, self.state, event, self._policy)
+        except InvariantError as error:
+            events.emit(log, events.INVARIANT_BROKEN, what="map", detail=str(error))
+            self._end()
+            return
+        for command in commands:
             self._do(command)
 
+    def _end(self) -> None:
+        """Give no further order; the state is of no use any more."""
+        self._is_over = True
+        self._hooks.on_superseded()
+
     def _do(self, command: Command) -> None:
         match command:
             case Send(host, envelope):
@@ -149,7 +163,7 @@
                     log, event, about=host, ballot=ballot, map_version=map_version
                 )
             case Stop():
-                self._hooks.on_superseded()
+                self._end()
 
     def _send(self, host: str, envelope: Envelope) -> None:
         link = self._hooks.link_to(host)
--- a/src/dotterelplank/standin_rank.py
+++ b/src/dotterelplank/standin_rank.py
@@ -220,8 +220,8 @@
             return
         if self.resolved is not None and self.resolved.ballot == order.ballot:
             raise _conflict(shell.Code.RESOLVED, "resolved", "the ballot is resolved")
-        if self.staged is not None:
-            message = f"ballot {self.staged.ballot} is staged and unresolved"
+        if self.staged is not None or self.committed:
+            message = "another change is staged, or committed and not yet begun"
             raise _conflict(shell.Code.STAGED, "staged", message)
         if self.current is None:
             raise _conflict(shell.Code.NO_MAP, "no_map", "the rank has no map yet")
--- /dev/null
+++ b/src/dotterelplank/traffic.py
@@ -0,0 +1,292 @@
+"""What an entry knows of its endpoints and its load, shared by its callers' threads.
+
+The decisions on routing, limits and retries are plain functions; this state holds what
+they read and write, behind one lock.
+"""
+
+import collections
+import dataclasses
+import random
+import threading
+import typing as t
+
+from . import (
+    capacities,
+    defaults,
+    endpoint_view,
+    endpoints,
+    limits,
+    prefixes,
+    results,
+    retries,
+    routing,
+)
+from .blackboard import Blackboard, PeerPart
+from .calls import CallerRequest, CallRefusedError
+from .configuration import Configuration
+from .demands import DemandDigest
+from .endpoint_view import EndpointView
+from .exchanges import Exchange
+from .links import Link
+from .messages import Report
+from .selectors import Rule
+
+_SHED_RESULTS: dict[limits.ShedReason, results.Result] = {
+    limits.ShedReason.TEAM_OVER_SHARE: results.TEAM_OVER_SHARE,
+    limits.ShedReason.OVERLOAD: results.OVERLOADED,
+    limits.ShedReason.DEADLINE: results.DEADLINE_BEFORE_START,
+}
+
+
+@dataclasses.dataclass
+class Course:
+    """What an entry keeps of one request beside its exchange.
+
+    :param host: the endpoint of the present or last attempt, or empty.
+    :param streams_at: the host at which it counts as a stream, or empty.
+    """
+
+    name: str
+    request: CallerRequest
+    rule: Rule
+    exchange: Exchange
+    started_ms: float
+    admitted: limits.Ticket | None = None
+    traceparent: str = ""
+    key: tuple[Link, int] | None = None
+    host: str = ""
+    streams_at: str = ""
+    last_token_ms: float = 0.0
+
+
+class Traffic:
+    """The views of the endpoints, the limits and the retry budget of one entry.
+
+    :param is_usable: whether membership lets new work go to a host at a time.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        host: str,
+        domain: str,
+        seed: int,
+        is_usable: t.Callable[[float, str], bool],
+    ) -> None:
+        self._board = board
+        self._domain = domain
+        self._is_usable = is_usable
+        self._lock = threading.Lock()
+        self._rng = random.Random(seed)
+        self._limits = limits.LimitState(host, 0.0)
+        self._budget = retries.RetryBudget()
+        self._families = prefixes.FamilyRates()
+        self._streams_by_host: collections.Counter[str] = collections.Counter()
+
+    def come_back_ms(self) -> float:
+        """Return a time to come back, spread over callers."""
+        return defaults.RETRY_AFTER_MS * (0.5 + self._rng.random())
+
+    def admit(
+        self,
+        now_ms: float,
+        name: str,
+        configuration: Configuration,
+        request: CallerRequest,
+    ) -> limits.Ticket | None:
+        """Let a request in; plain services are bounded by their slots alone.
+
+        :raises CallRefusedError: if the request is shed.
+        """
+        if not request.group.is_model:
+            return None
+        asked = limits.LimitRequest(
+            name,
+            request.work.team,
+            float(request.expected_tokens),
+            request.work.priority,
+            now_ms + request.deadline_ms,
+        )
+        policy = limits.LimitPolicy(configuration.share_by_team, 0.0, 0.0)
+        with self._lock:
+            decision = limits.admit(now_ms, self._limits, asked, policy)
+        if isinstance(decision, limits.Admitted):
+            return decision.ticket
+        raise CallRefusedError(
+            _SHED_RESULTS[decision.reason], retry_after_ms=decision.retry_after_ms
+        )
+
+    def choose(
+        self,
+        now_ms: float,
+        request: CallerRequest,
+        rule: Rule,
+        excluded: t.Collection[str] = (),
+    ) -> routing.Choice | None:
+        """Return the endpoint that should take ``request``, or ``None``."""
+        with self._lock:
+            views = [
+                view
+                for view in endpoints.usable_views(
+                    self._board, request.group, rule, excluded
+                )
+                if self._is_usable(now_ms, view.host)
+            ]
+            asked = routing.RouteRequest(
+                "",
+                request.blocks,
+                request.expected_tokens,
+                request.work.priority,
+                self._domain,
+                self._families.note(now_ms, request.blocks),
+            )
+            policy = routing.RoutingPolicy(live_entries=self._limits.live_entries)
+            return routing.choose(now_ms, asked, views, policy, self._rng)
+
+    def decide_retry(
+        self, now_ms: float, course: Course
+    ) -> retries.Retry | retries.GiveUp:
+        """Note that an attempt failed, and ask the retry budget for another."""
+        exchange = course.exchange
+        proof = retries.Proof.UNKNOWN if exchange.unproven else retries.Proof.NOT_RUN
+        asked = retries.RetryRequest(
+            course.name,
+            exchange.repeatable,
+            exchange.attempts,
+            exchange.deadline_at_ms,
+        )
+        failure = retries.Failure(proof, is_refusal=not exchange.unproven)
+        with self._lock:
+            self._leave_stream(course)
+            view = self._board.endpoints.get(course.host)
+            if view is not None:
+                endpoint_view.note_failure(view, now_ms, course.name)
+            return retries.decide(now_ms, self._budget, failure, asked)
+
+    def note_sent(self, now_ms: float, course: Course, host: str) -> None:
+        """Note that the request left for ``host``.
+
+        A unary answer shows nothing until its end, so it doesn't count as one that the
+        endpoint owes a first token for.
+        """
+        with self._lock:
+            course.host = host
+            view = self._board.endpoints.get(host)
+            if view is None:
+                return
+            endpoint_view.note_sent(view, now_ms, course.name, course.request.blocks)
+            if course.request.stream:
+                course.streams_at = host
+                self._streams_by_host[host] += 1
+            else:
+                endpoint_view.note_first_token(view, now_ms, course.name)
+
+    def note_token(self, now_ms: float, course: Course) -> None:
+        """Note that tokens came for a stream."""
+        with self._lock:
+            view = self._board.endpoints.get(course.host)
+            if view is None:
+                return
+            if course.last_token_ms == 0.0:
+                endpoint_view.note_first_token(view, now_ms, course.name)
+            else:
+                endpoint_view.note_progress(view, now_ms)
+
+    def settle(self, now_ms: float, course: Course, outcome: limits.Outcome) -> None:
+        """Settle the accounts of a request that is over."""
+        with self._lock:
+            self._leave_stream(course)
+            if course.admitted is not None:
+                limits.release(now_ms, self._limits, course.admitted, outcome)
+            if outcome is limits.Outcome.DONE:
+                retries.note_success(now_ms, self._budget)
+            view = self._board.endpoints.get(course.host)
+            if view is not None:
+                _NOTE_BY_OUTCOME[outcome](view, now_ms, course.name)
+
+    def _leave_stream(self, course: Course) -> None:
+        if course.streams_at:
+            self._streams_by_host[course.streams_at] -= 1
+            course.streams_at = ""
+
+    def add_endpoint(self, link: Link) -> None:
+        """Begin a view of the endpoint beside an agent that has proved itself."""
+        host = link.peer.host
+        with self._lock:
+            if host not in self._board.endpoints:
+                self._board.endpoints[host] = EndpointView(host, link.peer.domain)
+
+    def forget_endpoints(self) -> None:
+        """Drop the views of hosts that are neither listed nor linked."""
+        board = self._board
+        with self._lock:
+            for host in list(board.endpoints):
+                if host not in board.hosts.hosts and host not in board.peers:
+                    del board.endpoints[host]
+
+    def on_report(self, now_ms: float, link: Link, report: Report) -> None:
+        """Take in what an agent says of itself and its endpoint."""
+        host = link.peer.host
+        part = self._board.peers.get(host)
+        if part is None or part.link is not link:
+            return
+        if report.sequence <= part.report_sequence:
+            return
+        self._board.peers[host] = PeerPart(
+            link, report.leaving, report.epoch, report.sequence, now_ms
+        )
+        with self._lock:
+            view = self._board.endpoints.get(host)
+            if view is not None:
+                self._take_load(now_ms, view, report)
+
+    def _take_load(self, now_ms: float, view: EndpointView, report: Report) -> None:
+        load = endpoint_view.LoadReport(
+            report.running,
+            report.waiting,
+            report.kv_used_share,
+            report.step_ms,
+            0.0,
+        )
+        age_ms = report.measured_ms_ago
+        endpoint_view.note_report(view, now_ms, load, age_ms)
+        # Only streams show progress by themselves; for the rest a fresh load does.
+        is_silent_by_nature = not self._streams_by_host[view.host]
+        if is_silent_by_nature and age_ms <= defaults.FRESH_LOAD_MS:
+            endpoint_view.note_progress(view, now_ms)
+
+    def note_capacity(self, now_ms: float) -> None:
+        """Take in what the load reports of the own domain show."""
+        places = float(defaults.ENDPOINT_BATCH_REQUESTS)
+        with self._lock:
+            views = [
+                view
+                for view in self._board.endpoints.values()
+                if view.domain == self._domain and self._is_usable(now_ms, view.host)
+            ]
+            capacity_per_s = capacities.capacity_per_s(views, places)
+            if capacity_per_s <= 0.0:
+                # No engine has shown the time of a step yet.
+                capacity_per_s = defaults.UNKNOWN_CAPACITY_TOKENS_PER_S
+            mean_tokens = max(1.0, self._limits.request_cost)
+            backlog_ms = capacities.backlog_ms(views, places, mean_tokens)
+            free = capacities.free_share(views, places)
+            limits.on_load(now_ms, self._limits, capacity_per_s, backlog_ms, free)
+
+    def digest(self, now_ms: float) -> tuple[DemandDigest, float]:
+        """Return this entry's demand, and the time until it is told again."""
+        with self._lock:
+            digest = limits.digest(now_ms, self._limits)
+            return digest, limits.digest_interval_ms(self._limits)
+
+    def on_digest(self, now_ms: float, digest: DemandDigest) -> None:
+        """Take in the demand of another entry of the domain."""
+        with self._lock:
+            limits.on_digest(now_ms, self._limits, digest)
+
+
+_NOTE_BY_OUTCOME = {
+    limits.Outcome.DONE: endpoint_view.note_finished,
+    limits.Outcome.FAILED: endpoint_view.note_failure,
+    limits.Outcome.CANCELLED: endpoint_view.note_cancelled,
+}
