Tell no newcomer of a change whose resolution may be on its way

Its predecessor had ordered an abort, on the no of an engine that was lost; the newcomer there heard of the staged change and joined it, the abort landed, and the rest committed. Such an agent still votes yes and resolves at once, but answers a hello only once no order of its predecessor can land. The earlier reasoning, that every agent orders the same resolution, holds only while no newcomer joins on what it is told.

That word now counts whoever sends it.

Also: an agent checks that its engine resolved as it decided.

--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/mapchange.py
@@ -102,12 +102,8 @@
         return
     before, view = state.view, event.view
     state.read_id = None
-    if state.quiet is not None and view.staged is None:
-        _prolong(turn, state.quiet)
+    if state.quiet is not None and not _is_readable(turn, state.quiet, view):
         return
-    # What may follow the order that staged is its resolution, which is the same
-    # whoever orders it.
-    state.quiet = None
     # A predecessor's late order carries a token below this incarnation.
     if before is not None and view.highest_fence > max(state.fence, state.incarnation):
         state.superseded = True
@@ -125,6 +121,24 @@
     _check_view(state, before, view)
 
 
+def _is_readable(turn: Turn, quiet: Quiet, view: EngineView) -> bool:
+    """Return whether a read tells what binds the agent, though orders may be open.
+
+    Beside a staged change only its resolution can be on its way. The agent may vote
+    yes and resolve it, but tells no newcomer of it: the resolution on its way may
+    rest on a vote that the newcomer's predecessor gave.
+    """
+    if view.staged is not None:
+        quiet.found = True
+        _prolong(turn, quiet)
+        return True
+    if quiet.found:
+        turn.state.quiet = None
+        return True
+    _prolong(turn, quiet)
+    return False
+
+
 def _prolong(turn: Turn, quiet: Quiet) -> None:
     gap_ms = turn.now_ms - quiet.last_ms
     if quiet.since_ms is None or gap_ms > turn.policy.view_age_ms:
@@ -147,9 +161,12 @@
     if envelope.host not in state.hosts:
         return
     known = state.known.get(envelope.host, 0)
+    if isinstance(envelope.message, Stale):
+        # Whoever sends it: two agents may each have met a higher one of the other.
+        _on_stale(turn, envelope.message)
+        return
     if envelope.incarnation < known:
-        if not isinstance(envelope.message, Stale):
-            send(turn, envelope.host, Stale(envelope.incarnation, known))
+        send(turn, envelope.host, Stale(envelope.incarnation, known))
         return
     fence_peer(state, Participant(envelope.host, envelope.incarnation))
     handler = _MESSAGE_HANDLERS[type(envelope.message)]
@@ -171,7 +188,7 @@
         state.statuses[host] = message
 
 
-def _on_stale(turn: Turn, host: str, message: Stale) -> None:
+def _on_stale(turn: Turn, message: Stale) -> None:
     # The message may have come from a predecessor.
     if message.incarnation == turn.state.incarnation:
         _raise_incarnation(turn, message.highest_incarnation)
@@ -212,7 +229,8 @@
 
 def _is_poll_due(turn: Turn) -> bool:
     state = turn.state
-    if state.polled_at_ms is None or (state.must_read and state.quiet is None):
+    is_quiet = state.quiet is not None and not state.quiet.found
+    if state.polled_at_ms is None or (state.must_read and not is_quiet):
         return True
     return turn.now_ms - state.polled_at_ms >= turn.policy.poll_ms
 
@@ -272,7 +290,6 @@
 _MESSAGE_HANDLERS: dict[type, t.Callable[[Turn, str, t.Any], None]] = {
     Hello: _on_hello,
     Status: _on_status,
-    Stale: _on_stale,
     Stage: on_stage,
     Ask: on_ask,
     Vote: on_vote,
--- a/src/dotterelplank/mapstate.py
+++ b/src/dotterelplank/mapstate.py
@@ -18,7 +18,6 @@
     Hello,
     Message,
     Order,
-    Outcome,
     Participant,
     Propose,
     Report,
@@ -56,6 +55,14 @@
     near_steps: int = 3
 
 
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """What this agent has decided on a change and ordered."""
+
+    change: Change
+    commit: bool
+
+
 @dataclasses.dataclass
 class Draft:
     """A proposal for which the agent asks the others whether they are ready.
@@ -77,10 +84,13 @@
 
     :param since_ms: the first of the answered reads without a gap.
     :param last_ms: the last of them.
+    :param found: whether a change was found staged, after which nothing but its
+        resolution can be on its way.
     """
 
     since_ms: int | None = None
     last_ms: int = 0
+    found: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -111,7 +121,7 @@
     :param order_id: the open order.
     :param read_id: the open read.
     :param must_read: whether the view is older than an order.
-    :param announce: the outcome to tell once the engine has taken it.
+    :param decision: what to tell the others once the engine has taken it.
     :param questions: votes owed, by host.
     :param greetings: statuses owed.
     """
@@ -141,7 +151,7 @@
     tally: Tally | None = None
     draft: Draft | None = None
     proposal: Proposal | None = None
-    announce: Outcome | None = None
+    decision: Decision | None = None
     questions: dict[str, Ask] = dataclasses.field(default_factory=dict)
     greetings: dict[str, Hello] = dataclasses.field(default_factory=dict)
     superseded: bool = False
@@ -219,7 +229,7 @@
     state.statuses.clear()
     state.hello_at_ms = turn.now_ms
     state.tally = None
-    state.announce = None
+    state.decision = None
     if state.draft is not None:
         turn.commands.append(Closed(None, Closure.REFUSED))
         state.draft = None
--- a/src/dotterelplank/mapvotes.py
+++ b/src/dotterelplank/mapvotes.py
@@ -4,6 +4,7 @@
 
 from . import events
 from .ballots import Ballot, Change
+from .errors import InvariantError
 from .mapmessages import (
     Answer,
     Ask,
@@ -18,7 +19,16 @@
     Status,
     Vote,
 )
-from .mapstate import Proposal, State, Turn, can_speak, give_order, report, send
+from .mapstate import (
+    Decision,
+    Proposal,
+    State,
+    Turn,
+    can_speak,
+    give_order,
+    report,
+    send,
+)
 from .maptally import Tally, verdict
 
 
@@ -80,16 +90,20 @@
     """Tell the outcome that the engine has taken, and end the proposal."""
     state = turn.state
     staged = None if view.staged is None else view.staged.ballot
-    if state.announce is not None and state.announce.ballot != staged:
-        _tell(turn, state.announce)
-        state.announce = None
+    decision = state.decision
+    if decision is not None and decision.change.ballot != staged:
+        state.decision = None
+        _tell(turn, view, decision)
     if state.proposal is not None and state.proposal.change.ballot != staged:
         _end_proposal(turn, view)
 
 
-def _tell(turn: Turn, outcome: Outcome) -> None:
+def _tell(turn: Turn, view: EngineView, decision: Decision) -> None:
+    change = decision.change
+    if decision.commit != (view.version >= change.map.version):
+        raise InvariantError(f"{change.ballot} was resolved otherwise than decided")
     for peer in turn.state.peers:
-        send(turn, peer, outcome)
+        send(turn, peer, Outcome(change.ballot, decision.commit))
 
 
 def _end_proposal(turn: Turn, view: EngineView) -> None:
@@ -121,7 +135,7 @@
         if commit is None:
             _chase(turn, tally, staged)
             return
-        state.announce = Outcome(staged.ballot, commit)
+        state.decision = Decision(staged, commit)
     event = events.MAP_COMMITTED if commit else events.MAP_ABORTED
     report(turn, event, staged.ballot, staged.map.version)
     give_order(turn, ResolveOrder(staged.ballot, commit))
@@ -176,9 +190,10 @@
 def answer_questions(turn: Turn, view: EngineView) -> None:
     """Send the statuses and votes that are owed."""
     state = turn.state
-    for host, hello in state.greetings.items():
-        send(turn, host, Status(hello.participants, view))
-    state.greetings.clear()
+    if state.quiet is None:
+        for host, hello in state.greetings.items():
+            send(turn, host, Status(hello.participants, view))
+        state.greetings.clear()
     if view.map is None:  # may yet stage the ballot as it joins
         return
     for host, question in state.questions.items():
--- a/tests/test_mapchange.py
+++ b/tests/test_mapchange.py
@@ -305,6 +305,14 @@
         commands = driver.hear("b", Ask(BALLOT, 2)) + driver.read(HOLDING)
         self.assertEqual([Vote(BALLOT, Answer.YES)], sent(commands, Vote))
 
+    def test_new_agent_tells_no_newcomer_of_a_change_that_may_be_resolved(self):
+        driver = Driver(HOLDING)
+        driver.state = new_state("a", driver.hosts, 11)
+        hello = Hello((Participant("b", 12),))
+        commands = driver.read(HOLDING) + driver.hear("b", hello, 12)
+        self.assertEqual([], sent(commands, Status))
+        self.assertEqual(1, len(sent(driver.be_quiet(HOLDING), Status)))
+
     def test_engine_that_stalls_begins_the_wait_anew(self):
         driver = settled(IDLE)
         driver.hear("b", Stage(CHANGE, 1, 10))
@@ -358,6 +366,12 @@
         self.assertEqual([events.INCARNATION_RAISED], reported)
         self.assertEqual(2, len(sent(commands, Hello)))
 
+    def test_two_clocks_set_back_are_both_noticed(self):
+        driver = Driver(IDLE)
+        driver.hear("b", Hello((Participant("b", 40),)), 40)
+        driver.hear("b", Stale(10, 30), 20)
+        self.assertEqual(31, driver.state.incarnation)
+
     def test_late_message_of_the_predecessor_does_not_raise_the_incarnation(self):
         driver = settled(IDLE)
         driver.hear("b", Stale(9, 10))
