--- a/tests/test_mapchange.py
+++ b/tests/test_mapchange.py
@@ -225,6 +225,8 @@
 
     def test_new_agent_asks_at_once_for_what_it_finds_staged(self):
         driver = Driver(HOLDING)
+        driver.state = new_state("a", driver.hosts, 11)
+        driver.read(HOLDING)
         self.assertEqual(2, len(sent(driver.meet(), Ask)))
 
     def test_unanimity_commits_and_is_told_when_the_engine_has_taken_it(self):
