--- a/tests/test_rebalancing.py
+++ b/tests/test_rebalancing.py
@@ -1,4 +1,5 @@
 import dataclasses
+import logging
 
 import numpy as np
 import testtools
@@ -259,3 +260,30 @@
             group.now_ms + WINDOW_MS + 1, given_up, group.observe(), group.policy
         )
         self.assertIsNotNone(again.plan)
+
+    def test_overdue_plan_no_longer_holds_up_another(self):
+        group = Group()
+        group.run(4)
+        group.tokens[0, 5] *= 12
+        made = rebalancing.plan(
+            group.now_ms + WINDOW_MS, group.state, group.observe(), group.policy
+        )
+        late_ms = made.plan.stage_ms + group.policy.stage_bound_ms
+        again = rebalancing.plan(
+            group.now_ms + WINDOW_MS + late_ms,
+            made.state,
+            group.observe(),
+            group.policy,
+        )
+        self.assertIsNotNone(again.plan)
+
+    def test_log_tells_what_a_plan_costs(self):
+        group = Group()
+        group.run(4)
+        group.tokens[0, 5] *= 12
+        made = group.decide()
+        with self.assertLogs("experts", logging.INFO) as logs:
+            rebalancing.log_plan(logging.getLogger("experts"), made)
+        record = logs.records[0]
+        self.assertEqual(451, record.event.number)
+        self.assertEqual(made.size_bytes, record.event_fields["size_bytes"])
