--- a/src/dotterelplank/bench_experts.py
+++ b/src/dotterelplank/bench_experts.py
@@ -30,6 +30,8 @@
 MARISOL_WEIGHT: t.Final = 0.8
 WEIGHTS: t.Final = (0.0, KAPLAN_WEIGHT, 0.5, MARISOL_WEIGHT, 0.95, 0.99, 0.999, 1.0)
 FLOOR_TOKENS_PER_RANK: t.Final = (32, 64, 128, 256, 512, 1024)
+FIGURE_INCHES: t.Final = (9.0, 6.0)
+LABEL_OFFSET_POINTS: t.Final = 16
 BYTES_PER_GB: t.Final = 1e9
 
 
@@ -352,17 +354,24 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    figure, axes = pyplot.subplots()
+    figure, axes = pyplot.subplots(figsize=FIGURE_INCHES)
     rows = report.frontier
     moved = [row.median("moved_gb") for row in rows]
     axes.plot(moved, [row.median("skew_p99") for row in rows], "o-", label="p99")
     axes.plot(moved, [row.median("skew_p50") for row in rows], "o-", label="p50")
-    for row, gigabytes in zip(rows, moved):
-        axes.annotate(row.name, (gigabytes, row.median("skew_p99")))
+    for height, (row, gigabytes) in enumerate(zip(rows, moved)):
+        axes.annotate(
+            row.name,
+            (gigabytes, row.median("skew_p99")),
+            xytext=(LABEL_OFFSET_POINTS, LABEL_OFFSET_POINTS * (len(rows) - height)),
+            textcoords="offset points",
+            arrowprops={"arrowstyle": "-", "linewidth": 0.5},
+        )
     axes.set_xlabel("moved in a day, GB")
     axes.set_ylabel("step-time skew outside the first minute after a jump")
     axes.set_xscale("symlog")
     axes.set_yscale("log")
+    axes.margins(x=0.2, y=0.3)
     axes.legend()
     options = report.options
     axes.set_title(f"{options.ranks} ranks x {options.experts} experts")
