End what is in progress when an entry's stop reaches its bound

At the bound an entry posted a refusal to every exchange, and an exchange takes a refusal without proof as a reason to try an idempotent request elsewhere: a stopping entry began new attempts, told nobody, and in the new test served a stream of 2,000 tokens to its end (46 s) with a bound of 300 ms.

--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -28,7 +28,17 @@
 from .conversations import Conversation, Effect
 from .daemon import Daemon
 from .demands import DemandDigest
-from .exchanges import Choose, Chosen, Complete, Exchange, GiveUp, Lost, RelayData, Send
+from .exchanges import (
+    Choose,
+    Chosen,
+    Complete,
+    Exchange,
+    GiveUp,
+    Lost,
+    RelayData,
+    Send,
+    StopBound,
+)
 from .http_server import CONNECTION_KEY, StartResponse, caller_is_gone, serving
 from .links import Handlers, Link
 from .messages import Begin, Chunk, End, Message, Refuse, Report, Submit
@@ -108,7 +118,7 @@
             cut = self._in_flight
         if not whole:
             events.emit(log, events.STOP_BOUND_REACHED, requests_cut=cut)
-            self._post_to_all(Refuse(0, results.STOP_BOUND.number, 0.0))
+            self._post_to_all(StopBound())
         self._resources.close()
         self.daemon.finish_stop()
         return whole
@@ -566,7 +576,7 @@
         for talk, attempt in lost:
             talk.post(attempt, Lost(written=True))
 
-    def _post_to_all(self, event: Refuse) -> None:
+    def _post_to_all(self, event: StopBound) -> None:
         with self._lock:
             found = list(self._conversations.values())
         for talk, attempt in found:
--- a/src/dotterelplank/exchanges.py
+++ b/src/dotterelplank/exchanges.py
@@ -85,7 +85,12 @@
     """The caller hung up."""
 
 
-Event = Chosen | Lost | Tick | CallerGone | Begin | Chunk | End | Refuse
+@dataclasses.dataclass(frozen=True)
+class StopBound:
+    """The bound on this process's shutdown is reached."""
+
+
+Event = Chosen | Lost | Tick | CallerGone | StopBound | Begin | Chunk | End | Refuse
 
 
 @dataclasses.dataclass(frozen=True)
@@ -182,6 +187,8 @@
             return _on_tick(now_ms, exchange)
         case CallerGone():
             return _on_caller_gone(exchange)
+        case StopBound():
+            return _on_stop_bound(exchange)
     raise InvariantError(f"no such event: {event!r}")
 
 
@@ -310,6 +317,12 @@
     return [CancelAt(t.cast(str, exchange.host))]
 
 
+def _on_stop_bound(exchange: Exchange) -> t.Sequence[Command]:
+    was_sent = exchange.phase in (Phase.SENT, Phase.RELAYING)
+    cancels = [CancelAt(t.cast(str, exchange.host))] if was_sent else []
+    return [*cancels, *_give_up(exchange, results.STOP_BOUND)]
+
+
 def _lost_midway(
     now_ms: float,
     exchange: Exchange,
--- a/tests/request_breaks.py
+++ b/tests/request_breaks.py
@@ -11,6 +11,7 @@
 PATH = "tests/test_path.py::PathTests"
 LINKS = "tests/test_links.py::StopTests"
 ROLLING = "tests/test_processes_faults.py::RollingTests"
+STOP_BOUND = "tests/test_processes_faults.py::StopBoundTests"
 CROWD = "tests/test_processes_faults.py::CrowdTests"
 PLATFORM = "tests/test_processes.py::PlatformTests"
 DATAGRAMS = "tests/test_messages.py::DatagramTests"
@@ -247,6 +248,13 @@
             f"{ROLLING}::"
             "test_a_ticket_made_just_before_its_home_leaves_is_proved_not_run",
         ),
+        make(
+            "an entry's stop bound tells nobody",
+            "entry",
+            "self._post_to_all(StopBound())",
+            "pass",
+            f"{STOP_BOUND}::test_the_bound_on_an_entrys_stop_is_told_to_the_caller",
+        ),
         make(
             "slow callers are never cut off",
             "http_server",
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -159,6 +159,13 @@
         self.assertEqual([CancelAt("a")], commands)
         self.assertEqual([], exchanges.decide(0, subject, End(1, 0)))
 
+    def test_the_bound_on_a_stop_ends_it_and_tries_nothing_more(self):
+        subject = exchange()
+        commands = play(subject, Chosen("a"), HEAD, exchanges.StopBound())
+        self.assertEqual(CancelAt("a"), commands[0])
+        self.assertIs(results.STOP_BOUND, commands[1].result)
+        self.assertEqual(2, len(commands))
+
     def test_a_choice_that_is_not_the_home_is_an_invariant_broken(self):
         subject = exchange(home="a")
         self.assertRaises(
