--- a/src/dotterelplank/member_watch.py
+++ b/src/dotterelplank/member_watch.py
@@ -36,16 +36,26 @@
 def judge_watched(turn: Turn) -> None:
     """Probe those that this entry watches and doesn't hear; suspect the silent."""
     for member in turn.state.members.values():
+        if member.notices_left:
+            _repeat_notice(turn, member)
         if not (member.watched or member.checked):
             continue
         if member.status > MemberStatus.SUSPECT:
             continue
         if silence_ms(turn, member) < overdue_ms(member, turn.policy):
-            _quiet(member)
+            if member.status is MemberStatus.ALIVE:
+                _quiet(member)
         elif turn.now_ms >= member.next_probe_ms:
             _press(turn, member)
 
 
+def _repeat_notice(turn: Turn, member: Member) -> None:
+    if member.status is not MemberStatus.DEAD:
+        member.notices_left = 0
+    elif turn.now_ms >= member.next_notice_ms:
+        _spread_death(turn, member)
+
+
 def _quiet(member: Member) -> None:
     member.probes = 0
     member.checked = False
@@ -121,10 +131,13 @@
     if len(accusers) < min(turn.policy.accusers, len(judges)):
         return
     settle(turn, member, MemberStatus.DEAD)
+    member.notices_left = turn.policy.death_notices
     _spread_death(turn, member)
 
 
 def _spread_death(turn: Turn, member: Member) -> None:
+    member.notices_left -= 1
+    member.next_notice_ms = turn.now_ms + turn.policy.probe_interval_ms
     hosts = tuple(
         host
         for host, other in turn.state.members.items()
@@ -271,10 +284,22 @@
         return
     slack_ms = turn.policy.slack_ms
     last_ms = turn.now_ms - notice.unheard_ms + slack_ms
+    if member.status > MemberStatus.SUSPECT:
+        return
     if member.heard_ms is not None and member.heard_ms > last_ms:
+        _doubt(turn, member, notice.host)
         return
-    if member.status <= MemberStatus.SUSPECT:
-        settle(turn, member, MemberStatus.DEAD)
+    settle(turn, member, MemberStatus.DEAD)
+
+
+def _doubt(turn: Turn, member: Member, accuser: str) -> None:
+    # Heard here after its watchers heard it last: out of use until it answers.
+    member.accusers[accuser] = turn.now_ms
+    member.checked = True
+    settle(turn, member, MemberStatus.SUSPECT)
+    if turn.now_ms >= member.next_probe_ms:
+        member.next_probe_ms = turn.now_ms + turn.policy.probe_interval_ms
+        probe(turn, member)
 
 
 def _hear_leaving(turn: Turn, member: Member, notice: Notice) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,9 @@
 """Single judgements of membership, and the encoding of its messages."""
 
+import hypothesis
+import msgpack
 import pytest
+from hypothesis import strategies as st
 
 from dotterelplank import datagrams, errors, member_messages as mm, membership
 from dotterelplank.peers import Peer, Role
@@ -62,8 +65,9 @@
     suspected = mm.Notice("en-1", AGENT.host, 5, mm.MemberStatus.SUSPECT, 800)
     commands = feed(910, state, mm.NoticeHeard(suspected))
     assert status(state) is mm.MemberStatus.DEAD
-    told = [c for c in commands if isinstance(c, mm.SendNotice)]
-    assert told[-1].notice.status is mm.MemberStatus.DEAD
+    commands += run_ticks(state, 950, 1_100)
+    told = [c.notice.status for c in commands if isinstance(c, mm.SendNotice)]
+    assert told.count(mm.MemberStatus.DEAD) == POLICY.death_notices
 
 
 def test_woken_process_judges_nobody_by_its_own_pause():
@@ -151,6 +155,20 @@
     assert rest == list(upcoming)
 
 
+def test_notice_of_a_death_ends_use_even_where_it_was_heard_a_little_later():
+    state = entry()
+    run_ticks(state, 50, 950)
+    feed(1_000, state, beat(1, 2_000, watch=False))
+    run_ticks(state, 1_000, 1_650)
+    dead = mm.Notice("en-1", AGENT.host, 5, mm.MemberStatus.DEAD, 900)
+    commands = feed(1_700, state, mm.NoticeHeard(dead))
+    assert not usable(1_700, state)
+    probed = next(c for c in commands if isinstance(c, mm.SendProbe))
+    answer = beat(2, 2_701, watch=False, echo=probed.nonce)
+    feed(1_702, state, answer)
+    assert usable(1_702, state)
+
+
 def test_seeds_are_peers_until_a_host_list_is_in_force():
     state = membership.start(0, OWN, 1, seed=1)
     feed(0, state, mm.PeersSeeded((AGENT, OTHER, OWN)))
@@ -178,8 +196,31 @@
         assert datagrams.unseal(sealed, SECRET) == message
 
 
-@pytest.mark.parametrize("datagram", [b"", b"\xc1", b"\x90", b"\x91\x63", b"\x93\x00"])
+MALFORMED = (b"", b"\xc1", b"\x90", b"\x91\x63", b"\x93\x00", b"\x93\x01\x05\x05")
+
+
+@pytest.mark.parametrize("datagram", MALFORMED)
 def test_malformed_datagram_is_a_protocol_error(datagram):
     sealed = datagrams._mac(datagram, SECRET) + datagram
     with pytest.raises(errors.ProtocolError):
         datagrams.unseal(sealed, SECRET)
+
+
+ITEMS = st.recursive(
+    st.none()
+    | st.integers(-(2**63), 2**63)
+    | st.text(max_size=4)
+    | st.binary(max_size=4),
+    lambda inner: st.lists(inner, max_size=4),
+    max_leaves=8,
+)
+
+
+@hypothesis.given(st.integers(0, 9), st.text(max_size=3), st.lists(ITEMS, max_size=8))
+def test_any_array_is_an_event_or_a_protocol_error(kind, host, items):
+    body = msgpack.packb([kind, host, *items])
+    try:
+        datagram = datagrams.unseal(datagrams._mac(body, SECRET) + body, SECRET)
+    except errors.ProtocolError:
+        return
+    assert isinstance(datagrams.sender_of(datagram), str)
