Learn peers from a list that isn't in force, and feed routing from heartbeats

Cause: a new process must ask its peers before it trusts a read, and the decision now reads the host list for that alone; the shell dropped that command. Run: 68 passed in the path's, membership's, revisions' and processes' tests.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -15,6 +15,7 @@
 from .ledger import Ledger
 from .links import Handlers, Link
 from .mapdriver import Hooks, MapDriver
+from .member_messages import Load
 from .messages import Cancel, Credit, MapFrame, Message, Report, Submit
 from .results import Result
 from .settings import AgentSettings
@@ -44,6 +45,7 @@
         self._report_sequence = 0
         self._maps: MapDriver | None = None
         self._next_report_ms = now_ms
+        self._next_load_ms = now_ms
         self._idle = threading.Condition(self._lock)
 
     def _handlers(self) -> Handlers:
@@ -141,9 +143,21 @@
             links = self.daemon.entry_links()
             self._next_report_ms = now_ms + report_interval_ms(len(links))
             self._send_reports(now_ms)
+        if now_ms >= self._next_load_ms:
+            self._next_load_ms = now_ms + defaults.REPORT_INTERVAL_MS
+            self._tell_load(now_ms)
 
         self._drive_maps(now_ms)
 
+    def _tell_load(self, now_ms: float) -> None:
+        """Let the next heartbeats carry the load, unless it is out of date."""
+        if self._load_age_ms(now_ms) > defaults.FRESH_LOAD_MS:
+            return
+        load = self._load
+        running = load.running if self._is_model else self.state.running
+        told = Load(running, load.waiting, round(load.kv_used_share * 1000))
+        self.daemon.coordination.note_load(now_ms, told)
+
     def _drive_maps(self, now_ms: float) -> None:
         """Take part in the rank group that the configuration names, if any."""
         part = self.daemon.board.configuration
--- a/src/dotterelplank/coordination.py
+++ b/src/dotterelplank/coordination.py
@@ -51,6 +51,7 @@
     :param on_member: another process is judged anew.
     :param on_superseded: a newer process runs under this host's name.
     :param on_demand: another entry told its demand.
+    :param on_load: a heartbeat told the load of a host.
     :param dial: opens a stream to a host, unless that is under way.
     """
 
@@ -58,6 +59,7 @@
     on_superseded: t.Callable[[], None]
     on_demand: t.Callable[[DemandDigest], None]
     dial: t.Callable[[str], None]
+    on_load: t.Callable[[float, str, members.Load], None]
 
 
 class Coordination:
@@ -158,8 +160,8 @@
                 self._hooks.on_demand(datagram)
             case _:
                 self._judge_members(now_ms, datagrams.member_event(datagram))
-                if isinstance(datagram, Heartbeat) and datagram.offer is not None:
-                    self._on_offer(now_ms, sender, datagram.offer)
+                if isinstance(datagram, Heartbeat):
+                    self._take_extras(now_ms, sender, datagram)
 
     def on_message(self, now_ms: float, link: Link, message: Message) -> bool:
         """Take a message about texts; return whether it was one."""
@@ -188,6 +190,12 @@
         for document in Document:
             self._judge_revision(now_ms, document, revs.PeerDeclined(host))
 
+    def _take_extras(self, now_ms: float, sender: str, beat: Heartbeat) -> None:
+        if beat.offer is not None:
+            self._on_offer(now_ms, sender, beat.offer)
+        if beat.load is not None:
+            self._hooks.on_load(now_ms, sender, beat.load)
+
     def _on_offer(self, now_ms: float, sender: str, offer: revs.Offer) -> None:
         event = revs.PeerOffer(sender, offer)
         self._judge_revision(now_ms, offer.document, event)
@@ -291,6 +299,8 @@
                 self._judge_revision(now_ms, document, revs.TextSent(host))
             case revs.Decline(document, host):
                 self._send_by_link(host, TextDecline(document))
+            case revs.SeedPeers(validated):
+                self._seed(now_ms, t.cast(t.Mapping[str, Host], validated))
             case revs.Adopt():
                 self._adopt(now_ms, command)
             case revs.Report(event, document, revision, detail):
@@ -338,14 +348,25 @@
             self._check_upwards(self._board.hosts.version, adopted.revision)
             hosts = t.cast(t.Mapping[str, Host], adopted.validated)
             self._board.hosts = HostsPart(adopted.revision, hosts, now_ms)
-            self._places.update(
-                (host.host, Place(host.address, host.port)) for host in hosts.values()
-            )
-            self._tell_membership(now_ms, adopted.revision, hosts)
+            self._learn_places(hosts)
+            adopted_list = members.HostListAdopted(adopted.revision, _listed(hosts))
+            self._judge_members(now_ms, adopted_list)
         self._note_refusals()
         offers = tuple(revisions.offer_of(state) for state in self._revisions.values())
         self._judge_members(now_ms, members.OffersChanged(offers))
 
+    def _seed(self, now_ms: float, hosts: t.Mapping[str, Host]) -> None:
+        """Ask the hosts of a list that isn't in force, so that a read isn't trusted."""
+        self._learn_places(hosts)
+        seeded = tuple(shown.peer for shown in _listed(hosts))
+        others = tuple(peer for peer in seeded if peer.host != self._identity.host)
+        self._judge_members(now_ms, members.PeersSeeded(others))
+
+    def _learn_places(self, hosts: t.Mapping[str, Host]) -> None:
+        self._places.update(
+            (host.host, Place(host.address, host.port)) for host in hosts.values()
+        )
+
     def _check_upwards(self, held: int, adopted: int) -> None:
         if adopted <= held:
             self._metrics.count(self._metrics.invariants, what="revision")
@@ -366,22 +387,6 @@
                 refused_why=refused.reason,
             )
 
-    def _tell_membership(
-        self, now_ms: float, version: int, hosts: t.Mapping[str, Host]
-    ) -> None:
-        listed = tuple(
-            members.ListedHost(
-                Peer(
-                    host.host,
-                    host.domain,
-                    Role.ENTRY if host.role == "entry" else Role.AGENT,
-                ),
-                host.is_leaving,
-            )
-            for host in hosts.values()
-        )
-        self._judge_members(now_ms, members.HostListAdopted(version, listed))
-
     def _send(self, hosts: t.Iterable[str], datagram: datagrams.Datagram) -> None:
         data = datagrams.seal(datagram, self._identity.secret)
         for host in hosts:
@@ -412,6 +417,20 @@
             return
 
 
+def _listed(hosts: t.Mapping[str, Host]) -> tuple[members.ListedHost, ...]:
+    return tuple(
+        members.ListedHost(
+            Peer(
+                host.host,
+                host.domain,
+                Role.ENTRY if host.role == "entry" else Role.AGENT,
+            ),
+            host.is_leaving,
+        )
+        for host in hosts.values()
+    )
+
+
 def _member_incarnation(identity: Identity) -> int:
     """Return the process's number in milliseconds, as membership counts it."""
     return identity.incarnation >> defaults.INCARNATION_DRAW_BITS
--- a/src/dotterelplank/daemon.py
+++ b/src/dotterelplank/daemon.py
@@ -16,7 +16,7 @@
 from .handshakes import Side
 from .http_server import serving
 from .links import Handlers, Identity, Link, LinkServer
-from .member_messages import MemberChanged, MemberStatus
+from .member_messages import Load, MemberChanged, MemberStatus
 from .messages import Message
 from .metrics import Metrics
 from .platform_client import PlatformClient
@@ -36,6 +36,7 @@
         handlers: Handlers,
         in_flight: t.Callable[[], int],
         on_demand: t.Callable[[DemandDigest], None] = lambda digest: None,
+        on_load: t.Callable[[float, str, Load], None] = lambda *arguments: None,
     ) -> None:
         self.settings = settings
         self.role = role
@@ -61,7 +62,7 @@
             self.links,
             PlatformClient(settings.platform_url),
             self.metrics,
-            Hooks(self._on_member, self.superseded.set, on_demand, self.dial),
+            Hooks(self._on_member, self.superseded.set, on_demand, self.dial, on_load),
             settings.join_alone_ms,
             [Place(*_split(seed)) for seed in settings.seed_peers],
         )
--- a/src/dotterelplank/endpoints.py
+++ b/src/dotterelplank/endpoints.py
@@ -50,14 +50,15 @@
     """Return endpoints of other domains to keep at hand.
 
     For each rule that has few usable endpoints in the own domain, some are chosen by
-    rendezvous hash, so that the entries of a domain spread over them.
+    rendezvous hash, so that the entries of a domain spread over them. Those of the
+    rules with the fewest come first.
 
     :param seed: the entry that chooses.
     """
     configuration = board.configuration.configuration
     if configuration is None:
         return ()
-    followed: dict[str, None] = {}
+    needs = []
     for rule in configuration.rules:
         for group in _groups_of(configuration, rule):
             hosts = [
@@ -65,13 +66,14 @@
                 for host, reason in selected(board.hosts.hosts.values(), group, rule)
                 if reason is None and not host.is_leaving
             ]
-            if _usable_count(board, hosts, domain) >= defaults.ENOUGH_ENDPOINTS:
-                continue
-            elsewhere = [host.host for host in hosts if host.domain != domain]
-            key = f"follow:{group.name}:{rule.name}:{seed}"
-            chosen = peers.highest(key, elsewhere, defaults.FOLLOWED_PER_RULE)
-            followed.update(dict.fromkeys(chosen))
-    return tuple(followed)
+            usable = _usable_count(board, hosts, domain)
+            if usable < defaults.ENOUGH_ENDPOINTS:
+                elsewhere = [host.host for host in hosts if host.domain != domain]
+                key = f"follow:{group.name}:{rule.name}:{seed}"
+                chosen = peers.highest(key, elsewhere, defaults.FOLLOWED_PER_RULE)
+                needs.append((usable, chosen))
+    needs.sort(key=lambda need: need[0])
+    return tuple(dict.fromkeys(host for _, chosen in needs for host in chosen))
 
 
 def _usable_count(board: Blackboard, hosts: t.Iterable[Host], domain: str) -> int:
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -58,7 +58,12 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self.daemon = Daemon(
-            settings, "entry", self._handlers(), self.in_flight, self._on_demand
+            settings,
+            "entry",
+            self._handlers(),
+            self.in_flight,
+            self._on_demand,
+            lambda *arguments: self._traffic.on_load(*arguments),
         )
         self._board = self.daemon.board
         self._metrics = self.daemon.metrics
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/member_state.py
@@ -65,7 +65,7 @@
     leave_interval_ms: int = 200
     follow_probe_ms: int = 400
     follow_lease_ms: int = 950
-    follow_max: int = 8
+    follow_max: int = 4
     refute_ms: int = 10_000
     refute_tellers: int = 2
     prober_ms: int = 5_000
--- a/src/dotterelplank/traffic.py
+++ b/src/dotterelplank/traffic.py
@@ -28,6 +28,7 @@
 from .endpoint_view import EndpointView
 from .exchanges import Exchange
 from .links import Link
+from .member_messages import Load
 from .messages import Report
 from .selectors import Rule
 
@@ -255,6 +256,21 @@
         if is_silent_by_nature and age_ms <= defaults.FRESH_LOAD_MS:
             endpoint_view.note_progress(view, now_ms)
 
+    def on_load(self, now_ms: float, host: str, load: Load) -> None:
+        """Take in the load that a heartbeat told, between two reports."""
+        with self._lock:
+            view = self._board.endpoints.get(host)
+            if view is None or view.report is None:
+                return
+            told = dataclasses.replace(
+                view.report,
+                running=load.running,
+                waiting=load.waiting,
+                kv_share=load.cache_permille / 1000,
+            )
+            age_ms = defaults.REPORT_INTERVAL_MS
+            endpoint_view.note_report(view, now_ms, told, age_ms)
+
     def note_capacity(self, now_ms: float) -> None:
         """Take in what the load reports of the own domain show."""
         places = float(defaults.ENDPOINT_BATCH_REQUESTS)
