--- a/tests/test_bench_experts.py
+++ b/tests/test_bench_experts.py
@@ -71,6 +71,17 @@
             self.assertEqual(2, table.count(f"| {name} |"))
         json.dumps(dataclasses.asdict(report))
 
+    def test_targets_hold_over_a_night_with_a_jump(self):
+        report = bench_experts.run(
+            bench_experts.Options(seeds=1, hours=3.6, weights=(0.2,))
+        )
+        rows = {row.name: row.results[0] for row in report.rows}
+        ours = report.frontier[0].results[0]
+        self.assertLessEqual(ours.skew_p50, 1.05)
+        self.assertLessEqual(ours.skew_p99, 1.15)
+        self.assertLessEqual(ours.moved_gb, 0.1 * rows["full re-placement"].moved_gb)
+        self.assertEqual(0, ours.undone)
+
     def test_frontier_is_plotted(self):
         report = bench_experts.run(self.options(hours=0.1))
         with tempfile.TemporaryDirectory() as directory:
