Let engines take teams inside their share first

The entry sends the engine's priority, and the agent sets it in the body of a chat call whose caller gave none. cheroot's own lines become event 116 in place of text on standard error. Found by a test before it landed: the body of a plain service's call with a priority was read as JSON; only chat calls are amended. Run: the path's, calls' and endpoint calls' tests pass.

--- a/src/dotterelplank/calls.py
+++ b/src/dotterelplank/calls.py
@@ -12,7 +12,6 @@
 from .messages import Header
 from .selectors import Work
 
-CHAT_PATH = "/v1/chat/completions"
 SERVICES_PREFIX = "/services/"
 TEAM_HEADER = "HTTP_DOTTERELPLANK_TEAM"
 DEADLINE_HEADER = "HTTP_DOTTERELPLANK_DEADLINE_MS"
@@ -80,11 +79,11 @@
     """
     path = environ["PATH_INFO"]
     team = _team(environ, configuration)
-    if path == CHAT_PATH:
+    if path == defaults.CHAT_PATH:
         return _read_chat(environ, configuration, team)
     if path.startswith(SERVICES_PREFIX):
         return _read_service_call(environ, configuration, team)
-    expected = f"{CHAT_PATH} or {SERVICES_PREFIX}NAME/..."
+    expected = f"{defaults.CHAT_PATH} or {SERVICES_PREFIX}NAME/..."
     raise CallRefusedError(
         results.UNKNOWN_TARGET, f"met path {path}, expected {expected}"
     )
@@ -126,7 +125,7 @@
     return CallerRequest(
         group=group,
         work=Work(group.name, team, priority, method),
-        path=CHAT_PATH,
+        path=defaults.CHAT_PATH,
         headers=(Header("Content-Type", "application/json"),),
         body=body,
         stream=value.get("stream") is True,
--- a/src/dotterelplank/defaults.py
+++ b/src/dotterelplank/defaults.py
@@ -1,5 +1,7 @@
 """Default values, in one place; each name carries its unit."""
 
+CHAT_PATH = "/v1/chat/completions"
+
 FRAME_BOUND_BYTES = 4 * 1024 * 1024
 BODY_BOUND_BYTES = 1024 * 1024
 HEADER_BOUND_BYTES = 32 * 1024
--- a/src/dotterelplank/endpoint_calls.py
+++ b/src/dotterelplank/endpoint_calls.py
@@ -68,16 +68,23 @@
     headers += (Header("X-Request-Id", request_id),)
     headers += (Header("traceparent", traceparent),)
     body = submit.body
-    if submit.resume_from:
-        body = _resumed(body, submit.resume_from)
+    is_chat = submit.path == defaults.CHAT_PATH
+    if is_chat and (submit.resume_from or submit.priority):
+        body = _amended(body, submit)
     return Call(
         submit.method, submit.path, headers, body, timeout_ms, not submit.ticket
     )
 
 
-def _resumed(body: bytes, resume_from: int) -> bytes:
+def _amended(body: bytes, submit: Submit) -> bytes:
+    """Return a chat call's body with what the engine has to know besides.
+
+    A priority that the caller gave itself stays.
+    """
     value = json.loads(body)
-    value["resume_from"] = resume_from
+    if submit.resume_from:
+        value["resume_from"] = submit.resume_from
+    value.setdefault("priority", submit.priority)
     return json.dumps(value).encode()
 
 
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -41,7 +41,7 @@
 from .selectors import Rule
 from .settings import EntrySettings
 from .tickets import Ticket
-from .traffic import Course, Traffic
+from .traffic import Course, Traffic, engine_priority
 
 log = logging.getLogger(__name__)
 
@@ -352,7 +352,7 @@
             request.work.team,
             request.ticket.encode(),
             course.exchange.deadline_at_ms - now_ms,
-            request.work.priority,
+            engine_priority(course),
             course.traceparent,
             request.work.method,
             request.path,
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -103,6 +103,13 @@
     "A fault of this program ended the handling of a message or task; report it.",
 )
 
+HTTP_FAULT = _define(
+    116,
+    "http-fault",
+    logging.INFO,
+    "A connection to a caller was broken off: its stream could not be finished.",
+)
+
 # 120: requests
 REQUEST_ENDED = _define(
     120, "request-ended", logging.INFO, "A caller's request has its final answer."
--- a/src/dotterelplank/http_server.py
+++ b/src/dotterelplank/http_server.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import io
+import logging
 import select
 import socket
+import sys
 import threading
 import time
 import typing as t
@@ -11,9 +13,11 @@
 import cheroot.server
 import cheroot.wsgi
 
-from . import defaults
+from . import defaults, events
 from .threads import start_thread
 
+log = logging.getLogger(__name__)
+
 CONNECTION_KEY = "dotterelplank.connection"
 _LOOKS_PER_BOUND = 4
 
@@ -132,6 +136,7 @@
     server.request_queue_size = defaults.LISTEN_BACKLOG
     server.keep_alive_conn_limit = 4 * threads
     server.shutdown_timeout = defaults.SEND_TIMEOUT_MS / 1000
+    server.error_log = _log_fault
     server.prepare()
     thread = threading.Thread(target=server.serve, name="http", daemon=True)
     thread.start()
@@ -146,6 +151,14 @@
         watch.join()
 
 
+def _log_fault(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Log what cheroot would print; a stream that was broken off ends here too."""
+    error = sys.exc_info()[1]
+    events.emit(log, events.HTTP_FAULT, message=msg, error=repr(error))
+    if traceback:
+        log.debug("fault of the HTTP server", exc_info=True)
+
+
 def _watch_readers(
     server: cheroot.wsgi.Server, bound_ms: float, stopping: threading.Event
 ) -> None:
--- a/src/dotterelplank/messages.py
+++ b/src/dotterelplank/messages.py
@@ -55,6 +55,7 @@
     :param request_id: correlation id, never used twice on a stream.
     :param ticket: the ticket's bytes, or empty for idempotent work.
     :param deadline_ms: time left when it was sent.
+    :param priority: the engine's; a lower number goes first.
     :param resume_from: tokens that the caller holds already.
     """
 
--- a/src/dotterelplank/traffic.py
+++ b/src/dotterelplank/traffic.py
@@ -52,7 +52,7 @@
     rule: Rule
     exchange: Exchange
     started_ms: float
-    admitted: limits.Ticket | None = None
+    admitted: limits.Admitted | None = None
     traceparent: str = ""
     key: tuple[Link, int] | None = None
     host: str = ""
@@ -60,6 +60,19 @@
     last_token_ms: float = 0.0
 
 
+def engine_priority(course: Course) -> int:
+    """Return the priority for the engine, where a lower number goes first.
+
+    Among requests of one priority, those of teams inside their share go first. A plain
+    service knows no priority.
+    """
+    if not course.request.group.is_model:
+        return 0
+    admitted = course.admitted
+    is_over_share = admitted is not None and not admitted.is_within_share
+    return is_over_share - 2 * course.request.work.priority
+
+
 class Traffic:
     """The views of the endpoints, the limits and the retry budget of one entry.
 
@@ -94,7 +107,7 @@
         name: str,
         configuration: Configuration,
         request: CallerRequest,
-    ) -> limits.Ticket | None:
+    ) -> limits.Admitted | None:
         """Let a request in; plain services are bounded by their slots alone.
 
         :raises CallRefusedError: if the request is shed.
@@ -112,7 +125,7 @@
         with self._lock:
             decision = limits.admit(now_ms, self._limits, asked, policy)
         if isinstance(decision, limits.Admitted):
-            return decision.ticket
+            return decision
         raise CallRefusedError(
             _SHED_RESULTS[decision.reason], retry_after_ms=decision.retry_after_ms
         )
@@ -198,7 +211,8 @@
         with self._lock:
             self._leave_stream(course)
             if course.admitted is not None:
-                limits.release(now_ms, self._limits, course.admitted, outcome)
+                ticket = course.admitted.ticket
+                limits.release(now_ms, self._limits, ticket, outcome)
             if outcome is limits.Outcome.DONE:
                 retries.note_success(now_ms, self._budget)
             view = self._board.endpoints.get(course.host)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,6 @@
 import testtools
 
-from dotterelplank import calls, results, tickets
+from dotterelplank import calls, defaults, results, tickets
 from dotterelplank.calls import CallRefusedError
 from dotterelplank.tickets import Ticket
 
@@ -31,7 +31,7 @@
     def test_only_service_calls_come_under_a_ticket(self):
         environ = {"HTTP_IDEMPOTENCY_KEY": KEY, "PATH_INFO": "/services/orders/a"}
         self.assertEqual(KEY, calls.ticket_of(environ))
-        environ["PATH_INFO"] = calls.CHAT_PATH
+        environ["PATH_INFO"] = defaults.CHAT_PATH
         self.assertEqual("", calls.ticket_of(environ))
 
 
--- /dev/null
+++ b/tests/test_endpoint_calls.py
@@ -0,0 +1,53 @@
+import json
+
+import testtools
+
+from dotterelplank import endpoint_calls
+from dotterelplank.messages import Header, Submit
+
+
+def submit(**changes):
+    fields = {
+        "request_id": 1,
+        "target": "drafting",
+        "team": "crew",
+        "ticket": b"",
+        "deadline_ms": 1000.0,
+        "priority": 0,
+        "traceparent": "",
+        "method": "POST",
+        "path": "/v1/chat/completions",
+        "headers": (Header("Host", "there"), Header("X-Survey", "wet")),
+        "body": b'{"model": "drafting"}',
+        "stream": True,
+        "resume_from": 0,
+    }
+    return Submit(**{**fields, **changes})
+
+
+class CallTests(testtools.TestCase):
+    def body(self, **changes):
+        call = endpoint_calls.call_of(submit(**changes), "name", "", 1000.0)
+        return json.loads(call.body)
+
+    def test_a_body_without_need_is_passed_on_byte_for_byte(self):
+        call = endpoint_calls.call_of(submit(), "name", "", 1000.0)
+        self.assertEqual(submit().body, call.body)
+
+    def test_headers_of_one_hop_stay_behind(self):
+        call = endpoint_calls.call_of(submit(), "name", "trace", 1000.0)
+        names = [header.name for header in call.headers]
+        self.assertEqual(["X-Survey", "X-Request-Id", "traceparent"], names)
+
+    def test_a_resumed_stream_says_how_far_the_caller_is(self):
+        self.assertEqual(5, self.body(resume_from=5)["resume_from"])
+
+    def test_the_priority_is_set_unless_the_caller_gave_one(self):
+        self.assertEqual(-4, self.body(priority=-4)["priority"])
+        own = b'{"priority": 7}'
+        self.assertEqual(7, self.body(priority=-4, body=own)["priority"])
+
+    def test_the_body_for_a_plain_service_is_never_touched(self):
+        asked = submit(path="/closures", body=b"not JSON", priority=-4)
+        call = endpoint_calls.call_of(asked, "name", "", 1000.0)
+        self.assertEqual(b"not JSON", call.body)
