--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -13,7 +13,8 @@
 from .errors import LinkClosedError, UpstreamError
 from .jobs import AgentState
 from .ledger import Ledger
-from .links import Handlers, Link
+from .link_server import Handlers
+from .links import Link
 from .mapdriver import Hooks, MapDriver
 from .member_messages import Load
 from .messages import Cancel, Credit, MapFrame, Message, Report, Submit
--- a/src/dotterelplank/coordination.py
+++ b/src/dotterelplank/coordination.py
@@ -22,7 +22,8 @@
 from .configuration import Configuration, parse_cached
 from .demands import DemandDigest
 from .errors import LinkClosedError, ProtocolError, UpstreamError
-from .links import Identity, Link, LinkServer
+from .link_server import LinkServer
+from .links import Identity, Link
 from .member_messages import Heartbeat, Notice
 from .member_state import MembershipPolicy
 from .messages import Message, TextAnswer, TextAsk, TextDecline
--- a/src/dotterelplank/daemon.py
+++ b/src/dotterelplank/daemon.py
@@ -15,7 +15,8 @@
 from .errors import LinkClosedError
 from .handshakes import Side
 from .http_server import serving
-from .links import Handlers, Identity, Link, LinkServer
+from .link_server import Handlers, LinkServer
+from .links import Identity, Link
 from .member_messages import Load, MemberChanged, MemberStatus
 from .messages import Message
 from .metrics import Metrics
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -36,7 +36,8 @@
     StopBound,
 )
 from .http_server import CONNECTION_KEY, StartResponse, caller_is_gone, serving
-from .links import Handlers, Link
+from .link_server import Handlers
+from .links import Link
 from .messages import Begin, Chunk, End, Message, Refuse, Report, Submit
 from .selectors import Rule
 from .settings import EntrySettings
--- /dev/null
+++ b/src/dotterelplank/link_server.py
@@ -0,0 +1,359 @@
+"""The thread that serves the streams and datagrams of one process.
+
+It accepts, connects, reads and flushes, and calls the process's handlers.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import logging
+import secrets
+import selectors
+import socket
+import threading
+import time
+import typing as t
+
+from . import defaults, events, handshakes
+from .errors import LinkClosedError, PeerRefusedError, ProtocolError
+from .handshakes import Handshake, Side
+from .links import Identity, Link
+from .messages import PROTOCOL_VERSION, Hello, Message
+
+log = logging.getLogger(__name__)
+
+_DATAGRAM_BOUND_BYTES = 64 * 1024
+_PORT_ATTEMPTS = 20
+_DRAIN_STEP_S = 0.01
+_OPENING_BOUND_BYTES = 4 * 1024
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, defaults.KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, defaults.KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, defaults.KEEPALIVE_PROBES),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Handlers:
+    """What the owner of the links does; all are called on the serving thread.
+
+    :param on_ready: a peer has proved itself.
+    :param on_message: a message came over a ready link.
+    :param on_closed: a link ended, ready or not; ``dialled`` is the host asked for.
+    :param on_tick: time has passed; called about every ``TICK_INTERVAL_MS``.
+    :param on_datagram: a datagram came, from the address and port given.
+    :param on_pause: this process was paused for so many milliseconds; called before
+        anything that arrived meanwhile is read.
+    :param epoch: the ticket epoch to tell in a hello.
+    """
+
+    on_ready: t.Callable[[Link], None]
+    on_message: t.Callable[[Link, Message], None]
+    on_closed: t.Callable[[Link, str | None], None]
+    on_tick: t.Callable[[float], None]
+    on_datagram: t.Callable[[bytes, str, int], None]
+    on_pause: t.Callable[[float], None]
+    epoch: t.Callable[[], int] = lambda: 0
+
+
+class LinkServer:
+    """Owns the links of one process and the thread that serves them."""
+
+    def __init__(self, identity: Identity, handlers: Handlers) -> None:
+        self._identity = identity
+        self._handlers = handlers
+        self._selector = selectors.DefaultSelector()
+        self._listener: socket.socket | None = None
+        self._datagrams: socket.socket | None = None
+        self._dialled: dict[Link, str] = {}
+        self._links: set[Link] = set()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ)
+        self._calls: collections.deque[t.Callable[[], None]] = collections.deque()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._serve, name="links", daemon=True)
+
+    def listen(self, address: str, port: int) -> int:
+        """Take streams and datagrams at ``address``; return the port of both.
+
+        :raises OSError: if the port can't be had.
+        """
+        listener, taker = _bound_pair(address, port)
+        self._listener = listener
+        self._datagrams = taker
+        self._selector.register(listener, selectors.EVENT_READ)
+        self._selector.register(taker, selectors.EVENT_READ)
+        return listener.getsockname()[1]
+
+    def send_datagram(self, data: bytes, address: str, port: int) -> None:
+        """Send a datagram; one that can't be sent is as good as lost."""
+        with contextlib.suppress(OSError):
+            t.cast(socket.socket, self._datagrams).sendto(data, (address, port))
+
+    def start(self) -> None:
+        """Start the serving thread."""
+        self._thread.start()
+
+    def stop(self, drain_bound_ms: float = defaults.DRAIN_BOUND_MS) -> None:
+        """Let the peers take what was sent, close all links and end the thread."""
+        end_ms = _now_ms() + drain_bound_ms
+        while self._has_unsent() and _now_ms() < end_ms:
+            time.sleep(_DRAIN_STEP_S)
+        self._stopping = True
+        self._wake()
+        self._thread.join()
+
+    def _has_unsent(self) -> bool:
+        return any(link.is_ready and link.has_unsent() for link in list(self._links))
+
+    def abort_all(self) -> None:
+        """Break every link off, with what has arrived and was not read."""
+        for link in list(self._links):
+            self._close(link, "what it held may be out of date")
+
+    def call(self, function: t.Callable[[], None]) -> None:
+        """Run ``function`` on the serving thread soon."""
+        self._calls.append(function)
+        self._wake()
+
+    def connect(self, host: str, address: str, port: int) -> None:
+        """Begin to connect to ``host``; on the serving thread only."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        link = self._open(sock, Side.CONNECTOR)
+        link.connecting = True
+        self._dialled[link] = host
+        try:
+            sock.connect((address, port))
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self._close(link, str(error))
+            return
+        self._selector.modify(link, selectors.EVENT_READ | selectors.EVENT_WRITE, link)
+
+    def _wake(self) -> None:
+        with contextlib.suppress(BlockingIOError, OSError):
+            self._wake_writer.send(b"w")
+
+    def _serve(self) -> None:
+        next_tick_ms = _now_ms()
+        while not self._stopping:
+            before_ms = _now_ms()
+            wait_ms = max(0.0, next_tick_ms - before_ms)
+            ready = self._selector.select(wait_ms / 1000)
+            self._notice_pause(_now_ms() - before_ms - wait_ms)
+            for key, mask in ready:
+                self._on_ready_socket(key, mask)
+            self._run_calls()
+            now_ms = _now_ms()
+            if now_ms >= next_tick_ms:
+                next_tick_ms = now_ms + defaults.TICK_INTERVAL_MS
+                self._drop_slow_openings(now_ms)
+                self._guarded(self._handlers.on_tick, now_ms)
+        self._shut()
+
+    def _notice_pause(self, late_ms: float) -> None:
+        if late_ms < defaults.PAUSE_BOUND_MS:
+            return
+        events.emit(log, events.PAUSE_NOTICED, late_ms=late_ms)
+        now_ms = _now_ms()
+        for link in self._links:
+            link.heard_ms = now_ms
+        self._guarded(self._handlers.on_pause, late_ms)
+
+    def _on_ready_socket(self, key: selectors.SelectorKey, mask: int) -> None:
+        if key.fileobj is self._wake_reader:
+            with contextlib.suppress(BlockingIOError):
+                self._wake_reader.recv(4096)
+        elif key.fileobj is self._listener:
+            self._accept()
+        elif key.fileobj is self._datagrams:
+            self._take_datagrams()
+        else:
+            self._on_link(key.data, mask)
+
+    def _take_datagrams(self) -> None:
+        taker = t.cast(socket.socket, self._datagrams)
+        for _ in range(defaults.DATAGRAMS_PER_TURN):
+            try:
+                data, sender = taker.recvfrom(_DATAGRAM_BOUND_BYTES)
+            except OSError:
+                return
+            self._guarded(self._handlers.on_datagram, data, sender[0], sender[1])
+
+    def _guarded(self, function: t.Callable[..., None], *arguments: t.Any) -> None:
+        """Call ``function``; a fault in it must not end the thread for everybody."""
+        try:
+            function(*arguments)
+        except Exception:
+            events.emit(log, events.HANDLER_FAILED, what=function.__qualname__)
+            log.exception("handler failed")
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = t.cast(socket.socket, self._listener).accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        self._open(sock, Side.ACCEPTOR)
+
+    def _open(self, sock: socket.socket, side: Side) -> Link:
+        for level, name, value in _SOCKET_OPTIONS:
+            sock.setsockopt(level, name, value)
+        own = Hello(
+            PROTOCOL_VERSION,
+            self._identity.host,
+            self._identity.role,
+            self._identity.domain,
+            self._identity.incarnation,
+            secrets.token_bytes(handshakes.NONCE_SIZE_BYTES),
+            self._handlers.epoch(),
+        )
+        link = Link(sock, Handshake(side, own, self._identity.secret), self._arm_soon)
+        link.opened_ms = link.heard_ms = _now_ms()
+        self._links.add(link)
+        self._selector.register(link, selectors.EVENT_READ, link)
+        return link
+
+    def _on_link(self, link: Link, mask: int) -> None:
+        if link not in self._links:
+            return
+        if link.connecting:
+            self._on_connected(link)
+            return
+        if mask & selectors.EVENT_WRITE:
+            link.flush()
+            self._watch(link)
+        if mask & selectors.EVENT_READ:
+            self._read(link)
+
+    def _on_connected(self, link: Link) -> None:
+        error = link.connect_error()
+        if error:
+            self._close(link, f"connect failed with error {error}")
+            return
+        link.connecting = False
+        self._watch(link)
+        for message in handshakes.opening(link.handshake):
+            link.send(message)
+
+    def _read(self, link: Link) -> None:
+        try:
+            data = link.receive()
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._close(link, str(error))
+            return
+        if not data:
+            self._close(link, "the peer closed it")
+            return
+        link.heard_ms = _now_ms()
+        link.received_size_bytes += len(data)
+        try:
+            for message in link.reader.feed(data):
+                self._on_message(link, message)
+            self._check_opening(link)
+        except PeerRefusedError as error:
+            events.emit(log, events.PEER_REFUSED, reason=str(error))
+            self._close(link, str(error))
+        except ProtocolError as error:
+            events.emit(log, events.FRAME_REFUSED, reason=str(error))
+            self._close(link, str(error))
+        except LinkClosedError as error:
+            self._close(link, str(error))
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        link.messages_received += 1
+        if link.handshake.ready:
+            self._guarded(self._handlers.on_message, link, message)
+            return
+        for reply in handshakes.advance(link.handshake, message):
+            link.send(reply)
+        if link.handshake.ready:
+            self._guarded(self._handlers.on_ready, link)
+
+    def _check_opening(self, link: Link) -> None:
+        if link.handshake.ready:
+            return
+        if link.received_size_bytes > _OPENING_BOUND_BYTES:
+            raise ProtocolError(
+                f"met {link.received_size_bytes} bytes before the handshake was over"
+            )
+
+    def _drop_slow_openings(self, now_ms: float) -> None:
+        for link in list(self._links):
+            if link.handshake.ready:
+                continue
+            if now_ms - link.opened_ms > defaults.HANDSHAKE_TIMEOUT_MS:
+                self._close(link, "the handshake took too long")
+
+    def _run_calls(self) -> None:
+        while self._calls:
+            self._guarded(self._calls.popleft())
+
+    def _arm_soon(self, link: Link) -> None:
+        self.call(lambda: self._watch(link))
+
+    def _watch(self, link: Link) -> None:
+        if link not in self._links or link.connecting:
+            return
+        mask = selectors.EVENT_READ
+        if link.has_unsent():
+            mask |= selectors.EVENT_WRITE
+        self._selector.modify(link, mask, link)
+
+    def _close(self, link: Link, reason: str) -> None:
+        if link not in self._links:
+            return
+        self._links.discard(link)
+        self._selector.unregister(link)
+        link.close()
+        dialled = self._dialled.pop(link, None)
+        if link.handshake.ready:
+            events.emit(log, events.LINK_CLOSED, peer=link.peer.host, reason=reason)
+        self._guarded(self._handlers.on_closed, link, dialled)
+
+    def _shut(self) -> None:
+        end_ms = _now_ms() + defaults.FAREWELL_BOUND_MS
+        for link in self._links:
+            link.end_sending()
+        for link in list(self._links):
+            link.wait_closed(end_ms - _now_ms())
+            self._close(link, "this process stops")
+        for sock in (self._listener, self._datagrams):
+            if sock is not None:
+                sock.close()
+        self._selector.close()
+        self._wake_reader.close()
+        self._wake_writer.close()
+
+
+def _bound_pair(address: str, port: int) -> tuple[socket.socket, socket.socket]:
+    """Return a listening and a datagram socket that share a port number."""
+    for _ in range(_PORT_ATTEMPTS):
+        listener = socket.create_server(
+            (address, port), backlog=defaults.LISTEN_BACKLOG
+        )
+        listener.setblocking(False)
+        taker = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        taker.setblocking(False)
+        try:
+            taker.bind((address, listener.getsockname()[1]))
+        except OSError:
+            listener.close()
+            taker.close()
+            if port:
+                raise
+            continue
+        return listener, taker
+    raise OSError(f"no port of {address} is free for both streams and datagrams")
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
--- a/src/dotterelplank/mapdriver.py
+++ b/src/dotterelplank/mapdriver.py
@@ -13,7 +13,8 @@
 from .configuration import RankGroup
 from .endpoint_calls import EndpointClient
 from .errors import InvariantError, LinkClosedError, UpstreamError
-from .links import Link, LinkServer
+from .link_server import LinkServer
+from .links import Link
 from .mapmessages import (
     Closed,
     Command,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,7 +4,8 @@
 import testtools
 
 from dotterelplank import links
-from dotterelplank.links import Handlers, Identity, LinkServer
+from dotterelplank.link_server import Handlers, LinkServer
+from dotterelplank.links import Identity
 from dotterelplank.messages import Chunk
 
 SECRET = b"a secret of sixteen bytes or more"
