Shed for lack of places only once an endpoint lets requests wait

Cause: an engine that had let nobody wait yet was taken for one with 16 places, so an entry shed 37 of 280 requests of a load that four engines served directly. Ruled out: the shares (one team has all) and the backlog (nothing waited).

--- a/src/dotterelplank/configuration.py
+++ b/src/dotterelplank/configuration.py
@@ -82,10 +82,16 @@
 
 
 class LimitsModel(_Model):
-    """Bounds that hold for every request."""
+    """Bounds that hold for every request.
+
+    :param endpoint_batch_requests: requests that a model endpoint runs at once, until
+        it has shown the number by letting others wait.
+    """
 
     deadline_ms: float = pydantic.Field(defaults.DEADLINE_MS, gt=0, le=3_600_000)
-    requests_per_entry: int = pydantic.Field(defaults.CALLER_THREADS, ge=1, le=4096)
+    endpoint_batch_requests: int = pydantic.Field(
+        defaults.ENDPOINT_BATCH_REQUESTS, ge=1, le=65_536
+    )
     body_size_bytes: int = pydantic.Field(
         defaults.BODY_BOUND_BYTES, ge=1024, le=defaults.FRAME_BOUND_BYTES // 2
     )
@@ -153,7 +159,7 @@
     """Bounds that hold for every request."""
 
     deadline_ms: float
-    requests_per_entry: int
+    endpoint_batch_requests: int
     body_size_bytes: int
 
 
@@ -333,7 +339,7 @@
     shares = {team: weight / total for team, weight in weights.items()}
     limits = Limits(
         model.limits.deadline_ms,
-        model.limits.requests_per_entry,
+        model.limits.endpoint_batch_requests,
         model.limits.body_size_bytes,
     )
     return Configuration(
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -464,7 +464,9 @@
         if now_ms >= self._next_follow_ms:
             self._next_follow_ms = now_ms + defaults.FOLLOW_INTERVAL_MS
             self._follow(now_ms)
-            self._traffic.note_capacity(now_ms)
+            configuration = self._board.configuration.configuration
+            if configuration is not None:
+                self._traffic.note_capacity(now_ms, configuration)
         if now_ms >= self._next_demand_ms:
             self._tell_demand(now_ms)
 
--- a/src/dotterelplank/traffic.py
+++ b/src/dotterelplank/traffic.py
@@ -285,9 +285,9 @@
             age_ms = defaults.REPORT_INTERVAL_MS
             endpoint_view.note_report(view, now_ms, told, age_ms)
 
-    def note_capacity(self, now_ms: float) -> None:
+    def note_capacity(self, now_ms: float, configuration: Configuration) -> None:
         """Take in what the load reports of the own domain show."""
-        places = float(defaults.ENDPOINT_BATCH_REQUESTS)
+        places = float(configuration.limits.endpoint_batch_requests)
         with self._lock:
             views = [
                 view
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,65 @@
+import testtools
+
+from dotterelplank import configuration, endpoint_view
+from dotterelplank.blackboard import Blackboard
+from dotterelplank.calls import CallerRequest, CallRefusedError
+from dotterelplank.endpoint_view import EndpointView, LoadReport
+from dotterelplank.selectors import Work
+from dotterelplank.traffic import Traffic
+
+TEXT = """{
+  "labels": {"app": ["drafting"]},
+  "groups": [{"name": "drafting", "kind": "model", "servers": {}}],
+  "rules": [{"name": "all"}],
+  "team_classes": [{"name": "all", "share": 1, "teams": ["crew", "audit"]}],
+}"""
+STEP_MS = 25.0
+TOKENS = 400
+REQUESTS_PER_S = 10
+
+
+class AdmissionTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.configuration = configuration.parse(TEXT)
+        self.board = Blackboard()
+        self.traffic = Traffic(self.board, "entry-1", "fd-1", 1, lambda now, host: True)
+        self.view = EndpointView("drafting-1", "fd-1")
+        self.board.endpoints["drafting-1"] = self.view
+
+    def request(self):
+        return CallerRequest(
+            group=self.configuration.groups["drafting"],
+            work=Work("drafting", "crew", 0),
+            path="",
+            headers=(),
+            body=b"",
+            stream=True,
+            deadline_ms=30_000.0,
+            traceparent="",
+            ticket="",
+            idempotency_key="",
+            blocks=(),
+            expected_tokens=TOKENS,
+        )
+
+    def shed(self, running, waiting, seconds=20):
+        """Offer 4,000 tokens a second and return how many requests are shed."""
+        count = 0
+        for number in range(seconds * REQUESTS_PER_S):
+            now_ms = number * 1000 / REQUESTS_PER_S
+            load = LoadReport(running, waiting, 0.5, STEP_MS, 0.0)
+            endpoint_view.note_report(self.view, now_ms, load, 0.0)
+            self.traffic.note_capacity(now_ms, self.configuration)
+            name = f"request-{number}"
+            try:
+                self.traffic.admit(now_ms, name, self.configuration, self.request())
+            except CallRefusedError:
+                count += 1
+        return count
+
+    def test_nothing_is_shed_while_no_endpoint_lets_a_request_wait(self):
+        self.assertEqual(0, self.shed(running=100, waiting=0))
+
+    def test_what_endpoints_cannot_do_is_shed_once_requests_wait(self):
+        self.assertGreater(self.shed(running=16, waiting=40), 50)
