Let the agents of a rank group plan its expert maps

Cause: rebalancing was measured as a decision, but no process drove it; a group kept the map that operators published while popularity drifted.

A rank group may now be `planned`. Each agent reads its rank once a second and sends the totals since the map came into use to the first host that answers and gets samples of the whole group. That agent observes a window, asks the rebalancing, and proposes on the path that published maps take.

Ruled out: differences instead of totals (a lost message would lose tokens); samples to every agent (at 128 ranks each would hear 127 samples of about 2 KB a second); a planner by lease (no clock is shared, and ballots order two planners already); a memory of moves that only the planner has (its successor would undo them, so every agent takes gains and losses from the maps themselves). A planner that can be reached but misses samples of some host passes the role on; without that, a cut between two hosts left a group in which nobody planned.

A planned map names the digest of the published map that it came from. So a newer configuration revision with the same map leaves it in use, and one with another map goes over it; an agent whose configuration is older than the one that the map in use came with plans nothing.

The stand-in of a group of ranks now follows `shares_by_rank`; before it split evenly, so that a new split could not be seen to do anything.

Conclusion: the group rebalances by itself. Not built: loading moved experts from the weight store before the map is proposed.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -7,15 +7,23 @@
 
 from . import answers, defaults, events, jobs, ledger as ledgers, results
 from .answers import Ended, Job
-from .configuration import RankGroup
 from .daemon import Daemon
 from .endpoint_calls import EndpointClient, EndpointLoad
 from .errors import LinkClosedError, UpstreamError
 from .jobs import AgentState
 from .ledger import Ledger
 from .links import Handlers, Link
-from .mapdriver import Hooks, MapDriver
-from .messages import Cancel, Credit, MapFrame, Message, Report, Submit
+from .mapdriver import Hooks, MapDriver, Wanted
+from .messages import (
+    Cancel,
+    Credit,
+    MapFrame,
+    Message,
+    RankSample,
+    Report,
+    SampleTaken,
+    Submit,
+)
 from .results import Result
 from .settings import AgentSettings
 from .threads import WorkerPool, start_thread
@@ -115,6 +123,9 @@
             case MapFrame():
                 if self._maps is not None:
                     self._maps.on_frame(link, message)
+            case RankSample() | SampleTaken():
+                if self._maps is not None:
+                    self._maps.on_sample(link, message)
             case _:
                 self.daemon.on_message(link, message)
 
@@ -150,21 +161,23 @@
         if part.configuration is None:
             return
         group = part.configuration.rank_group_of(self._settings.host)
-        if group is not None and self._maps is None:
-            self._maps = self._new_driver(group, part.revision)
+        wanted = None
+        if group is not None:
+            wanted = Wanted(group, part.revision, part.configuration.skew_weight)
+        if wanted is not None and self._maps is None:
+            self._maps = self._new_driver(wanted)
         if self._maps is None:
             return
-        if group is not None and group is not self._maps.group:
-            self._maps.want(group, part.revision)
+        if wanted is not None and group is not self._maps.group:
+            self._maps.want(wanted)
         self._maps.on_tick(now_ms)
 
-    def _new_driver(self, group: RankGroup, revision: int) -> MapDriver:
+    def _new_driver(self, wanted: Wanted) -> MapDriver:
         daemon = self.daemon
         return MapDriver(
             self._settings.host,
             daemon.identity.incarnation,
-            group,
-            revision,
+            wanted,
             self._client,
             daemon.links,
             Hooks(daemon.link_to, _now_ms, daemon.superseded.set),
--- a/src/dotterelplank/configuration.py
+++ b/src/dotterelplank/configuration.py
@@ -10,10 +10,12 @@
 
 import pydantic
 
-from . import defaults, jsontext, selectors
+from . import defaults, jsontext, planned_maps, selectors
 from .errors import ConfigurationError, InputError
+from .planned_maps import Planning, PlanningModel
 
 _NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+RESERVED_MAP_MEMBERS: t.Final = ("revision", "planned_from")
 Name = t.Annotated[str, pydantic.Field(pattern=_NAME)]
 
 
@@ -105,11 +107,13 @@
     """A group of ranks in lock-step, one host each, and the expert map they use.
 
     :param hosts: the hosts of the group's ranks; they stay the same for its life.
+    :param planned: set if the agents plan the maps after the first one.
     """
 
     name: Name
     hosts: list[Name] = pydantic.Field(min_length=1, max_length=1024)
     map: dict[str, t.Any]
+    planned: PlanningModel | None = None
 
 
 class ConfigurationModel(_Model):
@@ -141,11 +145,13 @@
     """A group of ranks in lock-step.
 
     :param hosts: sorted.
+    :param planned: none if operators publish every map.
     """
 
     name: str
     hosts: tuple[str, ...]
     map: t.Mapping[str, t.Any]
+    planned: Planning | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -270,9 +276,13 @@
                 path = f"rank_groups[{index}].hosts[{place}]"
                 yield InputError(path, f"{host} again", "each host in one group")
             seen.add(host)
-        if "revision" in item.map:
-            path = f"rank_groups[{index}].map.revision"
-            yield InputError(path, "a value", "none; it is set from the revision")
+        path = f"rank_groups[{index}].map"
+        for name in RESERVED_MAP_MEMBERS:
+            if name in item.map:
+                yield InputError(f"{path}.{name}", "a value", "none; agents set it")
+        if item.planned is not None:
+            ranks = len(item.hosts)
+            yield from planned_maps.value_faults(path, item.map, item.planned, ranks)
 
 
 def _selector_faults(
@@ -344,13 +354,15 @@
         teams_with_keys=frozenset(item.team for item in model.keys),
         limits=limits,
         skew_weight=model.policy.skew_weight,
-        rank_groups=tuple(
-            RankGroup(item.name, tuple(sorted(item.hosts)), item.map)
-            for item in model.rank_groups
-        ),
+        rank_groups=tuple(_rank_group(item) for item in model.rank_groups),
     )
 
 
+def _rank_group(model: RankGroupModel) -> RankGroup:
+    planning = None if model.planned is None else planned_maps.build(model.planned)
+    return RankGroup(model.name, tuple(sorted(model.hosts)), model.map, planning)
+
+
 def _rule(model: RuleModel) -> selectors.Rule:
     condition = selectors.Condition(
         targets=frozenset(model.when.targets),
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -135,6 +135,24 @@
 PROPOSAL_CLOSED = _define(
     161, "proposal-closed", logging.INFO, "A proposed expert map came to its end here."
 )
+PLANNER_CHANGED = _define(
+    162,
+    "planner-changed",
+    logging.INFO,
+    "Another agent of the rank group plans its expert maps from now on.",
+)
+PLAN_DROPPED = _define(
+    163,
+    "plan-dropped",
+    logging.INFO,
+    "A planned map was given up, as another came into use or it wasn't agreed on.",
+)
+MAP_UNPLANNABLE = _define(
+    164,
+    "map-unplannable",
+    logging.WARNING,
+    "The map in use doesn't fit the settings of the group; no other is planned.",
+)
 
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
--- a/src/dotterelplank/mapdriver.py
+++ b/src/dotterelplank/mapdriver.py
@@ -5,10 +5,12 @@
 """
 
 import dataclasses
+import functools
 import logging
 import typing as t
 
-from . import defaults, events, mapchange, maporders
+from . import defaults, events, mapchange, maporders, planner_state
+from .ballots import ExpertMap
 from .codec import Codec
 from .configuration import RankGroup
 from .endpoint_calls import EndpointClient
@@ -33,8 +35,10 @@
     Stop,
     Tick,
 )
+from .mapplanning import MapPlanning, Surroundings
 from .mapstate import Policy, State, new_state
-from .messages import MapFrame
+from .messages import MapFrame, RankSample, SampleTaken
+from .planned_maps import Planning
 from .threads import WorkerPool
 
 log = logging.getLogger(__name__)
@@ -56,47 +60,93 @@
     on_superseded: t.Callable[[], None]
 
 
+@dataclasses.dataclass(frozen=True)
+class Wanted:
+    """What a configuration says of a group.
+
+    :param skew_weight: 1 cares only for step-time skew, 0 only for the cost of
+        rebalancing.
+    """
+
+    group: RankGroup
+    revision: int
+    skew_weight: float
+
+    @functools.cached_property
+    def payload(self) -> bytes:
+        """Return the published map as agents pass it on."""
+        return maporders.payload_of({"revision": self.revision, **self.group.map})
+
+    @functools.cached_property
+    def digest(self) -> str:
+        """Return what maps that are planned from the published one name it by."""
+        return maporders.digest_of(self.group.map)
+
+
 class MapDriver:
     """The protocol's state of one agent, and the map that operators want.
 
     The configuration names the wanted map with its revision. A map of an older
     revision than the one in use is never proposed, so that agents that are behind
-    don't swing the group back.
+    don't swing the group back. In a group whose maps are planned, a published map
+    is proposed only until a map that was planned from it is in use.
     """
 
     def __init__(
         self,
         host: str,
         incarnation: int,
-        group: RankGroup,
-        revision: int,
+        wanted: Wanted,
         client: EndpointClient,
         links: LinkServer,
         hooks: Hooks,
     ) -> None:
-        self.group = group
+        group = wanted.group
+        self._wanted = wanted
         self._host = host
         self._client = client
         self._links = links
         self._hooks = hooks
         self._policy = Policy()
         self._workers = WorkerPool("rank")
-        self._wanted = _payload(group, revision)
-        self._wanted_revision = revision
         first = min(group.hosts)
-        initial = self._wanted if host == first else None
+        initial = wanted.payload if host == first else None
         self.state: State = new_state(host, group.hosts, incarnation, initial)
         self._next_proposal_ms = 0.0
         self._is_over = False
+        self._planning = self._new_planning()
 
-    def want(self, group: RankGroup, revision: int) -> None:
+    @property
+    def group(self) -> RankGroup:
+        """Return the group as the configuration in force names it."""
+        return self._wanted.group
+
+    def want(self, wanted: Wanted) -> None:
         """Take the map that a newer configuration names."""
-        if group.hosts != self.group.hosts:
-            events.emit(log, events.RANK_GROUP_CHANGED, group=group.name)
+        if wanted.group.hosts != self.group.hosts:
+            events.emit(log, events.RANK_GROUP_CHANGED, group=wanted.group.name)
             return
-        self._wanted = _payload(group, revision)
-        self._wanted_revision = revision
-        self.group = group
+        was_planned = self.group.planned
+        self._wanted = wanted
+        if wanted.group.planned != was_planned:
+            self._planning = self._new_planning()
+        elif self._planning is not None:
+            self._planning.policy = _planning_policy(wanted)
+
+    def _new_planning(self) -> MapPlanning | None:
+        if self.group.planned is None:
+            return None
+        surroundings = Surroundings(
+            self._hooks.clock, self._send_message, self._decide, self._links.call
+        )
+        return MapPlanning(
+            self._host,
+            self.group.hosts,
+            _planning_policy(self._wanted),
+            self._client,
+            self._workers,
+            surroundings,
+        )
 
     def on_tick(self, now_ms: float) -> None:
         """Let time pass, and propose the wanted map if it isn't in use."""
@@ -106,16 +156,27 @@
             spread_ms = defaults.PROPOSAL_SPACING_MS * position
             self._next_proposal_ms = now_ms + defaults.PROPOSAL_INTERVAL_MS + spread_ms
             view = t.cast(EngineView, self.state.view)
-            self._decide(Propose(view.version, self._wanted))
+            self._decide(Propose(view.version, self._wanted.payload))
+        if self._planning is not None and self.state.settled:
+            newest = self._newest()
+            if newest is not None:
+                self._planning.on_tick(now_ms, newest)
 
-    def _is_wanting(self) -> bool:
+    def _newest(self) -> ExpertMap | None:
         view = self.state.view
-        if view is None or view.map is None or not self.state.settled:
+        if view is None or view.map is None:
+            return None
+        return view.committed.map if view.committed is not None else view.map
+
+    def _is_wanting(self) -> bool:
+        newest = self._newest()
+        if newest is None or not self.state.settled:
             return False
-        newest = view.committed.map if view.committed is not None else view.map
         used = maporders.published_map(newest.payload)
-        is_newer = used.revision < self._wanted_revision
-        return is_newer and used.value != self.group.map
+        if used.revision >= self._wanted.revision or used.value == self.group.map:
+            return False
+        is_planned = self.group.planned is not None
+        return not is_planned or used.planned_from != self._wanted.digest
 
     def on_frame(self, link: Link, frame: MapFrame) -> None:
         """Take a message of another agent of the group."""
@@ -125,6 +186,12 @@
         message = _CODEC.unpack(frame.body)
         self._decide(Received(Envelope(host, frame.incarnation, message)))
 
+    def on_sample(self, link: Link, message: RankSample | SampleTaken) -> None:
+        """Take what another agent says of its rank, or that it took our word."""
+        host = link.peer.host
+        if self._planning is not None and host in self.group.hosts:
+            self._planning.on_message(host, message)
+
     def _decide(self, event: Event) -> None:
         if self._is_over:
             return
@@ -166,12 +233,17 @@
                 self._end()
 
     def _send(self, host: str, envelope: Envelope) -> None:
+        body = _CODEC.pack(envelope.message)
+        self._send_message(host, MapFrame(envelope.incarnation, body))
+
+    def _send_message(
+        self, host: str, message: MapFrame | RankSample | SampleTaken
+    ) -> None:
         link = self._hooks.link_to(host)
         if link is None:
             return
-        body = _CODEC.pack(envelope.message)
         try:
-            link.send(MapFrame(envelope.incarnation, body))
+            link.send(message)
         except LinkClosedError:
             return
 
@@ -194,5 +266,8 @@
         self._links.call(lambda: self._decide(event))
 
 
-def _payload(group: RankGroup, revision: int) -> bytes:
-    return maporders.payload_of({"revision": revision, **group.map})
+def _planning_policy(wanted: Wanted) -> planner_state.Policy:
+    planning = t.cast(Planning, wanted.group.planned)
+    return planner_state.policy_of(
+        planning, wanted.skew_weight, wanted.revision, wanted.digest
+    )
--- a/src/dotterelplank/maporders.py
+++ b/src/dotterelplank/maporders.py
@@ -1,6 +1,8 @@
 """The orders of the map change protocol as a rank's HTTP interface takes them."""
 
 import dataclasses
+import functools
+import hashlib
 import json
 import typing as t
 
@@ -30,6 +32,7 @@
     "has_map": Refusal.MAP,
     "no_map": Refusal.MAP,
 }
+DIGEST_DIGITS: t.Final = 16
 _JSON = (Header("Content-Type", "application/json"),)
 
 
@@ -65,17 +68,37 @@
     """A map, and the configuration revision that it was published with.
 
     :param revision: 0 for a map that the engine brought itself.
+    :param planned_from: digest of the published map that agents planned it from;
+        empty for a map that operators published.
     """
 
     revision: int
+    planned_from: str
     value: t.Mapping[str, t.Any]
 
 
+@functools.lru_cache(maxsize=4)
 def published_map(payload: bytes) -> PublishedMap:
-    """Return what ``payload`` holds."""
+    """Return what ``payload`` holds, remembered for the last few."""
     value = json.loads(payload)
     revision = value.pop("revision", 0)
-    return PublishedMap(revision, value)
+    planned_from = value.pop("planned_from", "")
+    return PublishedMap(revision, planned_from, value)
+
+
+def digest_of(value: t.Mapping[str, t.Any]) -> str:
+    """Return the digest by which a planned map names what it was planned from."""
+    return hashlib.sha256(payload_of(value)).hexdigest()[:DIGEST_DIGITS]
+
+
+def planned_payload(
+    value: t.Mapping[str, t.Any], revision: int, planned_from: str
+) -> bytes:
+    """Return the payload of a map that agents planned.
+
+    :param revision: the configuration revision that was in force.
+    """
+    return payload_of({**value, "revision": revision, "planned_from": planned_from})
 
 
 def read(client: EndpointClient) -> EngineView:
--- /dev/null
+++ b/src/dotterelplank/mapplanning.py
@@ -0,0 +1,127 @@
+"""Plans the expert maps of a rank group beside one rank.
+
+The state belongs to the thread that serves the links. Reading the rank and working
+out a plan take longer than that thread may wait, so both run on threads of their own.
+"""
+
+import dataclasses
+import logging
+import typing as t
+
+from . import defaults, events, maporders, mapplanner, rankload, rebalancing
+from .ballots import ExpertMap
+from .endpoint_calls import EndpointClient
+from .errors import InvariantError, UpstreamError
+from .mapmessages import Propose
+from .messages import RankSample, SampleTaken
+from .planner_state import (
+    Command,
+    Compute,
+    Event,
+    InUse,
+    Policy,
+    Received,
+    Report,
+    Sampled,
+    Send,
+    Tick,
+)
+from .threads import WorkerPool
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class Surroundings:
+    """What the map driver does for the planning.
+
+    :param clock: the present time in monotonic milliseconds.
+    :param send: sends a message to a host, or loses it.
+    :param propose: brings a proposal before the group.
+    :param call: runs a function on the thread that serves the links.
+    """
+
+    clock: t.Callable[[], float]
+    send: t.Callable[[str, RankSample | SampleTaken], None]
+    propose: t.Callable[[Propose], None]
+    call: t.Callable[[t.Callable[[], None]], None]
+
+
+class MapPlanning:
+    """The state of the planning, the readings of the rank, and the threads."""
+
+    def __init__(
+        self,
+        host: str,
+        hosts: tuple[str, ...],
+        policy: Policy,
+        client: EndpointClient,
+        workers: WorkerPool,
+        surroundings: Surroundings,
+    ) -> None:
+        self.policy = policy
+        self._client = client
+        self._workers = workers
+        self._surroundings = surroundings
+        self._state = mapplanner.new_state(surroundings.clock(), host, hosts)
+        self._meter: rankload.Meter | None = None
+        self._next_reading_ms = 0.0
+        self._is_reading = False
+
+    def on_tick(self, now_ms: float, newest: ExpertMap) -> None:
+        """Let time pass, and read the rank if that is due.
+
+        :param newest: the newest decided map of the group.
+        """
+        if newest.version > self._state.map_version:
+            published = maporders.published_map(newest.payload)
+            self._decide(InUse(newest.version, published))
+        self._decide(Tick())
+        if now_ms >= self._next_reading_ms and not self._is_reading:
+            self._next_reading_ms = now_ms + defaults.SAMPLE_INTERVAL_MS
+            self._is_reading = True
+            self._workers.submit(self._read)
+
+    def on_message(self, host: str, message: RankSample | SampleTaken) -> None:
+        """Take a message of another agent of the group."""
+        self._decide(Received(host, message))
+
+    def _decide(self, event: Event) -> None:
+        now_ms = self._surroundings.clock()
+        for command in mapplanner.decide(now_ms, self._state, event, self.policy):
+            self._do(command)
+
+    def _do(self, command: Command) -> None:
+        match command:
+            case Send(host, message):
+                self._surroundings.send(host, message)
+            case Compute():
+                self._workers.submit(self._compute, command)
+            case Propose():
+                self._surroundings.propose(command)
+            case Report(event, host, map_version):
+                events.emit(log, event, about=host, map_version=map_version)
+
+    def _compute(self, command: Compute) -> None:
+        try:
+            computed = mapplanner.compute(command)
+        except InvariantError as error:
+            events.emit(log, events.INVARIANT_BROKEN, what="plan", detail=str(error))
+            computed = mapplanner.unchanged(command)
+        if computed.decision.plan is not None:
+            rebalancing.log_plan(log, computed.decision.plan)
+        self._surroundings.call(lambda: self._decide(computed))
+
+    def _read(self) -> None:
+        reading = None
+        try:
+            reading = rankload.read(self._client)
+        except UpstreamError as error:
+            events.emit(log, events.ENDPOINT_FAILED, reason=str(error))
+        self._surroundings.call(lambda: self._on_reading(reading))
+
+    def _on_reading(self, reading: rankload.Reading | None) -> None:
+        self._is_reading = False
+        if reading is not None:
+            self._meter = rankload.advance(self._meter, reading)
+            self._decide(Sampled(rankload.sample(self._meter)))
--- a/src/dotterelplank/messages.py
+++ b/src/dotterelplank/messages.py
@@ -188,6 +188,45 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpertLoad:
+    """The tokens that a rank ran for one expert.
+
+    :param expert: its number over all layers.
+    """
+
+    expert: int
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankSample:
+    """Tells the agent that plans the expert map what a rank has done under a map.
+
+    :param since_step: the step after which the totals begin.
+    :param step: the last step that they hold.
+    :param busy_ms: the rank's own time for these steps.
+    :param loads: tokens of each expert that had any.
+    """
+
+    map_version: int
+    since_step: int
+    step: int
+    busy_ms: float
+    loads: tuple[ExpertLoad, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SampleTaken:
+    """Answers :class:`RankSample`, so that its sender knows who can plan.
+
+    :param can_plan: whether samples of the whole group reach the one who answers.
+    """
+
+    step: int
+    can_plan: bool
+
+
 _KINDS: tuple[type, ...] = (
     Hello,
     Proof,
@@ -203,6 +242,8 @@
     TextAnswer,
     TextDecline,
     MapFrame,
+    RankSample,
+    SampleTaken,
 )
 _CODEC = Codec(_KINDS)
 
@@ -221,6 +262,8 @@
     | TextAnswer
     | TextDecline
     | MapFrame
+    | RankSample
+    | SampleTaken
 )
 
 
--- /dev/null
+++ b/src/dotterelplank/planned_maps.py
@@ -0,0 +1,137 @@
+"""What operators set for a rank group whose map is planned, and its first map.
+
+The value of such a map has two members. ``experts_by_rank`` lists for each rank, in
+the order of the sorted hosts, the experts that it holds; an expert's number is
+``layer * experts + expert``. ``shares_by_rank`` gives in the same shape the part of
+the expert's tokens that the replica is given; without it, replicas share evenly.
+"""
+
+import collections
+import dataclasses
+import typing as t
+
+import pydantic
+
+from . import defaults
+from .errors import InputError
+
+EXPERTS_MEMBER: t.Final = "experts_by_rank"
+SHARES_MEMBER: t.Final = "shares_by_rank"
+SHARE_TOLERANCE: t.Final = 1e-3
+
+_Value = t.Mapping[str, t.Any]
+
+
+class PlanningModel(pydantic.BaseModel):
+    """The settings of a planned map as operators write them."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    experts: int = pydantic.Field(ge=1, le=4096)
+    layers: int = pydantic.Field(1, ge=1, le=1024)
+    slots_per_rank: int = pydantic.Field(ge=1, le=4096)
+    expert_bytes: int = pydantic.Field(gt=0)
+    store_bytes_per_s: float = pydantic.Field(gt=0)
+    base_step_ms: float = pydantic.Field(0.0, ge=0)
+    window_ms: float = pydantic.Field(defaults.PLAN_WINDOW_MS, ge=500, le=3_600_000)
+
+
+@dataclasses.dataclass(frozen=True)
+class Planning:
+    """The settings of a planned map.
+
+    :param experts: number of experts in each layer.
+    :param slots_per_rank: experts that a rank can hold in each layer.
+    :param expert_bytes: size of one expert of one layer.
+    :param store_bytes_per_s: rate at which the group may load from the weight store.
+    :param base_step_ms: part of a rank's step time that its tokens don't change.
+    :param window_ms: time over which the ranks are observed before each decision.
+    """
+
+    experts: int
+    layers: int
+    slots_per_rank: int
+    expert_bytes: int
+    store_bytes_per_s: float
+    base_step_ms: float
+    window_ms: float
+
+
+def build(model: PlanningModel) -> Planning:
+    """Return the settings that ``model`` holds."""
+    return Planning(**model.model_dump())
+
+
+def value_faults(
+    path: str, value: _Value, planning: PlanningModel | Planning, ranks: int
+) -> t.Iterator[InputError]:
+    """Yield each reason for which ``value`` can't be the start of a plan.
+
+    :param path: the place of the value, such as ``rank_groups[0].map``.
+    """
+    where = f"{path}.{EXPERTS_MEMBER}"
+    by_rank = value.get(EXPERTS_MEMBER)
+    if not isinstance(by_rank, list) or len(by_rank) != ranks:
+        yield InputError(where, _brief(by_rank), f"a list for each of {ranks} ranks")
+        return
+    faults = [
+        fault
+        for rank, held in enumerate(by_rank)
+        for fault in _rank_faults(f"{where}[{rank}]", held, planning)
+    ]
+    yield from faults
+    if faults:
+        return
+    placed = {number for held in by_rank for number in held}
+    missing = set(range(planning.layers * planning.experts)) - placed
+    if missing:
+        yield InputError(where, f"no rank for {min(missing)}", "each expert placed")
+    if SHARES_MEMBER in value:
+        yield from _share_faults(f"{path}.{SHARES_MEMBER}", value)
+
+
+def _rank_faults(
+    where: str, held: t.Any, planning: PlanningModel | Planning
+) -> t.Iterator[InputError]:
+    total = planning.layers * planning.experts
+    if not isinstance(held, list):
+        yield InputError(where, _brief(held), "a list of expert numbers")
+        return
+    for place, number in enumerate(held):
+        if type(number) is not int or not 0 <= number < total:
+            expected = f"an expert number from 0 to {total - 1}"
+            yield InputError(f"{where}[{place}]", _brief(number), expected)
+            return
+    if len(set(held)) != len(held):
+        yield InputError(where, "an expert twice", "one replica of it on a rank")
+    per_layer = collections.Counter(number // planning.experts for number in held)
+    most = max(per_layer.values(), default=0)
+    if most > planning.slots_per_rank:
+        bound = f"at most {planning.slots_per_rank}, the slots of a rank"
+        yield InputError(where, f"{most} experts of a layer", bound)
+
+
+def _share_faults(where: str, value: _Value) -> t.Iterator[InputError]:
+    by_rank, shares = value[EXPERTS_MEMBER], value[SHARES_MEMBER]
+    sizes = [len(held) for held in by_rank]
+    is_list = isinstance(shares, list) and all(isinstance(row, list) for row in shares)
+    if not is_list or [len(row) for row in shares] != sizes:
+        yield InputError(where, _brief(shares), f"the shape of {EXPERTS_MEMBER}")
+        return
+    sums: collections.Counter[int] = collections.Counter()
+    for rank, row in enumerate(shares):
+        for place, share in enumerate(row):
+            if type(share) not in (int, float) or not 0 <= share <= 1:
+                path = f"{where}[{rank}][{place}]"
+                yield InputError(path, _brief(share), "a share from 0 to 1")
+                return
+            sums[by_rank[rank][place]] += share
+    for number, total in sorted(sums.items()):
+        if abs(total - 1) > SHARE_TOLERANCE:
+            met = f"{total:.4f} for expert {number}"
+            yield InputError(where, met, "shares that sum to 1 for each expert")
+            return
+
+
+def _brief(value: t.Any) -> str:
+    return f"{value!r:.60}"
--- a/src/dotterelplank/standin_popularity.py
+++ b/src/dotterelplank/standin_popularity.py
@@ -10,6 +10,7 @@
 from .standin_rank import ExpertMap, VersionedMap
 
 PLACEMENT_MEMBER = "experts_by_rank"
+SHARES_MEMBER = "shares_by_rank"
 
 ExpertsOf = t.Callable[[ExpertMap, int], t.Sequence[int]]
 
@@ -23,15 +24,15 @@
 @dataclasses.dataclass(frozen=True)
 class _Placement:
     of: VersionedMap
-    experts_by_rank: t.Sequence[t.Sequence[int]]
-    replicas: t.Mapping[int, int]
+    share_by_expert: t.Sequence[t.Mapping[int, float]]
 
 
 class Workload:
     """Splits the tokens of each step.
 
-    An expert's tokens are shared evenly by the ranks on which the map places it. One
-    that the map places nowhere falls to the rank of its number modulo the ranks.
+    An expert's tokens are shared by the ranks on which the map places it: as its
+    member ``shares_by_rank`` says, else evenly. One that the map places nowhere falls
+    to the rank of its number modulo the ranks.
     """
 
     def __init__(
@@ -57,8 +58,8 @@
         placement = self._placed(versioned)
         unit = self._tokens_per_step / sum(self._weights)
         return {
-            expert: unit * self._weights[expert] / placement.replicas[expert]
-            for expert in placement.experts_by_rank[rank]
+            expert: unit * self._weights[expert] * share
+            for expert, share in placement.share_by_expert[rank].items()
         }
 
     def _placed(self, versioned: VersionedMap) -> _Placement:
@@ -73,10 +74,39 @@
         ]
         for expert in set(range(self._experts)).difference(*placed):
             placed[expert % self._ranks].add(expert)
-        replicas = collections.Counter(
-            expert for experts in placed for expert in experts
+        given = _given_shares(versioned.map)
+        weights = [
+            {expert: given.get((rank, expert), 1.0) for expert in sorted(experts)}
+            for rank, experts in enumerate(placed)
+        ]
+        totals: collections.Counter[int] = collections.Counter()
+        for by_expert in weights:
+            totals.update(by_expert)
+        return _Placement(
+            versioned,
+            [
+                {
+                    expert: part / (totals[expert] or 1.0)
+                    for expert, part in by_expert.items()
+                }
+                for by_expert in weights
+            ],
         )
-        return _Placement(versioned, [sorted(experts) for experts in placed], replicas)
+
+
+def _given_shares(experts: ExpertMap) -> t.Mapping[tuple[int, int], float]:
+    """Return the shares that a map gives, by rank and expert."""
+    by_rank = experts.get(PLACEMENT_MEMBER)
+    shares = experts.get(SHARES_MEMBER)
+    if not isinstance(by_rank, list) or not isinstance(shares, list):
+        return {}
+    return {
+        (rank, expert): share
+        for rank, (held, parts) in enumerate(zip(by_rank, shares))
+        if isinstance(held, list) and isinstance(parts, list)
+        for expert, share in zip(held, parts)
+        if isinstance(expert, int) and isinstance(share, (int, float)) and share >= 0
+    }
 
 
 def placed_by_list(experts: ExpertMap, rank: int) -> t.Sequence[int]:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -92,6 +92,38 @@
         self.assertEqual("audit", found.team_by_key_sha256[digest])
         self.assertEqual(frozenset({"audit"}), found.teams_with_keys)
 
+    def planned(self, expert_map, **settings):
+        planned = {"experts": 2, "slots_per_rank": 2, **settings}
+        planned = {"expert_bytes": 1000, "store_bytes_per_s": 1e6, **planned}
+        group = {"name": "drafting", "hosts": ["rank-2", "rank-1"]}
+        return minimal(rank_groups=[{**group, "map": expert_map, "planned": planned}])
+
+    def test_a_planned_group_brings_the_settings_of_its_plan(self):
+        text = self.planned({"experts_by_rank": [[0, 2], [1, 3]]}, layers=2)
+        (group,) = configuration.parse(text).rank_groups
+        wanted = configuration.Planning(2, 2, 2, 1000, 1e6, 0.0, 15_000.0)
+        self.assertEqual(wanted, group.planned)
+
+    def test_a_first_map_that_cannot_be_planned_from_is_refused_at_its_path(self):
+        path = "rank_groups[0].map.experts_by_rank"
+        for value, place in (
+            ({}, path),
+            ({"experts_by_rank": [[0, 1]]}, path),
+            ({"experts_by_rank": [[0], [2]]}, f"{path}[1][0]"),
+            ({"experts_by_rank": [[0], [0]]}, path),
+            ({"experts_by_rank": [[0, 0], [1]]}, f"{path}[0]"),
+            (
+                {"experts_by_rank": [[0], [0, 1]], "shares_by_rank": [[1], [1, 1]]},
+                "rank_groups[0].map.shares_by_rank",
+            ),
+            (
+                {"experts_by_rank": [[0], [1]], "planned_from": "me"},
+                "rank_groups[0].map.planned_from",
+            ),
+        ):
+            (fault,) = self.faults(self.planned(value))
+            self.assertTrue(fault.startswith(f"{place}:"), fault)
+
     def test_a_text_over_the_bound_is_refused(self):
         (fault,) = self.faults(minimal() + " " * 1_000_000)
         self.assertIn("expected at most 1000000 bytes", fault)
--- a/tests/test_mapdriver.py
+++ b/tests/test_mapdriver.py
@@ -11,15 +11,29 @@
 SPREAD = {"experts_by_rank": [[0, 1], [2, 3], [4, 5]]}
 SWAPPED = {"experts_by_rank": [[4, 5], [0, 1], [2, 3]]}
 THIRD = {"experts_by_rank": [[0, 5], [1, 4], [2, 3]]}
+PLANNED = {
+    "experts": 6,
+    "slots_per_rank": 4,
+    "expert_bytes": 1_000_000,
+    "store_bytes_per_s": 1e9,
+    "base_step_ms": 5.0,
+    "window_ms": 1_500,
+}
 SETTINGS = {"ranks": 3, "experts": 6, "base_step_ms": 5.0, "map_version": None}
 
 
-def configuration(expert_map):
+def configuration(expert_map, planned=None):
     group = {"name": "drafting", "hosts": list(HOSTS), "map": expert_map}
+    if planned:
+        group["planned"] = planned
     return json.dumps({**CONFIGURATION, "rank_groups": [group]})
 
 
-class MapDriverTests(testtools.TestCase):
+class RankGroupCase(testtools.TestCase):
+    """A group of three ranks and their agents as processes."""
+
+    planned = None
+
     def start(self, **settings):
         context = system()
         self.made = context.__enter__()
@@ -45,7 +59,7 @@
         self.made.ready(agent)
 
     def publish(self, expert_map):
-        text = configuration(expert_map)
+        text = configuration(expert_map, self.planned)
         self.made.control("platform", "configuration", {"text": text})
 
     def maps(self):
@@ -74,6 +88,8 @@
         self.assertGreater(self.group()["steps"], 0)
         super().tearDown()
 
+
+class MapDriverTests(RankGroupCase):
     def test_a_published_map_is_used_by_all_ranks_from_one_step_on(self):
         self.start()
         self.publish(SWAPPED)
@@ -127,3 +143,70 @@
         self.start_agent("rank-1")
         self.made.publish_hosts()
         self.wait_for(SWAPPED)
+
+
+class PlannedMapTests(RankGroupCase):
+    planned = PLANNED
+
+    def prefer(self, *weights):
+        address = self.made.processes["group"].ports["ranks"][0]
+        url = f"http://{address}/control/popularity"
+        response = pool.request("POST", url, json={"weights": weights})
+        self.assertEqual(200, response.status)
+
+    def skew(self):
+        times = [
+            pool.request("GET", f"http://{address}/v1/rank").json()["step_ms"]
+            for address in self.made.processes["group"].ports["ranks"]
+        ]
+        return max(times) / min(times)
+
+    def wait_for_skew(self, bound):
+        wait_until(lambda: self.skew() < bound, bound_s=60, what=f"skew of {bound}")
+
+    def start_skewed(self):
+        self.start(tokens_per_step=600)
+        self.prefer(6, 1, 1, 1, 1, 1)
+        wait_until(lambda: self.skew() > 1.5, what="skew")
+
+    def test_the_agents_rebalance_by_themselves(self):
+        self.start_skewed()
+        self.wait_for_skew(1.1)
+        self.prefer(1, 1, 1, 1, 1, 6)
+        wait_until(lambda: self.skew() > 1.3, what="skew")
+        self.wait_for_skew(1.2)
+
+    def test_the_planning_agent_is_killed_and_replaced(self):
+        self.start_skewed()
+        self.made.processes["rank-1"].kill()
+        steps = self.group()["steps"]
+        wait_until(lambda: self.group()["steps"] > steps + 50, what="steps go on")
+        self.start_agent("rank-1")
+        self.made.publish_hosts()
+        self.wait_for_skew(1.1)
+
+    def test_a_map_that_operators_publish_goes_over_a_planned_one(self):
+        self.start_skewed()
+        self.wait_for_skew(1.1)
+        self.publish(THIRD)
+        wait_until(self.came_from_operators, what="the published map")
+        self.wait_for_skew(1.1)
+
+    def came_from_operators(self):
+        """Return whether all ranks use the second published map, or a plan from it."""
+        return all(one["map"]["map"].get("revision") == 2 for one in self.maps())
+
+    def test_a_newer_revision_with_the_same_map_keeps_the_planned_one(self):
+        self.start_skewed()
+        self.wait_for_skew(1.1)
+        version = next(self.maps())["map"]["map_version"]
+        self.publish(SPREAD)
+        wait_until(
+            lambda: all(
+                self.made.status(host)["configuration_revision"] == 2 for host in HOSTS
+            ),
+            what="the revision everywhere",
+        )
+        steps = self.group()["steps"]
+        wait_until(lambda: self.group()["steps"] > steps + 100, what="further steps")
+        self.assertEqual(version, next(self.maps())["map"]["map_version"])
