--- a/tests/test_standin_ranks.py
+++ b/tests/test_standin_ranks.py
@@ -136,6 +136,12 @@
         tokens = [workload.tokens(VersionedMap(1, placed), rank) for rank in range(3)]
         self.assertEqual([{0: 25, 1: 25}, {1: 25}, {2: 25}], tokens)
 
+    def test_tokens_follow_the_shares_that_a_map_gives(self):
+        placed = {"experts_by_rank": [[0], [0]], "shares_by_rank": [[0.75], [0.25]]}
+        workload = Workload(2, 1, tokens_per_step=100, experts_of=placed_by_list)
+        tokens = [workload.tokens(VersionedMap(1, placed), rank) for rank in range(2)]
+        self.assertEqual([{0: 75}, {0: 25}], tokens)
+
 
 class RanksHttpTests(testtools.TestCase):
     def setUp(self):
