Load moved experts from the weight store before a planned map

Cause: a planned map that moves experts was proposed at once, and each rank had to load them while it staged the map, within the 2 s of an order.

With `store_url` the planner asks each agent whose rank gains experts to load them, and proposes the target map when all have answered. A slot that is to be overwritten is first emptied by the interim map, and its load begins when every rank takes steps under that map. A refusal is tried again after `Retry-After`. The planner asks the store for no bytes before each decision; if it fails, only the split is planned.

Ruled out: finding out that the store is down by a load that fails (an interim map would come into use for nothing); the planner loading for all (its host is not where the experts go); a plan number from 1 (a restarted planner would take an answer to its predecessor's plan for its own).

Conclusion: moves wait for the store and steps don't. Not built: an interface that hands the bytes to a rank; the stand-in sends receipts.

--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -17,6 +17,8 @@
 from .messages import (
     Cancel,
     Credit,
+    ExpertsLoaded,
+    LoadExperts,
     MapFrame,
     Message,
     RankSample,
@@ -123,9 +125,9 @@
             case MapFrame():
                 if self._maps is not None:
                     self._maps.on_frame(link, message)
-            case RankSample() | SampleTaken():
+            case RankSample() | SampleTaken() | LoadExperts() | ExpertsLoaded():
                 if self._maps is not None:
-                    self._maps.on_sample(link, message)
+                    self._maps.on_group_message(link, message)
             case _:
                 self.daemon.on_message(link, message)
 
--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -136,10 +136,7 @@
     161, "proposal-closed", logging.INFO, "A proposed expert map came to its end here."
 )
 PLANNER_CHANGED = _define(
-    162,
-    "planner-changed",
-    logging.INFO,
-    "Another agent of the rank group plans its expert maps from now on.",
+    162, "planner-changed", logging.INFO, "Another agent plans the group's maps now."
 )
 PLAN_DROPPED = _define(
     163,
@@ -153,6 +150,9 @@
     logging.WARNING,
     "The map in use doesn't fit the settings of the group; no other is planned.",
 )
+STORE_UNREAD = _define(
+    165, "store-unread", logging.WARNING, "A fetch from the weight store failed."
+)
 
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
--- a/src/dotterelplank/mapdriver.py
+++ b/src/dotterelplank/mapdriver.py
@@ -37,7 +37,7 @@
 )
 from .mapplanning import MapPlanning, Surroundings
 from .mapstate import Policy, State, new_state
-from .messages import MapFrame, RankSample, SampleTaken
+from .messages import GroupMessage, MapFrame
 from .planned_maps import Planning
 from .threads import WorkerPool
 
@@ -140,6 +140,7 @@
             self._hooks.clock, self._send_message, self._decide, self._links.call
         )
         return MapPlanning(
+            self.group.name,
             self._host,
             self.group.hosts,
             _planning_policy(self._wanted),
@@ -186,8 +187,8 @@
         message = _CODEC.unpack(frame.body)
         self._decide(Received(Envelope(host, frame.incarnation, message)))
 
-    def on_sample(self, link: Link, message: RankSample | SampleTaken) -> None:
-        """Take what another agent says of its rank, or that it took our word."""
+    def on_group_message(self, link: Link, message: GroupMessage) -> None:
+        """Take a message of another agent about the planning of maps."""
         host = link.peer.host
         if self._planning is not None and host in self.group.hosts:
             self._planning.on_message(host, message)
@@ -236,9 +237,7 @@
         body = _CODEC.pack(envelope.message)
         self._send_message(host, MapFrame(envelope.incarnation, body))
 
-    def _send_message(
-        self, host: str, message: MapFrame | RankSample | SampleTaken
-    ) -> None:
+    def _send_message(self, host: str, message: MapFrame | GroupMessage) -> None:
         link = self._hooks.link_to(host)
         if link is None:
             return
--- a/src/dotterelplank/mapplanner.py
+++ b/src/dotterelplank/mapplanner.py
@@ -13,16 +13,17 @@
 
 import numpy as np
 
-from . import defaults, events, maplayouts, maporders, rebalancing
+from . import defaults, events, maplayouts, maploads, maporders, rebalancing
 from .experts import ExpertMap
 from .mapmessages import Propose
-from .messages import RankSample, SampleTaken
+from .messages import ExpertsLoaded, LoadExperts, RankSample, SampleTaken
 from .planner_state import (
     Command,
     Compute,
     Computed,
     Event,
     InUse,
+    Loaded,
     Policy,
     Received,
     Report,
@@ -34,12 +35,16 @@
 from .windows import observe
 
 
-def compute(command: Compute) -> Computed:
-    """Return what the rebalancing decides; a plain function for any thread."""
+def compute(command: Compute, may_move: bool = True) -> Computed:
+    """Return what the rebalancing decides; a plain function for any thread.
+
+    :param may_move: whether experts can be loaded at all.
+    """
     memory = command.memory
-    decision = rebalancing.plan(
-        command.now_ms, memory, command.observation, command.policy
-    )
+    policy = command.policy
+    if not may_move:
+        policy = dataclasses.replace(policy, cost_weight=1.0)
+    decision = rebalancing.plan(command.now_ms, memory, command.observation, policy)
     return Computed(memory.map.version, decision)
 
 
@@ -86,6 +91,8 @@
             commands += _pass_on(now_ms, state, sample, policy)
         case Received():
             commands += _on_received(now_ms, state, event, policy)
+        case Loaded():
+            commands += maploads.on_loaded(now_ms, state, event)
         case Computed():
             commands += _on_computed(now_ms, state, event, policy)
     commands += _advance(now_ms, state, policy)
@@ -117,6 +124,10 @@
             _keep(now_ms, state, host, sample)
             can_plan = now_ms >= state.avoided_until_ms.get(state.host, 0.0)
             yield Send(host, SampleTaken(sample.step, can_plan))
+        case LoadExperts() as request:
+            yield from maploads.on_request(state, host, request)
+        case ExpertsLoaded() as answer:
+            maploads.on_answer(now_ms, state, host, answer)
         case SampleTaken(_, True):
             state.avoided_until_ms.pop(host, None)
         case SampleTaken():
@@ -143,6 +154,7 @@
     if expert_map is None:
         state.memory = None
         state.pending = ()
+        state.loads = {}
         yield Report(events.MAP_UNPLANNABLE, state.host, event.version)
         return
     state.memory = _adopted(now_ms, state.memory, expert_map)
@@ -194,6 +206,8 @@
         steps = (plan.interim, plan.target)
     state.pending = steps
     state.pending_until_ms = now_ms + policy.plan_bound_ms
+    if policy.planning.store_url and plan.moves:
+        maploads.begin(now_ms, state, plan)
     state.propose_at_ms = now_ms
 
 
@@ -203,6 +217,7 @@
 
 def _drop(state: State) -> Command:
     state.pending = ()
+    state.loads = {}
     state.starts = {}
     if state.memory is not None:
         state.memory = rebalancing.abandon(state.memory)
@@ -223,7 +238,11 @@
         yield _drop(state)
     if not may_plan or state.memory is None:
         return
-    if state.pending:
+    if len(state.pending) == 1 and state.loads:
+        # A slot may be written once no rank takes a step that uses it.
+        if len(_present(state)) == len(state.hosts):
+            yield from maploads.ask(now_ms, state)
+    elif state.pending:
         yield from _propose(now_ms, state, policy)
     elif not state.is_computing:
         yield from _take_window(now_ms, state, policy)
@@ -248,11 +267,7 @@
 
 def _take_window(now_ms: float, state: State, policy: Policy) -> t.Iterator[Command]:
     """Begin a window, or end it when it has been long enough for every rank."""
-    present = {
-        host: sample
-        for host, sample in state.samples.items()
-        if sample.map_version == state.map_version
-    }
+    present = _present(state)
     if len(present) < len(state.hosts):
         return
     if not state.starts:
@@ -270,3 +285,12 @@
         return
     state.is_computing = True
     yield Compute(now_ms, state.memory, observation, policy.worth)
+
+
+def _present(state: State) -> dict[str, RankSample]:
+    """Return the samples of the ranks that use the newest map already."""
+    return {
+        host: sample
+        for host, sample in state.samples.items()
+        if sample.map_version == state.map_version
+    }
--- a/src/dotterelplank/mapplanning.py
+++ b/src/dotterelplank/mapplanning.py
@@ -13,12 +13,14 @@
 from .endpoint_calls import EndpointClient
 from .errors import InvariantError, UpstreamError
 from .mapmessages import Propose
-from .messages import RankSample, SampleTaken
+from .messages import GroupMessage
 from .planner_state import (
     Command,
     Compute,
     Event,
     InUse,
+    Load,
+    Loaded,
     Policy,
     Received,
     Report,
@@ -27,6 +29,7 @@
     Tick,
 )
 from .threads import WorkerPool
+from .weight_store import WeightStore
 
 log = logging.getLogger(__name__)
 
@@ -42,16 +45,20 @@
     """
 
     clock: t.Callable[[], float]
-    send: t.Callable[[str, RankSample | SampleTaken], None]
+    send: t.Callable[[str, GroupMessage], None]
     propose: t.Callable[[Propose], None]
     call: t.Callable[[t.Callable[[], None]], None]
 
 
 class MapPlanning:
-    """The state of the planning, the readings of the rank, and the threads."""
+    """The state of the planning, the readings of the rank, and the threads.
+
+    :param name: the group's name, by which the weight store knows its model.
+    """
 
     def __init__(
         self,
+        name: str,
         host: str,
         hosts: tuple[str, ...],
         policy: Policy,
@@ -67,6 +74,10 @@
         self._meter: rankload.Meter | None = None
         self._next_reading_ms = 0.0
         self._is_reading = False
+        self._loading: Load | None = None
+        self._store: WeightStore | None = None
+        if policy.planning.store_url:
+            self._store = WeightStore(name, policy.planning)
 
     def on_tick(self, now_ms: float, newest: ExpertMap) -> None:
         """Let time pass, and read the rank if that is due.
@@ -82,7 +93,7 @@
             self._is_reading = True
             self._workers.submit(self._read)
 
-    def on_message(self, host: str, message: RankSample | SampleTaken) -> None:
+    def on_message(self, host: str, message: GroupMessage) -> None:
         """Take a message of another agent of the group."""
         self._decide(Received(host, message))
 
@@ -97,6 +108,9 @@
                 self._surroundings.send(host, message)
             case Compute():
                 self._workers.submit(self._compute, command)
+            case Load():
+                self._loading = command
+                self._workers.submit(self._load, command)
             case Propose():
                 self._surroundings.propose(command)
             case Report(event, host, map_version):
@@ -104,7 +118,8 @@
 
     def _compute(self, command: Compute) -> None:
         try:
-            computed = mapplanner.compute(command)
+            may_move = self._store is None or self._store.is_up()
+            computed = mapplanner.compute(command, may_move)
         except InvariantError as error:
             events.emit(log, events.INVARIANT_BROKEN, what="plan", detail=str(error))
             computed = mapplanner.unchanged(command)
@@ -112,6 +127,14 @@
             rebalancing.log_plan(log, computed.decision.plan)
         self._surroundings.call(lambda: self._decide(computed))
 
+    def _load(self, command: Load) -> None:
+        request = command.request
+        is_whole = self._store is not None and self._store.load(
+            request.experts, request.bound_ms, lambda: self._loading is command
+        )
+        loaded = Loaded(command.host, request.plan, is_whole)
+        self._surroundings.call(lambda: self._decide(loaded))
+
     def _read(self) -> None:
         reading = None
         try:
--- a/src/dotterelplank/messages.py
+++ b/src/dotterelplank/messages.py
@@ -227,6 +227,33 @@
     can_plan: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadExperts:
+    """Asks an agent to load experts for its rank from the weight store.
+
+    :param plan: number of the plan, counted by the agent that asks.
+    :param experts: their numbers over all layers.
+    :param bound_ms: time after which the plan is given up.
+    """
+
+    plan: int
+    experts: tuple[int, ...]
+    bound_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpertsLoaded:
+    """Answers :class:`LoadExperts` when the load has ended.
+
+    :param is_whole: whether all experts came.
+    """
+
+    plan: int
+    is_whole: bool
+
+
+GroupMessage = RankSample | SampleTaken | LoadExperts | ExpertsLoaded
+
 _KINDS: tuple[type, ...] = (
     Hello,
     Proof,
@@ -244,6 +271,8 @@
     MapFrame,
     RankSample,
     SampleTaken,
+    LoadExperts,
+    ExpertsLoaded,
 )
 _CODEC = Codec(_KINDS)
 
@@ -264,6 +293,8 @@
     | MapFrame
     | RankSample
     | SampleTaken
+    | LoadExperts
+    | ExpertsLoaded
 )
 
 
--- a/src/dotterelplank/planned_maps.py
+++ b/src/dotterelplank/planned_maps.py
@@ -33,6 +33,7 @@
     expert_bytes: int = pydantic.Field(gt=0)
     store_bytes_per_s: float = pydantic.Field(gt=0)
     base_step_ms: float = pydantic.Field(0.0, ge=0)
+    store_url: str = pydantic.Field("", pattern=r"^(https?://[^\s/]+/?)?$")
     window_ms: float = pydantic.Field(defaults.PLAN_WINDOW_MS, ge=500, le=3_600_000)
 
 
@@ -45,6 +46,7 @@
     :param expert_bytes: size of one expert of one layer.
     :param store_bytes_per_s: rate at which the group may load from the weight store.
     :param base_step_ms: part of a rank's step time that its tokens don't change.
+    :param store_url: the weight store; empty if ranks load experts by themselves.
     :param window_ms: time over which the ranks are observed before each decision.
     """
 
@@ -55,6 +57,7 @@
     store_bytes_per_s: float
     base_step_ms: float
     window_ms: float
+    store_url: str = ""
 
 
 def build(model: PlanningModel) -> Planning:
--- a/src/dotterelplank/planner_state.py
+++ b/src/dotterelplank/planner_state.py
@@ -6,7 +6,7 @@
 from .experts import ExpertMap, Observation
 from .mapmessages import Propose
 from .maporders import PublishedMap
-from .messages import RankSample, SampleTaken
+from .messages import GroupMessage, LoadExperts, RankSample
 from .planned_maps import Planning
 
 
@@ -42,6 +42,19 @@
     return Policy(planning, worth, revision, planned_from)
 
 
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """A load that another host, or this one, asked for.
+
+    :param is_whole: none while it is under way.
+    """
+
+    host: str
+    plan: int
+    experts: tuple[int, ...]
+    is_whole: bool | None = None
+
+
 @dataclasses.dataclass
 class State:
     """What an agent knows of its group.
@@ -54,6 +67,9 @@
     :param map_revision: configuration revision that it came with.
     :param memory: what the rebalancing remembers; none while no plan can be made.
     :param starts: the sample of each host at the start of the window.
+    :param plan: number of the last plan.
+    :param loads: experts that each host is still to load before the target.
+    :param job: the last load that this host was asked for.
     :param pending: maps that are still to be proposed, one after the other.
     """
 
@@ -74,6 +90,10 @@
     is_computing: bool = False
     pending: tuple[ExpertMap, ...] = ()
     pending_until_ms: float = 0.0
+    plan: int = 0
+    loads: dict[str, tuple[int, ...]] = dataclasses.field(default_factory=dict)
+    load_at_ms: float = 0.0
+    job: Job | None = None
     propose_at_ms: float = 0.0
 
 
@@ -105,7 +125,16 @@
     """A message came from another agent of the group."""
 
     host: str
-    message: RankSample | SampleTaken
+    message: GroupMessage
+
+
+@dataclasses.dataclass(frozen=True)
+class Loaded:
+    """The load that ``host`` asked for has ended here."""
+
+    host: str
+    plan: int
+    is_whole: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,7 +145,7 @@
     decision: rebalancing.Decision
 
 
-Event = Tick | InUse | Sampled | Received | Computed
+Event = Tick | InUse | Sampled | Received | Loaded | Computed
 
 # Commands
 
@@ -126,7 +155,7 @@
     """Send ``message`` to ``host``; it may be lost."""
 
     host: str
-    message: RankSample | SampleTaken
+    message: GroupMessage
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,4 +180,17 @@
     map_version: int
 
 
-Command = Send | Compute | Propose | Report
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """Load experts for the own rank, in place of an earlier load.
+
+    Its :class:`Loaded` is the event that answers.
+
+    :param host: the one that asked.
+    """
+
+    host: str
+    request: LoadExperts
+
+
+Command = Send | Compute | Load | Propose | Report
--- /dev/null
+++ b/src/dotterelplank/weight_store.py
@@ -0,0 +1,99 @@
+"""Loads the experts that a rank gains from the rate-limited weight store."""
+
+import logging
+import time
+import typing as t
+
+from . import defaults, events
+from .endpoint_calls import Call, EndpointClient
+from .errors import UpstreamError
+from .planned_maps import Planning
+
+log = logging.getLogger(__name__)
+
+TOO_MANY_REQUESTS: t.Final = 429
+
+
+class WeightStore:
+    """The connection of one agent to the weight store.
+
+    One expert is loaded at a time, so the store sees as many fetches at once as
+    there are ranks that gain experts.
+
+    :param model: the name by which the store knows the weights.
+    """
+
+    def __init__(self, model: str, planning: Planning) -> None:
+        self._model = model
+        self._planning = planning
+        self._client = EndpointClient(planning.store_url, 1)
+
+    def is_up(self) -> bool:
+        """Return whether the store answers a fetch of no bytes."""
+        try:
+            return self._fetch(0, 0, defaults.PLATFORM_TIMEOUT_MS) is None
+        except UpstreamError as error:
+            events.emit(log, events.STORE_UNREAD, reason=str(error))
+            return False
+
+    def load(
+        self,
+        experts: t.Sequence[int],
+        bound_ms: float,
+        is_wanted: t.Callable[[], bool],
+    ) -> bool:
+        """Load ``experts`` and return whether all came within ``bound_ms``.
+
+        A refusal is tried again after the time that the store names, any other
+        failure after a second.
+
+        :param is_wanted: asked before each try; the load is given up if it isn't.
+        """
+        end_ms = _now_ms() + bound_ms
+        return all(self._load_one(number, end_ms, is_wanted) for number in experts)
+
+    def _load_one(
+        self, number: int, end_ms: float, is_wanted: t.Callable[[], bool]
+    ) -> bool:
+        size_bytes = self._planning.expert_bytes
+        while is_wanted():
+            left_ms = end_ms - _now_ms()
+            if left_ms <= 0:
+                return False
+            try:
+                wait_ms = self._fetch(number, size_bytes, left_ms)
+            except UpstreamError as error:
+                events.emit(log, events.STORE_UNREAD, reason=str(error))
+                wait_ms = defaults.RETRY_AFTER_MS
+            if wait_ms is None:
+                return True
+            if wait_ms >= end_ms - _now_ms():
+                return False
+            time.sleep(wait_ms / 1000)
+        return False
+
+    def _fetch(self, number: int, size_bytes: int, timeout_ms: float) -> float | None:
+        """Return ``None`` when the expert has come, else the time to wait.
+
+        :raises UpstreamError: if the store fails.
+        """
+        layer, expert = divmod(number, self._planning.experts)
+        path = f"/v1/weights/{self._model}/{layer}/{expert}?bytes={size_bytes}"
+        call = Call("GET", path, (), b"", timeout_ms, True)
+        with self._client.opened(call) as response:
+            response.read()
+            if response.status == TOO_MANY_REQUESTS:
+                return _retry_after_ms(response.headers.get("Retry-After", ""))
+            if response.status != 200:
+                raise UpstreamError(f"the store answered {response.status}", sent=True)
+        return None
+
+
+def _retry_after_ms(text: str) -> float:
+    if text.isascii() and text.isdecimal():
+        return int(text) * 1000.0
+    return defaults.RETRY_AFTER_MS
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
--- a/tests/test_mapdriver.py
+++ b/tests/test_mapdriver.py
@@ -7,6 +7,9 @@
 import testtools
 from processes import CONFIGURATION, Place, pool, system, wait_until
 
+from dotterelplank import standins
+from dotterelplank.standin_store import StoreLimits
+
 HOSTS = ("rank-1", "rank-2", "rank-3")
 SPREAD = {"experts_by_rank": [[0, 1], [2, 3], [4, 5]]}
 SWAPPED = {"experts_by_rank": [[4, 5], [0, 1], [2, 3]]}
@@ -145,7 +148,7 @@
         self.wait_for(SWAPPED)
 
 
-class PlannedMapTests(RankGroupCase):
+class PlannedCase(RankGroupCase):
     planned = PLANNED
 
     def prefer(self, *weights):
@@ -169,6 +172,8 @@
         self.prefer(6, 1, 1, 1, 1, 1)
         wait_until(lambda: self.skew() > 1.5, what="skew")
 
+
+class PlannedMapTests(PlannedCase):
     def test_the_agents_rebalance_by_themselves(self):
         self.start_skewed()
         self.wait_for_skew(1.1)
@@ -210,3 +215,33 @@
         steps = self.group()["steps"]
         wait_until(lambda: self.group()["steps"] > steps + 100, what="further steps")
         self.assertEqual(version, next(self.maps())["map"]["map_version"])
+
+
+class StoredExpertsTests(PlannedCase):
+    """Planned maps with a weight store, from which moved experts are loaded."""
+
+    def start(self, **settings):
+        context = standins.serving_store()
+        self.store, port = context.__enter__()
+        self.addCleanup(context.__exit__, None, None, None)
+        self.planned = {**PLANNED, "store_url": f"http://127.0.0.1:{port}"}
+        super().start(**settings)
+
+    def test_moved_experts_are_loaded_first(self):
+        self.start_skewed()
+        self.wait_for_skew(1.1)
+        self.assertGreaterEqual(self.store.counts().bytes, 2 * 1_000_000)
+
+    def test_steps_go_on_on_the_old_map_while_the_store_is_down(self):
+        self.start(tokens_per_step=600)
+        self.store.change_limits(StoreLimits(down=True))
+        self.prefer(6, 1, 1, 1, 1, 1)
+        wait_until(lambda: self.unread(), what="a fetch that failed")
+        steps = self.group()["steps"]
+        wait_until(lambda: self.group()["steps"] > steps + 300, what="steps go on")
+        self.assertTrue(self.is_used(SPREAD))
+        self.store.change_limits(StoreLimits(down=False))
+        self.wait_for_skew(1.1)
+
+    def unread(self):
+        return any("store-unread" in str(one) for one in self.made.events("rank-1"))
--- a/tests/test_mapplanner.py
+++ b/tests/test_mapplanner.py
@@ -1,5 +1,7 @@
 """Which agent plans a group's expert maps, and what it proposes, on a virtual clock."""
 
+import dataclasses
+
 import testtools
 
 from dotterelplank import events, maporders, mapplanner
@@ -10,6 +12,8 @@
 from dotterelplank.planner_state import (
     Compute,
     InUse,
+    Load,
+    Loaded,
     Received,
     Report,
     Sampled,
@@ -21,6 +25,7 @@
 HOSTS = ("rank-1", "rank-2", "rank-3")
 FIRST = {"experts_by_rank": [[0, 1], [2, 3], [4, 5]]}
 PLANNING = Planning(6, 1, 4, 1_000_000, 1e9, 5.0, 5_000.0)
+STORED = dataclasses.replace(PLANNING, store_url="http://127.0.0.1:1")
 POLICY = policy_of(PLANNING, 0.8, 3, maporders.digest_of(FIRST))
 EVEN = (1.0,) * 6
 SKEWED = (6.0, 1.0, 1.0, 1.0, 1.0, 1.0)
@@ -32,8 +37,10 @@
 class Group:
     """Agents of one group, whose messages arrive at once unless a host is cut off."""
 
-    def __init__(self):
+    def __init__(self, planning=PLANNING):
         self.now_ms = 0.0
+        self.policy = dataclasses.replace(POLICY, planning=planning)
+        self.loads = []
         self.states = {host: mapplanner.new_state(0.0, host, HOSTS) for host in HOSTS}
         self.weights = EVEN
         self.cut_links = set()
@@ -56,8 +63,7 @@
             self.give(host, InUse(self.version, published))
 
     def give(self, host, event):
-        policy = POLICY
-        commands = mapplanner.decide(self.now_ms, self.states[host], event, policy)
+        commands = mapplanner.decide(self.now_ms, self.states[host], event, self.policy)
         for command in commands:
             self.do(host, command)
 
@@ -70,6 +76,8 @@
                 self.computations.append((host, command))
                 if not self.holds_computations:
                     self.finish_computations()
+            case Load():
+                self.loads.append((host, command))
             case Propose():
                 self.proposals.append((host, command))
             case Report():
@@ -80,6 +88,11 @@
         for host, command in held:
             self.give(host, mapplanner.compute(command))
 
+    def finish_loads(self, is_whole):
+        held, self.loads = self.loads, []
+        for host, load in held:
+            self.give(host, Loaded(load.host, load.request.plan, is_whole))
+
     def adopt(self):
         """Bring the last proposal into use, as the vote of all ranks would."""
         _, proposal = self.proposals[-1]
@@ -277,3 +290,47 @@
             group.cut_links = {frozenset(HOSTS[::2])} if turn % 2 == 0 else set()
             group.run(40)
         self.assertEqual(settled, len(group.maps))
+
+
+class LoadTests(testtools.TestCase):
+    def start(self):
+        group = Group(STORED)
+        group.weights = SKEWED
+        while not group.loads:
+            group.second()
+        return group
+
+    def test_every_rank_loads_its_experts_before_the_map_is_proposed(self):
+        group = self.start()
+        asked = {host: load.request.experts for host, load in group.loads}
+        self.assertEqual({"rank-2": (0,), "rank-3": (0,)}, asked)
+        group.run(3)
+        self.assertEqual([FIRST], group.maps)
+        group.finish_loads(is_whole=True)
+        group.run(1)
+        self.assertLess(group.skew(), 1.1)
+
+    def test_a_load_that_fails_leaves_the_map_as_it_is(self):
+        group = self.start()
+        group.finish_loads(is_whole=False)
+        group.run(2)
+        self.assertEqual([FIRST], group.maps)
+        self.assertIn(events.PLAN_DROPPED, group.reports)
+
+    def test_an_answer_that_was_lost_is_given_again(self):
+        group = self.start()
+        group.cut_off("rank-2")
+        group.finish_loads(is_whole=True)
+        group.cut_links = set()
+        group.run(2)
+        self.assertEqual([], group.loads)
+        self.assertLess(group.skew(), 1.1)
+
+    def test_without_a_store_only_the_split_is_planned(self):
+        group = Group(STORED)
+        group.weights = SKEWED
+        group.holds_computations = True
+        while not group.computations:
+            group.second()
+        _, command = group.computations[0]
+        self.assertIsNone(mapplanner.compute(command, may_move=False).decision.plan)
--- /dev/null
+++ b/tests/test_weight_store.py
@@ -0,0 +1,50 @@
+"""Loads from the weight store stand-in, over HTTP."""
+
+import testtools
+
+from dotterelplank import standin_http, standins
+from dotterelplank.planned_maps import Planning
+from dotterelplank.standin_store import StoreLimits
+from dotterelplank.weight_store import WeightStore
+
+EXPERT_BYTES = 1_000
+BOUND_MS = 30_000.0
+
+
+class WeightStoreTests(testtools.TestCase):
+    def start(self, **limits):
+        context = standins.serving_store(StoreLimits(**limits))
+        self.store, port = context.__enter__()
+        self.addCleanup(context.__exit__, None, None, None)
+        url = f"http://127.0.0.1:{port}"
+        planning = Planning(6, 1, 4, EXPERT_BYTES, 1e9, 5.0, 1_500.0, url)
+        return WeightStore("drafting", planning)
+
+    def test_each_expert_is_fetched_once(self):
+        loader = self.start()
+        self.assertTrue(loader.load((0, 3, 5), BOUND_MS, lambda: True))
+        counts = self.store.counts()
+        self.assertEqual((3, 3 * EXPERT_BYTES), (counts.fetches, counts.bytes))
+
+    def test_a_refusal_is_waited_out_as_the_store_asks(self):
+        loader = self.start(rate_bytes_per_s=1e6, burst_bytes=0, max_queue_ms=0)
+        self.store.state.take(500_000, standin_http.now_ms())
+        self.assertTrue(loader.load((0,), BOUND_MS, lambda: True))
+        # A second was asked for, and the debt is paid after half of it.
+        self.assertEqual(1, self.store.counts().refused)
+
+    def test_a_load_that_cannot_come_in_time_is_given_up(self):
+        loader = self.start(rate_bytes_per_s=1, burst_bytes=0, max_queue_ms=0)
+        self.store.state.take(1_000_000, standin_http.now_ms())
+        self.assertFalse(loader.load((0,), BOUND_MS, lambda: True))
+
+    def test_a_load_that_is_not_wanted_any_more_fetches_nothing(self):
+        loader = self.start()
+        self.assertFalse(loader.load((0,), BOUND_MS, lambda: False))
+        self.assertEqual(0, self.store.counts().fetches)
+
+    def test_a_store_that_is_down_is_found_out(self):
+        loader = self.start()
+        self.assertTrue(loader.is_up())
+        self.store.change_limits(StoreLimits(down=True))
+        self.assertFalse(loader.is_up())
