--- a/src/dotterelplank/messages.py
+++ b/src/dotterelplank/messages.py
@@ -189,6 +189,72 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpertLoad:
+    """The tokens that a rank ran for one expert.
+
+    :param expert: its number over all layers.
+    """
+
+    expert: int
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankSample:
+    """Tells the agent that plans the expert map what a rank has done under a map.
+
+    :param since_step: the step after which the totals begin.
+    :param step: the last step that they hold.
+    :param busy_ms: the rank's own time for these steps.
+    :param loads: tokens of each expert that had any.
+    """
+
+    map_version: int
+    since_step: int
+    step: int
+    busy_ms: float
+    loads: tuple[ExpertLoad, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SampleTaken:
+    """Answers :class:`RankSample`, so that its sender knows who can plan.
+
+    :param can_plan: whether samples of the whole group reach the one who answers.
+    """
+
+    step: int
+    can_plan: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadExperts:
+    """Asks an agent to load experts for its rank from the weight store.
+
+    :param plan: number of the plan, counted by the agent that asks.
+    :param experts: their numbers over all layers.
+    :param bound_ms: time after which the plan is given up.
+    """
+
+    plan: int
+    experts: tuple[int, ...]
+    bound_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpertsLoaded:
+    """Answers :class:`LoadExperts` when the load has ended.
+
+    :param is_whole: whether all experts came.
+    """
+
+    plan: int
+    is_whole: bool
+
+
+GroupMessage = RankSample | SampleTaken | LoadExperts | ExpertsLoaded
+
 _KINDS: tuple[type, ...] = (
     Hello,
     Proof,
@@ -204,6 +270,10 @@
     TextAnswer,
     TextDecline,
     MapFrame,
+    RankSample,
+    SampleTaken,
+    LoadExperts,
+    ExpertsLoaded,
 )
 _CODEC = Codec(_KINDS)
 
@@ -222,6 +292,10 @@
     | TextAnswer
     | TextDecline
     | MapFrame
+    | RankSample
+    | SampleTaken
+    | LoadExperts
+    | ExpertsLoaded
 )
 
 
