--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -14,6 +14,7 @@
     endpoints,
     events,
     limits,
+    relays,
     replies,
     results,
     retries,
@@ -21,7 +22,7 @@
 )
 from .calls import CallerRequest, CallRefusedError
 from .configuration import Configuration
-from .conversations import Conversation, Effect
+from .conversations import Conversation
 from .daemon import Daemon
 from .demands import DemandDigest
 from .exchanges import (
@@ -31,7 +32,6 @@
     Exchange,
     GiveUp,
     Lost,
-    RelayData,
     Send,
     StopBound,
 )
@@ -39,6 +39,7 @@
 from .link_server import Handlers
 from .links import Link
 from .messages import Begin, Chunk, End, Message, Refuse, Report, Submit
+from .relays import Body, Effects
 from .selectors import Rule
 from .settings import EntrySettings
 from .tickets import Ticket
@@ -49,10 +50,6 @@
 _ANSWERS = (Begin, Chunk, End, Refuse)
 
 
-class StreamCutError(Exception):
-    """Breaks the connection to a caller whose stream could not be finished."""
-
-
 class Entry:
     """One entry's state, threads and links."""
 
@@ -157,7 +154,7 @@
             log.exception("request failed")
             lost = CallRefusedError(results.ENDPOINT_LOST)
             body = self._refuse(environ, start_response, lost)
-        return _Body(body, lambda: self._ended(started_ms))
+        return Body(body, lambda: self._ended(started_ms))
 
     def _ended(self, started_ms: float) -> None:
         self._metrics.timing("request").observe(_now_ms() - started_ms)
@@ -273,14 +270,14 @@
             is_caller_gone=lambda: caller_is_gone(connection),
         )
         effects = self._noted(course, conversation)
-        try:
-            first = next(effects, None)
-        except BaseException:
-            effects.close()
-            raise
-        return self._relay(start_response, course, first, effects)
+        return relays.relay(
+            start_response,
+            effects,
+            self._closing_headers(),
+            lambda: self._time_tokens(course),
+        )
 
-    def _noted(self, course: Course, talk: Conversation) -> t.Iterator[Effect]:
+    def _noted(self, course: Course, talk: Conversation) -> Effects:
         """Yield the effects, and settle the accounts however the exchange ends."""
         outcome = limits.Outcome.CANCELLED
         parent = course.request.traceparent
@@ -375,44 +372,6 @@
                 self._conversations.pop(course.key, None)
             course.key = None
 
-    def _relay(
-        self,
-        start_response: StartResponse,
-        course: Course,
-        first: Effect | None,
-        effects: t.Iterator[Effect],
-    ) -> t.Iterable[bytes]:
-        extra = self._closing_headers()
-        match first:
-            case Complete(head, body):
-                _exhaust(effects)
-                replies.begin_answer(
-                    start_response,
-                    head,
-                    [*extra, ("Content-Length", str(len(body)))],
-                )
-                return [body]
-            case GiveUp(result, retry_after_ms):
-                _exhaust(effects)
-                return replies.give_error(
-                    start_response, result, "", retry_after_ms, extra=extra
-                )
-            case None:
-                raise CallRefusedError(results.ENDPOINT_LOST, "the caller hung up")
-        replies.begin_answer(start_response, first.head, extra)
-        return self._stream(course, effects)
-
-    def _stream(self, course: Course, effects: t.Iterator[Effect]) -> t.Iterator[bytes]:
-        with contextlib.closing(t.cast(t.Generator, effects)):
-            for effect in effects:
-                match effect:
-                    case RelayData(data):
-                        self._time_tokens(course)
-                        yield data
-                    case GiveUp(result, retry_after_ms):
-                        yield replies.stream_error(result, retry_after_ms)
-                        raise StreamCutError(result.name)
-
     def _time_tokens(self, course: Course) -> None:
         now_ms = _now_ms()
         self._traffic.note_token(now_ms, course)
@@ -493,30 +452,5 @@
         self._traffic.on_digest(_now_ms(), digest)
 
 
-class _Body:
-    """A response body that reports its end, however it ends."""
-
-    def __init__(self, parts: t.Iterable[bytes], on_end: t.Callable[[], None]) -> None:
-        self._parts = parts
-        self._on_end = on_end
-
-    def __iter__(self) -> t.Iterator[bytes]:
-        return iter(self._parts)
-
-    def close(self) -> None:
-        """Close the parts and report the end."""
-        try:
-            close = getattr(self._parts, "close", None)
-            if close is not None:
-                close()
-        finally:
-            self._on_end()
-
-
-def _exhaust(effects: t.Iterator[Effect]) -> None:
-    for _ in effects:
-        pass
-
-
 def _now_ms() -> float:
     return time.monotonic() * 1000
