Plan only on maps that come from the published one

Cause: a planner that had heard of a new published map before it came into use could still plan on the old one, and put the new map's digest on the result. The agents then took the published map for the origin of the map in use and never proposed it. Found by reading; the new test fails without the check.

Ruled out: taking the digest over from the map in use (right by name, but the plan would still delay the published map by one change).

The planning of an older configuration is now closed when its settings change, so that a thread that comes back late proposes nothing. A test pins that every agent locks the experts that another one moved.

Conclusion: a newly published map wins over plans, whichever comes first.

--- a/src/dotterelplank/mapdriver.py
+++ b/src/dotterelplank/mapdriver.py
@@ -129,6 +129,8 @@
         was_planned = self.group.planned
         self._wanted = wanted
         if wanted.group.planned != was_planned:
+            if self._planning is not None:
+                self._planning.close()
             self._planning = self._new_planning()
         elif self._planning is not None:
             self._planning.policy = _planning_policy(wanted)
--- a/src/dotterelplank/maporders.py
+++ b/src/dotterelplank/maporders.py
@@ -76,6 +76,11 @@
     planned_from: str
     value: t.Mapping[str, t.Any]
 
+    @property
+    def origin(self) -> str:
+        """Return the digest of the published map that this one is or came from."""
+        return self.planned_from or digest_of(self.value)
+
 
 @functools.lru_cache(maxsize=4)
 def published_map(payload: bytes) -> PublishedMap:
--- a/src/dotterelplank/mapplanner.py
+++ b/src/dotterelplank/mapplanner.py
@@ -146,6 +146,7 @@
         return
     state.map_version = event.version
     state.map_revision = event.published.revision
+    state.map_origin = event.published.origin
     state.starts = {}
     value = event.published.value
     expert_map = maplayouts.map_of(
@@ -233,7 +234,7 @@
     if planner == state.host and _misses_samples(now_ms, state, policy):
         state.avoided_until_ms[planner] = now_ms + policy.avoided_ms
         state.planner_since_ms = now_ms
-    may_plan = planner == state.host and state.map_revision <= policy.revision
+    may_plan = planner == state.host and _is_current(state, policy)
     if state.pending and (not may_plan or now_ms >= state.pending_until_ms):
         yield _drop(state)
     if not may_plan or state.memory is None:
@@ -248,6 +249,16 @@
         yield from _take_window(now_ms, state, policy)
 
 
+def _is_current(state: State, policy: Policy) -> bool:
+    """Return whether the map in use is the published one or was planned from it.
+
+    Until a newly published map is in use, a plan from the old one would bear its name
+    and keep it out.
+    """
+    is_origin = state.map_origin == policy.planned_from
+    return is_origin and state.map_revision <= policy.revision
+
+
 def _misses_samples(now_ms: float, state: State, policy: Policy) -> bool:
     """Return whether some host's samples have stayed away since this one plans."""
     since_ms = now_ms - policy.silent_ms
--- a/src/dotterelplank/mapplanning.py
+++ b/src/dotterelplank/mapplanning.py
@@ -74,6 +74,7 @@
         self._meter: rankload.Meter | None = None
         self._next_reading_ms = 0.0
         self._is_reading = False
+        self._is_closed = False
         self._loading: Load | None = None
         self._store: WeightStore | None = None
         if policy.planning.store_url:
@@ -97,7 +98,14 @@
         """Take a message of another agent of the group."""
         self._decide(Received(host, message))
 
+    def close(self) -> None:
+        """Do nothing any more, whatever threads still bring."""
+        self._is_closed = True
+        self._loading = None
+
     def _decide(self, event: Event) -> None:
+        if self._is_closed:
+            return
         now_ms = self._surroundings.clock()
         for command in mapplanner.decide(now_ms, self._state, event, self.policy):
             self._do(command)
--- a/src/dotterelplank/planner_state.py
+++ b/src/dotterelplank/planner_state.py
@@ -65,6 +65,7 @@
     :param sampled_ms: when the last sample of each host came.
     :param map_version: version of the newest map, -1 before the first.
     :param map_revision: configuration revision that it came with.
+    :param map_origin: digest of the published map that it is or was planned from.
     :param memory: what the rebalancing remembers; none while no plan can be made.
     :param starts: the sample of each host at the start of the window.
     :param plan: number of the last plan.
@@ -83,6 +84,7 @@
     probes: int = 0
     map_version: int = -1
     map_revision: int = 0
+    map_origin: str = ""
     memory: rebalancing.State | None = None
     samples: dict[str, RankSample] = dataclasses.field(default_factory=dict)
     starts: dict[str, RankSample] = dataclasses.field(default_factory=dict)
--- a/tests/test_mapplanner.py
+++ b/tests/test_mapplanner.py
@@ -52,14 +52,14 @@
         self.holds_computations = False
         self.use(FIRST, revision=3)
 
-    def use(self, value, revision):
+    def use(self, value, revision, origin=maporders.digest_of(FIRST)):
         self.maps.append(value)
         self.version = len(self.maps)
         self.since_step = self.step = STEPS_PER_S * int(self.now_ms / 1000)
         self.tokens = [dict.fromkeys(held, 0.0) for held in value["experts_by_rank"]]
         self.busy_ms = [0.0] * len(HOSTS)
         for host in self.states:
-            published = PublishedMap(revision, "", value)
+            published = PublishedMap(revision, origin, value)
             self.give(host, InUse(self.version, published))
 
     def give(self, host, event):
@@ -249,6 +249,13 @@
         group.run(30)
         self.assertEqual(2, len(group.maps))
 
+    def test_a_map_that_a_newer_published_one_replaces_is_not_planned_on(self):
+        group = Group()
+        group.use(FIRST, revision=2, origin="an earlier published map")
+        group.weights = SKEWED
+        group.run(30)
+        self.assertEqual(2, len(group.maps))
+
     def test_a_map_of_another_size_is_left_as_it_is(self):
         group = Group()
         group.use({"experts_by_rank": [[0], [1], [2]]}, revision=3)
@@ -281,6 +288,14 @@
         self.assertEqual(set(HOSTS), group.planners())
         self.assertEqual(settled, len(group.maps))
 
+    def test_every_agent_locks_the_experts_that_another_has_moved(self):
+        group = Group()
+        group.weights = SKEWED
+        group.run(60)
+        for state in group.states.values():
+            locked = state.memory.gained_ms[0] > 0
+            self.assertEqual([True] + [False] * 5, locked.tolist())
+
     def test_a_role_that_goes_to_and_fro_does_not_swing_the_map(self):
         group = Group()
         group.weights = SKEWED
