--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -7,6 +7,7 @@
 
 from . import answers, defaults, events, jobs, ledger as ledgers, results
 from .answers import Ended, Job
+from .clocks import monotonic_ms
 from .daemon import Daemon
 from .endpoint_calls import EndpointClient, EndpointLoad
 from .errors import LinkClosedError, UpstreamError
@@ -44,7 +45,7 @@
         self.daemon = Daemon(settings, "agent", self._handlers(), self.in_flight)
         self._is_model = settings.endpoint_kind == "model"
         identity = self.daemon.identity
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         ledger = Ledger(identity.host, identity.incarnation, epoch_started_ms=now_ms)
         self.state = AgentState(ledger, identity.secret, slots=settings.slots)
         self._lock = threading.Lock()
@@ -84,7 +85,7 @@
         self.daemon.begin_stop()
         with self._lock:
             self.state.is_leaving = True
-        self.daemon.links.call(lambda: self._send_reports(_now_ms()))
+        self.daemon.links.call(lambda: self._send_reports(monotonic_ms()))
         # A successor could not tell whether a ticket made just now was used.
         time.sleep(self._settings.leave_notice_ms / 1000)
         whole = self._wait_idle(self._settings.stop_bound_ms)
@@ -113,7 +114,7 @@
 
     def _on_ready(self, link: Link) -> None:
         self.daemon.on_ready(link)
-        self._send_report(link, _now_ms())
+        self._send_report(link, monotonic_ms())
 
     def _on_message(self, link: Link, message: Message) -> None:
         match message:
@@ -197,7 +198,7 @@
             wanted,
             self._client,
             daemon.links,
-            Hooks(daemon.link_to, _now_ms, daemon.superseded.set),
+            Hooks(daemon.link_to, monotonic_ms, daemon.superseded.set),
         )
 
     def _send_reports(self, now_ms: float) -> None:
@@ -231,7 +232,7 @@
         while not self.daemon.stopped.wait(defaults.REPORT_INTERVAL_MS / 1000):
             try:
                 self._load = self._client.load()
-                self._load_read_ms = _now_ms()
+                self._load_read_ms = monotonic_ms()
             except UpstreamError as error:
                 events.emit(log, events.ENDPOINT_FAILED, reason=str(error))
 
@@ -242,7 +243,7 @@
             return
         digest = _request_digest(submit)
         with self._lock:
-            verdict = jobs.accept(_now_ms(), self.state, submit, digest)
+            verdict = jobs.accept(monotonic_ms(), self.state, submit, digest)
             if isinstance(verdict, jobs.Start):
                 job = Job(link, submit, verdict.ticket, self._job_name(link, submit))
                 self._jobs[key] = job
@@ -263,7 +264,7 @@
         return f"{link.peer.host}-{link.peer.incarnation}-{submit.request_id}"
 
     def _run(self, key: tuple[Link, int], job: Job) -> None:
-        started_ms = _now_ms()
+        started_ms = monotonic_ms()
         try:
             with self.daemon.tracer.span("agent", job.submit.traceparent) as span:
                 ended = self._call(job, span.traceparent)
@@ -278,7 +279,7 @@
                 del self._jobs[key]
                 jobs.end(self.state)
                 self._idle.notify_all()
-            self.daemon.metrics.observe_job(_now_ms() - started_ms)
+            self.daemon.metrics.observe_job(monotonic_ms() - started_ms)
 
     def _call(self, job: Job, traceparent: str) -> Ended:
         with self._lock:
@@ -303,7 +304,7 @@
             self._tell(job, ended.result)
 
     def _remember(self, ticket: Ticket, ended: Ended) -> None:
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         with self._lock:
             jobs.conclude(now_ms, self.state, ticket, ended.result, ended.answer)
 
@@ -354,7 +355,3 @@
         digest.update(part.encode() + b"\0")
     digest.update(submit.body)
     return digest.digest()
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/bench_path.py
+++ b/src/dotterelplank/bench_path.py
@@ -17,6 +17,7 @@
 from hdrh.histogram import HdrHistogram
 
 from . import sse
+from .clocks import monotonic_ms
 from .errors import DotterelplankError
 
 _HIGHEST_US = 600_000_000
@@ -173,12 +174,12 @@
 def _measure(load: Load, target: Target, model: str, team: str) -> Measurement:
     recorder = _Recorder()
     before = [_read_usage(address) for address in target.status_addresses]
-    started_ms = _now_ms()
+    started_ms = monotonic_ms()
     if load.concurrency:
         _closed_loop(load, target, model, team, recorder)
     else:
         _open_loop(load, target, model, team, recorder)
-    elapsed_ms = _now_ms() - started_ms
+    elapsed_ms = monotonic_ms() - started_ms
     after = [_read_usage(address) for address in target.status_addresses]
     usages = tuple(
         _usage(address, one, other, load.requests, elapsed_ms)
@@ -222,12 +223,12 @@
     load: Load, target: Target, model: str, team: str, recorder: _Recorder
 ) -> None:
     pool = _pool(load.requests)
-    started_ms = _now_ms()
+    started_ms = monotonic_ms()
 
     def caller(number: int) -> t.Callable[[], None]:
         def work() -> None:
             due_ms = started_ms + number / load.rate_per_s * 1000
-            time.sleep(max(0.0, due_ms - _now_ms()) / 1000)
+            time.sleep(max(0.0, due_ms - monotonic_ms()) / 1000)
             url = target.urls[number % len(target.urls)]
             recorder.record(_call(pool, url, load, model, team))
 
@@ -259,7 +260,7 @@
 def _call(
     pool: urllib3.PoolManager, url: str, load: Load, model: str, team: str
 ) -> _Call:
-    call = _Call(_now_ms())
+    call = _Call(monotonic_ms())
     response = pool.request(
         "POST",
         f"{url}/v1/chat/completions",
@@ -279,7 +280,7 @@
     else:
         response.read()
         call.tokens = load.tokens
-    call.ended_ms = _now_ms()
+    call.ended_ms = monotonic_ms()
     response.release_conn()
     if call.tokens != load.tokens:
         raise BenchError(f"met {call.tokens} tokens, expected {load.tokens}")
@@ -293,7 +294,7 @@
         found = splitter.feed(piece)
         if found is None:
             continue
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         call.token_ms.extend([now_ms] * found.tokens)
         call.tokens += found.tokens
         is_whole = is_whole or found.is_last
@@ -379,7 +380,3 @@
 
 def _us(duration_ms: float) -> int:
     return max(1, int(duration_ms * 1000))
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- /dev/null
+++ b/src/dotterelplank/clocks.py
@@ -0,0 +1,8 @@
+"""The clock of the shells; the functions that decide are told the time instead."""
+
+import time
+
+
+def monotonic_ms() -> float:
+    """Return the time of the monotonic clock in milliseconds."""
+    return time.monotonic() * 1000
--- a/src/dotterelplank/conversations.py
+++ b/src/dotterelplank/conversations.py
@@ -1,10 +1,10 @@
 """Carries out the course of one request: the shell around :mod:`exchanges`."""
 
 import queue
-import time
 import typing as t
 
 from . import defaults, exchanges
+from .clocks import monotonic_ms
 from .errors import LinkClosedError
 from .exchanges import (
     CallerGone,
@@ -75,7 +75,7 @@
 
     def close(self) -> None:
         """End the exchange if the caller hung up before it was over."""
-        for command in exchanges.decide(_now_ms(), self.exchange, CallerGone()):
+        for command in exchanges.decide(monotonic_ms(), self.exchange, CallerGone()):
             if isinstance(command, CancelAt):
                 self._cancel()
 
@@ -86,7 +86,7 @@
             match command:
                 case Choose():
                     chosen = self._choose(command)
-                    pending += exchanges.decide(_now_ms(), self.exchange, chosen)
+                    pending += exchanges.decide(monotonic_ms(), self.exchange, chosen)
                 case Send():
                     pending += self._try_send(command)
                 case CancelAt():
@@ -103,7 +103,7 @@
             self._link, self._request_id = self._send(self, command)
         except LinkClosedError as error:
             lost = Lost(error.written)
-            return exchanges.decide(_now_ms(), self.exchange, lost)
+            return exchanges.decide(monotonic_ms(), self.exchange, lost)
         return []
 
     @property
@@ -133,7 +133,7 @@
         """Wait for events and return what they ask for, with pieces of data joined."""
         commands: list[Command] = []
         for event in self._wait():
-            for command in exchanges.decide(_now_ms(), self.exchange, event):
+            for command in exchanges.decide(monotonic_ms(), self.exchange, event):
                 _append(commands, command)
             if isinstance(event, Chunk) and not self.exchange.stream:
                 self._give_credit(len(event.data))
@@ -141,7 +141,7 @@
 
     def _wait(self) -> t.Iterator[Event]:
         wake_ms = exchanges.next_wake_ms(self.exchange)
-        wait_ms = min(wake_ms - _now_ms(), defaults.CALLER_CHECK_INTERVAL_MS)
+        wait_ms = min(wake_ms - monotonic_ms(), defaults.CALLER_CHECK_INTERVAL_MS)
         try:
             attempt, event = self._events.get(timeout=max(0.0, wait_ms) / 1000)
         except queue.Empty:
@@ -162,7 +162,3 @@
         commands[-1] = RelayData(commands[-1].data + command.data)
     else:
         commands.append(command)
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/coordination.py
+++ b/src/dotterelplank/coordination.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 import logging
-import time
 import typing as t
 
 from . import (
@@ -19,6 +18,7 @@
     revisions,
 )
 from .blackboard import Blackboard, ConfigurationPart, Host, HostsPart, MemberPart
+from .clocks import monotonic_ms
 from .configuration import Configuration, parse_cached
 from .demands import DemandDigest
 from .errors import LinkClosedError, ProtocolError, UpstreamError
@@ -335,7 +335,7 @@
             text = None if found is None else found.text
             event = revs.ReadAnswered(command.read_id, number, text)
         document = command.document
-        self._links.call(lambda: self._judge_revision(_now_ms(), document, event))
+        self._links.call(lambda: self._judge_revision(monotonic_ms(), document, event))
 
     def _adopt(self, now_ms: float, adopted: revs.Adopt) -> None:
         if adopted.document is Document.CONFIGURATION:
@@ -435,7 +435,3 @@
 def _member_incarnation(identity: Identity) -> int:
     """Return the process's number in milliseconds, as membership counts it."""
     return identity.incarnation >> defaults.INCARNATION_DRAW_BITS
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/daemon.py
+++ b/src/dotterelplank/daemon.py
@@ -10,6 +10,7 @@
 
 from . import defaults, events, links, status
 from .blackboard import Blackboard, Host, LifecyclePart, PeerPart
+from .clocks import monotonic_ms
 from .coordination import Coordination, Hooks, Place
 from .demands import DemandDigest
 from .errors import LinkClosedError
@@ -76,7 +77,7 @@
 
     def start(self) -> None:
         """Listen to peers and operators and watch the platform."""
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         self.board.lifecycle = LifecyclePart(started_ms=now_ms)
         address = str(self.settings.address)
         self.peer_port = self.links.listen(address, self.settings.peer_port)
@@ -100,10 +101,10 @@
 
     def begin_stop(self) -> None:
         """Fail the health check from now on."""
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         started_ms = self.board.lifecycle.started_ms
         self.board.lifecycle = LifecyclePart(started_ms, True, now_ms)
-        self.links.call(lambda: self.coordination.leave(_now_ms()))
+        self.links.call(lambda: self.coordination.leave(monotonic_ms()))
         events.emit(log, events.PROCESS_STOPPING, role=self.role)
 
     def finish_stop(self) -> None:
@@ -131,7 +132,7 @@
         )
         self._dialling.pop(host, None)
         if self._is_preferred(link):
-            part = PeerPart(link, epoch=link.peer.epoch, reported_ms=_now_ms())
+            part = PeerPart(link, epoch=link.peer.epoch, reported_ms=monotonic_ms())
             self.board.peers[host] = part
         self.coordination.on_link_ready(link)
         with self._linked:
@@ -153,12 +154,12 @@
 
     def on_message(self, link: Link, message: Message) -> None:
         """Take a message that is neither the entry's nor the agent's own."""
-        if not self.coordination.on_message(_now_ms(), link, message):
+        if not self.coordination.on_message(monotonic_ms(), link, message):
             self.metrics.count(self.metrics.dropped, kind=type(message).__name__)
 
     def on_closed(self, link: Link, dialled: str | None) -> None:
         """Forget a link that ended."""
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         if dialled is not None:
             self._dialling[dialled] = now_ms + defaults.RECONNECT_INTERVAL_MS
         host = link.peer.host if link.handshake.ready else dialled
@@ -175,11 +176,11 @@
 
     def on_datagram(self, data: bytes, address: str, port: int) -> None:
         """Take a datagram."""
-        self.coordination.on_datagram(_now_ms(), data, Place(address, port))
+        self.coordination.on_datagram(monotonic_ms(), data, Place(address, port))
 
     def dial(self, host: str) -> None:
         """Connect to ``host``, unless that is under way or failed just now."""
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         place = self.coordination.place_of(host)
         if place is None or host in self.board.peers or host == self.settings.host:
             return
@@ -226,7 +227,3 @@
 def _split(seed: str) -> tuple[str, int]:
     address, _, port = seed.rpartition(":")
     return address, int(port)
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/entry.py
@@ -21,6 +21,7 @@
     tickets,
 )
 from .calls import CallerRequest, CallRefusedError
+from .clocks import monotonic_ms
 from .configuration import Configuration
 from .conversations import Conversation
 from .daemon import Daemon
@@ -134,7 +135,7 @@
         self, environ: dict[str, t.Any], start_response: StartResponse
     ) -> t.Iterable[bytes]:
         """Serve one caller's request; the WSGI application."""
-        started_ms = _now_ms()
+        started_ms = monotonic_ms()
         with self._idle:
             bound = self._settings.caller_threads
             is_full = self._in_flight >= bound
@@ -157,7 +158,7 @@
         return Body(body, lambda: self._ended(started_ms))
 
     def _ended(self, started_ms: float) -> None:
-        self._metrics.timing("request").observe(_now_ms() - started_ms)
+        self._metrics.timing("request").observe(monotonic_ms() - started_ms)
         with self._idle:
             self._in_flight -= 1
             self._idle.notify_all()
@@ -189,7 +190,10 @@
     ) -> t.Iterable[bytes]:
         lifecycle = self._board.lifecycle
         notice_ms = self._settings.balancer_notice_ms
-        if lifecycle.stopping and _now_ms() > lifecycle.stopping_since_ms + notice_ms:
+        if (
+            lifecycle.stopping
+            and monotonic_ms() > lifecycle.stopping_since_ms + notice_ms
+        ):
             raise CallRefusedError(
                 results.STOPPING, retry_after_ms=self._traffic.come_back_ms()
             )
@@ -223,7 +227,7 @@
         return ticket.host
 
     def _ticket_required(self, request: CallerRequest, rule: Rule) -> CallRefusedError:
-        choice = self._traffic.choose(_now_ms(), request, rule)
+        choice = self._traffic.choose(monotonic_ms(), request, rule)
         part = self._board.peers.get(choice.host) if choice else None
         if part is None:
             return CallRefusedError(
@@ -251,7 +255,7 @@
         rule: Rule,
         home: str | None,
     ) -> t.Iterable[bytes]:
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         name = f"{self._settings.host}-{next(self._numbers)}"
         admitted = self._traffic.admit(now_ms, name, configuration, request)
         exchange = Exchange(
@@ -291,7 +295,7 @@
             finally:
                 talk.close()
                 self._detach(course)
-                self._traffic.settle(_now_ms(), course, outcome)
+                self._traffic.settle(monotonic_ms(), course, outcome)
                 span.note("outcome", outcome.value)
 
     def _conclude(self, course: Course, effect: Complete | GiveUp) -> limits.Outcome:
@@ -305,12 +309,12 @@
             team=course.request.work.team,
             result=result.number,
             attempts=course.exchange.attempts,
-            duration_ms=round(_now_ms() - course.started_ms, 1),
+            duration_ms=round(monotonic_ms() - course.started_ms, 1),
         )
         return limits.Outcome.DONE if is_done else limits.Outcome.FAILED
 
     def _choose(self, course: Course, command: Choose) -> Chosen:
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         if command.home is not None:
             is_linked = self.daemon.reach(command.home, defaults.REACH_TIMEOUT_MS)
             return Chosen(
@@ -321,7 +325,7 @@
             if refused is not None:
                 return refused
         choice = self._traffic.choose(
-            _now_ms(), course.request, course.rule, command.excluded
+            monotonic_ms(), course.request, course.rule, command.excluded
         )
         if choice is None:
             return Chosen(None, self._traffic.come_back_ms())
@@ -343,7 +347,7 @@
         request = course.request
         request_id = part.link.next_request_id()
         key = (part.link, request_id)
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         submit = Submit(
             request_id,
             request.group.name,
@@ -373,7 +377,7 @@
             course.key = None
 
     def _time_tokens(self, course: Course) -> None:
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         self._traffic.note_token(now_ms, course)
         if course.last_token_ms == 0.0:
             self._metrics.timing("first_token").observe(now_ms - course.started_ms)
@@ -397,7 +401,7 @@
             talk, attempt = found
             talk.post(attempt, message)
         elif isinstance(message, Report):
-            self._traffic.on_report(_now_ms(), link, message)
+            self._traffic.on_report(monotonic_ms(), link, message)
         else:
             self.daemon.on_message(link, message)
 
@@ -449,8 +453,4 @@
         coordination.tell_demand(digest, coordination.entries_of_domain())
 
     def _on_demand(self, digest: DemandDigest) -> None:
-        self._traffic.on_digest(_now_ms(), digest)
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
+        self._traffic.on_digest(monotonic_ms(), digest)
--- a/src/dotterelplank/fleet.py
+++ b/src/dotterelplank/fleet.py
@@ -9,6 +9,7 @@
 from . import standins
 from .agent import Agent
 from .blackboard import Host
+from .clocks import monotonic_ms
 from .entry import Entry
 from .errors import DotterelplankError
 from .settings import AgentSettings, EntrySettings
@@ -210,7 +211,7 @@
     board = entry.daemon.board
     if board.configuration.configuration is None:
         return False
-    now_ms = _now_ms()
+    now_ms = monotonic_ms()
     own = entry.daemon.settings.domain
     return all(
         name in board.peers
@@ -228,12 +229,8 @@
 
     :raises FleetNotReadyError: if it does not within ``bound_ms``.
     """
-    end_ms = _now_ms() + bound_ms
+    end_ms = monotonic_ms() + bound_ms
     while not condition():
-        if _now_ms() > end_ms:
+        if monotonic_ms() > end_ms:
             raise FleetNotReadyError(f"it did not hold within {bound_ms:.0f} ms")
         time.sleep(_READY_STEP_MS / 1000)
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/http_server.py
+++ b/src/dotterelplank/http_server.py
@@ -7,13 +7,13 @@
 import socket
 import sys
 import threading
-import time
 import typing as t
 
 import cheroot.server
 import cheroot.wsgi
 
 from . import defaults, events
+from .clocks import monotonic_ms
 from .threads import start_thread
 
 log = logging.getLogger(__name__)
@@ -35,7 +35,7 @@
     def begin(self, connection: socket.socket) -> None:
         """Note that a thread begins to read from ``connection``."""
         with self._lock:
-            self._started_ms[connection] = _now_ms()
+            self._started_ms[connection] = monotonic_ms()
 
     def end(self, connection: socket.socket) -> None:
         """Note that the request was read, or given up."""
@@ -45,7 +45,7 @@
     def cut_overdue(self, bound_ms: float) -> None:
         """Cut off the callers that have been sending for more than ``bound_ms``."""
         with self._lock:
-            for connection in overdue(_now_ms(), self._started_ms, bound_ms):
+            for connection in overdue(monotonic_ms(), self._started_ms, bound_ms):
                 with contextlib.suppress(OSError):
                     connection.shutdown(socket.SHUT_RDWR)
 
@@ -165,7 +165,3 @@
     while not stopping.wait(bound_ms / _LOOKS_PER_BOUND / 1000):
         if server.requests.idle == 0:
             server.readers.cut_overdue(bound_ms)
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/link_server.py
+++ b/src/dotterelplank/link_server.py
@@ -15,6 +15,7 @@
 import typing as t
 
 from . import defaults, events, handshakes
+from .clocks import monotonic_ms
 from .errors import LinkClosedError, PeerRefusedError, ProtocolError
 from .handshakes import Handshake, Side
 from .links import Identity, Link
@@ -100,8 +101,8 @@
 
     def stop(self, drain_bound_ms: float = defaults.DRAIN_BOUND_MS) -> None:
         """Let the peers take what was sent, close all links and end the thread."""
-        end_ms = _now_ms() + drain_bound_ms
-        while self._has_unsent() and _now_ms() < end_ms:
+        end_ms = monotonic_ms() + drain_bound_ms
+        while self._has_unsent() and monotonic_ms() < end_ms:
             time.sleep(_DRAIN_STEP_S)
         self._stopping = True
         self._wake()
@@ -141,16 +142,16 @@
             self._wake_writer.send(b"w")
 
     def _serve(self) -> None:
-        next_tick_ms = _now_ms()
+        next_tick_ms = monotonic_ms()
         while not self._stopping:
-            before_ms = _now_ms()
+            before_ms = monotonic_ms()
             wait_ms = max(0.0, next_tick_ms - before_ms)
             ready = self._selector.select(wait_ms / 1000)
-            self._notice_pause(_now_ms() - before_ms - wait_ms)
+            self._notice_pause(monotonic_ms() - before_ms - wait_ms)
             for key, mask in ready:
                 self._on_ready_socket(key, mask)
             self._run_calls()
-            now_ms = _now_ms()
+            now_ms = monotonic_ms()
             if now_ms >= next_tick_ms:
                 next_tick_ms = now_ms + defaults.TICK_INTERVAL_MS
                 self._drop_slow_openings(now_ms)
@@ -161,7 +162,7 @@
         if late_ms < defaults.PAUSE_BOUND_MS:
             return
         events.emit(log, events.PAUSE_NOTICED, late_ms=late_ms)
-        now_ms = _now_ms()
+        now_ms = monotonic_ms()
         for link in self._links:
             link.heard_ms = now_ms
         self._guarded(self._handlers.on_pause, late_ms)
@@ -215,7 +216,7 @@
             self._handlers.epoch(),
         )
         link = Link(sock, Handshake(side, own, self._identity.secret), self._arm_soon)
-        link.opened_ms = link.heard_ms = _now_ms()
+        link.opened_ms = link.heard_ms = monotonic_ms()
         self._links.add(link)
         self._selector.register(link, selectors.EVENT_READ, link)
         return link
@@ -253,7 +254,7 @@
         if not data:
             self._close(link, "the peer closed it")
             return
-        link.heard_ms = _now_ms()
+        link.heard_ms = monotonic_ms()
         link.received_size_bytes += len(data)
         try:
             for message in link.reader.feed(data):
@@ -320,11 +321,11 @@
         self._guarded(self._handlers.on_closed, link, dialled)
 
     def _shut(self) -> None:
-        end_ms = _now_ms() + defaults.FAREWELL_BOUND_MS
+        end_ms = monotonic_ms() + defaults.FAREWELL_BOUND_MS
         for link in self._links:
             link.end_sending()
         for link in list(self._links):
-            link.wait_closed(end_ms - _now_ms())
+            link.wait_closed(end_ms - monotonic_ms())
             self._close(link, "this process stops")
         for sock in (self._listener, self._datagrams):
             if sock is not None:
@@ -353,7 +354,3 @@
             continue
         return listener, taker
     raise OSError(f"no port of {address} is free for both streams and datagrams")
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/links.py
+++ b/src/dotterelplank/links.py
@@ -10,10 +10,10 @@
 import itertools
 import socket
 import threading
-import time
 import typing as t
 
 from . import defaults
+from .clocks import monotonic_ms
 from .errors import LinkClosedError
 from .handshakes import Handshake
 from .messages import FrameReader, Hello, Message, encode
@@ -128,10 +128,10 @@
         A socket that is closed with bytes unread resets the stream, and with it what
         the peer has not taken yet.
         """
-        end_ms = _now_ms() + bound_ms
+        end_ms = monotonic_ms() + bound_ms
         with contextlib.suppress(OSError):
-            while _now_ms() < end_ms:
-                self._sock.settimeout(max(0.001, (end_ms - _now_ms()) / 1000))
+            while monotonic_ms() < end_ms:
+                self._sock.settimeout(max(0.001, (end_ms - monotonic_ms()) / 1000))
                 if not self._sock.recv(_READ_SIZE_BYTES):
                     return
 
@@ -170,7 +170,3 @@
                 self._unsent[0] = frame[count:]
                 return
             self._unsent.popleft()
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/standin_http.py
+++ b/src/dotterelplank/standin_http.py
@@ -16,7 +16,6 @@
 import select
 import socket
 import threading
-import time
 import typing as t
 import urllib.parse
 
@@ -25,6 +24,7 @@
 import pydantic_core
 
 from . import events
+from .clocks import monotonic_ms
 from .errors import StandinRefusalError
 
 LOOPBACK = "127.0.0.1"
@@ -208,7 +208,7 @@
 
 def now_ms() -> float:
     """Return the present time of the monotonic clock in milliseconds."""
-    return time.monotonic() * 1000.0
+    return monotonic_ms()
 
 
 def make_app(routes: t.Sequence[Route], threads: int) -> App:
--- a/src/dotterelplank/status.py
+++ b/src/dotterelplank/status.py
@@ -4,11 +4,11 @@
 import json
 import pathlib
 import resource
-import time
 import typing as t
 
 from . import metrics as metrics_module
 from .blackboard import Blackboard, Host
+from .clocks import monotonic_ms
 from .endpoint_view import EndpointView, held_requests
 from .http_server import Application, StartResponse
 from .metrics import Metrics
@@ -197,7 +197,7 @@
             start_response("200 OK", headers)
             return [metrics.render()]
         if path == "/status":
-            status = read(_now_ms(), role, settings, board, in_flight())
+            status = read(monotonic_ms(), role, settings, board, in_flight())
             wants_text = "format=text" in environ.get("QUERY_STRING", "")
             kind = "text/plain; charset=utf-8" if wants_text else "application/json"
             start_response("200 OK", [("Content-Type", kind)])
@@ -222,7 +222,3 @@
     if board.configuration.configuration is None:
         return "no configuration accepted yet"
     return None
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/src/dotterelplank/weight_store.py
+++ b/src/dotterelplank/weight_store.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from . import defaults, events
+from .clocks import monotonic_ms
 from .endpoint_calls import Call, EndpointClient
 from .errors import UpstreamError
 from .planned_maps import Planning
@@ -49,7 +50,7 @@
 
         :param is_wanted: asked before each try; the load is given up if it isn't.
         """
-        end_ms = _now_ms() + bound_ms
+        end_ms = monotonic_ms() + bound_ms
         return all(self._load_one(number, end_ms, is_wanted) for number in experts)
 
     def _load_one(
@@ -57,7 +58,7 @@
     ) -> bool:
         size_bytes = self._planning.expert_bytes
         while is_wanted():
-            left_ms = end_ms - _now_ms()
+            left_ms = end_ms - monotonic_ms()
             if left_ms <= 0:
                 return False
             try:
@@ -67,7 +68,7 @@
                 wait_ms = defaults.RETRY_AFTER_MS
             if wait_ms is None:
                 return True
-            if wait_ms >= end_ms - _now_ms():
+            if wait_ms >= end_ms - monotonic_ms():
                 return False
             time.sleep(wait_ms / 1000)
         return False
@@ -93,7 +94,3 @@
     if text.isascii() and text.isdecimal():
         return int(text) * 1000.0
     return defaults.RETRY_AFTER_MS
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1000
--- a/tests/request_breaks.py
+++ b/tests/request_breaks.py
@@ -236,7 +236,7 @@
         make(
             "a stop drops what was not taken",
             "link_server",
-            "while self._has_unsent() and _now_ms() < end_ms:",
+            "while self._has_unsent() and monotonic_ms() < end_ms:",
             "while False:",
             f"{LINKS}::test_a_stop_lets_a_slow_peer_take_all_that_was_sent",
         ),
