--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/agent.py
@@ -250,7 +250,7 @@
         try:
             match verdict:
                 case jobs.Start():
-                    self._workers.submit(self._run, key, job)
+                    self._workers.submit(self._run, key, job, monotonic_ms())
                 case jobs.Give(answer):
                     answers.give(link, submit.request_id, answer)
                 case jobs.TurnAway(result, wait_ms):
@@ -263,8 +263,9 @@
             return hashlib.sha256(submit.ticket).hexdigest()[:32]
         return f"{link.peer.host}-{link.peer.incarnation}-{submit.request_id}"
 
-    def _run(self, key: tuple[Link, int], job: Job) -> None:
+    def _run(self, key: tuple[Link, int], job: Job, accepted_ms: float) -> None:
         started_ms = monotonic_ms()
+        self.daemon.metrics.timing("queueing").observe(started_ms - accepted_ms)
         try:
             with self.daemon.tracer.span("agent", job.submit.traceparent) as span:
                 ended = self._call(job, span.traceparent)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -298,6 +298,9 @@
         self.assertIn(f"revision {revision} in force", text)
         self.chat()
         self.assertIn(b"dotterelplank_results_total", self.status("/metrics").data)
+        agents = self.fleet.agents.values()
+        counts = [one.daemon.metrics.timing("queueing").count() for one in agents]
+        self.assertGreater(sum(counts), 0)
 
     def test_a_refused_revision_changes_nothing_and_is_shown(self):
         self.fleet.platform.publish('{"labels": {}}')
