Don't take one sample of load, told often, for a full endpoint

Cause: an agent tells one sample of its engine's load in reports and heartbeats; four tellings of one sample with a request waiting counted as four full reports, so an engine with two running requests was taken for one with two places, and the entry shed (301 team-over-share, back in 20.8 s) what it could serve. Seen as one failure of 461 in a run of the checks, and in 1 of 6 runs of that test at once. Ruled out: the stopping agent and the choice of an endpoint (the answer was a refusal). Samples count when 150 ms apart, and a heartbeat's load only where no report is newer. Two tests of routing reported full batches 1 ms apart; they now use the spacing of real samples, with the same assertions. Before: test_one_sample_that_is_told_often... met 2 places, expected none known; after: green. The process test: 1 of 12 runs, six at once, still failed, for a cause not yet seen.

--- a/src/dotterelplank/endpoint_view.py
+++ b/src/dotterelplank/endpoint_view.py
@@ -18,6 +18,7 @@
 STALL_SILENCE_MS = 600.0
 STALL_FIRST_TOKEN_MS = 1_500.0
 FULL_REPORTS = 4
+SAMPLE_SPACING_MS = 150.0
 MAX_WAITING_COUNTED = 10
 
 
@@ -80,8 +81,9 @@
     ``is_stalled`` is set when a request was given up on while the endpoint owed an
     answer, see :func:`owes_answer`, and holds until it answers again.
     ``places`` is the size of its batch as far as reports have shown it: what ran
-    while others waited in :data:`FULL_REPORTS` reports in a row. It is infinite
-    until then.
+    while others waited in :data:`FULL_REPORTS` samples in a row, which are at least
+    :data:`SAMPLE_SPACING_MS` apart: agents tell one sample more than once. It is
+    infinite until then.
     """
 
     host: str
@@ -91,6 +93,7 @@
     measured_ms: float = 0.0
     places: float = math.inf
     full_reports: int = 0
+    sampled_ms: float = -math.inf
     in_flight: dict[str, Sent] = dataclasses.field(default_factory=dict)
     unanswered: int = 0
     answered_ms: float = 0.0
@@ -197,9 +200,12 @@
     measured_ms = now_ms - age_ms
     if view.report is not None and measured_ms < view.measured_ms:
         return
+    is_new_sample = measured_ms - view.sampled_ms >= SAMPLE_SPACING_MS
     view.report = report
     view.measured_ms = measured_ms
-    _learn_places(view, report)
+    if is_new_sample:
+        view.sampled_ms = measured_ms
+        _learn_places(view, report)
     while view.changes and view.changes[0][0] <= measured_ms:
         _, change = view.changes.popleft()
         view.net_since_report -= change
--- a/src/dotterelplank/traffic.py
+++ b/src/dotterelplank/traffic.py
@@ -282,8 +282,11 @@
                 waiting=load.waiting,
                 kv_share=load.cache_permille / 1000,
             )
-            age_ms = defaults.REPORT_INTERVAL_MS
-            endpoint_view.note_report(view, now_ms, told, age_ms)
+            # It may be the sample of a report that came before; its age isn't told.
+            is_newer = now_ms - view.measured_ms > 2 * defaults.REPORT_INTERVAL_MS
+            if is_newer:
+                age_ms = defaults.REPORT_INTERVAL_MS
+                endpoint_view.note_report(view, now_ms, told, age_ms)
 
     def note_capacity(self, now_ms: float, configuration: Configuration) -> None:
         """Take in what the load reports of the own domain show."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -257,7 +257,7 @@
         wait_until(lambda: "drafting-1" not in made.links_of("entry-1"))
         before = made.read("engine-1", "executions")
         late = b"".join(caller.stream("late").stream())
-        self.assertEqual(wanted("late"), text_of(late))
+        self.assertEqual(wanted("late"), text_of(late), late)
         self.assertEqual(before, made.read("engine-1", "executions"))
         self.assert_all_whole(responses)
         self.assertEqual(0, agent.wait())
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -28,10 +28,14 @@
     return routing.choose(now_ms, make_request(**options), views, policy, rng)
 
 
-def fill(view):
+SAMPLE_MS = 200.0
+
+
+def fill(view, now_ms=0.0):
+    """Report a full batch in four samples, the last one 800 ms later."""
     full = routing.LoadReport(80, 5, 0.9, 25.0, 400.0)
-    for now_ms in range(4):
-        routing.note_report(view, now_ms, full, 0.0)
+    for number in range(1, 5):
+        routing.note_report(view, now_ms + number * SAMPLE_MS, full, 0.0)
 
 
 def stall(view, now_ms=0.0):
@@ -96,7 +100,7 @@
     views = [make_view("near", running=50), make_view("far", "b", running=0)]
     assert choose(views).host == "near"
     fill(views[0])
-    assert choose(views).reason is routing.Reason.OTHER_DOMAIN
+    assert choose(views, 900.0).reason is routing.Reason.OTHER_DOMAIN
 
 
 def test_a_domain_that_is_not_reached_is_not_asked():
@@ -131,12 +135,12 @@
 def test_a_short_wait_does_not_show_the_size_of_a_batch():
     view = make_view("0")
     waiting = routing.LoadReport(3, 1, 0.1, 25.0, 100.0)
-    for now_ms in range(1, 20):
-        report = REPORT if now_ms % 4 == 0 else waiting
-        routing.note_report(view, now_ms, report, 0.0)
+    for number in range(1, 20):
+        report = REPORT if number % 4 == 0 else waiting
+        routing.note_report(view, number * SAMPLE_MS, report, 0.0)
     assert view.places == math.inf
-    fill(view)
-    routing.note_report(view, 30.0, waiting, 0.0)
+    fill(view, 4_000.0)
+    routing.note_report(view, 5_000.0, waiting, 0.0)
     assert view.places < math.inf
 
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -63,3 +63,10 @@
 
     def test_what_endpoints_cannot_do_is_shed_once_requests_wait(self):
         self.assertGreater(self.shed(running=16, waiting=40), 50)
+
+    def test_one_sample_that_is_told_often_does_not_make_an_endpoint_full(self):
+        load = LoadReport(2, 1, 0.1, STEP_MS, 0.0)
+        for age_ms in range(0, 100, 5):
+            endpoint_view.note_report(self.view, 1_000.0 + age_ms, load, age_ms)
+        self.assertEqual(float("inf"), self.view.places)
+        self.assertEqual(0, self.shed(running=2, waiting=0, seconds=2))
