Shed nothing before the first look at the endpoints

Cause: an entry began with a capacity of 0 and looked at its endpoints' loads twice a second, so what came in the first half second after a configuration was shed as team-over-share with 12 to 30 s to come back. Seen by printing the state at each shed: capacity 0.0, nothing running, nothing waiting. Ruled out: the places learned (none), the stopping agent.

--- a/src/dotterelplank/traffic.py
+++ b/src/dotterelplank/traffic.py
@@ -92,7 +92,8 @@
         self._is_usable = is_usable
         self._lock = threading.Lock()
         self._rng = random.Random(seed)
-        self._limits = limits.LimitState(host, 0.0)
+        capacity_per_s = defaults.UNKNOWN_CAPACITY_TOKENS_PER_S
+        self._limits = limits.LimitState(host, capacity_per_s)
         self._budget = retries.RetryBudget()
         self._families = prefixes.FamilyRates()
         self._streams_by_host: collections.Counter[str] = collections.Counter()
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -58,6 +58,11 @@
                 count += 1
         return count
 
+    def test_nothing_is_shed_before_the_first_look_at_the_endpoints(self):
+        for number in range(20):
+            name = f"request-{number}"
+            self.traffic.admit(number * 10.0, name, self.configuration, self.request())
+
     def test_nothing_is_shed_while_no_endpoint_lets_a_request_wait(self):
         self.assertEqual(0, self.shed(running=100, waiting=0))
 
