--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -132,6 +132,50 @@
     "A read of the configuration service or the host list failed.",
 )
 
+PLATFORM_REGAINED = _define(
+    131, "platform-regained", logging.INFO, "The platform answers again."
+)
+TABLE_IN_FORCE = _define(
+    132, "table-in-force", logging.INFO, "A newer routing table is in force here."
+)
+TABLE_REFUSED = _define(
+    133,
+    "table-refused",
+    logging.ERROR,
+    "A routing table is invalid and changed nothing; publish a mended one.",
+)
+ENDPOINT_LISTED = _define(
+    134, "endpoint-listed", logging.INFO, "The list of endpoints changed."
+)
+ENTRY_REFUSED = _define(
+    135,
+    "entry-refused",
+    logging.WARNING,
+    "An entry of the list of endpoints can't be used; it names no endpoint.",
+)
+PEER_FOUND = _define(136, "peer-found", logging.INFO, "Another process was heard.")
+PEER_LOST = _define(
+    137, "peer-lost", logging.WARNING, "Another process is silent; it counts no more."
+)
+SETTINGS_RELOADED = _define(
+    138, "settings-reloaded", logging.INFO, "Changed settings are in force."
+)
+SETTINGS_REFUSED = _define(
+    139,
+    "settings-refused",
+    logging.ERROR,
+    "Changed settings can't be used; the earlier ones stay in force.",
+)
+LOG_LINES_DROPPED = _define(
+    140,
+    "log-lines-dropped",
+    logging.WARNING,
+    "Log lines were dropped, as they weren't taken fast enough.",
+)
+CALL_UNREADABLE = _define(
+    141, "call-unreadable", logging.INFO, "Bytes of a caller are no call, or too many."
+)
+
 # 160: expert maps in the agent
 RANK_GROUP_CHANGED = _define(
     160,
--- /dev/null
+++ b/src/dotterelplank/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry that forwards each call straight to an endpoint."""
--- /dev/null
+++ b/src/dotterelplank/gateway/admission.py
@@ -0,0 +1,137 @@
+"""Which endpoint takes a call, or whether it waits or is refused, and until when.
+
+The load that this answers: many entries place calls at the same endpoints at once,
+with word of each other that is some milliseconds old; and more calls than places.
+"""
+
+import dataclasses
+import typing as t
+
+from .directory import Directory, Endpoint
+from .loads import Loads
+
+WAIT_PART: t.Final = 0.45
+"""The part of its latency objective that a call may wait for a place."""
+LEAST_RETRY_AFTER_MS: t.Final = 250.0
+LONGEST_RETRY_AFTER_MS: t.Final = 2_500.0
+DEFAULT_HOLD_MS: t.Final = 500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A call that wants a place.
+
+    :param tried: ids of endpoints that it isn't to be sent to again.
+    :param draw: uniform in [0, 1).
+    """
+
+    service: str
+    tried: frozenset[str]
+    draw: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admit:
+    """The call may be sent to ``endpoint``."""
+
+    endpoint: Endpoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Full:
+    """No endpoint has a place.
+
+    :param wait_ms: expected time until one has, for the last call in line.
+    """
+
+    wait_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unusable:
+    """There is no endpoint that could be asked.
+
+    :param retry_after_ms: when one may be usable again.
+    """
+
+    retry_after_ms: float
+
+
+Answer = Admit | Full | Unusable
+
+
+def choose(
+    now_ms: float,
+    ask: Ask,
+    directory: Directory,
+    loads: Loads,
+    domain: str,
+    waiting: int,
+) -> Answer:
+    """Return the endpoint with the least work that has a free place.
+
+    Among equals one of the entry's own failure domain goes first; ``ask.draw`` breaks
+    the ties that remain, so that entries which choose at once spread out.
+
+    :param domain: failure domain of this entry.
+    :param waiting: this entry's calls of the service that wait already.
+    """
+    listed = directory.of_service(ask.service)
+    usable = [
+        one
+        for one in listed
+        if one.id not in ask.tried and not _avoided_ms(now_ms, one, loads)
+    ]
+    if not usable:
+        pauses = [_avoided_ms(now_ms, one, loads) for one in listed]
+        soonest = min((pause for pause in pauses if pause), default=0.0)
+        return Unusable(max(soonest, LEAST_RETRY_AFTER_MS))
+    free = [one for one in usable if loads.of(one.id) < one.slots]
+    if not free:
+        return Full(expected_wait_ms(ask.service, usable, loads, waiting))
+    least = min(_rank(one, loads, domain) for one in free)
+    equal = [one for one in free if _rank(one, loads, domain) == least]
+    return Admit(equal[int(ask.draw * len(equal))])
+
+
+def expected_wait_ms(
+    service: str, usable: t.Sequence[Endpoint], loads: Loads, waiting: int
+) -> float:
+    """Return how long a call that joins the line would wait for a place."""
+    places = sum(one.slots for one in usable)
+    in_line = waiting + loads.others_waiting[service] + 1
+    hold_ms = loads.hold_ms.get(service, DEFAULT_HOLD_MS)
+    return in_line * hold_ms / max(1, places)
+
+
+def longest_wait_ms(goal_ms: float, left_ms: float) -> float:
+    """Return how long a call may wait for a place before it is refused."""
+    return min(goal_ms * WAIT_PART, left_ms / 2)
+
+
+def retry_after_ms(wait_ms: float, left_ms: float, draw: float) -> float:
+    """Return when a refused call is to come back, spread so that not all do at once.
+
+    Callers heed at most a third of the time that they have left.
+
+    :param draw: uniform in [0, 1).
+    """
+    spread_ms = max(LEAST_RETRY_AFTER_MS, wait_ms) * (1 + draw)
+    return min(spread_ms, LONGEST_RETRY_AFTER_MS, left_ms * 0.3)
+
+
+def _rank(endpoint: Endpoint, loads: Loads, domain: str) -> tuple[float, bool]:
+    return loads.of(endpoint.id) / endpoint.slots, endpoint.domain != domain
+
+
+def _avoided_ms(now_ms: float, endpoint: Endpoint, loads: Loads) -> float:
+    own_ms = loads.avoided_for_ms(now_ms, endpoint.id)
+    if endpoint.place is None:
+        return own_ms
+    return max(own_ms, loads.avoided_for_ms(now_ms, group_name(endpoint)))
+
+
+def group_name(endpoint: Endpoint) -> str:
+    """Return the name under which an endpoint's group is avoided."""
+    assert endpoint.place is not None
+    return f"group {endpoint.service}/{endpoint.place.group}"
--- /dev/null
+++ b/src/dotterelplank/gateway/board.py
@@ -0,0 +1,70 @@
+"""What one entry believes and has in hand; decisions read it, one loop writes it."""
+
+import dataclasses
+import random
+import typing as t
+
+from . import budget, lines
+from .directory import Directory
+from .host import HostSettings
+from .loads import Loads
+from .tables import Table
+
+
+@dataclasses.dataclass
+class Board:
+    """The state of one entry.
+
+    :param table: configuration in force; none before the first one is known.
+    :param table_ms: when it came into force here.
+    :param entries: entries that were heard lately, this one included.
+    :param spared_ms: time up to which the process is not to trust what it holds, since
+        it was paused.
+    """
+
+    host: HostSettings
+    random: random.Random
+    table: Table | None = None
+    table_ms: float = 0.0
+    directory: Directory = dataclasses.field(default_factory=Directory)
+    loads: Loads = dataclasses.field(default_factory=Loads)
+    budgets: dict[str, budget.Budget] = dataclasses.field(default_factory=dict)
+    line_by_service: dict[str, lines.Line] = dataclasses.field(default_factory=dict)
+    entries: int = 1
+    is_stopping: bool = False
+
+    @property
+    def policy(self) -> budget.Policy:
+        """The bound on repeated sends."""
+        bounds = self.host.bounds
+        return budget.Policy(
+            bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_burst
+        )
+
+    def budget_of(self, service: str) -> budget.Budget:
+        """Return the budget for repeated sends to ``service``."""
+        return self.budgets.setdefault(service, budget.Budget())
+
+    def line_of(self, service: str) -> lines.Line:
+        """Return the calls that wait for a place at ``service``."""
+        return self.line_by_service.setdefault(service, lines.Line())
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        is_informed = self.table is not None and self.directory.read_ms is not None
+        return is_informed and not self.is_stopping
+
+
+def directory_age_ms(now_ms: float, board: Board) -> float:
+    """Return the time since the list of endpoints was last heard of."""
+    read_ms = board.directory.read_ms
+    return -1.0 if read_ms is None else now_ms - read_ms
+
+
+def waiting(board: Board) -> t.Mapping[str, int]:
+    """Return how many calls wait, by service; services with none left out."""
+    return {
+        service: len(line.waiting)
+        for service, line in board.line_by_service.items()
+        if line.waiting
+    }
--- /dev/null
+++ b/src/dotterelplank/gateway/entry.py
@@ -0,0 +1,303 @@
+"""The entry daemon: its listeners, its loop, its start and its stop."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+import time
+import typing as t
+
+from .. import events
+from ..errors import ProtocolError, SettingsError
+from ..http1.server import Call, Exchange, Intake, Server
+from . import peers as peering
+from .board import Board, waiting
+from .feed import COPY_PATH, Feed
+from .forwarder import Forwarder
+from .host import Address, HostSettings
+from .loads import PeerLoad
+from .metrics import EntryMetrics
+
+log = logging.getLogger(__name__)
+
+TICK_MS: t.Final = 50.0
+PAUSE_NOTICED_MS: t.Final = 1_000.0
+SETTINGS_CHECK_MS: t.Final = 1_000.0
+STOP_MARGIN_MS: t.Final = 700.0
+"""Time kept from the bound on a stop for the last answers to go out."""
+BALANCER_NOTICE_MS: t.Final = 2_500.0
+"""Time in which the platform's balancer notices that readiness is gone."""
+BACKLOG: t.Final = 512
+METRICS_PATH: t.Final = b"/metrics"
+DEFAULT_INTAKE: t.Final = Intake(16_384, 1_048_576, 3.0, 15.0)
+
+
+def clock_ms() -> float:
+    """Return milliseconds that go on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+
+class Entry:
+    """An entry on its event loop.
+
+    :param reload: returns the settings as they are now.
+    """
+
+    def __init__(
+        self,
+        host: HostSettings,
+        reload: t.Callable[[], HostSettings],
+        metrics_port: int | None = None,
+    ) -> None:
+        self._reload = reload
+        self._metrics_port = metrics_port
+        self.board = Board(host, random.Random())
+        self.metrics = EntryMetrics()
+        self._incarnation = time.time_ns() // 1_000_000
+        self._beats = 0
+        self._beat_ms = 0.0
+        self._beat_timer: asyncio.TimerHandle | None = None
+        self._peers = peering.Peers(host.ip)
+        self._forwarder = Forwarder(
+            self.board, clock_ms, self.metrics, self._on_load_changed
+        )
+        self._feed = Feed(
+            self.board, self._peers, clock_ms, self.metrics, self._on_published
+        )
+        self._callers = Server(self._forwarder.handle, self._intake, self._on_refused)
+        self._pages = Server(self._page, lambda: DEFAULT_INTAKE, self._on_refused)
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until told to stop, and then until calls in progress are answered."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        async with contextlib.AsyncExitStack() as stack:
+            await self._listen(stack)
+            events.emit(
+                log,
+                events.PROCESS_STARTED,
+                role="entry",
+                incarnation=self._incarnation,
+                domain=self.board.host.domain,
+            )
+            for work in (self._feed.follow(), self._tick()):
+                stack.callback(loop.create_task(work).cancel)
+            await self._stop.wait()
+            await self._drain()
+        self._feed.close()
+        self._forwarder.close()
+        events.emit(log, events.PROCESS_STOPPED, role="entry")
+
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
+        host = self.board.host
+        places: list[tuple[Server, Address | None]] = [
+            (self._callers, host.callers),
+            (self._pages, host.health),
+            (self._pages, Address(host.ip, host.peer_port)),
+        ]
+        if self._metrics_port is not None:
+            places.append((self._pages, Address(host.ip, self._metrics_port)))
+        loop = asyncio.get_running_loop()
+        for server, place in places:
+            if place is None:
+                continue
+            listener = await loop.create_server(
+                server.make_connection, place.ip, place.port, backlog=BACKLOG
+            )
+            stack.callback(listener.close)
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self._on_datagram),
+            local_addr=(host.ip, host.peer_port),
+        )
+        self._datagrams = t.cast(asyncio.DatagramTransport, transport)
+        stack.callback(transport.close)
+
+    async def _drain(self) -> None:
+        """Answer what is in progress, within the bound on a stop."""
+        began_ms = clock_ms()
+        self.board.is_stopping = True
+        self._callers.stop()
+        self._beat()
+        events.emit(
+            log, events.PROCESS_STOPPING, in_progress=self._callers.in_progress()
+        )
+        bound_ms = self.board.host.bounds.stop_ms - STOP_MARGIN_MS
+        while clock_ms() - began_ms < bound_ms:
+            is_idle = not self._callers.in_progress()
+            if is_idle and clock_ms() - began_ms >= BALANCER_NOTICE_MS:
+                break
+            await asyncio.sleep(TICK_MS / 1000)
+        else:
+            events.emit(log, events.STOP_BOUND_REACHED, cut=self._callers.in_progress())
+        self._callers.close_all()
+        await asyncio.sleep(TICK_MS / 1000)
+
+    async def _tick(self) -> None:
+        """Let time pass: beats, silent peers, lapsed entries, changed settings."""
+        last_ms = clock_ms()
+        checked_ms = last_ms
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            now_ms = clock_ms()
+            if now_ms - last_ms > PAUSE_NOTICED_MS:
+                events.emit(
+                    log, events.PAUSE_NOTICED, paused_ms=round(now_ms - last_ms)
+                )
+            last_ms = now_ms
+            self._expire(now_ms)
+            if now_ms - self._beat_ms >= peering.BEAT_INTERVAL_MS:
+                self._beat()
+            if now_ms - checked_ms >= SETTINGS_CHECK_MS:
+                checked_ms = now_ms
+                self._reload_settings()
+
+    def _expire(self, now_ms: float) -> None:
+        for peer in self._peers.expire(now_ms):
+            events.emit(
+                log,
+                events.PEER_LOST,
+                peer=peer.beat.name,
+                silent_ms=round(now_ms - peer.heard_ms),
+            )
+        self.board.loads.expire(now_ms)
+        self.board.entries = 1 + len(self._peers.counted())
+        if self.board.directory.expire(now_ms):
+            self._on_published()
+
+    def _on_published(self) -> None:
+        endpoints = self.board.directory.endpoints.values()
+        self._forwarder.forget_pools({(one.id, one.started_ms) for one in endpoints})
+        self._beat()
+        self._forwarder.admit_waiting()
+
+    def _on_load_changed(self) -> None:
+        """Tell peers soon; several changes go out as one beat."""
+        if self._beat_timer is not None:
+            return
+        due_ms = max(0.0, self._beat_ms + peering.BEAT_SPACING_MS - clock_ms())
+        loop = asyncio.get_running_loop()
+        self._beat_timer = loop.call_later(due_ms / 1000, self._beat)
+
+    def _beat(self) -> None:
+        if self._beat_timer is not None:
+            self._beat_timer.cancel()
+            self._beat_timer = None
+        if self._datagrams is None:
+            return
+        now_ms = clock_ms()
+        self._beat_ms = now_ms
+        self._beats += 1
+        board, host = self.board, self.board.host
+        data = peering.encode(
+            peering.Beat(
+                name=host.name,
+                ip=host.ip,
+                domain=host.domain,
+                incarnation=self._incarnation,
+                number=self._beats,
+                table_version=board.table.version if board.table else 0,
+                directory_revision=board.directory.revision,
+                in_flight=dict(board.loads.own),
+                waiting=dict(waiting(board)),
+                peers=self._peers_to_tell(),
+                is_leaving=board.is_stopping,
+            )
+        )
+        for ip in self._peers.destinations(now_ms, host.seeds):
+            self._datagrams.sendto(data, (ip, host.peer_port))
+
+    def _peers_to_tell(self) -> list[str]:
+        known = list(self._peers.by_ip)
+        if len(known) <= peering.PEERS_PER_BEAT:
+            return known
+        return self.board.random.sample(known, peering.PEERS_PER_BEAT)
+
+    def _on_datagram(self, data: bytes) -> None:
+        now_ms = clock_ms()
+        try:
+            beat = peering.decode(data)
+        except ProtocolError as error:
+            events.emit(log, events.FRAME_REFUSED, why=str(error))
+            return
+        known = self._peers.by_ip.get(beat.ip)
+        if not self._peers.hear(now_ms, beat):
+            return
+        if known is None or not known.is_counted:
+            events.emit(
+                log,
+                events.PEER_FOUND,
+                peer=beat.name,
+                incarnation=beat.incarnation,
+                table_version=beat.table_version,
+            )
+        load = PeerLoad(beat.in_flight, beat.waiting, now_ms)
+        self.board.loads.hear(beat.ip, load)
+        self._feed.hear(beat.ip, beat.table_version, beat.directory_revision)
+        self._forwarder.admit_waiting()
+
+    async def _page(self, call: Call, exchange: Exchange) -> None:
+        """Answer readiness, metrics, and a peer that asks for a copy."""
+        path = call.target.partition(b"?")[0]
+        if path == COPY_PATH:
+            exchange.answer(200, [], self._feed.copy())
+        elif path == METRICS_PATH:
+            exchange.answer(200, [], self.metrics.render(self._state()))
+        else:
+            exchange.answer(200 if self.board.is_ready() else 503, [], b"")
+
+    def _state(self) -> t.Mapping[str, float]:
+        board = self.board
+        return {
+            "ready": float(board.is_ready()),
+            "in_flight": sum(board.loads.own.values()),
+            "in_flight_elsewhere": sum(board.loads.others.values()),
+            "waiting": sum(waiting(board).values()),
+            "entries": board.entries,
+            "endpoints": len(board.directory.endpoints),
+            "table_version": board.table.version if board.table else 0,
+            "directory_revision": board.directory.revision,
+        }
+
+    def _intake(self) -> Intake:
+        table = self.board.table
+        if table is None:
+            return DEFAULT_INTAKE
+        limits = table.limits
+        return Intake(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
+
+    def _on_refused(self, status: int, why: str) -> None:
+        events.emit(log, events.CALL_UNREADABLE, status=status, why=why)
+
+    def _reload_settings(self) -> None:
+        try:
+            host = self._reload()
+        except SettingsError as error:
+            events.emit(log, events.SETTINGS_REFUSED, why=str(error))
+            return
+        if host != self.board.host:
+            self.board.host = host
+            events.emit(log, events.SETTINGS_RELOADED, seeds=len(host.seeds))
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Hands each datagram on."""
+
+    def __init__(self, on_datagram: t.Callable[[bytes], None]) -> None:
+        self._on_datagram = on_datagram
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take one datagram."""
+        self._on_datagram(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over an unreachable peer; its silence is what counts."""
--- /dev/null
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -0,0 +1,499 @@
+"""The handling of one call: a place, the send, the answer, and another endpoint if it
+may go there.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import typing as t
+
+from .. import events, results
+from ..errors import RequestError, UpstreamError
+from ..http1.client import EndpointConnection, Head, Pool, Request, connect
+from ..http1.messages import Headers, end_to_end, header
+from ..http1.server import Call, Exchange
+from ..platform import headers as wire
+from . import admission, lines
+from .attempts import (
+    Answered,
+    Ending,
+    History,
+    Lost,
+    NotRun,
+    final_result,
+    may_send_again,
+)
+from .board import Board, directory_age_ms
+from .budget import count_first, take_repeat
+from .directory import Endpoint
+from .metrics import EntryMetrics
+from .streams import EventCursor
+from .tables import Kind, Route, Team, pick_target
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_MS: t.Final = 300.0
+ANSWER_BOUND_BYTES: t.Final = 1024 * 1024
+"""Answers up to this size are held until they are whole."""
+REUSE_IDLE_MS: t.Final = 8_000.0
+REUSE_IDLE_ONCE_MS: t.Final = 1_000.0
+"""How long a connection may have been idle before a call that may run only once."""
+LEAST_LEFT_MS: t.Final = 5.0
+"""Below this a call isn't sent any more."""
+
+
+@dataclasses.dataclass
+class Handling:
+    """One call on its way.
+
+    :param deadline_ms: when the caller, or the route, stops waiting.
+    """
+
+    call: Call
+    exchange: Exchange
+    said: wire.CallHeaders
+    route: Route
+    service: str
+    team: Team | None
+    arrived_ms: float
+    deadline_ms: float
+    history: History = dataclasses.field(default_factory=History)
+    waited_ms: float = 0.0
+    first_ms: float | None = None
+    cursor: EventCursor = dataclasses.field(default_factory=EventCursor)
+    endpoint: str = ""
+
+    @property
+    def priority(self) -> tuple[int, ...]:
+        """The team's priority, then the route's."""
+        team = self.team.priority if self.team is not None else None
+        return (self.route.priority if team is None else team, self.route.priority)
+
+
+class Forwarder:
+    """Forwards calls straight to endpoints.
+
+    :param clock: returns the present time in milliseconds.
+    :param on_load: told that the number of calls in progress has changed.
+    """
+
+    def __init__(
+        self,
+        board: Board,
+        clock: t.Callable[[], float],
+        metrics: EntryMetrics,
+        on_load: t.Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._clock = clock
+        self._metrics = metrics
+        self._on_load = on_load
+        self._pools: dict[tuple[str, int], Pool] = {}
+        self._numbers = 0
+
+    async def handle(self, call: Call, exchange: Exchange) -> None:
+        """Answer one call; the caller's leaving cancels it."""
+        now_ms = self._clock()
+        handling: Handling | None = None
+        try:
+            handling = self._admit_call(now_ms, call, exchange)
+            if handling is None:
+                return
+            result = await self._forward(handling)
+            self._note(handling, result)
+        except asyncio.CancelledError:
+            if handling is not None:
+                self._note(handling, results.CALLER_GONE)
+        except Exception:
+            log.exception("a fault ended the handling of a call")
+            events.emit(log, events.REQUEST_FAILED, request=_id_of(handling))
+            exchange.abort()
+
+    def admit_waiting(self) -> None:
+        """Give places that became free to calls that wait."""
+        for service, line in self._board.line_by_service.items():
+            if line.waiting:
+                lines.admit(line, lambda one, name=service: self._find(name, one))
+
+    def close(self) -> None:
+        """Close the idle connections to endpoints."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def _admit_call(
+        self, now_ms: float, call: Call, exchange: Exchange
+    ) -> Handling | None:
+        """Return the call with its route, or answer it and return ``None``."""
+        try:
+            said = wire.read_call(call.headers)
+        except RequestError as error:
+            self._refuse_early(exchange, b"", results.MALFORMED_REQUEST, str(error))
+            return None
+        table = self._board.table
+        if table is None:
+            self._refuse_early(exchange, said.id, results.NO_CONFIGURATION, "")
+            return None
+        host = (header(call.headers, b"host") or b"").decode("latin-1")
+        path = call.target.partition(b"?")[0].decode("latin-1")
+        route = table.match(host.partition(":")[0], path)
+        if route is None:
+            self._refuse_early(exchange, said.id, results.NO_ROUTE, path[:80])
+            return None
+        team = table.team(said.key)
+        if team is None and table.needs_key and not route.is_public:
+            self._refuse_early(exchange, said.id, results.UNKNOWN_KEY, route.name)
+            return None
+        waits_ms = route.timeout_ms
+        if said.deadline_ms is not None:
+            waits_ms = min(waits_ms, said.deadline_ms)
+        return Handling(
+            call=call,
+            exchange=exchange,
+            said=said,
+            route=route,
+            service=pick_target(route, self._board.random.random()),
+            team=team,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + waits_ms,
+        )
+
+    def _refuse_early(
+        self, exchange: Exchange, call_id: bytes, result: results.Result, why: str
+    ) -> None:
+        retry_after_s = None
+        if result is results.NO_CONFIGURATION:
+            draw = self._board.random.random()
+            retry_after_s = admission.retry_after_ms(0.0, 8000.0, draw) / 1000
+        headers = wire.own_answer(call_id, retry_after_s)
+        exchange.answer(result.http_status, headers, b"")
+        self._metrics.count_result(result)
+        events.emit(
+            log,
+            events.REQUEST_ENDED,
+            request=call_id.decode("latin-1"),
+            result=result.number,
+            status=result.http_status,
+            why=why,
+            table_version=self._board.table.version if self._board.table else None,
+        )
+
+    async def _forward(self, one: Handling) -> results.Result:
+        try:
+            async with asyncio.timeout((one.deadline_ms - self._clock()) / 1000):
+                return await self._send_until_answered(one)
+        except TimeoutError:
+            return self._give_up(one, is_over=True)
+
+    async def _send_until_answered(self, one: Handling) -> results.Result:
+        while True:
+            endpoint = await self._place(one)
+            if endpoint is None:
+                return self._give_up(one, is_over=False)
+            self._on_load()
+            one.endpoint = endpoint.id
+            begun_ms = self._clock()
+            try:
+                ending = await self._send(one, endpoint)
+            finally:
+                self._board.loads.end(endpoint.id)
+                self._on_load()
+                self.admit_waiting()
+            now_ms = self._clock()
+            if isinstance(ending, Answered):
+                self._board.loads.held(one.service, now_ms - begun_ms)
+                self._board.loads.succeeded(endpoint.id)
+                return results.DONE
+            one.history.note(endpoint.id, ending)
+            self._judge(now_ms, one, endpoint, ending)
+            if not self._may_repeat(now_ms, one):
+                return self._give_up(one, is_over=False)
+
+    def _may_repeat(self, now_ms: float, one: Handling) -> bool:
+        if not may_send_again(one.history, one.route):
+            return False
+        if one.deadline_ms - now_ms < LEAST_LEFT_MS:
+            return False
+        if not one.history.arrivals:
+            return True
+        board = self._board
+        budget = board.budget_of(one.service)
+        return take_repeat(now_ms, budget, board.policy, board.entries)
+
+    def _judge(
+        self, now_ms: float, one: Handling, endpoint: Endpoint, ending: NotRun | Lost
+    ) -> None:
+        """Draw conclusions about an endpoint from a send that failed."""
+        loads = self._board.loads
+        if isinstance(ending, NotRun) and ending.was_sent:
+            loads.full(now_ms, endpoint.id)
+            avoided_ms = loads.avoided_for_ms(now_ms, endpoint.id)
+        else:
+            avoided_ms = loads.failed(now_ms, endpoint.id)
+        self._metrics.count_failure(endpoint.service)
+        events.emit(
+            log,
+            events.ENDPOINT_FAILED,
+            request=one.said.id.decode("latin-1"),
+            endpoint=endpoint.id,
+            not_run=isinstance(ending, NotRun),
+            why=ending.reason,
+            after_ms=round(now_ms - one.arrived_ms, 1),
+            avoided_ms=round(avoided_ms),
+        )
+
+    async def _place(self, one: Handling) -> Endpoint | None:
+        """Return an endpoint whose place is counted as taken, or ``None``."""
+        now_ms = self._clock()
+        left_ms = one.deadline_ms - now_ms
+        line = self._board.line_of(one.service)
+        ahead = line.ahead_of(one.priority, one.arrived_ms)
+        if not ahead:
+            answer = self._choose(now_ms, one.service, frozenset(one.history.tried))
+            if isinstance(answer, admission.Admit):
+                self._take(answer.endpoint)
+                return answer.endpoint
+            if isinstance(answer, admission.Unusable):
+                return None
+            wait_ms = answer.wait_ms
+        else:
+            usable = self._board.directory.of_service(one.service)
+            wait_ms = admission.expected_wait_ms(
+                one.service, usable, self._board.loads, ahead
+            )
+        longest_ms = admission.longest_wait_ms(one.route.goal_ms, left_ms)
+        if wait_ms > longest_ms:
+            return None
+        return await self._wait_in(line, one, longest_ms)
+
+    async def _wait_in(
+        self, line: lines.Line, one: Handling, longest_ms: float
+    ) -> Endpoint | None:
+        began_ms = self._clock()
+        admitted = asyncio.get_running_loop().create_future()
+        self._numbers += 1
+        waiting = lines.Waiting(
+            one.priority,
+            one.arrived_ms,
+            self._numbers,
+            frozenset(one.history.tried),
+            admitted.set_result,
+        )
+        line.join(waiting)
+        try:
+            async with asyncio.timeout(longest_ms / 1000):
+                return await asyncio.shield(admitted)
+        except TimeoutError:
+            return admitted.result() if admitted.done() else None
+        except asyncio.CancelledError:
+            if admitted.done():
+                self._board.loads.end(admitted.result().id)
+            raise
+        finally:
+            line.leave(waiting)
+            one.waited_ms += self._clock() - began_ms
+
+    def _find(self, service: str, waiting: lines.Waiting) -> Endpoint | None:
+        answer = self._choose(self._clock(), service, waiting.tried)
+        if not isinstance(answer, admission.Admit):
+            return None
+        self._take(answer.endpoint)
+        return answer.endpoint
+
+    def _take(self, endpoint: Endpoint) -> None:
+        self._board.loads.begin(endpoint.id)
+
+    def _choose(
+        self, now_ms: float, service: str, tried: frozenset[str]
+    ) -> admission.Answer:
+        board = self._board
+        ask = admission.Ask(service, tried, board.random.random())
+        waiting = len(board.line_of(service).waiting)
+        return admission.choose(
+            now_ms, ask, board.directory, board.loads, board.host.domain, waiting
+        )
+
+    async def _send(self, one: Handling, endpoint: Endpoint) -> Ending:
+        """Send the call to ``endpoint`` and pass its answer on."""
+        pool = self._pool(endpoint)
+        is_once = not one.route.is_idempotent
+        idle_ms = REUSE_IDLE_ONCE_MS if is_once else REUSE_IDLE_MS
+        connection = pool.take(self._clock(), idle_ms)
+        try:
+            if connection is None:
+                self._metrics.count_connection(endpoint.service)
+                connection = await connect(
+                    endpoint.ip, endpoint.port, CONNECT_TIMEOUT_MS / 1000
+                )
+            connection.send(self._request(one, endpoint))
+            one.history.is_open = True
+        except UpstreamError as error:
+            return NotRun(False, str(error))
+        if not one.history.arrivals:
+            budget = self._board.budget_of(one.service)
+            count_first(self._clock(), budget, self._board.policy)
+        try:
+            ending = await self._relay(one, connection)
+        except UpstreamError as error:
+            ending = Lost(one.exchange.has_begun, str(error))
+        except BaseException:
+            connection.close()
+            raise
+        if isinstance(ending, Lost):
+            connection.close()
+        else:
+            pool.give_back(self._clock(), connection)
+        return ending
+
+    def _request(self, one: Handling, endpoint: Endpoint) -> Request:
+        resume_after = one.cursor.last_id
+        if resume_after is None:
+            resume_after = one.said.resume_after
+        headers = wire.forwarded(
+            end_to_end(one.call.headers),
+            left_ms=one.deadline_ms - self._clock(),
+            endpoint_id=endpoint.id,
+            team=None if one.team is None else one.team.name,
+            resume_after=resume_after,
+        )
+        return Request(one.call.method, one.call.target, headers, one.call.body)
+
+    async def _relay(self, one: Handling, connection: EndpointConnection) -> Ending:
+        head = await connection.head()
+        said = wire.read_answer(head.status, head.headers)
+        while said.id is not None and said.id != one.said.id:
+            self._metrics.count_stray()
+            await connection.skip_answer()
+            head = await connection.head()
+            said = wire.read_answer(head.status, head.headers)
+        if said.not_run and head.status >= 400:
+            await _read_rest(connection)
+            return NotRun(True, f"refused with {head.status}, at {said.at_fault}")
+        is_success = 200 <= head.status < 300
+        if is_success and not said.has_proof:
+            return Lost(one.exchange.has_begun, "a success without proof")
+        if one.route.kind is Kind.STREAMING and is_success:
+            return await self._relay_stream(one, head, connection)
+        return await self._relay_whole(one, head, connection, said.has_proof)
+
+    async def _relay_whole(
+        self,
+        one: Handling,
+        head: Head,
+        connection: EndpointConnection,
+        has_proof: bool,
+    ) -> Ending:
+        parts = bytearray()
+        while (part := await connection.body_part()) is not None:
+            parts += part
+            if len(parts) > ANSWER_BOUND_BYTES:
+                return Lost(False, "the answer is over the bound")
+        is_failure = head.status >= 500
+        if is_failure and one.route.is_idempotent and self._is_worth_repeating(one):
+            return Lost(one.exchange.has_begun, f"failed with {head.status}")
+        if one.exchange.has_begun:
+            return Lost(True, f"can't go on after {head.status}")
+        if not has_proof and not is_failure:
+            return Lost(False, f"{head.status} without proof")
+        one.first_ms = self._clock() - one.arrived_ms
+        one.exchange.answer(head.status, _answer_headers(head.headers), bytes(parts))
+        return Answered(head.status)
+
+    def _is_worth_repeating(self, one: Handling) -> bool:
+        left_ms = one.deadline_ms - self._clock()
+        sends_after = one.history.arrivals + 1
+        return left_ms > LEAST_LEFT_MS and sends_after < one.route.attempts
+
+    async def _relay_stream(
+        self, one: Handling, head: Head, connection: EndpointConnection
+    ) -> Ending:
+        exchange = one.exchange
+        one.cursor.rest = b""
+        if not exchange.has_begun:
+            exchange.begin(head.status, _answer_headers(head.headers), None)
+        while (part := await connection.body_part()) is not None:
+            whole = one.cursor.feed(part)
+            if not whole:
+                continue
+            now_ms = self._clock()
+            if one.first_ms is None:
+                one.first_ms = now_ms - one.arrived_ms
+                self._metrics.first_event.observe(one.first_ms)
+            exchange.send(whole)
+            await exchange.drain()
+        if one.cursor.rest:
+            return Lost(True, "the stream ended inside an event")
+        exchange.finish()
+        return Answered(head.status)
+
+    def _give_up(self, one: Handling, *, is_over: bool) -> results.Result:
+        result = final_result(one.history, is_over=is_over)
+        if one.exchange.has_begun:
+            one.exchange.abort()
+            return results.STREAM_CUT
+        retry_after_s = None
+        if result.outcome is results.Outcome.NOT_RUN:
+            left_ms = one.deadline_ms - self._clock()
+            usable = self._board.directory.of_service(one.service)
+            ahead = len(self._board.line_of(one.service).waiting)
+            wait_ms = admission.expected_wait_ms(
+                one.service, usable, self._board.loads, ahead
+            )
+            draw = self._board.random.random()
+            retry_after_ms = admission.retry_after_ms(wait_ms, left_ms, draw)
+            retry_after_s = max(0.0, retry_after_ms) / 1000
+        headers = wire.own_answer(one.said.id, retry_after_s)
+        one.exchange.answer(result.http_status, headers, b"")
+        return result
+
+    def _note(self, one: Handling, result: results.Result) -> None:
+        now_ms = self._clock()
+        total_ms = now_ms - one.arrived_ms
+        self._metrics.count_result(result)
+        self._metrics.request.observe(total_ms)
+        board = self._board
+        events.emit(
+            log,
+            events.REQUEST_ENDED,
+            request=one.said.id.decode("latin-1"),
+            route=one.route.name,
+            team=None if one.team is None else one.team.name,
+            result=result.number,
+            outcome=result.name,
+            endpoint=one.endpoint,
+            sends=one.history.sends,
+            why=one.history.reason,
+            waited_ms=round(one.waited_ms, 1),
+            first_ms=None if one.first_ms is None else round(one.first_ms, 1),
+            total_ms=round(total_ms, 1),
+            deadline_ms=round(one.deadline_ms - one.arrived_ms),
+            in_flight=sum(board.loads.own.values()),
+            in_flight_elsewhere=sum(board.loads.others.values()),
+            table_version=board.table.version if board.table else None,
+            directory_age_ms=round(directory_age_ms(now_ms, board)),
+        )
+
+    def _pool(self, endpoint: Endpoint) -> Pool:
+        key = (endpoint.id, endpoint.started_ms)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = Pool(endpoint.ip, endpoint.port)
+        return pool
+
+    def forget_pools(self, present: t.Collection[tuple[str, int]]) -> None:
+        """Close the idle connections to endpoints that aren't listed any more."""
+        for key in list(self._pools):
+            if key not in present:
+                self._pools.pop(key).close()
+
+
+async def _read_rest(connection: EndpointConnection) -> None:
+    while await connection.body_part() is not None:
+        pass
+
+
+def _answer_headers(headers: Headers) -> Headers:
+    return end_to_end(headers)
+
+
+def _id_of(handling: Handling | None) -> str | None:
+    return None if handling is None else handling.said.id.decode("latin-1")
--- /dev/null
+++ b/src/dotterelplank/gateway/loads.py
@@ -0,0 +1,129 @@
+"""How much work each endpoint has, from one's own calls and from what peers tell."""
+
+import collections
+import dataclasses
+import typing as t
+
+SILENT_PEER_MS: t.Final = 1_500.0
+"""After this silence a peer's calls no longer count."""
+AVOID_FIRST_MS: t.Final = 200.0
+AVOID_LONGEST_MS: t.Final = 3_000.0
+FULL_MS: t.Final = 40.0
+"""How long an endpoint that said it is full is passed over."""
+SMOOTHING: t.Final = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What a peer has told of its calls.
+
+    :param in_flight: its calls at each endpoint, by id; endpoints with none left out.
+    :param waiting: its calls that wait for a place, by service.
+    """
+
+    in_flight: t.Mapping[str, int]
+    waiting: t.Mapping[str, int]
+    heard_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Avoided:
+    """An endpoint or a group that failed calls.
+
+    :param failures: failures in a row.
+    :param until_ms: time up to which nothing is sent there.
+    """
+
+    failures: int = 0
+    until_ms: float = 0.0
+
+
+@dataclasses.dataclass
+class Loads:
+    """The calls in progress, everywhere.
+
+    :param own: this entry's calls at each endpoint.
+    :param others: the peers' calls at each endpoint, summed.
+    :param hold_ms: how long a call of a service holds its place, smoothed.
+    """
+
+    own: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    others: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    others_waiting: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
+    avoided: dict[str, Avoided] = dataclasses.field(default_factory=dict)
+    hold_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def of(self, endpoint_id: str) -> int:
+        """Return the calls in progress at an endpoint."""
+        return self.own[endpoint_id] + self.others[endpoint_id]
+
+    def hear(self, peer: str, load: PeerLoad) -> None:
+        """Take in what a peer tells."""
+        self._forget(peer)
+        self.peers[peer] = load
+        self.others.update(load.in_flight)
+        self.others_waiting.update(load.waiting)
+
+    def expire(self, now_ms: float) -> t.Sequence[str]:
+        """Forget the calls of silent peers, and return these."""
+        silent = [
+            peer
+            for peer, load in self.peers.items()
+            if now_ms - load.heard_ms > SILENT_PEER_MS
+        ]
+        for peer in silent:
+            self._forget(peer)
+        return silent
+
+    def begin(self, endpoint_id: str) -> None:
+        """Count a call that is about to be sent."""
+        self.own[endpoint_id] += 1
+
+    def end(self, endpoint_id: str) -> None:
+        """Count a call that is over."""
+        self.own[endpoint_id] -= 1
+        if self.own[endpoint_id] <= 0:
+            del self.own[endpoint_id]
+
+    def held(self, service: str, duration_ms: float) -> None:
+        """Take in how long a call held its place."""
+        before = self.hold_ms.get(service, duration_ms)
+        self.hold_ms[service] = before + SMOOTHING * (duration_ms - before)
+
+    def failed(self, now_ms: float, name: str) -> float:
+        """Avoid an endpoint or group, longer each time; return for how long."""
+        avoided = self.avoided.setdefault(name, Avoided())
+        if now_ms >= avoided.until_ms:
+            avoided.failures += 1
+            pause_ms = AVOID_FIRST_MS * 2 ** (avoided.failures - 1)
+            avoided.until_ms = now_ms + min(pause_ms, AVOID_LONGEST_MS)
+        return avoided.until_ms - now_ms
+
+    def full(self, now_ms: float, name: str) -> None:
+        """Pass over an endpoint that has no room for a moment."""
+        avoided = self.avoided.setdefault(name, Avoided())
+        avoided.until_ms = max(avoided.until_ms, now_ms + FULL_MS)
+
+    def succeeded(self, name: str) -> None:
+        """Trust an endpoint or group again."""
+        self.avoided.pop(name, None)
+
+    def avoided_for_ms(self, now_ms: float, name: str) -> float:
+        """Return for how much longer an endpoint or group is avoided."""
+        avoided = self.avoided.get(name)
+        return 0.0 if avoided is None else max(0.0, avoided.until_ms - now_ms)
+
+    def _forget(self, peer: str) -> None:
+        earlier = self.peers.pop(peer, None)
+        if earlier is not None:
+            self.others.subtract(earlier.in_flight)
+            self.others_waiting.subtract(earlier.waiting)
+            self.others = +self.others
+            self.others_waiting = +self.others_waiting
--- /dev/null
+++ b/src/dotterelplank/gateway/peers.py
@@ -0,0 +1,149 @@
+"""What entries tell each other: their load, and how new what they hold is.
+
+A beat goes out regularly, and at once when the load changes, so that entries which
+choose among the same endpoints know of each other's calls within milliseconds.
+"""
+
+import dataclasses
+import typing as t
+
+import msgpack
+import pydantic
+
+from ..errors import ProtocolError
+
+BEAT_INTERVAL_MS: t.Final = 250.0
+BEAT_SPACING_MS: t.Final = 8.0
+"""Shortest time between two beats."""
+SILENT_MS: t.Final = 1_500.0
+"""After this silence a peer isn't counted any more."""
+FORGOTTEN_MS: t.Final = 30_000.0
+"""How long a silent peer is still sent beats, as a cut may have ended."""
+SILENT_BEAT_INTERVAL_MS: t.Final = 1_000.0
+PEERS_PER_BEAT: t.Final = 16
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """What an entry tells its peers.
+
+    :param incarnation: rises with each start of the process.
+    :param number: rises with each beat.
+    :param table_version: version of the routing table in force; 0: none.
+    :param directory_revision: revision up to which the list of endpoints is known.
+    :param in_flight: calls at each endpoint.
+    :param waiting: calls that wait for a place, by service.
+    :param peers: addresses of other entries.
+    """
+
+    name: str
+    ip: str
+    domain: str
+    incarnation: int
+    number: int
+    table_version: int
+    directory_revision: int
+    in_flight: dict[str, int]
+    waiting: dict[str, int]
+    peers: list[str]
+    is_leaving: bool
+
+
+_ADAPTER = pydantic.TypeAdapter(Beat)
+_FIELDS = tuple(field.name for field in dataclasses.fields(Beat))
+
+
+def encode(beat: Beat) -> bytes:
+    """Return the datagram of a beat."""
+    return msgpack.packb([getattr(beat, name) for name in _FIELDS])
+
+
+def decode(data: bytes) -> Beat:
+    """Return the beat in a datagram.
+
+    :raises ProtocolError: if it holds none.
+    """
+    try:
+        values = msgpack.unpackb(data)
+        if not isinstance(values, list) or len(values) != len(_FIELDS):
+            raise ProtocolError("a datagram of another layout")
+        return _ADAPTER.validate_python(dict(zip(_FIELDS, values)))
+    except (ValueError, msgpack.UnpackException) as error:
+        raise ProtocolError(f"a datagram that is no beat: {error}") from error
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another entry."""
+
+    beat: Beat
+    heard_ms: float
+    is_counted: bool = True
+
+
+@dataclasses.dataclass
+class Peers:
+    """The other entries.
+
+    :param told: addresses that others named, and when.
+    """
+
+    own_ip: str
+    by_ip: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    told: dict[str, float] = dataclasses.field(default_factory=dict)
+    sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def hear(self, now_ms: float, beat: Beat) -> bool:
+        """Take in a beat; return whether it is newer than what was known."""
+        if beat.ip == self.own_ip:
+            return False
+        known = self.by_ip.get(beat.ip)
+        if known is not None:
+            order = (known.beat.incarnation, known.beat.number)
+            if (beat.incarnation, beat.number) <= order:
+                return False
+        self.by_ip[beat.ip] = Peer(beat, now_ms)
+        for ip in beat.peers:
+            if ip != self.own_ip:
+                self.told.setdefault(ip, now_ms)
+        return True
+
+    def expire(self, now_ms: float) -> t.Sequence[Peer]:
+        """Stop counting silent peers; return those that were counted so far."""
+        silent = []
+        for ip, peer in list(self.by_ip.items()):
+            silence_ms = now_ms - peer.heard_ms
+            if silence_ms > SILENT_MS and peer.is_counted:
+                peer.is_counted = False
+                silent.append(peer)
+            if silence_ms > FORGOTTEN_MS:
+                del self.by_ip[ip]
+        for ip, told_ms in list(self.told.items()):
+            if now_ms - told_ms > FORGOTTEN_MS:
+                del self.told[ip]
+        return silent
+
+    def counted(self) -> t.Sequence[Peer]:
+        """Return the peers that were heard lately and aren't leaving."""
+        return [
+            peer
+            for peer in self.by_ip.values()
+            if peer.is_counted and not peer.beat.is_leaving
+        ]
+
+    def destinations(self, now_ms: float, seeds: t.Sequence[str]) -> t.Sequence[str]:
+        """Return the addresses that a beat goes to now.
+
+        Live peers get every beat; seeds and silent ones get one now and then.
+        """
+        live = {ip for ip, peer in self.by_ip.items() if peer.is_counted}
+        others = {*seeds, *self.told, *self.by_ip} - live - {self.own_ip}
+        due = [
+            ip
+            for ip in others
+            if now_ms - self.sent_ms.get(ip, -SILENT_BEAT_INTERVAL_MS)
+            >= SILENT_BEAT_INTERVAL_MS
+        ]
+        for ip in due:
+            self.sent_ms[ip] = now_ms
+        return [*live, *due]
--- /dev/null
+++ b/src/dotterelplank/http1/client.py
@@ -0,0 +1,315 @@
+"""Connections to endpoints, kept for more than one call, and trusted with nothing."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import socket
+import typing as t
+
+import h11
+
+from ..errors import UpstreamError
+from .messages import Headers, header, keep_alive_ms
+
+HEAD_BOUND_BYTES: t.Final = 64 * 1024
+HELD_BOUND_BYTES: t.Final = 256 * 1024
+UNACKNOWLEDGED_MS: t.Final = 1_500
+"""How long sent bytes may stay unacknowledged before the connection is given up."""
+PROBE_IDLE_S: t.Final = 1
+PROBE_COUNT: t.Final = 2
+DEFAULT_KEEP_ALIVE_MS: t.Final = 4_000.0
+KEEP_ALIVE_PART: t.Final = 0.7
+"""The part of an endpoint's idle timeout for which a connection is used again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request to send.
+
+    :param target: path and query.
+    :param headers: end-to-end headers, ``host`` among them.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The head of an answer."""
+
+    status: int
+    headers: Headers
+
+
+class EndpointConnection(asyncio.Protocol):
+    """One connection to an endpoint, with at most one request in progress."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_BOUND_BYTES
+        )
+        self._events: collections.deque[t.Any] = collections.deque()
+        self._held_bytes = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._failure: str | None = None
+        self._request: Request | None = None
+        self._is_idle = True
+        self._is_doubtful = False
+        self.idle_since_ms = 0.0
+        self.keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return (
+            self._is_idle
+            and not self._is_doubtful
+            and self._failure is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport, and have a silent peer noticed."""
+        self._transport = t.cast(asyncio.Transport, transport)
+        found = transport.get_extra_info("socket")
+        if found is not None:
+            _watch_silence(found)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of an answer; if nobody asked for them, close."""
+        if self._is_idle:
+            self._fail("bytes that belong to no request")
+            self.close()
+            return
+        self._h11.receive_data(data)
+        self._read()
+
+    def eof_received(self) -> bool:
+        """Take in the clean end of the endpoint's bytes."""
+        if not self._is_idle and self._failure is None:
+            self._h11.receive_data(b"")
+            self._read()
+        self._fail("the endpoint closed the connection")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection."""
+        self._transport = None
+        self._fail("the connection was reset" if exc else "the connection was closed")
+
+    def send(self, request: Request) -> None:
+        """Send ``request`` whole.
+
+        :raises UpstreamError: if the connection has ended; nothing was sent.
+        """
+        if not self.is_usable:
+            raise UpstreamError(self._failure or "the connection has ended", sent=False)
+        if self._h11.our_state is h11.DONE:
+            self._h11.start_next_cycle()
+        self._is_idle = False
+        self._request = request
+        self._transport.write(self._encode(request))
+
+    async def head(self) -> Head:
+        """Return the head of the answer.
+
+        :raises UpstreamError: if the connection ended or the bytes are no answer.
+        """
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                headers = list(event.headers)
+                kept_ms = keep_alive_ms(headers)
+                if kept_ms is not None:
+                    self.keep_alive_ms = kept_ms
+                if (header(headers, b"connection") or b"").lower() == b"close":
+                    self._is_doubtful = True
+                return Head(event.status_code, headers)
+
+    async def body_part(self) -> bytes | None:
+        """Return the next bytes of the body, or ``None`` at its end.
+
+        :raises UpstreamError: if the body was cut short.
+        """
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            self._held_bytes -= len(event.data)
+            if self._held_bytes < HELD_BOUND_BYTES and self._transport is not None:
+                self._transport.resume_reading()
+            return bytes(event.data)
+        self._end_exchange()
+        return None
+
+    async def skip_answer(self) -> None:
+        """Read past an answer that isn't the one to the request in progress.
+
+        :raises UpstreamError: if it can't be told where the answer ends.
+        """
+        while not isinstance(await self._next(), h11.EndOfMessage):
+            pass
+        self._is_doubtful = True
+        rest, is_closed = self._h11.trailing_data
+        if self._h11.their_state is not h11.DONE or is_closed:
+            raise UpstreamError("an answer to another request", sent=True)
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_BOUND_BYTES
+        )
+        self._encode(t.cast(Request, self._request))
+        if rest:
+            self._h11.receive_data(rest)
+        self._read()
+
+    def close(self) -> None:
+        """Close the connection, whatever is in progress."""
+        self._is_doubtful = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _encode(self, request: Request) -> bytes:
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        sent = self._h11.send(head)
+        if request.body:
+            sent += self._h11.send(h11.Data(data=request.body))
+        return sent + self._h11.send(h11.EndOfMessage())
+
+    def _read(self) -> None:
+        while self._failure is None:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._fail(f"bytes that are no answer: {error}")
+                return
+            if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(
+                event, h11.ConnectionClosed
+            ):
+                break
+            self._take(event)
+        self._wake()
+
+    def _take(self, event: t.Any) -> None:
+        if isinstance(event, h11.Data):
+            self._held_bytes += len(event.data)
+            if self._held_bytes > HELD_BOUND_BYTES and self._transport is not None:
+                self._transport.pause_reading()
+        self._events.append(event)
+
+    def _end_exchange(self) -> None:
+        self._is_idle = True
+        self._request = None
+        rest, _ = self._h11.trailing_data
+        if rest or self._h11.their_state is not h11.DONE:
+            self._is_doubtful = True
+
+    async def _next(self) -> t.Any:
+        while not self._events:
+            if self._failure is not None:
+                raise UpstreamError(self._failure, sent=True)
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        return self._events.popleft()
+
+    def _fail(self, why: str) -> None:
+        if self._failure is None:
+            self._failure = why
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(ip: str, port: int, timeout_s: float) -> EndpointConnection:
+    """Return a new connection.
+
+    :raises UpstreamError: if there is none in time; nothing was sent.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(EndpointConnection, ip, port)
+    except (OSError, TimeoutError) as error:
+        what = type(error).__name__
+        raise UpstreamError(f"{ip}:{port}: {what}: {error}", sent=False) from error
+    return connection
+
+
+async def read_whole(connection: EndpointConnection, bound_bytes: int) -> bytes:
+    """Return the whole body of the answer whose head was read.
+
+    :raises UpstreamError: if it was cut short or is over the bound.
+    """
+    parts = bytearray()
+    while (part := await connection.body_part()) is not None:
+        parts += part
+        if len(parts) > bound_bytes:
+            raise UpstreamError("the answer is over the bound", sent=True)
+    return bytes(parts)
+
+
+class Pool:
+    """Connections to one server, kept for further requests."""
+
+    def __init__(self, ip: str, port: int) -> None:
+        self.ip = ip
+        self.port = port
+        self._idle: list[EndpointConnection] = []
+
+    def take(self, now_ms: float, longest_idle_ms: float) -> EndpointConnection | None:
+        """Return the connection that was used last, if there is a usable one."""
+        while self._idle:
+            connection = self._idle.pop()
+            bound_ms = min(longest_idle_ms, connection.keep_alive_ms * KEEP_ALIVE_PART)
+            idle_ms = now_ms - connection.idle_since_ms
+            if connection.is_usable and idle_ms < bound_ms:
+                return connection
+            connection.close()
+        return None
+
+    def give_back(self, now_ms: float, connection: EndpointConnection) -> None:
+        """Keep ``connection`` if it may be used again, else close it."""
+        if connection.is_usable:
+            connection.idle_since_ms = now_ms
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+
+@contextlib.asynccontextmanager
+async def one_call(
+    ip: str, port: int, timeout_s: float
+) -> t.AsyncIterator[EndpointConnection]:
+    """Give a connection that is closed afterwards.
+
+    :raises UpstreamError: if there is none in time.
+    """
+    connection = await connect(ip, port, timeout_s)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
+def _watch_silence(found: socket.socket) -> None:
+    tcp = socket.IPPROTO_TCP
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    found.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    found.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_IDLE_S)
+    found.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
+    found.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- /dev/null
+++ b/src/dotterelplank/http1/messages.py
@@ -0,0 +1,49 @@
+"""Headers of HTTP messages, as lists of lower-case names and values."""
+
+import typing as t
+
+Headers = list[tuple[bytes, bytes]]
+
+_HOP_BY_HOP: t.Final = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+_FRAMING: t.Final = frozenset((b"content-length",))
+
+
+def header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of ``name``, which is in lower case."""
+    for found, value in headers:
+        if found == name:
+            return value
+    return None
+
+
+def without(headers: Headers, names: t.Collection[bytes]) -> Headers:
+    """Return ``headers`` less those called ``names``."""
+    return [pair for pair in headers if pair[0] not in names]
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that don't concern one connection or its framing alone."""
+    return without(headers, _HOP_BY_HOP | _FRAMING)
+
+
+def keep_alive_ms(headers: Headers) -> float | None:
+    """Return how long the sender keeps an idle connection, if it says so."""
+    value = header(headers, b"keep-alive") or b""
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return int(number) * 1000.0
+    return None
--- /dev/null
+++ b/src/dotterelplank/http1/server.py
@@ -0,0 +1,338 @@
+"""Connections from callers: whole calls in, answers out, one after the other."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+import h11
+
+from .messages import Headers, header
+
+FRAMING_MARGIN_BYTES: t.Final = 64 * 1024
+LINGER_S: t.Final = 1.0
+
+_REASONS: t.Final = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Intake:
+    """What a connection may send, and how long it may take or stay idle."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A call that has been read whole.
+
+    :param target: path and query, as the caller sent them.
+    :param headers: all headers, names in lower case.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+class Exchange:
+    """The answer to one call, as it is written."""
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self._connection = connection
+        self.has_begun = False
+
+    def begin(self, status: int, headers: Headers, length: int | None) -> None:
+        """Send the head of the answer.
+
+        :param length: bytes of the body; none: it is sent in chunks.
+        """
+        framing = (b"transfer-encoding", b"chunked")
+        if length is not None:
+            framing = (b"content-length", str(length).encode())
+        self.has_begun = True
+        self._connection.send_head(status, [*headers, framing])
+
+    def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._connection.send(h11.Data(data=data))
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was sent."""
+        await self._connection.writable.wait()
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self._connection.send(h11.EndOfMessage())
+        self._connection.finish()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        self.begin(status, headers, len(body))
+        if body:
+            self.send(body)
+        self.finish()
+
+    def abort(self) -> None:
+        """End the connection so that the answer can't be taken for a complete one."""
+        self._connection.abort()
+
+
+Handler = t.Callable[[Call, Exchange], t.Coroutine[t.Any, t.Any, None]]
+
+
+class Server:
+    """What all connections of one listener share.
+
+    :param intake: returns the limits in force.
+    :param on_refused: told of each call that couldn't be read, with the status given.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        intake: t.Callable[[], Intake],
+        on_refused: t.Callable[[int, str], None],
+    ) -> None:
+        self.handler = handler
+        self.intake = intake
+        self.on_refused = on_refused
+        self.connections: set[CallerConnection] = set()
+        self.is_stopping = False
+
+    def make_connection(self) -> "CallerConnection":
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def stop(self) -> None:
+        """End each connection after its next answer from now on."""
+        self.is_stopping = True
+
+    def close_all(self) -> None:
+        """Close every connection."""
+        for connection in list(self.connections):
+            connection.close()
+
+    def in_progress(self) -> int:
+        """Return how many calls are being read or answered."""
+        return sum(connection.is_busy for connection in self.connections)
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection from a caller."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._intake = server.intake()
+        self._transport: asyncio.Transport | None = None
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._intake.header_bytes
+        )
+        self._timer: asyncio.TimerHandle | None = None
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._has_bytes = False
+        self._is_refused = False
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a call is being read or answered."""
+        return self._task is not None or self._has_bytes
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = t.cast(asyncio.Transport, transport)
+        self._server.connections.add(self)
+        self._arm(self._intake.idle_timeout_s, self.close)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of a call."""
+        if self._is_refused:
+            return
+        if self._task is None and not self._has_bytes:
+            self._arm(self._intake.header_timeout_s, self._on_slow_head)
+        self._has_bytes = True
+        self._h11.receive_data(data)
+        held, _ = self._h11.trailing_data
+        if self._task is not None and len(held) > FRAMING_MARGIN_BYTES:
+            self._transport.pause_reading()
+        self._read()
+
+    def eof_received(self) -> bool:
+        """Take the caller for gone: nothing more can be sent to it for sure."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up the call in progress."""
+        self._server.connections.discard(self)
+        self._disarm()
+        self.writable.set()
+        self._transport = None
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold back until the caller reads on."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on writing."""
+        self.writable.set()
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self._server.is_stopping:
+            headers = [*headers, (b"connection", b"close")]
+        reason = _REASONS.get(status, b"")
+        self.send(h11.Response(status_code=status, headers=headers, reason=reason))
+
+    def send(self, event: t.Any) -> None:
+        """Send one event of an answer."""
+        data = self._h11.send(event)
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+    def finish(self) -> None:
+        """Go on with the next call, or close."""
+        self._task = None
+        if self._transport is None:
+            return
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        self._transport.resume_reading()
+        self._has_bytes = bool(self._h11.trailing_data[0])
+        timeout_s = self._intake.idle_timeout_s
+        on_timeout = self.close
+        if self._has_bytes:
+            timeout_s = self._intake.header_timeout_s
+            on_timeout = self._on_slow_head
+        self._arm(timeout_s, on_timeout)
+        if self._has_bytes:
+            self._loop.call_soon(self._read)
+
+    def close(self) -> None:
+        """Close after what was sent has been taken."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """End the connection with an answer left incomplete."""
+        if self._transport is None:
+            return
+        if self._h11.their_http_version == b"1.0":
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+    def _read(self) -> None:
+        while self._task is None and self._transport is not None:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(error.error_status_hint, str(error))
+                return
+            if event is h11.NEED_DATA:
+                self._answer_expectation()
+                return
+            if not self._take(event):
+                return
+
+    def _answer_expectation(self) -> None:
+        if self._request is not None and self._h11.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _take(self, event: t.Any) -> bool:
+        """Take in one event; return whether to go on reading."""
+        if isinstance(event, h11.Request):
+            return self._take_request(event)
+        if isinstance(event, h11.Data):
+            self._arm(self._intake.idle_timeout_s, self._on_slow_body)
+            self._body += event.data
+            if len(self._body) > self._intake.body_bytes:
+                self._refuse(413, "the body is over the bound")
+                return False
+            return True
+        if isinstance(event, h11.EndOfMessage):
+            self._begin_call()
+            return False
+        return event is not h11.PAUSED
+
+    def _take_request(self, request: h11.Request) -> bool:
+        headers = list(request.headers)
+        coding = header(headers, b"transfer-encoding")
+        length = header(headers, b"content-length")
+        if coding is not None and length is not None:
+            self._refuse(400, "both a length and a transfer coding")
+            return False
+        if length is not None and int(length) > self._intake.body_bytes:
+            self._refuse(413, "the body is over the bound")
+            return False
+        self._request = request
+        self._body = bytearray()
+        self._arm(self._intake.idle_timeout_s, self._on_slow_body)
+        return True
+
+    def _begin_call(self) -> None:
+        self._disarm()
+        request = t.cast(h11.Request, self._request)
+        self._request = None
+        call = Call(
+            request.method, request.target, list(request.headers), bytes(self._body)
+        )
+        self._body = bytearray()
+        self._has_bytes = False
+        exchange = Exchange(self)
+        self._task = self._loop.create_task(self._server.handler(call, exchange))
+
+    def _refuse(self, status: int, why: str) -> None:
+        self._disarm()
+        self._server.on_refused(status, why)
+        self._is_refused = True
+        self._request = None
+        self._has_bytes = False
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            reason = _REASONS.get(status, b"")
+            self.send(h11.Response(status_code=status, headers=headers, reason=reason))
+            self.send(h11.EndOfMessage())
+        if self._transport is not None and self._transport.can_write_eof():
+            # Closing over unread bytes would reset the answer on its way.
+            self._transport.write_eof()
+            self._arm(LINGER_S, self.close)
+
+    def _on_slow_head(self) -> None:
+        self._refuse(408, "the head took too long")
+
+    def _on_slow_body(self) -> None:
+        self._refuse(408, "the body took too long")
+
+    def _arm(self, delay_s: float, callback: t.Callable[[], None]) -> None:
+        self._disarm()
+        self._timer = self._loop.call_later(delay_s, callback)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/src/dotterelplank/logs.py
+++ b/src/dotterelplank/logs.py
@@ -55,7 +55,14 @@
 
     :param log_format: ``json`` or ``text``.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    send_to(logging.StreamHandler(sys.stderr), host, log_format, level)
+
+
+def send_to(handler: logging.Handler, host: str, log_format: str, level: str) -> None:
+    """Send the package's log records to ``handler``.
+
+    :param log_format: ``json`` or ``text``.
+    """
     formatter = _JsonFormatter(host) if log_format == "json" else _TextFormatter(host)
     handler.setFormatter(formatter)
     logger = logging.getLogger("dotterelplank")
--- /dev/null
+++ b/src/dotterelplank/platform/headers.py
@@ -0,0 +1,152 @@
+"""The headers of calls and answers that the platform gives a meaning of its own."""
+
+import dataclasses
+import math
+import typing as t
+
+from ..errors import RequestError
+from ..http1.messages import Headers, header, without
+
+_ID = b"x-request-id"
+_KEY = b"x-api-key"
+_TEAM = b"x-tenant"
+_DEADLINE = b"x-deadline-ms"
+_EXPECTED_ENDPOINT = b"x-expect-instance"
+_PRIORITY = b"x-request-priority"
+_PROOF = b"x-server-signature"
+_NOT_RUN = b"x-not-executed"
+_RESUME_AFTER = b"last-event-id"
+_TOKENS = b"x-token-count"
+_LENGTH_HINT = b"x-length-hint"
+_FAULTY_ENDPOINT = b"at-server"
+
+_SET_BY_ENTRY: t.Final = (
+    _KEY,
+    _TEAM,
+    _DEADLINE,
+    _EXPECTED_ENDPOINT,
+    _PRIORITY,
+    _RESUME_AFTER,
+)
+_NEVER_RUN: t.Final = 421
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallHeaders:
+    """What a caller says of its call.
+
+    :param deadline_ms: time from now that the caller waits; none: not said.
+    :param resume_after: id of the last stream event that the caller holds.
+    :param prompt_tokens: size of the prompt.
+    :param answer_tokens: tokens that the answer may have at most.
+    """
+
+    id: bytes
+    key: str | None
+    deadline_ms: float | None
+    resume_after: int | None
+    prompt_tokens: int
+    answer_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHeaders:
+    """What an endpoint says of its answer.
+
+    :param id: id of the call that it belongs to.
+    :param has_proof: whether the endpoint vouches for it.
+    :param not_run: whether the call has not run there and never will.
+    :param at_fault: id of the endpoint that kept this one from running the call.
+    """
+
+    id: bytes | None
+    has_proof: bool
+    not_run: bool
+    at_fault: str | None
+
+
+def read_call(headers: Headers) -> CallHeaders:
+    """Decode the headers of a call.
+
+    :raises RequestError: if one is missing, doubled or malformed.
+    """
+    call_id = _single(headers, _ID)
+    if not call_id:
+        raise RequestError("X-Request-Id", "nothing", "an id")
+    key = _single(headers, _KEY)
+    tokens = _single(headers, _TOKENS) or b"0,0"
+    prompt, _, answer = tokens.partition(b",")
+    resume_after = _single(headers, _RESUME_AFTER)
+    return CallHeaders(
+        id=call_id,
+        key=None if key is None else key.decode("latin-1"),
+        deadline_ms=_number(_DEADLINE, _single(headers, _DEADLINE)),
+        resume_after=_whole(resume_after),
+        prompt_tokens=_whole(prompt.strip()) or 0,
+        answer_tokens=_whole(answer.strip()) or 0,
+    )
+
+
+def forwarded(
+    headers: Headers,
+    *,
+    left_ms: float,
+    endpoint_id: str,
+    team: str | None,
+    resume_after: int | None,
+) -> Headers:
+    """Return the headers of a call as an endpoint gets them.
+
+    :param headers: end-to-end headers of the caller's call.
+    :param left_ms: time that is left for the answer.
+    """
+    kept = without(headers, _SET_BY_ENTRY)
+    kept.append((_DEADLINE, str(max(1, int(left_ms))).encode()))
+    kept.append((_EXPECTED_ENDPOINT, endpoint_id.encode()))
+    if team is not None:
+        kept.append((_TEAM, team.encode()))
+    if resume_after is not None:
+        kept.append((_RESUME_AFTER, str(resume_after).encode()))
+    return kept
+
+
+def read_answer(status: int, headers: Headers) -> AnswerHeaders:
+    """Decode the headers of an endpoint's answer."""
+    at_fault = header(headers, _FAULTY_ENDPOINT)
+    return AnswerHeaders(
+        id=header(headers, _ID),
+        has_proof=bool(header(headers, _PROOF)),
+        not_run=status == _NEVER_RUN or header(headers, _NOT_RUN) is not None,
+        at_fault=None if at_fault is None else at_fault.decode("latin-1"),
+    )
+
+
+def own_answer(call_id: bytes, retry_after_s: float | None) -> Headers:
+    """Return the headers of an answer that the entry gives by itself."""
+    found = [(_ID, call_id)]
+    if retry_after_s is not None:
+        found.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+    return found
+
+
+def _single(headers: Headers, name: bytes) -> bytes | None:
+    values = [value for found, value in headers if found == name]
+    if len(values) > 1:
+        raise RequestError(name.decode(), "several values", "one")
+    return values[0] if values else None
+
+
+def _number(name: bytes, text: bytes | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value) or value < 0:
+        raise RequestError(name.decode(), repr(text)[:40], "milliseconds")
+    return value
+
+
+def _whole(text: bytes | None) -> int | None:
+    return int(text) if text and text.isdigit() else None
--- /dev/null
+++ b/src/dotterelplank/platform/published.py
@@ -0,0 +1,87 @@
+"""What the operators and the servers publish in the platform's store."""
+
+import dataclasses
+import typing as t
+
+from ..errors import InputError
+from ..gateway.directory import Change
+from ..gateway.tables import Table
+from . import records
+from .store import Found, Item, StoreClient
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """Published texts as they stand at ``revision``.
+
+    :param configuration: the routing table's text, if it is among them.
+    :param servers: entries of the list of endpoints.
+    """
+
+    configuration: Item | None
+    servers: tuple[Item, ...]
+    revision: int
+
+
+async def read_all(client: StoreClient) -> Published:
+    """Read all that is published.
+
+    :raises UpstreamError: if the store can't be read.
+    """
+    return _sorted(await client.range(records.EVERYTHING_PREFIX))
+
+
+async def read_changes(client: StoreClient, after: int, wait_ms: float) -> Published:
+    """Wait for what is published after a revision.
+
+    :raises HistoryGoneError: if these changes are no longer known.
+    :raises UpstreamError: if the store can't be read.
+    """
+    return _sorted(await client.watch(records.EVERYTHING_PREFIX, after, wait_ms))
+
+
+def table_of(item: Item) -> Table:
+    """Return the routing table in a published text.
+
+    :raises InputError: if it is to be refused as a whole.
+    """
+    if item.value is None:
+        raise InputError("configuration", "nothing", "a text")
+    return records.parse_configuration(item.value)
+
+
+def change_of(item: Item) -> Change:
+    """Return the change of the list of endpoints that an entry stands for.
+
+    :raises InputError: if the entry names no endpoint.
+    """
+    if item.value is None:
+        return Change(records.server_id(item.key), item.revision, None)
+    return records.parse_server(item.key, item.revision, item.value)
+
+
+def removal_of(item: Item) -> Change:
+    """Return the change by which an entry names no endpoint any more."""
+    return Change(records.server_id(item.key), item.revision, None)
+
+
+def as_lists(items: t.Iterable[Item]) -> list[list[t.Any]]:
+    """Return items in a form that can be packed."""
+    return [[item.key, item.revision, item.value] for item in items]
+
+
+def from_lists(revision: int, rows: t.Iterable[t.Sequence[t.Any]]) -> Published:
+    """Return what a peer passed on."""
+    items = tuple(Item(str(key), int(number), value) for key, number, value in rows)
+    return _sorted(Found(items, revision))
+
+
+def _sorted(found: Found) -> Published:
+    configuration = None
+    servers = []
+    for item in found.items:
+        if item.key == records.CONFIGURATION_KEY:
+            configuration = item
+        elif item.key.startswith(records.SERVERS_PREFIX):
+            servers.append(item)
+    return Published(configuration, tuple(servers), found.revision)
--- /dev/null
+++ b/src/dotterelplank/platform/records.py
@@ -0,0 +1,227 @@
+"""The configuration and the list of servers, as the platform's store holds them."""
+
+import enum
+import typing as t
+
+import pydantic
+
+from ..errors import InputError, SettingsError
+from ..gateway.directory import Change, Endpoint, GroupPlace
+from ..gateway.tables import (
+    ExpertLayout,
+    Kind,
+    Limits,
+    Route,
+    Service,
+    Table,
+    Target,
+    Team,
+)
+from .settings import address
+
+CONFIGURATION_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+EVERYTHING_PREFIX = ""
+
+_BITS_PER_MB = 8.0
+
+
+class _Type(enum.Enum):
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAMING = "streaming"
+
+
+class _Split(pydantic.BaseModel):
+    service: str
+    weight: float = pydantic.Field(ge=0)
+
+
+class _Route(pydantic.BaseModel):
+    name: str
+    host: str
+    prefix: str = pydantic.Field(pattern="^/(.*/)?$")
+    type: _Type
+    service: str | None = None
+    split: list[_Split] = []
+    timeout_ms: float = pydantic.Field(gt=0)
+    goal_ms: float = pydantic.Field(gt=0)
+    gap_target_ms: float = 0.0
+    # Counts servers, the first one included.
+    max_attempts: int = pydantic.Field(ge=1)
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(pydantic.BaseModel):
+    # Sets of layers that share a placement.
+    sets: int = 0
+    experts: int = 0
+    # Most experts of a set on one rank.
+    placements: int = 0
+    # Most experts of a set that may be new on a rank at once.
+    spare: int = 0
+    expert_mb: float = 0.0
+    bandwidth_mbps: float = pydantic.Field(1.0, gt=0)
+    form_ms: float = 0.0
+
+
+class _Service(pydantic.BaseModel):
+    name: str
+    max_conns: int = pydantic.Field(ge=1)
+    engine: _Engine | None = None
+
+
+class _Limits(pydantic.BaseModel):
+    max_header_bytes: int = pydantic.Field(gt=0)
+    max_body_bytes: int = pydantic.Field(ge=0)
+    header_timeout_ms: float = pydantic.Field(gt=0)
+    idle_timeout_ms: float = pydantic.Field(gt=0)
+
+
+class _Tenant(pydantic.BaseModel):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Config(pydantic.BaseModel):
+    version: int = pydantic.Field(ge=0)
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    # Present, though perhaps empty, where callers need keys.
+    tenants: list[_Tenant] | None = None
+
+
+class _Group(pydantic.BaseModel):
+    name: str
+    epoch: int
+    rank: int = pydantic.Field(ge=0)
+    state: t.Literal["open", "broken"]
+
+
+class _Server(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
+    service: str
+    address: str
+    zone: str
+    slots: int = pydantic.Field(ge=1)
+    state: t.Literal["ready", "draining"]
+    # Unix milliseconds at which the process started.
+    born: int = 0
+    group: _Group | None = None
+    # Ranks of the whole group.
+    size: int = pydantic.Field(1, ge=1)
+
+
+def parse_configuration(text: bytes) -> Table:
+    """Return the routing table in ``text``.
+
+    :raises InputError: naming the first fault; nothing of the text is to be used.
+    """
+    try:
+        found = _Config.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise _fault(error) from error
+    teams = {
+        key: Team(tenant.name, tenant.priority)
+        for tenant in found.tenants or ()
+        for key in tenant.api_keys
+    }
+    limits = found.limits
+    return Table(
+        version=found.version,
+        routes=tuple(_route(route) for route in found.routes),
+        services={service.name: _service(service) for service in found.services},
+        team_by_key=teams,
+        needs_key=bool(found.tenants),
+        limits=Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+    )
+
+
+def parse_server(key: str, revision: int, value: bytes) -> Change:
+    """Return the entry of a server.
+
+    :raises InputError: if it names no server that can be used.
+    """
+    try:
+        found = _Server.model_validate_json(value)
+        place = address("address", found.address)
+    except pydantic.ValidationError as error:
+        raise _fault(error) from error
+    except SettingsError as error:
+        raise InputError(error.path, error.met, error.expected) from error
+    name = server_id(key)
+    endpoint = Endpoint(
+        id=name,
+        service=found.service,
+        ip=place.ip,
+        port=place.port,
+        domain=found.zone,
+        slots=found.slots,
+        is_draining=found.state == "draining",
+        started_ms=found.born,
+        place=_group_place(found),
+    )
+    return Change(name, revision, endpoint)
+
+
+def server_id(key: str) -> str:
+    """Return the id in a key of the list of servers."""
+    return key.removeprefix(SERVERS_PREFIX)
+
+
+def _route(found: _Route) -> Route:
+    targets = tuple(Target(part.service, part.weight) for part in found.split)
+    if found.service is not None and not targets:
+        targets = (Target(found.service, 1.0),)
+    if not sum(target.weight for target in targets):
+        raise InputError(f"routes.{found.name}", "no service", "a service or a split")
+    return Route(
+        name=found.name,
+        host=found.host,
+        prefix=found.prefix,
+        kind=Kind(found.type.value),
+        targets=targets,
+        timeout_ms=found.timeout_ms,
+        goal_ms=found.goal_ms,
+        gap_target_ms=found.gap_target_ms,
+        attempts=found.max_attempts,
+        priority=found.priority,
+        is_public=found.public,
+        is_resumable=found.resumable,
+    )
+
+
+def _service(found: _Service) -> Service:
+    engine = found.engine
+    layout = None
+    if engine is not None and engine.sets and engine.experts:
+        copy_ms = engine.expert_mb * _BITS_PER_MB / engine.bandwidth_mbps * 1000
+        layout = ExpertLayout(
+            engine.sets, engine.experts, engine.placements, engine.spare, copy_ms
+        )
+    rebuild_ms = engine.form_ms if engine is not None else 0.0
+    return Service(found.name, found.max_conns, layout, rebuild_ms)
+
+
+def _group_place(found: _Server) -> GroupPlace | None:
+    group = found.group
+    if group is None:
+        return None
+    is_open = group.state == "open"
+    return GroupPlace(group.name, group.epoch, group.rank, found.size, is_open)
+
+
+def _fault(error: pydantic.ValidationError) -> InputError:
+    first = error.errors()[0]
+    path = ".".join(str(part) for part in first["loc"]) or "the text"
+    return InputError(path, repr(first["input"])[:80], first["msg"])
--- /dev/null
+++ b/src/dotterelplank/platform/settings.py
@@ -0,0 +1,112 @@
+"""The settings file that the platform lays down for each process."""
+
+import os
+import pathlib
+
+import pydantic
+
+from ..errors import SettingsError
+from ..gateway.host import Address, Bounds, HostSettings
+
+PATH_VARIABLE = "DOTTERELPLANK_NODE_FILE"
+
+
+class _Listen(pydantic.BaseModel):
+    frontend: str | None = None
+    ready: str | None = None
+
+
+class _Limits(pydantic.BaseModel):
+    memory_mb: float = pydantic.Field(gt=0)
+
+
+class _Bounds(pydantic.BaseModel):
+    grace_s: float = pydantic.Field(gt=0)
+    # The calm span after a disturbance, not how steady a host is.
+    stable_ms: float = pydantic.Field(gt=0)
+    retry_ratio: float = pydantic.Field(ge=0)
+    retry_window_s: float = pydantic.Field(gt=0)
+    retry_burst: float = pydantic.Field(ge=0)
+
+
+class _Store(pydantic.BaseModel):
+    address: str
+
+
+class _File(pydantic.BaseModel):
+    # A process here is a node there.
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    port_range: tuple[int, int]
+    seed_nodes: list[str] = []
+    limits: _Limits
+    bounds: _Bounds
+    # The metadata store, not the whole platform.
+    platform: _Store
+    # The server on the same host, of the service named beside it.
+    app: str | None = None
+    service: str | None = None
+
+
+def parse(text: str | bytes) -> HostSettings:
+    """Return the settings in ``text``; fields that aren't known are left out.
+
+    :raises SettingsError: naming the first fault.
+    """
+    try:
+        found = _File.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        path = ".".join(str(part) for part in first["loc"]) or "the file"
+        raise SettingsError(path, repr(first["input"])[:80], first["msg"]) from error
+    return HostSettings(
+        name=found.node_name,
+        ip=found.ip,
+        domain=found.zone,
+        callers=_optional("listen.frontend", found.listen.frontend),
+        health=_optional("listen.ready", found.listen.ready),
+        peer_ports=found.port_range,
+        seeds=tuple(seed.rpartition(":")[0] for seed in found.seed_nodes),
+        endpoint=_optional("app", found.app),
+        service=found.service,
+        store=address("platform.address", found.platform.address),
+        bounds=Bounds(
+            stop_ms=found.bounds.grace_s * 1000,
+            reached_ms=found.bounds.stable_ms,
+            retry_ratio=found.bounds.retry_ratio,
+            retry_window_ms=found.bounds.retry_window_s * 1000,
+            retry_burst=found.bounds.retry_burst,
+        ),
+        memory_bytes=int(found.limits.memory_mb * 1_000_000),
+    )
+
+
+def load() -> HostSettings:
+    """Return the settings of this process.
+
+    :raises SettingsError: if they are missing or can't be used.
+    """
+    name = os.environ.get(PATH_VARIABLE)
+    if name is None:
+        raise SettingsError(PATH_VARIABLE, "no value", "the path of the settings file")
+    try:
+        return parse(pathlib.Path(name).read_bytes())
+    except OSError as error:
+        raise SettingsError(name, str(error), "a readable file") from error
+
+
+def address(path: str, text: str) -> Address:
+    """Return the address ``IP:PORT``.
+
+    :raises SettingsError: naming ``path``.
+    """
+    ip, _, port = text.rpartition(":")
+    if not ip or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(path, repr(text)[:80], "IP:PORT")
+    return Address(ip, int(port))
+
+
+def _optional(path: str, text: str | None) -> Address | None:
+    return None if text is None else address(path, text)
--- a/src/dotterelplank/results.py
+++ b/src/dotterelplank/results.py
@@ -116,6 +116,13 @@
     "The request was cancelled before it started; take a new ticket.",
 )
 
+NO_ROUTE = _define(
+    211, "no-route", Outcome.NOT_RUN, 404, "No route has this host and path."
+)
+UNKNOWN_KEY = _define(
+    212, "unknown-key", Outcome.NOT_RUN, 401, "No team holds the key of the call."
+)
+
 OVERLOADED = _define(
     300, "overloaded", Outcome.NOT_RUN, 503, "No room; come back as told."
 )
@@ -168,6 +175,14 @@
     "The endpoint could not be reached; nothing was sent.",
 )
 
+NOT_STARTED_IN_TIME = _define(
+    309,
+    "not-started-in-time",
+    Outcome.NOT_RUN,
+    503,
+    "The time for the answer passed before any endpoint began; nothing was run.",
+)
+
 ENDPOINT_LOST = _define(
     400,
     "endpoint-lost",
@@ -239,3 +254,10 @@
     400,
     "The ticket is damaged, or the system's secret has changed since it was made.",
 )
+CALLER_GONE = _define(
+    410,
+    "caller-gone",
+    Outcome.UNKNOWN,
+    499,
+    "The caller left before its answer was whole; no answer was sent.",
+)
