Let agents beside the ranks keep the expert map in step with demand

Cause: with map 0 the most loaded rank has 3.6 times the mean from the first shift of demand on, passes last over the allowed pause, and every stream is late. What binds a change lies in the ranks, so any agent can finish or void it.

Ruled out: one large change (copies take turns, 0.11 s each); counts read from afar.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -205,6 +205,38 @@
     165, "store-unread", logging.WARNING, "A fetch from the weight store failed."
 )
 
+# 170: expert maps at the ranks
+RANK_LOST = _define(
+    170, "rank-lost", logging.WARNING, "The rank on this host doesn't answer."
+)
+RANK_REGAINED = _define(
+    171, "rank-regained", logging.INFO, "The rank on this host answers; its state."
+)
+LEADER_CHANGED = _define(
+    172, "leader-changed", logging.INFO, "Another agent plans the group's maps now."
+)
+CHANGE_BEGUN = _define(
+    173, "map-change-begun", logging.INFO, "A change of the expert map begins."
+)
+CHANGE_ENDED = _define(
+    174, "map-change-ended", logging.INFO, "A change of the expert map is over."
+)
+CHANGE_TAKEN_OVER = _define(
+    175,
+    "map-change-taken-over",
+    logging.WARNING,
+    "A pass was held and nobody went on with its change; this agent clears it up.",
+)
+ORDER_GIVEN = _define(
+    176, "order-given", logging.INFO, "The rank was given an order; what it answered."
+)
+ORDER_UNANSWERED = _define(
+    177,
+    "order-unanswered",
+    logging.WARNING,
+    "An order got no answer; it may still be carried out, seconds later.",
+)
+
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
     200, "revision-adopted", logging.INFO, "A newer revision is in force here."
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -193,7 +193,7 @@
         self._beat_ms = now_ms
         self._beats += 1
         board, host = self.board, self.board.host
-        data = peering.encode(
+        data = peering.CODEC.encode(
             peering.Beat(
                 name=host.name,
                 ip=host.ip,
@@ -220,7 +220,7 @@
     def _on_datagram(self, data: bytes) -> None:
         now_ms = clock_ms()
         try:
-            beat = peering.decode(data)
+            beat = peering.CODEC.decode(data)
         except ProtocolError as error:
             events.emit(log, events.FRAME_REFUSED, why=str(error))
             return
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -7,10 +7,9 @@
 import dataclasses
 import typing as t
 
-import msgpack
 import pydantic
 
-from ..errors import ProtocolError
+from ..packets import Codec
 
 BEAT_INTERVAL_MS: t.Final = 250.0
 BEAT_SPACING_MS: t.Final = 8.0
@@ -49,27 +48,7 @@
     is_leaving: bool
 
 
-_ADAPTER = pydantic.TypeAdapter(Beat)
-_FIELDS = tuple(field.name for field in dataclasses.fields(Beat))
-
-
-def encode(beat: Beat) -> bytes:
-    """Return the datagram of a beat."""
-    return msgpack.packb([getattr(beat, name) for name in _FIELDS])
-
-
-def decode(data: bytes) -> Beat:
-    """Return the beat in a datagram.
-
-    :raises ProtocolError: if it holds none.
-    """
-    try:
-        values = msgpack.unpackb(data)
-        if not isinstance(values, list) or len(values) != len(_FIELDS):
-            raise ProtocolError("a datagram of another layout")
-        return _ADAPTER.validate_python(dict(zip(_FIELDS, values)))
-    except (ValueError, msgpack.UnpackException) as error:
-        raise ProtocolError(f"a datagram that is no beat: {error}") from error
+CODEC: t.Final = Codec(Beat)
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/src/dotterelplank/packets.py
@@ -0,0 +1,45 @@
+"""Datagrams that hold one of a few kinds of typed message each."""
+
+import dataclasses
+import typing as t
+
+import msgpack
+import pydantic
+
+from .errors import ProtocolError
+
+
+class Codec:
+    """Packs messages of the given kinds, and checks what it unpacks.
+
+    :param kinds: pydantic data classes; their order is part of the format.
+    """
+
+    def __init__(self, *kinds: type) -> None:
+        self._kinds = kinds
+        self._fields = {
+            kind: tuple(field.name for field in dataclasses.fields(kind))
+            for kind in kinds
+        }
+        self._adapters = [pydantic.TypeAdapter(kind) for kind in kinds]
+
+    def encode(self, message: t.Any) -> bytes:
+        """Return the datagram of ``message``."""
+        kind = type(message)
+        values = [getattr(message, name) for name in self._fields[kind]]
+        packed = [self._kinds.index(kind), *values]
+        return msgpack.packb(packed, default=dataclasses.asdict)
+
+    def decode(self, data: bytes) -> t.Any:
+        """Return the message in a datagram.
+
+        :raises ProtocolError: if it holds none of the kinds.
+        """
+        try:
+            number, *values = msgpack.unpackb(data)
+            fields = self._fields[self._kinds[number]]
+            if len(fields) != len(values):
+                raise ProtocolError("a message of another layout")
+            return self._adapters[number].validate_python(dict(zip(fields, values)))
+        except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
+            raise ProtocolError(f"no known message: {error}") from error
--- a/src/dotterelplank/platform/__main__.py
+++ b/src/dotterelplank/platform/__main__.py
@@ -23,7 +23,13 @@
     await Entry(settings.load(), settings.load, port).run()
 
 
-_ROLES = {"entry": _entry}
+async def _agent(port: int | None) -> None:
+    from ..ranks.agent import Agent
+
+    await Agent(settings.load()).run()
+
+
+_ROLES = {"agent": _agent, "entry": _entry}
 
 
 async def _run(role: str, port: int | None, sink: BoundedHandler) -> None:
--- /dev/null
+++ b/src/dotterelplank/platform/members.py
@@ -0,0 +1,52 @@
+"""Who belongs to a service, for agents that look for the others of their group."""
+
+import dataclasses
+
+from ..errors import InputError
+from ..gateway.host import Address
+from ..gateway.tables import ExpertLayout
+from . import published
+from .store import StoreClient
+
+
+@dataclasses.dataclass
+class Members:
+    """The servers of a service.
+
+    :param ranks: address of each rank's server.
+    :param layout: the layout of the service's expert maps, if it has any.
+    :param ips: addresses of the hosts beside which they run.
+    """
+
+    ranks: dict[int, Address]
+    layout: ExpertLayout | None
+    ips: set[str] = dataclasses.field(default_factory=set)
+
+
+async def read_members(client: StoreClient, service: str) -> Members:
+    """Read the servers of ``service`` and its layout.
+
+    :raises UpstreamError: if the store can't be read.
+    """
+    found = await published.read_all(client)
+    members = Members({}, None)
+    if found.configuration is not None:
+        try:
+            table = published.table_of(found.configuration)
+        except InputError:
+            # The entries refuse and log it; without a layout no change begins here.
+            table = None
+        if table is not None and service in table.services:
+            members.layout = table.services[service].experts
+    for item in found.servers:
+        try:
+            endpoint = published.change_of(item).endpoint
+        except InputError:
+            continue
+        if endpoint is None or endpoint.service != service:
+            continue
+        members.ips.add(endpoint.ip)
+        if endpoint.place is not None:
+            rank = endpoint.place.rank
+            members.ranks[rank] = Address(endpoint.ip, endpoint.port)
+    return members
--- /dev/null
+++ b/src/dotterelplank/platform/ranks.py
@@ -0,0 +1,197 @@
+"""The calls by which an agent reads its rank and gives it orders."""
+
+import asyncio
+import json
+import typing as t
+
+import pydantic
+
+from ..errors import UpstreamError
+from ..gateway.host import Address
+from ..http1.client import EndpointConnection, Request, connect, read_whole
+from ..ranks.views import (
+    Armed,
+    ArmMap,
+    Counts,
+    DisarmMap,
+    HoldStep,
+    Order,
+    PrepareMap,
+    RankView,
+    ReleaseStep,
+    Rows,
+)
+
+CALL_TIMEOUT_MS: t.Final = 100.0
+"""A rank on the same host answers in a few milliseconds, or not at all."""
+ANSWER_BOUND_BYTES: t.Final = 4 * 1024 * 1024
+
+_REPORT_PATH = b"/v1/report"
+_COUNTS_PATH = b"/v1/picked"
+_ROWS_PATH = b"/v1/picked?lists=1"
+_ORDER_PATH = b"/v1/order"
+_ACCEPTED: t.Final = (200, 202)
+
+
+class _Group(pydantic.BaseModel):
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class _Armed(pydantic.BaseModel):
+    version: int
+    step: int
+
+
+class _Report(pydantic.BaseModel):
+    group: _Group
+    # Ranks of the whole group.
+    size: int
+    # The last pass that was begun, not the next one.
+    step: int
+    # The version of the map in use.
+    map: int
+    prepared: int | None = None
+    armed: _Armed | None = None
+    # The pass that this rank holds back.
+    held: int | None = None
+    active: int = 0
+
+
+class _Picked(pydantic.BaseModel):
+    step: int
+    epoch: int
+    counts: list[int]
+
+
+class _OwnMap(pydantic.BaseModel):
+    version: int
+    experts: Rows
+
+
+class _Lists(pydantic.BaseModel):
+    epoch: int
+    map: _OwnMap
+
+
+class RankClient:
+    """Speaks to one rank over a kept connection, one call at a time."""
+
+    def __init__(self, address: Address, timeout_ms: float = CALL_TIMEOUT_MS) -> None:
+        self._address = address
+        self._timeout_ms = timeout_ms
+        self._connection: EndpointConnection | None = None
+        self._lock = asyncio.Lock()
+
+    async def view(self) -> RankView:
+        """Return what the rank says of itself now.
+
+        :raises UpstreamError: if there was no answer, or it is in no group.
+        """
+        found = await self._read(_REPORT_PATH, _Report)
+        armed = found.armed
+        return RankView(
+            group=found.group.name,
+            epoch=found.group.epoch,
+            rank=found.group.rank,
+            size=found.size,
+            is_open=found.group.state == "open",
+            step=found.step,
+            map_version=found.map,
+            prepared=found.prepared,
+            armed=None if armed is None else Armed(armed.version, armed.step),
+            held=found.held,
+            active=found.active,
+        )
+
+    async def counts(self) -> Counts:
+        """Return how often the rank's calls chose each expert.
+
+        :raises UpstreamError: if there was no answer.
+        """
+        found = await self._read(_COUNTS_PATH, _Picked)
+        return Counts(found.epoch, found.step, found.counts)
+
+    async def rows(self) -> tuple[int, int, Rows]:
+        """Return the epoch, the version of the map in use, and the rank's part of it.
+
+        :raises UpstreamError: if there was no answer.
+        """
+        found = await self._read(_ROWS_PATH, _Lists)
+        return found.epoch, found.map.version, found.map.experts
+
+    async def give(self, order: Order) -> bool:
+        """Give an order; return whether it was accepted.
+
+        :raises UpstreamError: if there was no answer; the order may still be carried
+            out, seconds later.
+        """
+        status, body = await self._call(b"POST", _ORDER_PATH, _encode(order))
+        if status in _ACCEPTED:
+            return True
+        if 400 <= status < 500:
+            return False
+        raise UpstreamError(f"status {status}: {body[:80]!r}", sent=True)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    _Kind = t.TypeVar("_Kind", bound=pydantic.BaseModel)
+
+    async def _read(self, path: bytes, kind: type[_Kind]) -> _Kind:
+        status, body = await self._call(b"GET", path, b"")
+        if status != 200:
+            raise UpstreamError(f"status {status}", sent=True)
+        try:
+            return kind.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            raise UpstreamError(f"unreadable: {error}", sent=True) from error
+
+    async def _call(self, method: bytes, path: bytes, body: bytes) -> tuple[int, bytes]:
+        async with self._lock:
+            try:
+                async with asyncio.timeout(self._timeout_ms / 1000):
+                    return await self._exchange(method, path, body)
+            except TimeoutError as error:
+                self.close()
+                raise UpstreamError("no answer in time", sent=True) from error
+            except (UpstreamError, asyncio.CancelledError):
+                self.close()
+                raise
+
+    async def _exchange(
+        self, method: bytes, path: bytes, body: bytes
+    ) -> tuple[int, bytes]:
+        connection = self._connection
+        if connection is None or not connection.is_usable:
+            self.close()
+            place = self._address
+            connection = await connect(place.ip, place.port, self._timeout_ms / 1000)
+            self._connection = connection
+        headers = [(b"host", str(self._address).encode())]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        connection.send(Request(method, path, headers, body))
+        head = await connection.head()
+        return head.status, await read_whole(connection, ANSWER_BOUND_BYTES)
+
+
+def _encode(order: Order) -> bytes:
+    fields: dict[str, t.Any] = {"epoch": order.epoch}
+    match order:
+        case PrepareMap():
+            fields |= {"op": "prepare", "version": order.version, "map": order.map}
+        case ArmMap():
+            fields |= {"op": "arm", "version": order.version, "step": order.step}
+        case DisarmMap():
+            fields |= {"op": "disarm", "version": order.version}
+        case HoldStep():
+            fields |= {"op": "retain", "step": order.step}
+        case ReleaseStep():
+            fields |= {"op": "go", "step": order.step}
+    return json.dumps(fields).encode()
--- /dev/null
+++ b/src/dotterelplank/ranks/agent.py
@@ -0,0 +1,430 @@
+"""The agent daemon: it reads its rank, tells the others, and changes maps with them."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+import time
+import typing as t
+
+from .. import events
+from ..errors import ProtocolError, UpstreamError
+from ..gateway.host import Address, HostSettings
+from ..gateway.tables import ExpertLayout
+from ..platform.members import Members, read_members
+from ..platform.ranks import RankClient
+from ..platform.store import StoreClient
+from . import change as changes, messages, policy
+from .demand import Demands
+from .group import VERSION_DRAW_BITS, Group
+from .participant import carry_out
+from .views import ExpertMap, RankView
+
+log = logging.getLogger(__name__)
+
+SAMPLE_INTERVAL_MS: t.Final = 100.0
+BEAT_INTERVAL_MS: t.Final = 250.0
+TURN_MS: t.Final = 25.0
+"""How often a change in progress is looked at, besides at each reply."""
+FORGOTTEN_HOLD_MS: t.Final = 400.0
+"""How long a pass may be held without a change known here."""
+LOST_MS: t.Final = 500.0
+LOOKUP_INTERVAL_MS: t.Final = 1_000.0
+LONGEST_LOOKUP_INTERVAL_MS: t.Final = 8_000.0
+DIRECT_TIMEOUT_MS: t.Final = 200.0
+
+
+def clock_ms() -> float:
+    """Return milliseconds that go on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+
+class Agent:
+    """An agent on its event loop."""
+
+    def __init__(self, host: HostSettings) -> None:
+        self._host = host
+        self._random = random.Random()
+        self._group = Group()
+        self._demands = Demands()
+        self._rank = RankClient(t.cast(Address, host.endpoint))
+        self._store = StoreClient(host.store)
+        self._members = Members({}, None)
+        self._rows: tuple[int, int, list[list[int]]] | None = None
+        self._incarnation = time.time_ns() // 1_000_000
+        self._numbers = 0
+        self._beat_ms = 0.0
+        self._looked_ms = 0.0
+        self._lookup_ms = LOOKUP_INTERVAL_MS
+        self._heard_ms = clock_ms()
+        self._is_lost = False
+        self._leader: int | None = None
+        self._held_since_ms: float | None = None
+        self._change: changes.Change | None = None
+        self._asked: dict[int, int] = {}
+        self._busy: set[tuple[str, int]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Work until told to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        async with contextlib.AsyncExitStack() as stack:
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: _Datagrams(self._on_datagram),
+                local_addr=(self._host.ip, self._host.peer_port),
+            )
+            self._datagrams = t.cast(asyncio.DatagramTransport, transport)
+            stack.callback(transport.close)
+            events.emit(
+                log,
+                events.PROCESS_STARTED,
+                role="agent",
+                incarnation=self._incarnation,
+                domain=self._host.domain,
+            )
+            for work in (self._sample(), self._turn(), self._look_up()):
+                stack.callback(loop.create_task(work).cancel)
+            await self._stop.wait()
+            events.emit(
+                log, events.PROCESS_STOPPING, in_change=self._change is not None
+            )
+            await self._finish_change()
+        self._rank.close()
+        self._store.close()
+        events.emit(log, events.PROCESS_STOPPED, role="agent")
+
+    async def _finish_change(self) -> None:
+        """Let a change in progress come to its end, within the bound on a stop."""
+        bound_ms = clock_ms() + self._host.bounds.stop_ms / 2
+        while self._change is not None and clock_ms() < bound_ms:
+            await asyncio.sleep(TURN_MS / 1000)
+
+    async def _sample(self) -> None:
+        """Read the rank regularly, and tell the leader of its counts."""
+        while True:
+            began_ms = clock_ms()
+            try:
+                await self._read_rank()
+            except UpstreamError as error:
+                self._note_silence(str(error))
+            spent_ms = clock_ms() - began_ms
+            pause_ms = max(SAMPLE_INTERVAL_MS - spent_ms, SAMPLE_INTERVAL_MS / 4)
+            await asyncio.sleep(pause_ms / 1000)
+
+    async def _read_rank(self) -> None:
+        view = await self._rank.view()
+        now_ms = clock_ms()
+        self._take_view(now_ms, view)
+        if now_ms - self._beat_ms >= BEAT_INTERVAL_MS:
+            await self._beat(view)
+        if not view.active and self._leader is None:
+            return
+        counts = await self._rank.counts()
+        if counts.epoch != view.epoch:
+            return
+        sample = messages.Sample(self._host.ip, view, counts.step, counts.counts)
+        self._send_to_leader(now_ms, sample)
+
+    def _send_to_leader(self, now_ms: float, sample: messages.Sample) -> None:
+        leader = self._group.leader(now_ms)
+        own = t.cast(RankView, self._group.own)
+        if leader != self._leader:
+            self._leader = leader
+            events.emit(
+                log,
+                events.LEADER_CHANGED,
+                leader=leader,
+                own=own.rank,
+                alive=len(self._group.alive(now_ms)),
+            )
+        if leader == own.rank:
+            self._demands.add(now_ms, own.rank, sample.counts)
+            return
+        member = self._group.members.get(t.cast(int, leader))
+        if member is not None:
+            self._send(member.beat.ip, sample)
+
+    def _take_view(self, now_ms: float, view: RankView) -> None:
+        self._heard_ms = now_ms
+        if self._is_lost or self._group.own is None:
+            self._is_lost = False
+            events.emit(log, events.RANK_REGAINED, rank=view.rank, epoch=view.epoch)
+        if self._group.see(view):
+            self._demands.clear()
+            self._rows = None
+            self._change = None
+        self._watch_hold(now_ms, view)
+
+    def _watch_hold(self, now_ms: float, view: RankView) -> None:
+        """Clear up a pass that is held here and that nobody releases."""
+        if view.held is None or view.step >= view.held:
+            self._held_since_ms = None
+            return
+        if self._held_since_ms is None:
+            self._held_since_ms = now_ms
+        if self._change is not None or now_ms - self._held_since_ms < FORGOTTEN_HOLD_MS:
+            return
+        present = self._group.present_map(now_ms)
+        if present is None:
+            return
+        draw = self._random.getrandbits(VERSION_DRAW_BITS)
+        self._group.used_step = max(self._group.used_step, view.held)
+        self._change = changes.take_over(
+            now_ms,
+            view.epoch,
+            view.size,
+            view.rank,
+            view.held,
+            self._group.new_version(draw),
+            present,
+        )
+        events.emit(
+            log,
+            events.CHANGE_TAKEN_OVER,
+            step=view.held,
+            held_ms=round(now_ms - self._held_since_ms),
+        )
+
+    def _note_silence(self, why: str) -> None:
+        silent_ms = clock_ms() - self._heard_ms
+        if not self._is_lost and silent_ms > LOST_MS:
+            self._is_lost = True
+            events.emit(log, events.RANK_LOST, silent_ms=round(silent_ms), why=why)
+
+    async def _beat(self, view: RankView) -> None:
+        if self._rows is None or self._rows[:2] != (view.epoch, view.map_version):
+            self._rows = await self._rank.rows()
+        epoch, version, rows = self._rows
+        if (epoch, version) != (view.epoch, view.map_version):
+            return
+        now_ms = clock_ms()
+        self._beat_ms = now_ms
+        self._numbers += 1
+        beat = messages.Beat(
+            self._host.ip,
+            self._host.service or "",
+            self._incarnation,
+            self._numbers,
+            view,
+            rows,
+        )
+        self._group.hear(now_ms, beat)
+        for ip in self._members.ips:
+            if ip != self._host.ip:
+                self._send(ip, beat)
+
+    async def _turn(self) -> None:
+        """Begin changes, and let the one in progress go on."""
+        while True:
+            await asyncio.sleep(TURN_MS / 1000)
+            now_ms = clock_ms()
+            if self._change is None:
+                self._begin_change(now_ms)
+            self._advance()
+
+    def _begin_change(self, now_ms: float) -> None:
+        group, layout = self._group, self._members.layout
+        own = group.own
+        if own is None or layout is None or self._stop.is_set():
+            return
+        if group.leader(now_ms) != own.rank or not group.is_calm(now_ms):
+            return
+        present = group.present_map(now_ms)
+        if present is None:
+            return
+        decision = policy.decide(now_ms, self._demands, present, layout)
+        if decision is None:
+            return
+        self._start(now_ms, own, present, decision, layout)
+
+    def _start(
+        self,
+        now_ms: float,
+        own: RankView,
+        present: ExpertMap,
+        decision: policy.Decision,
+        layout: ExpertLayout,
+    ) -> None:
+        version = self._group.new_version(self._random.getrandbits(VERSION_DRAW_BITS))
+        found = decision.plan
+        self._change = changes.begin(
+            now_ms,
+            own,
+            version,
+            found.map,
+            present,
+            decision.copy_ms,
+            self._group.used_step + 1,
+        )
+        events.emit(
+            log,
+            events.CHANGE_BEGUN,
+            version=version,
+            epoch=own.epoch,
+            step=own.step,
+            skew_before=round(found.skew_before, 3),
+            skew_after=round(found.skew_after, 3),
+            copies=found.copies,
+            planned_ms=round(clock_ms() - now_ms, 1),
+        )
+
+    def _advance(self) -> None:
+        change = self._change
+        if change is None:
+            return
+        now_ms = clock_ms()
+        for errand in changes.advance(now_ms, change):
+            self._send_errand(change, errand)
+        self._group.used_step = max(self._group.used_step, change.step)
+        if change.outcome is not None:
+            self._change = None
+            events.emit(
+                log,
+                events.CHANGE_ENDED,
+                version=change.version,
+                step=change.step,
+                outcome=change.outcome.value,
+                took_ms=round(now_ms - change.began_ms),
+                prepared_ms=round(change.prepared_ms - change.began_ms),
+            )
+
+    def _send_errand(self, change: changes.Change, errand: changes.Errand) -> None:
+        own = t.cast(RankView, self._group.own)
+        if errand.rank == own.rank:
+            self._spawn(self._carry_out_here(change, errand.task))
+            return
+        member = self._group.members.get(errand.rank)
+        if errand.is_direct or member is None:
+            self._spawn(self._carry_out_there(change, errand))
+            return
+        self._numbers += 1
+        self._asked[self._numbers] = change.version
+        ask = messages.ask(self._host.ip, self._numbers, change.epoch, errand.task)
+        self._send(member.beat.ip, ask)
+
+    async def _carry_out_here(self, change: changes.Change, task: changes.Task) -> None:
+        try:
+            self._hear(change, await carry_out(self._rank, change.epoch, task))
+        except UpstreamError as error:
+            self._note_silence(str(error))
+
+    async def _carry_out_there(
+        self, change: changes.Change, errand: changes.Errand
+    ) -> None:
+        place = self._members.ranks.get(errand.rank)
+        if place is None:
+            return
+        rank = RankClient(place, DIRECT_TIMEOUT_MS)
+        try:
+            self._hear(change, await carry_out(rank, change.epoch, errand.task))
+        except UpstreamError as error:
+            events.emit(log, events.RANK_LOST, rank=errand.rank, why=str(error))
+        finally:
+            rank.close()
+
+    def _hear(self, change: changes.Change, view: RankView) -> None:
+        if change is self._change:
+            changes.hear(clock_ms(), change, view)
+            self._advance()
+
+    def _on_datagram(self, data: bytes) -> None:
+        try:
+            message = messages.CODEC.decode(data)
+        except ProtocolError as error:
+            events.emit(log, events.FRAME_REFUSED, why=str(error))
+            return
+        now_ms = clock_ms()
+        match message:
+            case messages.Beat():
+                if message.service == self._host.service:
+                    self._members.ips.add(message.ip)
+                    self._group.hear(now_ms, message)
+            case messages.Sample():
+                self._take_sample(now_ms, message)
+            case messages.Ask():
+                self._spawn(self._answer(message))
+            case messages.Reply():
+                self._take_reply(message)
+
+    def _take_sample(self, now_ms: float, sample: messages.Sample) -> None:
+        own = self._group.own
+        view = sample.view
+        if own is not None and (view.group, view.epoch) == (own.group, own.epoch):
+            self._demands.add(now_ms, view.rank, sample.counts)
+
+    def _take_reply(self, reply: messages.Reply) -> None:
+        version = self._asked.pop(reply.number, None)
+        change = self._change
+        if change is not None and version == change.version:
+            self._hear(change, reply.view)
+
+    async def _answer(self, ask: messages.Ask) -> None:
+        key = (ask.kind, ask.version or ask.step)
+        if key in self._busy:
+            return
+        self._busy.add(key)
+        try:
+            view = await carry_out(self._rank, ask.epoch, messages.task_of(ask))
+        except UpstreamError as error:
+            self._note_silence(str(error))
+            return
+        finally:
+            self._busy.discard(key)
+        self._send(ask.ip, messages.Reply(ask.number, view))
+
+    async def _look_up(self) -> None:
+        """Read from the platform who else belongs to the service, while some lack."""
+        while True:
+            if self._lacks_members():
+                await self._read_members()
+                await asyncio.sleep(self._lookup_ms / 1000)
+                longest_ms = LONGEST_LOOKUP_INTERVAL_MS
+                self._lookup_ms = min(self._lookup_ms * 1.5, longest_ms)
+            else:
+                self._lookup_ms = LOOKUP_INTERVAL_MS
+                await asyncio.sleep(LOOKUP_INTERVAL_MS / 1000)
+
+    def _lacks_members(self) -> bool:
+        own = self._group.own
+        if own is None or self._members.layout is None:
+            return True
+        return len(self._group.alive(clock_ms())) < own.size
+
+    async def _read_members(self) -> None:
+        try:
+            found = await read_members(self._store, self._host.service or "")
+        except UpstreamError as error:
+            events.emit(log, events.PLATFORM_READ_FAILED, why=str(error))
+            return
+        found.ips.update(self._members.ips)
+        self._members = found
+
+    def _send(self, ip: str, message: t.Any) -> None:
+        if self._datagrams is not None:
+            data = messages.CODEC.encode(message)
+            self._datagrams.sendto(data, (ip, self._host.peer_port))
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Hands each datagram on."""
+
+    def __init__(self, on_datagram: t.Callable[[bytes], None]) -> None:
+        self._on_datagram = on_datagram
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take one datagram."""
+        self._on_datagram(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over an unreachable peer; its silence is what counts."""
--- /dev/null
+++ b/src/dotterelplank/ranks/change.py
@@ -0,0 +1,432 @@
+"""The change of a group's expert map, as the agent that drives it sees it.
+
+Orders to a rank may get no answer and be carried out seconds later, after newer ones,
+and whoever gave them may die. What binds a change lies in the ranks alone:
+
+* All ranks prepare the map. Then one rank, the holder, holds a pass to come, and all
+  arm the map for just that pass. Each version is armed for one pass only, ever.
+* The pass is released only when every rank is armed, or when no rank can switch any
+  more: each has a higher version prepared, which refuses a late order to arm.
+* A version is dead once some rank has a higher one prepared and isn't armed with it.
+  Then it can't be armed there again, so nobody ever sees it armed everywhere. Only a
+  dead version is disarmed.
+
+So whoever looks at the ranks can finish a change or make it void, and two that do so at
+once can't contradict each other. ``docs/design/platform-maps.md`` gives the argument.
+"""
+
+import dataclasses
+import enum
+import typing as t
+
+from .views import ExpertMap, RankView
+
+PREPARE_BOUND_MS: t.Final = 2_500.0
+"""Beyond the time of the copies; nothing is held yet, so giving up costs nothing."""
+ARM_BOUND_MS: t.Final = 1_500.0
+"""How long ranks that don't arm are waited for, while the group may be held."""
+RESEND_MS: t.Final = 60.0
+PREPARE_RESEND_MS: t.Final = 250.0
+DIRECT_MS: t.Final = 300.0
+"""A rank whose agent is silent this long is spoken to directly."""
+LEAD_STEPS: t.Final = 2
+"""Passes between the last one begun and the one at which the map changes."""
+HOLD_TRIES: t.Final = 6
+VOID_RAISE_MS: t.Final = 300.0
+"""How long ranks may refuse a void version before a higher one is taken."""
+
+
+class Phase(enum.Enum):
+    """How far a change has got."""
+
+    LOOK = "look"
+    PREPARE = "prepare"
+    HOLD = "hold"
+    ARM = "arm"
+    VOID = "void"
+    RELEASE = "release"
+    OVER = "over"
+
+
+class Outcome(enum.Enum):
+    """How a change ended."""
+
+    SWITCHED = "switched"
+    ABANDONED = "abandoned"
+    VOIDED = "voided"
+    REFORMED = "reformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Look:
+    """Say how the rank is."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepare:
+    """Have the map prepared."""
+
+    version: int
+    map: ExpertMap
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Have the pass held."""
+
+    step: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arm:
+    """Have the map armed for the pass."""
+
+    version: int
+    step: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Void:
+    """Have a version prepared that refuses late orders to arm lower ones.
+
+    :param dead: versions that may be disarmed first.
+    """
+
+    version: int
+    map: ExpertMap
+    dead: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Have the pass released."""
+
+    step: int
+
+
+Task = Look | Prepare | Hold | Arm | Void | Release
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Errand:
+    """A task for the agent of a rank, or for the rank itself if ``is_direct``."""
+
+    rank: int
+    task: Task
+    is_direct: bool
+
+
+@dataclasses.dataclass
+class Change:
+    """One change of the map, or the clearing up of one.
+
+    :param version: the map to switch to; when clearing up, the highest one met.
+    :param holder: rank that holds, or is to hold, the pass.
+    :param void_version: higher than any that a rank may have met.
+    :param least_step: passes before this one aren't used.
+    :param prepared_ms: when all ranks had the map prepared.
+    :param present: the map in use, which a void version repeats.
+    :param views: the latest word of each rank within this change.
+    :param asked_ms: when each rank was last given a task.
+    :param heard_ms: when each rank last answered.
+    """
+
+    epoch: int
+    size: int
+    holder: int
+    version: int
+    map: ExpertMap
+    present: ExpertMap
+    void_version: int
+    began_ms: float
+    bound_ms: float
+    phase: Phase = Phase.PREPARE
+    phase_ms: float = 0.0
+    prepared_ms: float = 0.0
+    step: int = -1
+    hold_tries: int = 0
+    void_raises: int = 1
+    is_forward: bool = True
+    least_step: int = 0
+    outcome: Outcome | None = None
+    views: dict[int, RankView] = dataclasses.field(default_factory=dict)
+    asked_ms: dict[int, float] = dataclasses.field(default_factory=dict)
+    heard_ms: dict[int, float] = dataclasses.field(default_factory=dict)
+
+
+def begin(
+    now_ms: float,
+    own: RankView,
+    version: int,
+    new: ExpertMap,
+    present: ExpertMap,
+    copy_ms: float,
+    least_step: int,
+) -> Change:
+    """Return a change to ``new`` that the agent of ``own`` begins.
+
+    :param version: higher than any that a rank of the group has had, and never used.
+    :param copy_ms: time that the copies of the slowest rank take.
+    :param least_step: higher than any pass that this agent, or one before it at the
+        same rank, may have held or released: a late order must not meet this change.
+    """
+    return Change(
+        epoch=own.epoch,
+        size=own.size,
+        holder=own.rank,
+        version=version,
+        map=new,
+        present=present,
+        void_version=version + 1,
+        began_ms=now_ms,
+        bound_ms=PREPARE_BOUND_MS + 2 * copy_ms,
+        phase_ms=now_ms,
+        least_step=least_step,
+    )
+
+
+def take_over(
+    now_ms: float,
+    epoch: int,
+    size: int,
+    holder: int,
+    step: int,
+    void_version: int,
+    present: ExpertMap,
+) -> Change:
+    """Return the clearing up of a pass that is held at rank ``holder`` by nobody alive.
+
+    :param void_version: higher than any that a rank of the group has had.
+    """
+    return Change(
+        epoch=epoch,
+        size=size,
+        holder=holder,
+        version=0,
+        map=[],
+        present=present,
+        void_version=void_version,
+        began_ms=now_ms,
+        bound_ms=0.0,
+        phase=Phase.LOOK,
+        phase_ms=now_ms,
+        step=step,
+    )
+
+
+def hear(now_ms: float, change: Change, view: RankView) -> None:
+    """Take in what a rank said of itself after a task of this change."""
+    if view.epoch != change.epoch:
+        if view.epoch > change.epoch:
+            _end(change, Outcome.REFORMED)
+        return
+    change.views[view.rank] = view
+    change.heard_ms[view.rank] = now_ms
+
+
+def advance(now_ms: float, change: Change) -> list[Errand]:
+    """Let the change go on as far as it can; return the tasks to give now."""
+    while change.phase is not Phase.OVER:
+        phase = change.phase
+        tasks = _PHASES[phase](now_ms, change)
+        if change.phase is phase:
+            return _errands(now_ms, change, tasks)
+        change.phase_ms = now_ms
+        change.asked_ms.clear()
+    return []
+
+
+def dead_versions(views: t.Iterable[RankView]) -> tuple[int, ...]:
+    """Return the versions that some rank is armed with and that are dead."""
+    views = list(views)
+    armed = {view.armed.version for view in views if view.armed is not None}
+    return tuple(
+        version
+        for version in sorted(armed)
+        if any(_refuses(view, version) for view in views)
+    )
+
+
+def _refuses(view: RankView, version: int) -> bool:
+    """Return whether a rank can never be armed with ``version`` again."""
+    is_armed = view.armed is not None and view.armed.version == version
+    return not is_armed and view.prepared is not None and view.prepared > version
+
+
+def _look(now_ms: float, change: Change) -> dict[int, Task]:
+    if len(change.views) < change.size:
+        return {rank: Look() for rank in _missing(change)}
+    holder = change.views[change.holder]
+    if holder.held != change.step:
+        _end(change, Outcome.ABANDONED)
+        return {}
+    armed = [
+        view.armed
+        for view in change.views.values()
+        if view.armed is not None and view.armed.step == change.step
+    ]
+    versions = [_highest(view) for view in change.views.values()]
+    change.version = max(armed, key=lambda one: one.version).version if armed else 0
+    if not armed:
+        change.version = max(versions)
+    change.void_version = max(change.void_version, max(versions) + 1)
+    change.phase = Phase.ARM if armed else Phase.VOID
+    return {}
+
+
+def _prepare(now_ms: float, change: Change) -> dict[int, Task]:
+    views = change.views.values()
+    if any(_highest(view) > change.version for view in views):
+        _end(change, Outcome.ABANDONED)
+        return {}
+    waiting = [
+        rank
+        for rank in range(change.size)
+        if rank not in change.views or change.views[rank].prepared != change.version
+    ]
+    if not waiting:
+        change.phase = Phase.HOLD
+        change.prepared_ms = now_ms
+        ahead = max(view.step for view in views) + LEAD_STEPS
+        change.step = max(ahead, change.least_step)
+        return {}
+    if now_ms - change.phase_ms > change.bound_ms:
+        _end(change, Outcome.ABANDONED)
+        return {}
+    return {rank: Prepare(change.version, change.map) for rank in waiting}
+
+
+def _hold(now_ms: float, change: Change) -> dict[int, Task]:
+    holder = change.views[change.holder]
+    if holder.held == change.step:
+        change.phase = Phase.ARM
+        return {}
+    if holder.held is not None or change.hold_tries > HOLD_TRIES:
+        _end(change, Outcome.ABANDONED)
+        return {}
+    if holder.step >= change.step:
+        change.hold_tries += 1
+        change.step = holder.step + LEAD_STEPS + change.hold_tries
+        change.asked_ms.clear()
+    return {change.holder: Hold(change.step)}
+
+
+def _arm(now_ms: float, change: Change) -> dict[int, Task]:
+    views = change.views
+    if _has_begun(change):
+        return {}
+    if _all_armed(change):
+        change.phase = Phase.RELEASE
+        return {}
+    is_dead = any(_refuses(view, change.version) for view in views.values())
+    if is_dead or now_ms - change.phase_ms > ARM_BOUND_MS:
+        change.phase = Phase.VOID
+        return {}
+    return {
+        rank: Arm(change.version, change.step)
+        for rank in range(change.size)
+        if not _is_armed(views[rank], change)
+    }
+
+
+def _void(now_ms: float, change: Change) -> dict[int, Task]:
+    views = change.views
+    if _has_begun(change):
+        return {}
+    if _all_armed(change):
+        change.phase = Phase.RELEASE
+        return {}
+    highest = max(_highest(view) for view in views.values())
+    is_refused = now_ms - change.phase_ms > VOID_RAISE_MS * change.void_raises
+    if highest > change.void_version or is_refused:
+        change.void_raises += 1
+        change.void_version = max(highest, change.void_version) + 1
+    waiting = [
+        rank
+        for rank, view in views.items()
+        if view.armed is not None or not _refuses(view, change.version)
+    ]
+    if not waiting:
+        change.is_forward = False
+        change.phase = Phase.RELEASE
+        return {}
+    dead = dead_versions(views.values())
+    task = Void(change.void_version, change.present, dead)
+    return {
+        rank: task
+        for rank in waiting
+        if (armed := views[rank].armed) is None or armed.version in dead
+    }
+
+
+def _release(now_ms: float, change: Change) -> dict[int, Task]:
+    holder = change.views[change.holder]
+    if holder.held != change.step:
+        _end(change, Outcome.SWITCHED if change.is_forward else Outcome.VOIDED)
+        return {}
+    return {change.holder: Release(change.step)}
+
+
+def _errands(now_ms: float, change: Change, tasks: dict[int, Task]) -> list[Errand]:
+    is_preparing = change.phase is Phase.PREPARE
+    resend_ms = PREPARE_RESEND_MS if is_preparing else RESEND_MS
+    errands = []
+    for rank, task in tasks.items():
+        asked_ms = change.asked_ms.get(rank)
+        if asked_ms is not None and now_ms - asked_ms < resend_ms:
+            continue
+        change.asked_ms[rank] = now_ms
+        heard_ms = change.heard_ms.get(rank, change.began_ms)
+        silent_ms = now_ms - max(heard_ms, change.phase_ms)
+        errands.append(Errand(rank, task, not is_preparing and silent_ms > DIRECT_MS))
+    return errands
+
+
+def _has_begun(change: Change) -> bool:
+    """End the change if its pass has begun: somebody else has released it."""
+    views = change.views.values()
+    if all(view.step < change.step for view in views):
+        return False
+    has_switched = any(view.map_version == change.version for view in views)
+    _end(change, Outcome.SWITCHED if has_switched else Outcome.VOIDED)
+    return True
+
+
+def _all_armed(change: Change) -> bool:
+    views = change.views
+    return len(views) == change.size and all(
+        _is_armed(view, change) for view in views.values()
+    )
+
+
+def _is_armed(view: RankView, change: Change) -> bool:
+    armed = view.armed
+    return (
+        armed is not None
+        and armed.version == change.version
+        and armed.step == change.step
+    )
+
+
+def _missing(change: Change) -> list[int]:
+    return [rank for rank in range(change.size) if rank not in change.views]
+
+
+def _highest(view: RankView) -> int:
+    armed = -1 if view.armed is None else view.armed.version
+    return max(view.map_version, view.prepared or -1, armed)
+
+
+def _end(change: Change, outcome: Outcome) -> None:
+    change.outcome = outcome
+    change.phase = Phase.OVER
+
+
+_PHASES: t.Mapping[Phase, t.Callable[[float, Change], dict[int, Task]]] = {
+    Phase.LOOK: _look,
+    Phase.PREPARE: _prepare,
+    Phase.HOLD: _hold,
+    Phase.ARM: _arm,
+    Phase.VOID: _void,
+    Phase.RELEASE: _release,
+}
