--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -14,6 +14,9 @@
 """The part of its latency objective that a call may wait for a place."""
 LEAST_RETRY_AFTER_MS: t.Final = 250.0
 LONGEST_RETRY_AFTER_MS: t.Final = 2_500.0
+HEEDED_PART: t.Final = 0.32
+"""The part of the time left up to which callers heed a time to come back."""
+OUTAGE_SPREAD: t.Final = 0.3
 DEFAULT_HOLD_MS: t.Final = 500.0
 
 
@@ -117,7 +120,17 @@
     :param draw: uniform in [0, 1).
     """
     spread_ms = max(LEAST_RETRY_AFTER_MS, wait_ms) * (1 + draw)
-    return min(spread_ms, LONGEST_RETRY_AFTER_MS, left_ms * 0.3)
+    return max(0.0, min(spread_ms, LONGEST_RETRY_AFTER_MS, left_ms * HEEDED_PART))
+
+
+def return_after_outage_ms(left_ms: float, draw: float) -> float:
+    """Return when to come back to a service that no endpoint serves at present.
+
+    As late as callers heed, since outages last seconds and they come back few times.
+
+    :param draw: uniform in [0, 1).
+    """
+    return max(0.0, left_ms * HEEDED_PART * (1 - OUTAGE_SPREAD * draw))
 
 
 def _rank(endpoint: Endpoint, loads: Loads, domain: str) -> tuple[float, bool]:
--- a/src/dotterelplank/gateway/attempts.py
+++ b/src/dotterelplank/gateway/attempts.py
@@ -20,10 +20,12 @@
 
     :param was_sent: whether the endpoint got the call and refused it.
     :param reason: for the log.
+    :param is_group: whether the endpoint's whole group can't run calls.
     """
 
     was_sent: bool
     reason: str
+    is_group: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/gateway/budget.py
+++ b/src/dotterelplank/gateway/budget.py
@@ -2,20 +2,26 @@
 
 The load that this answers: many endpoints fail at once, and every entry would repeat
 its calls. An entry repeats a part of the calls that it sent itself, so the sum over all
-entries stays within the same part of all calls, without a word between them.
+entries stays within the same part of all calls, without a word between them. Of the
+burst it takes next to nothing: it can't know how many entries there are, nor what the
+process before it has used.
 """
 
 import collections
 import dataclasses
 import typing as t
 
-RATIO_MARGIN: t.Final = 0.8
-BURST_MARGIN: t.Final = 0.5
+RATIO_MARGIN: t.Final = 0.9
+OWN_BURST: t.Final = 1.0
+"""Repeated sends beyond the ratio that one entry allows itself."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """The bound on repeated sends, for all entries together."""
+    """The bound on repeated sends, for all entries together.
+
+    :param burst: repeated sends beyond the ratio.
+    """
 
     ratio: float
     window_ms: float
@@ -44,14 +50,11 @@
     budget.firsts.append(now_ms)
 
 
-def take_repeat(now_ms: float, budget: Budget, policy: Policy, entries: int) -> bool:
-    """Return whether a call may be sent once more, and count it if so.
-
-    :param entries: entries that share the burst, this one included.
-    """
+def take_repeat(now_ms: float, budget: Budget, policy: Policy) -> bool:
+    """Return whether a call may be sent once more, and count it if so."""
     _expire(now_ms, budget, policy)
-    share = policy.burst * BURST_MARGIN / max(1, entries)
-    allowed = policy.ratio * RATIO_MARGIN * len(budget.firsts) + share
+    own_burst = min(OWN_BURST, policy.burst)
+    allowed = policy.ratio * RATIO_MARGIN * len(budget.firsts) + own_burst
     if len(budget.repeats) + 1 > allowed:
         return False
     budget.repeats.append(now_ms)
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -38,6 +38,7 @@
 REUSE_IDLE_MS: t.Final = 8_000.0
 REUSE_IDLE_ONCE_MS: t.Final = 1_000.0
 """How long a connection may have been idle before a call that may run only once."""
+_UNAVAILABLE: t.Final = 503
 LEAST_LEFT_MS: t.Final = 5.0
 """Below this a call isn't sent any more."""
 
@@ -202,6 +203,8 @@
             if isinstance(ending, Answered):
                 self._board.loads.held(one.service, now_ms - begun_ms)
                 self._board.loads.succeeded(endpoint.id)
+                if endpoint.place is not None:
+                    self._board.loads.succeeded(admission.group_name(endpoint))
                 return results.DONE
             one.history.note(endpoint.id, ending)
             self._judge(now_ms, one, endpoint, ending)
@@ -217,14 +220,16 @@
             return True
         board = self._board
         budget = board.budget_of(one.service)
-        return take_repeat(now_ms, budget, board.policy, board.entries)
+        return take_repeat(now_ms, budget, board.policy)
 
     def _judge(
         self, now_ms: float, one: Handling, endpoint: Endpoint, ending: NotRun | Lost
     ) -> None:
         """Draw conclusions about an endpoint from a send that failed."""
         loads = self._board.loads
-        if isinstance(ending, NotRun) and ending.was_sent:
+        if isinstance(ending, NotRun) and ending.is_group and endpoint.place:
+            avoided_ms = loads.failed(now_ms, admission.group_name(endpoint))
+        elif isinstance(ending, NotRun) and ending.was_sent:
             loads.full(now_ms, endpoint.id)
             avoided_ms = loads.avoided_for_ms(now_ms, endpoint.id)
         else:
@@ -367,7 +372,10 @@
             said = wire.read_answer(head.status, head.headers)
         if said.not_run and head.status >= 400:
             await _read_rest(connection)
-            return NotRun(True, f"refused with {head.status}, at {said.at_fault}")
+            # A rank that can't go on for want of another names that one.
+            is_group = said.at_fault is not None and head.status == _UNAVAILABLE
+            why = f"refused with {head.status}, at {said.at_fault}"
+            return NotRun(True, why, is_group)
         is_success = 200 <= head.status < 300
         if is_success and not said.has_proof:
             return Lost(one.exchange.has_begun, "a success without proof")
@@ -432,19 +440,24 @@
             return results.STREAM_CUT
         retry_after_s = None
         if result.outcome is results.Outcome.NOT_RUN:
-            left_ms = one.deadline_ms - self._clock()
-            usable = self._board.directory.of_service(one.service)
-            ahead = len(self._board.line_of(one.service).waiting)
-            wait_ms = admission.expected_wait_ms(
-                one.service, usable, self._board.loads, ahead
-            )
-            draw = self._board.random.random()
-            retry_after_ms = admission.retry_after_ms(wait_ms, left_ms, draw)
-            retry_after_s = max(0.0, retry_after_ms) / 1000
+            retry_after_s = self._retry_after_s(one)
         headers = wire.own_answer(one.said.id, retry_after_s)
         one.exchange.answer(result.http_status, headers, b"")
         return result
 
+    def _retry_after_s(self, one: Handling) -> float:
+        now_ms = self._clock()
+        board = self._board
+        left_ms = one.deadline_ms - now_ms
+        answer = self._choose(now_ms, one.service, frozenset())
+        draw = board.random.random()
+        if isinstance(answer, admission.Unusable):
+            return admission.return_after_outage_ms(left_ms, draw) / 1000
+        usable = board.directory.of_service(one.service)
+        ahead = len(board.line_of(one.service).waiting)
+        wait_ms = admission.expected_wait_ms(one.service, usable, board.loads, ahead)
+        return admission.retry_after_ms(wait_ms, left_ms, draw) / 1000
+
     def _note(self, one: Handling, result: results.Result) -> None:
         now_ms = self._clock()
         total_ms = now_ms - one.arrived_ms
