--- a/src/dotterelplank/gateway/board.py
+++ b/src/dotterelplank/gateway/board.py
@@ -18,8 +18,8 @@
     :param table: configuration in force; none before the first one is known.
     :param table_ms: when it came into force here.
     :param entries: entries that were heard lately, this one included.
-    :param spared_ms: time up to which the process is not to trust what it holds, since
-        it was paused.
+    :param is_stopping: told to stop; calls are still served.
+    :param is_closed: calls are refused, as the end is near.
     """
 
     host: HostSettings
@@ -32,6 +32,7 @@
     line_by_service: dict[str, lines.Line] = dataclasses.field(default_factory=dict)
     entries: int = 1
     is_stopping: bool = False
+    is_closed: bool = False
 
     @property
     def policy(self) -> budget.Policy:
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -127,10 +127,13 @@
             log, events.PROCESS_STOPPING, in_progress=self._callers.in_progress()
         )
         bound_ms = self.board.host.bounds.stop_ms - STOP_MARGIN_MS
-        while clock_ms() - began_ms < bound_ms:
-            is_idle = not self._callers.in_progress()
-            if is_idle and clock_ms() - began_ms >= BALANCER_NOTICE_MS:
-                break
+        while (spent_ms := clock_ms() - began_ms) < bound_ms:
+            if spent_ms >= min(BALANCER_NOTICE_MS, bound_ms / 2):
+                # What would begin now might not end before the bound.
+                self.board.is_closed = True
+                self._callers.close_idle()
+                if not self._callers.in_progress():
+                    break
             await asyncio.sleep(TICK_MS / 1000)
         else:
             events.emit(log, events.STOP_BOUND_REACHED, cut=self._callers.in_progress())
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -38,6 +38,8 @@
 REUSE_IDLE_MS: t.Final = 8_000.0
 REUSE_IDLE_ONCE_MS: t.Final = 1_000.0
 """How long a connection may have been idle before a call that may run only once."""
+ELSEWHERE_MS: t.Final = 100.0
+"""When a caller is to come back that another entry can serve."""
 _UNAVAILABLE: t.Final = 503
 LEAST_LEFT_MS: t.Final = 5.0
 """Below this a call isn't sent any more."""
@@ -131,8 +133,9 @@
             self._refuse_early(exchange, b"", results.MALFORMED_REQUEST, str(error))
             return None
         table = self._board.table
-        if table is None:
-            self._refuse_early(exchange, said.id, results.NO_CONFIGURATION, "")
+        if table is None or self._board.is_closed:
+            result = results.NO_CONFIGURATION if table is None else results.STOPPING
+            self._refuse_early(exchange, said.id, result, "")
             return None
         host = (header(call.headers, b"host") or b"").decode("latin-1")
         path = call.target.partition(b"?")[0].decode("latin-1")
@@ -162,9 +165,9 @@
         self, exchange: Exchange, call_id: bytes, result: results.Result, why: str
     ) -> None:
         retry_after_s = None
-        if result is results.NO_CONFIGURATION:
+        if result.outcome is results.Outcome.NOT_RUN and result.http_status == 503:
             draw = self._board.random.random()
-            retry_after_s = admission.retry_after_ms(0.0, 8000.0, draw) / 1000
+            retry_after_s = ELSEWHERE_MS * (1 + draw) / 1000
         headers = wire.own_answer(call_id, retry_after_s)
         exchange.answer(result.http_status, headers, b"")
         self._metrics.count_result(result)
--- a/src/dotterelplank/http1/server.py
+++ b/src/dotterelplank/http1/server.py
@@ -124,6 +124,12 @@
         """End each connection after its next answer from now on."""
         self.is_stopping = True
 
+    def close_idle(self) -> None:
+        """Close the connections on which no call is being read or answered."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
     def close_all(self) -> None:
         """Close every connection."""
         for connection in list(self.connections):
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -266,9 +266,15 @@
         if view.armed is not None and view.armed.step == change.step
     ]
     versions = [_highest(view) for view in change.views.values()]
-    change.version = max(armed, key=lambda one: one.version).version if armed else 0
-    if not armed:
-        change.version = max(versions)
+    if armed:
+        change.version = max(one.version for one in armed)
+    else:
+        open_views = [
+            view
+            for view in change.views.values()
+            if not _is_armed_elsewhere(view, change)
+        ]
+        change.version = max((_highest(view) for view in open_views), default=0)
     change.void_version = max(change.void_version, max(versions) + 1)
     change.phase = Phase.ARM if armed else Phase.VOID
     return {}
@@ -344,7 +350,7 @@
     waiting = [
         rank
         for rank, view in views.items()
-        if view.armed is not None or not _refuses(view, change.version)
+        if not _refuses(view, change.version) and not _is_armed_elsewhere(view, change)
     ]
     if not waiting:
         change.is_forward = False
@@ -408,6 +414,15 @@
     )
 
 
+def _is_armed_elsewhere(view: RankView, change: Change) -> bool:
+    """Return whether a rank is armed for another pass than that of ``change``.
+
+    Only the version that it is armed with could be armed there, and each version is
+    armed for one pass alone; so it can't switch at the pass of ``change``.
+    """
+    return view.armed is not None and view.armed.step != change.step
+
+
 def _missing(change: Change) -> list[int]:
     return [rank for rank in range(change.size) if rank not in change.views]
 
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,241 @@
+"""Stand-ins of the users' platform: its metadata store, and a server of a service."""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import typing as t
+import urllib.parse
+
+from dotterelplank.http1.messages import header
+from dotterelplank.http1.server import Call, Exchange, Intake, Server
+
+INTAKE = Intake(16_384, 1_000_000, 5.0, 30.0)
+
+
+def configuration(version=2, services=("drafts",), routes=None, tenants=None):
+    """Return a configuration as the operators publish it."""
+    if routes is None:
+        routes = [
+            route("stream", "/s/", "streaming", resumable=True),
+            route("once", "/u/", "unsafe", max_attempts=1),
+            route("safe", "/q/", "safe"),
+        ]
+    if tenants is None:
+        tenants = [{"name": "crew", "api_keys": ["key-1"], "priority": 1}]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": name, "max_conns": 100} for name in services],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": tenants,
+    }
+
+
+def route(name, prefix, kind, **fields):
+    """Return a route as the operators publish it."""
+    return {
+        "name": name,
+        "host": "h.example",
+        "prefix": prefix,
+        "type": kind,
+        "service": "drafts",
+        "timeout_ms": 2_000,
+        "goal_ms": 500,
+        "max_attempts": 2,
+        "priority": 1,
+        "public": False,
+        **fields,
+    }
+
+
+@dataclasses.dataclass
+class StoreStandin:
+    """The metadata store; ``fault`` makes it busy, silent, or forget its history."""
+
+    page_items: int = 500
+    fault: str = ""
+    revision: int = 1
+    values: dict[str, tuple[int, bytes]] = dataclasses.field(default_factory=dict)
+    log: list[tuple[int, str, bytes | None]] = dataclasses.field(default_factory=list)
+    calls: int = 0
+
+    def __post_init__(self):
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: t.Any) -> None:
+        """Publish ``value``; bytes are taken as they are."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        self.values[key] = (self.revision, data)
+        self.log.append((self.revision, key, data))
+        self.changed.set()
+
+    def remove(self, key: str) -> None:
+        """Take a key away."""
+        self.revision += 1
+        self.values.pop(key, None)
+        self.log.append((self.revision, key, None))
+        self.changed.set()
+
+    async def handle(self, call: Call, exchange: Exchange) -> None:
+        """Answer one call."""
+        self.calls += 1
+        path, _, query = call.target.decode().partition("?")
+        found = dict(urllib.parse.parse_qsl(query))
+        if self.fault == "silent":
+            await asyncio.sleep(3_600)
+        if self.fault == "busy":
+            exchange.answer(503, [], b"{}")
+        elif path == "/v1/kv-key":
+            self._item(found["key"], exchange)
+        elif path == "/v1/kv-range":
+            self._range(found.get("prefix", ""), found.get("after", ""), exchange)
+        elif path == "/v1/kv-watch":
+            await self._watch(found, exchange)
+        else:
+            exchange.answer(400, [], b'{"error":"unknown"}')
+
+    def _item(self, key: str, exchange: Exchange) -> None:
+        if key not in self.values:
+            _answer(exchange, 404, {"current_rev": self.revision})
+            return
+        revision, value = self.values[key]
+        item = {**_item(key, revision, value), "current_rev": self.revision}
+        _answer(exchange, 200, item)
+
+    def _range(self, prefix: str, after: str, exchange: Exchange) -> None:
+        keys = sorted(k for k in self.values if k.startswith(prefix) and k > after)
+        page = keys[: self.page_items]
+        body = {
+            "items": [_item(key, *self.values[key]) for key in page],
+            "has_more": len(keys) > len(page),
+            "current_rev": self.revision,
+        }
+        _answer(exchange, 200, body)
+
+    async def _watch(self, query: dict[str, str], exchange: Exchange) -> None:
+        after = int(query["after"])
+        if self.fault == "compacted":
+            self.fault = ""
+            _answer(exchange, 410, {"error": "gone"})
+            return
+        wait_s = int(query["wait_ms"]) / 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while self.revision <= after:
+                    self.changed.clear()
+                    await self.changed.wait()
+        events = [
+            _item(key, revision, value)
+            for revision, key, value in self.log
+            if revision > after and key.startswith(query.get("prefix", ""))
+        ]
+        body = {"events": events, "current_rev": self.revision}
+        _answer(exchange, 200, body)
+
+
+def _item(key: str, revision: int, value: bytes | None) -> dict[str, t.Any]:
+    if value is None:
+        return {"key": key, "revision": revision, "tombstone": True}
+    text = base64.b64encode(value).decode()
+    return {"key": key, "revision": revision, "value": text, "created": 1, "lease": 0}
+
+
+def _answer(exchange: Exchange, status: int, body: t.Any) -> None:
+    exchange.answer(status, [], json.dumps(body).encode())
+
+
+@dataclasses.dataclass
+class ServiceStandin:
+    """A server of a service.
+
+    :param fault: what it does wrong: ``refuse``, ``cut`` (its stream breaks off in the
+        middle of an event), ``mute`` (it closes without an answer), ``unproved``,
+        ``fail``, or ``stray`` (an answer to another call first).
+    """
+
+    id: str
+    events: int = 4
+    fault: str = ""
+    gap_s: float = 0.0
+    seen: list[Call] = dataclasses.field(default_factory=list)
+    runs: list[bytes] = dataclasses.field(default_factory=list)
+    was_left: bool = False
+    port: int = 0
+
+    def entry(self, **fields) -> dict[str, t.Any]:
+        """Return what it registers in the store."""
+        return {
+            "service": "drafts",
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 2,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1,
+            **fields,
+        }
+
+    async def handle(self, call: Call, exchange: Exchange) -> None:
+        """Answer one call."""
+        self.seen.append(call)
+        call_id = header(call.headers, b"x-request-id") or b""
+        if header(call.headers, b"x-expect-instance") != self.id.encode():
+            exchange.answer(421, [(b"x-instance-id", b"other")], b"")
+            return
+        if self.fault == "refuse":
+            exchange.answer(503, [(b"x-not-executed", b"1")], b"")
+            return
+        self.runs.append(call_id)
+        if self.fault == "mute":
+            exchange.abort()
+            return
+        proof = [(b"x-request-id", call_id), (b"x-server-signature", b"s")]
+        if self.fault == "fail":
+            exchange.answer(500, proof, b"failed")
+        elif self.fault == "unproved":
+            exchange.answer(200, proof[:1], b"whole")
+        elif call.target.startswith(b"/s/"):
+            await self._stream(call, exchange, proof)
+        else:
+            body = b"whole " + call.body
+            exchange.answer(200, proof, body)
+
+    async def _stream(self, call: Call, exchange: Exchange, proof) -> None:
+        first = int(header(call.headers, b"last-event-id") or b"0") + 1
+        exchange.begin(200, [*proof, (b"content-type", b"text/event-stream")], None)
+        try:
+            for number in range(first, self.events + 1):
+                event = b"id: %d\ndata: e%d\n\n" % (number, number)
+                if self.fault == "cut" and number == 3:
+                    exchange.send(event[:7])
+                    exchange.abort()
+                    return
+                exchange.send(event)
+                await asyncio.sleep(self.gap_s)
+        except asyncio.CancelledError:
+            self.was_left = True
+            raise
+        exchange.finish()
+
+
+@contextlib.asynccontextmanager
+async def listening(standin: t.Any, ip: str = "127.0.0.1") -> t.AsyncIterator[int]:
+    """Let a stand-in serve on a free port, and give that."""
+    server = Server(standin.handle, lambda: INTAKE, lambda *_: None)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server.make_connection, ip, 0)
+    try:
+        yield listener.sockets[0].getsockname()[1]
+    finally:
+        listener.close()
+        server.close_all()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_gateway_path.py
@@ -0,0 +1,346 @@
+"""The entry as a real process, between callers and stand-ins of the platform."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+
+import testtools
+from platform_standin import ServiceStandin, StoreStandin, configuration, listening
+
+from dotterelplank.errors import UpstreamError
+from dotterelplank.http1.client import Request, connect, read_whole
+from dotterelplank.http1.messages import header
+
+SOURCES = pathlib.Path(__file__).resolve().parent.parent / "src"
+DEADLINE_S = 10.0
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: list
+    body: bytes
+
+
+@dataclasses.dataclass
+class EntryProcess:
+    """A running entry, and where it listens."""
+
+    process: asyncio.subprocess.Process
+    path: pathlib.Path
+    ip: str
+    port: int
+    health_port: int
+    lines: list = dataclasses.field(default_factory=list)
+
+    async def call(self, target, *, call_id=b"c1", key=b"key-1", body=b"", **extra):
+        """Make a call on a new connection, and return its answer."""
+        headers = [
+            (b"host", b"h.example"),
+            (b"x-request-id", call_id),
+            (b"x-deadline-ms", str(extra.pop("deadline_ms", 2_000)).encode()),
+        ]
+        if key is not None:
+            headers.append((b"x-api-key", key))
+        headers += extra.pop("headers", [])
+        return await _get(self.ip, self.port, target, headers, body)
+
+    async def health(self):
+        """Return the status that readiness is answered with."""
+        headers = [(b"host", b"h")]
+        answer = await _get(self.ip, self.health_port, b"/v1/readyz", headers, None)
+        return answer.status
+
+    def events(self, name):
+        """Return the log lines of an event."""
+        return [line for line in self.lines if line.get("name") == name]
+
+
+async def _get(ip, port, target, headers, body):
+    connection = await connect(ip, port, 1.0)
+    try:
+        method = b"GET" if body is None else b"POST"
+        connection.send(Request(method, target, headers, body or b""))
+        head = await connection.head()
+        return Answer(
+            head.status, head.headers, await read_whole(connection, 1_000_000)
+        )
+    finally:
+        connection.close()
+
+
+def _free_ports(ip, count):
+    with contextlib.ExitStack() as stack:
+        found = []
+        for _ in range(count):
+            one = stack.enter_context(socket.socket())
+            one.bind((ip, 0))
+            found.append(one.getsockname()[1])
+        return found
+
+
+def _settings(name, ip, store_port, ports, peer_port, seeds):
+    return {
+        "node_name": name,
+        "ip": ip,
+        "zone": "a",
+        "listen": {"frontend": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"},
+        "port_range": [peer_port, peer_port + 1],
+        "seed_nodes": [f"{seed}:1" for seed in seeds],
+        "limits": {"memory_mb": 300},
+        "bounds": {
+            "grace_s": 4,
+            "stable_ms": 3000,
+            "drain_ms": 2000,
+            "retry_ratio": 0.2,
+            "retry_window_s": 10,
+            "retry_burst": 94,
+        },
+        "platform": {"address": f"127.0.0.1:{store_port}"},
+    }
+
+
+@contextlib.asynccontextmanager
+async def running(store_port, ip="127.0.0.1", peer_port=None, seeds=()):
+    """Run an entry until the block ends."""
+    ports = _free_ports(ip, 2)
+    if peer_port is None:
+        (peer_port,) = _free_ports(ip, 1)
+    found = _settings(f"entry-{ip}", ip, store_port, ports, peer_port, seeds)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.json"
+        path.write_text(json.dumps(found))
+        environment = {
+            **os.environ,
+            "DOTTERELPLANK_NODE_FILE": str(path),
+            "PYTHONPATH": str(SOURCES),
+        }
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "dotterelplank.platform",
+            "entry",
+            stdout=asyncio.subprocess.PIPE,
+            env=environment,
+        )
+        entry = EntryProcess(process, path, ip, *ports)
+        reading = asyncio.create_task(_read_lines(entry))
+        try:
+            yield entry
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            await reading
+
+
+async def _read_lines(entry):
+    async for line in entry.process.stdout:
+        entry.lines.append(json.loads(line))
+
+
+async def until(condition, *, what):
+    """Wait until ``condition`` holds, for a bounded time."""
+    async with asyncio.timeout(DEADLINE_S):
+        while True:
+            with contextlib.suppress(UpstreamError):
+                if await condition():
+                    return
+            await asyncio.sleep(0.02)
+    raise AssertionError(what)
+
+
+async def is_ready(entry):
+    """Return whether the entry says that it is ready."""
+    return await entry.health() == 200
+
+
+class PathTests(testtools.TestCase):
+    def _run(self, work, *faults):
+        """Run ``work`` with an entry, the store, and a server for each fault."""
+
+        async def run():
+            store = StoreStandin()
+            store.put("op/config", configuration())
+            servers = [ServiceStandin(f"i-{n}", fault=f) for n, f in enumerate(faults)]
+            async with contextlib.AsyncExitStack() as stack:
+                for server in servers:
+                    server.port = await stack.enter_async_context(listening(server))
+                    store.put(f"servers/{server.id}", server.entry())
+                store_port = await stack.enter_async_context(listening(store))
+                entry = await stack.enter_async_context(running(store_port))
+                await until(lambda: is_ready(entry), what="ready")
+                return await work(entry, store, *servers)
+
+        return asyncio.run(run())
+
+    def test_calls_and_streams_are_forwarded_and_logged(self):
+        async def work(entry, store, server):
+            whole = await entry.call(b"/u/x?y=1", body=b"abc", call_id=b"c1")
+            stream = await entry.call(b"/s/x", call_id=b"c2")
+            await asyncio.sleep(0.3)
+            return whole, stream, server.seen[0], entry.events("request-ended")
+
+        whole, stream, seen, lines = self._run(work, "")
+        self.assertEqual((200, b"whole abc"), (whole.status, whole.body))
+        self.assertEqual(b"s", header(whole.headers, b"x-server-signature"))
+        self.assertEqual(4, stream.body.count(b"data:"))
+        self.assertEqual(b"/u/x?y=1", seen.target)
+        self.assertEqual(b"crew", header(seen.headers, b"x-tenant"))
+        self.assertIsNone(header(seen.headers, b"x-api-key"))
+        self.assertEqual(["c1", "c2"], [line["request"] for line in lines])
+
+    def test_unknown_routes_and_keys_are_refused(self):
+        async def work(entry, store, server):
+            missing = await entry.call(b"/none/x")
+            unknown = await entry.call(b"/q/x", key=b"key-9")
+            return missing.status, unknown.status, len(server.seen)
+
+        self.assertEqual((404, 401, 0), self._run(work, ""))
+
+    def test_a_stream_that_is_cut_goes_on_at_another_server(self):
+        async def work(entry, store, *servers):
+            answers = [await entry.call(b"/s/x", call_id=b"%d" % n) for n in range(3)]
+            return [answer.body for answer in answers]
+
+        whole = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 5))
+        for body in self._run(work, "cut", ""):
+            self.assertEqual(whole, body)
+
+    def test_a_call_that_may_run_once_runs_once_and_is_told_unknown(self):
+        async def work(entry, store, *servers):
+            answer = await entry.call(b"/u/x")
+            return answer.status, [run for server in servers for run in server.runs]
+
+        self.assertEqual((502, [b"c1"]), self._run(work, "mute", "mute"))
+
+    def test_a_refused_call_that_may_run_once_goes_to_another_server(self):
+        async def work(entry, store, *servers):
+            answers = [await entry.call(b"/u/x", call_id=b"%d" % n) for n in range(2)]
+            runs = [run for server in servers for run in server.runs]
+            return [answer.status for answer in answers], runs
+
+        statuses, runs = self._run(work, "refuse", "")
+        self.assertEqual(sorted(runs), sorted(set(runs)))
+        for status in statuses:
+            self.assertIn(status, (200, 503))
+
+    def test_a_success_without_proof_is_not_passed_on(self):
+        async def work(entry, store, server):
+            return (await entry.call(b"/u/x")).status
+
+        self.assertEqual(502, self._run(work, "unproved"))
+
+    def test_a_failure_of_the_server_is_passed_on_as_it_is(self):
+        async def work(entry, store, server):
+            answer = await entry.call(b"/u/x")
+            return answer.status, answer.body
+
+        self.assertEqual((500, b"failed"), self._run(work, "fail"))
+
+    def test_a_server_is_left_once_its_caller_is_gone(self):
+        async def work(entry, store, server):
+            server.gap_s, server.events = 0.2, 50
+            call = asyncio.create_task(entry.call(b"/s/x"))
+            await asyncio.sleep(0.4)
+            call.cancel()
+            await asyncio.sleep(0.5)
+            return server.was_left
+
+        self.assertTrue(self._run(work, ""))
+
+    def test_a_newer_configuration_is_in_force_soon_and_a_bad_one_never(self):
+        async def work(entry, store, server):
+            store.put("op/config", b"no configuration")
+            await asyncio.sleep(0.2)
+            before = (await entry.call(b"/q/x")).status
+            newer = configuration(version=9)
+            newer["routes"] = newer["routes"][:2]
+            store.put("op/config", newer)
+            await asyncio.sleep(0.5)
+            after = (await entry.call(b"/q/x")).status
+            return before, after, len(entry.events("table-refused"))
+
+        self.assertEqual((200, 404, 1), self._run(work, ""))
+
+    def test_a_draining_server_gets_nothing_more(self):
+        async def work(entry, store, server):
+            store.put("servers/i-0", server.entry(state="draining"))
+            await asyncio.sleep(0.4)
+            answer = await entry.call(b"/u/x")
+            return answer.status, header(answer.headers, b"retry-after") is not None
+
+        self.assertEqual((503, True), self._run(work, ""))
+
+    def test_a_stop_lets_a_stream_finish(self):
+        async def work(entry, store, server):
+            server.gap_s, server.events = 0.2, 6
+            call = asyncio.create_task(entry.call(b"/s/x"))
+            await asyncio.sleep(0.3)
+            entry.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            health = await entry.health()
+            answer = await call
+            code = await entry.process.wait()
+            return health, answer.body.count(b"data:"), code
+
+        self.assertEqual((503, 6, 0), self._run(work, ""))
+
+    def test_bad_settings_leave_the_earlier_ones_in_force(self):
+        async def work(entry, store, server):
+            entry.path.write_text("{")
+            entry.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.4)
+            answer = await entry.call(b"/u/x")
+            return answer.status, len(entry.events("settings-refused")) > 0
+
+        self.assertEqual((200, True), self._run(work, ""))
+
+    def test_an_entry_without_the_platform_learns_from_its_peer(self):
+        async def run():
+            store, blind = StoreStandin(), StoreStandin(fault="busy")
+            store.put("op/config", configuration())
+            server = ServiceStandin("i-0")
+            async with contextlib.AsyncExitStack() as stack:
+                server.port = await stack.enter_async_context(listening(server))
+                store.put("servers/i-0", server.entry())
+                ports = [
+                    await stack.enter_async_context(listening(one))
+                    for one in (store, blind)
+                ]
+                (peer_port,) = _free_ports("127.0.0.1", 1)
+                first = await stack.enter_async_context(
+                    running(ports[0], "127.0.0.1", peer_port)
+                )
+                other = await stack.enter_async_context(
+                    running(ports[1], "127.0.0.2", peer_port, ["127.0.0.1"])
+                )
+                for entry in (first, other):
+                    await until(lambda one=entry: is_ready(one), what="ready")
+                return (await other.call(b"/u/x")).status
+
+        self.assertEqual(200, asyncio.run(run()))
+
+    def test_an_entry_that_knows_no_configuration_refuses_and_isnt_ready(self):
+        async def run():
+            async with contextlib.AsyncExitStack() as stack:
+                store = StoreStandin(fault="busy")
+                port = await stack.enter_async_context(listening(store))
+                entry = await stack.enter_async_context(running(port))
+
+                async def answers():
+                    return await entry.health() == 503
+
+                await until(answers, what="health")
+                return (await entry.call(b"/u/x")).status
+
+        self.assertEqual(503, asyncio.run(run()))
