Change maps for shifts of demand, not for noise, and one right after the other

Demand is now taken back to the last shift, found by comparing pieces of 150 ms; a change needs a larger gain while passes are short; the leader knows the map that it switched to; a refused order to prepare is not waited for.

--- a/src/dotterelplank/platform/members.py
+++ b/src/dotterelplank/platform/members.py
@@ -4,7 +4,7 @@
 
 from ..errors import InputError
 from ..gateway.host import Address
-from ..gateway.tables import ExpertLayout
+from ..gateway.tables import ExpertLayout, Table
 from . import published
 from .store import StoreClient
 
@@ -15,11 +15,14 @@
 
     :param ranks: address of each rank's server.
     :param layout: the layout of the service's expert maps, if it has any.
+    :param gap_target_ms: shortest pause between events that its routes ask for; 0 if
+        none does.
     :param ips: addresses of the hosts beside which they run.
     """
 
     ranks: dict[int, Address]
     layout: ExpertLayout | None
+    gap_target_ms: float = 0.0
     ips: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -38,6 +41,7 @@
             table = None
         if table is not None and service in table.services:
             members.layout = table.services[service].experts
+            members.gap_target_ms = _gap_target_ms(table, service)
     for item in found.servers:
         try:
             endpoint = published.change_of(item).endpoint
@@ -50,3 +54,12 @@
             rank = endpoint.place.rank
             members.ranks[rank] = Address(endpoint.ip, endpoint.port)
     return members
+
+
+def _gap_target_ms(table: Table, service: str) -> float:
+    gaps = [
+        route.gap_target_ms
+        for route in table.routes
+        if route.gap_target_ms and any(one.service == service for one in route.targets)
+    ]
+    return min(gaps, default=0.0)
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-SAMPLE_INTERVAL_MS: t.Final = 100.0
+SAMPLE_INTERVAL_MS: t.Final = 75.0
 BEAT_INTERVAL_MS: t.Final = 250.0
 TURN_MS: t.Final = 25.0
 """How often a change in progress is looked at, besides at each reply."""
@@ -155,7 +155,7 @@
         if self._is_lost or self._group.own is None:
             self._is_lost = False
             events.emit(log, events.RANK_REGAINED, rank=view.rank, epoch=view.epoch)
-        if self._group.see(view):
+        if self._group.see(now_ms, view):
             self._demands.clear()
             self._rows = None
             self._change = None
@@ -238,7 +238,8 @@
         present = group.present_map(now_ms)
         if present is None:
             return
-        decision = policy.decide(now_ms, self._demands, present, layout)
+        pace = policy.Pace(self._group.pass_ms(now_ms), self._members.gap_target_ms)
+        decision = policy.decide(now_ms, self._demands, present, layout, pace)
         if decision is None:
             return
         self._start(now_ms, own, present, decision, layout)
@@ -271,6 +272,8 @@
             skew_before=round(found.skew_before, 3),
             skew_after=round(found.skew_after, 3),
             copies=found.copies,
+            window_ms=round(decision.window_ms),
+            pass_ms=round(self._group.pass_ms(now_ms), 1),
             planned_ms=round(clock_ms() - now_ms, 1),
         )
 
@@ -284,6 +287,8 @@
         self._group.used_step = max(self._group.used_step, change.step)
         if change.outcome is not None:
             self._change = None
+            if change.outcome is changes.Outcome.SWITCHED and change.map:
+                self._group.switched = (change.version, change.map)
             events.emit(
                 log,
                 events.CHANGE_ENDED,
@@ -291,7 +296,7 @@
                 step=change.step,
                 outcome=change.outcome.value,
                 took_ms=round(now_ms - change.began_ms),
-                prepared_ms=round(change.prepared_ms - change.began_ms),
+                prepared_ms=round(max(0.0, change.prepared_ms - change.began_ms)),
             )
 
     def _send_errand(self, change: changes.Change, errand: changes.Errand) -> None:
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -1,5 +1,6 @@
 """What an agent knows of its group, and who plans the group's maps."""
 
+import collections
 import dataclasses
 import typing as t
 
@@ -11,6 +12,8 @@
 SETTLE_STEPS: t.Final = 8
 """Passes after an agent's start before it begins a change: orders that a process before
 it gave may be for passes up to there."""
+PASSES_MS: t.Final = 600.0
+"""Time over which the length of a pass is taken."""
 VERSION_DRAW_BITS: t.Final = 16
 RANK_BITS: t.Final = 12
 
@@ -29,14 +32,20 @@
 
     :param first_step: last pass begun when this agent first saw the epoch.
     :param used_step: highest pass that a change of this agent was for.
+    :param passes: time and last pass begun of the latest reads of the own rank.
+    :param switched: version and map that a change of this agent ended with.
     """
 
     own: RankView | None = None
     first_step: int = 0
     used_step: int = 0
+    switched: tuple[int, ExpertMap] | None = None
     members: dict[int, Member] = dataclasses.field(default_factory=dict)
+    passes: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
-    def see(self, view: RankView) -> bool:
+    def see(self, now_ms: float, view: RankView) -> bool:
         """Take in the own rank's state; return whether its group formed anew."""
         own = self.own
         is_new = own is None or (own.group, own.epoch) != (view.group, view.epoch)
@@ -44,7 +53,12 @@
         if is_new:
             self.first_step = view.step
             self.used_step = view.step
+            self.switched = None
             self.members.clear()
+            self.passes.clear()
+        self.passes.append((now_ms, view.step))
+        while now_ms - self.passes[0][0] > PASSES_MS:
+            self.passes.popleft()
         return is_new
 
     def hear(self, now_ms: float, beat: Beat) -> None:
@@ -68,6 +82,14 @@
             if now_ms - member.heard_ms < ALIVE_MS
         }
 
+    def pass_ms(self, now_ms: float) -> float:
+        """Return how long a pass took lately, on average; 0 while there were none."""
+        if not self.passes:
+            return 0.0
+        first_ms, first = self.passes[0]
+        begun = self.passes[-1][1] - first
+        return (now_ms - first_ms) / begun if begun else 0.0
+
     def leader(self, now_ms: float) -> int | None:
         """Return the rank whose agent plans maps: the lowest one that lives."""
         own = self.own
@@ -76,11 +98,16 @@
         return min([*self.alive(now_ms), own.rank])
 
     def present_map(self, now_ms: float) -> ExpertMap | None:
-        """Return the map in use, if all ranks are heard and tell of the same one."""
+        """Return the map in use, if all ranks are heard and tell of the same one.
+
+        What this agent switched the group to is known as soon as its rank uses it.
+        """
         own = self.own
         beats = self.alive(now_ms)
         if own is None or len(beats) < own.size:
             return None
+        if self.switched is not None and self.switched[0] == own.map_version:
+            return self.switched[1]
         if len({beat.view.map_version for beat in beats.values()}) != 1:
             return None
         rows = [beats[rank].rows for rank in range(own.size)]
@@ -93,10 +120,11 @@
         own = self.own
         if own is None or not own.is_open:
             return False
-        if own.step < self.first_step + SETTLE_STEPS:
+        # The pass of the last change must have begun here, so that it is over.
+        if own.step < max(self.first_step + SETTLE_STEPS, self.used_step):
             return False
         views = [beat.view for beat in self.alive(now_ms).values()]
-        return all(view.armed is None and view.held is None for view in [*views, own])
+        return not any(_is_in_change(view, own.step) for view in [*views, own])
 
     def new_version(self, draw: int) -> int:
         """Return a version above all that are known, which nobody else makes.
@@ -112,3 +140,9 @@
         bits = RANK_BITS + VERSION_DRAW_BITS
         turn = (highest >> bits) + 1
         return (turn << bits) | (own.rank << VERSION_DRAW_BITS) | draw
+
+
+def _is_in_change(view: RankView, step: int) -> bool:
+    """Return whether a rank waits for a pass after ``step``."""
+    is_armed = view.armed is not None and view.armed.step > step
+    return is_armed or (view.held is not None and view.held > step)
--- a/src/dotterelplank/ranks/participant.py
+++ b/src/dotterelplank/ranks/participant.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import logging
 import typing as t
 
@@ -45,11 +46,16 @@
 
 async def _prepare(rank: Rank, view: RankView, task: Prepare) -> RankView:
     order = PrepareMap(view.epoch, task.version, task.map)
-    view = await _give(rank, view, order, lambda one: _may_prepare(one, task.version))
-    polls = 0
-    while view.armed is None and _highest_prepared(view) < task.version:
-        polls += 1
-        if polls > COPY_POLLS or view.epoch != order.epoch:
+    given = await _give(rank, view, order, lambda one: _may_prepare(one, task.version))
+    if not given.is_accepted:
+        return given.view
+    return await _copied(rank, given.view, task.version)
+
+
+async def _copied(rank: Rank, view: RankView, version: int) -> RankView:
+    """Wait until the rank has copied what a map needs, for a bounded time."""
+    for _ in range(COPY_POLLS):
+        if view.armed is not None or _highest_prepared(view) >= version:
             break
         await asyncio.sleep(COPY_POLL_MS / 1000)
         view = await rank.view()
@@ -58,19 +64,21 @@
 
 async def _hold(rank: Rank, view: RankView, task: Hold) -> RankView:
     order = HoldStep(view.epoch, task.step)
-    return await _give(
+    given = await _give(
         rank, view, order, lambda one: one.held is None and one.step < task.step
     )
+    return given.view
 
 
 async def _arm(rank: Rank, view: RankView, task: Arm) -> RankView:
     order = ArmMap(view.epoch, task.version, task.step)
-    return await _give(
+    given = await _give(
         rank,
         view,
         order,
         lambda one: one.prepared == task.version and one.armed is None,
     )
+    return given.view
 
 
 async def _void(rank: Rank, view: RankView, task: Void) -> RankView:
@@ -79,20 +87,30 @@
         if armed.version not in task.dead:
             return view
         disarm = DisarmMap(view.epoch, armed.version)
-        view = await _give(rank, view, disarm, lambda one: one.armed == armed)
+        view = (await _give(rank, view, disarm, lambda one: one.armed == armed)).view
     order = PrepareMap(view.epoch, task.version, task.map)
-    return await _give(rank, view, order, lambda one: _may_prepare(one, task.version))
+    given = await _give(rank, view, order, lambda one: _may_prepare(one, task.version))
+    return given.view
 
 
 async def _release(rank: Rank, view: RankView, task: Release) -> RankView:
     order = ReleaseStep(view.epoch, task.step)
-    return await _give(rank, view, order, lambda one: one.held == task.step)
+    given = await _give(rank, view, order, lambda one: one.held == task.step)
+    return given.view
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Given:
+    """What became of an order, and the rank as it is then."""
+
+    view: RankView
+    is_accepted: bool
 
 
 async def _give(
     rank: Rank, view: RankView, order: Order, is_due: t.Callable[[RankView], bool]
-) -> RankView:
-    """Give an order, again if it got no answer, and return the rank as it is then.
+) -> _Given:
+    """Give an order, again if it got no answer.
 
     :param view: the rank as it was read before.
     :param is_due: whether the order is still to be given, as the rank is.
@@ -100,33 +118,32 @@
     for _ in range(ORDER_TRIES):
         if not is_due(view) or view.epoch != order.epoch:
             break
-        is_answered = await _give_once(rank, order)
+        is_accepted = await _give_once(rank, order)
         view = await rank.view()
-        if is_answered:
-            break
-    return view
+        if is_accepted is not None:
+            return _Given(view, is_accepted)
+    return _Given(view, False)
 
 
-async def _give_once(rank: Rank, order: Order) -> bool:
-    """Give an order; return whether it was answered."""
-    outcome = "unanswered"
+async def _give_once(rank: Rank, order: Order) -> bool | None:
+    """Give an order; return whether it was accepted, or none if it got no answer."""
+    is_accepted = None
     why = None
     try:
-        outcome = "accepted" if await rank.give(order) else "refused"
+        is_accepted = await rank.give(order)
     except UpstreamError as error:
         why = str(error)
-    is_answered = why is None
     events.emit(
         log,
-        events.ORDER_GIVEN if is_answered else events.ORDER_UNANSWERED,
+        events.ORDER_UNANSWERED if is_accepted is None else events.ORDER_GIVEN,
         order=type(order).__name__,
         epoch=order.epoch,
         version=getattr(order, "version", None),
         step=getattr(order, "step", None),
-        outcome=outcome,
+        is_accepted=is_accepted,
         why=why,
     )
-    return is_answered
+    return is_accepted
 
 
 def _may_prepare(view: RankView, version: int) -> bool:
--- a/src/dotterelplank/ranks/policy.py
+++ b/src/dotterelplank/ranks/policy.py
@@ -8,13 +8,12 @@
 from .planning import Plan, Room, plan
 from .views import ExpertMap
 
-WINDOW_MS: t.Final = 350.0
-"""Long enough to tell the mix from noise, short against the time between shifts."""
 LEAST_COUNTS_PER_EXPERT: t.Final = 20.0
 """Below this a window is too thin to plan from."""
-LEAST_SKEW: t.Final = 1.12
-LEAST_FALL: t.Final = 0.06
-"""Fall of the skew below which a change doesn't earn its cost."""
+URGENT_FALL: t.Final = 0.05
+"""Fall of the skew that earns a change when passes take as long as they may."""
+IDLE_FALL: t.Final = 0.35
+"""Fall of the skew that earns a change however short passes are."""
 COPIES_PER_CHANGE: t.Final = 2
 """Most experts that are new on a rank, over all layers: copies take turns."""
 
@@ -24,24 +23,47 @@
     """A change that earns its cost.
 
     :param copy_ms: time that the copies of the slowest rank take.
+    :param window_ms: time whose demand it answers.
     """
 
     plan: Plan
     copy_ms: float
+    window_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How long passes take, and may take.
+
+    :param pass_ms: length of a pass lately; 0 if there was none.
+    :param target_ms: longest pause between two events that is on time.
+    """
+
+    pass_ms: float
+    target_ms: float
 
 
 def decide(
-    now_ms: float, demands: Demands, present: ExpertMap, layout: ExpertLayout
+    now_ms: float,
+    demands: Demands,
+    present: ExpertMap,
+    layout: ExpertLayout,
+    pace: Pace,
 ) -> Decision | None:
     """Return the change that the group should make now, if any."""
-    demand = demands.window(now_ms, WINDOW_MS, layout.layers, layout.experts)
-    counted = sum(map(sum, demand))
-    if counted < LEAST_COUNTS_PER_EXPERT * layout.layers * layout.experts:
+    window = demands.since_shift(now_ms, layout.layers, layout.experts)
+    if window.choices < LEAST_COUNTS_PER_EXPERT * layout.layers * layout.experts:
         return None
     room = Room(layout.places, layout.spare, COPIES_PER_CHANGE)
-    found = plan(demand, present, room)
-    if found is None or found.skew_before < LEAST_SKEW:
-        return None
-    if found.skew_before - found.skew_after < LEAST_FALL:
+    found = plan(window.demand, present, room)
+    if found is None or found.skew_before - found.skew_after < least_fall(pace):
         return None
-    return Decision(found, found.copies * layout.copy_ms)
+    return Decision(found, found.copies * layout.copy_ms, window.span_ms)
+
+
+def least_fall(pace: Pace) -> float:
+    """Return the fall of the skew that earns a change: less, the longer passes take."""
+    if not pace.target_ms:
+        return IDLE_FALL
+    slack = max(0.0, 1.0 - pace.pass_ms / pace.target_ms)
+    return URGENT_FALL + slack * (IDLE_FALL - URGENT_FALL)
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -226,7 +226,7 @@
     def _drive(self, agent: Agent) -> None:
         if agent.frozen_until_ms > self.now_ms:
             return
-        if agent.group.see(self.ranks[agent.rank].view()):
+        if agent.group.see(self.now_ms, self.ranks[agent.rank].view()):
             agent.change = None
         for other in self.ranks:
             beat = Beat(str(other.rank), "s", 1, int(self.now_ms), other.view(), [[0]])
