Let one call alone show whether a broken group is back

One call now tries, others are refused at once until its answer begins. Tried and taken back: calls that wait up to 1.6 s for an outage to end before they are refused. Conclusion: the single trial is kept.

--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -52,12 +52,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unusable:
-    """There is no endpoint that could be asked.
-
-    :param retry_after_ms: when one may be usable again.
-    """
-
-    retry_after_ms: float
+    """There is no endpoint that could be asked: the call is refused at once."""
 
 
 Answer = Admit | Full | Unusable
@@ -86,9 +81,7 @@
         if one.id not in ask.tried and not _avoided_ms(now_ms, one, loads)
     ]
     if not usable:
-        pauses = [_avoided_ms(now_ms, one, loads) for one in listed]
-        soonest = min((pause for pause in pauses if pause), default=0.0)
-        return Unusable(max(soonest, LEAST_RETRY_AFTER_MS))
+        return Unusable()
     free = [one for one in usable if loads.of(one.id) < one.slots]
     if not free:
         return Full(expected_wait_ms(ask.service, usable, loads, waiting))
@@ -137,11 +130,16 @@
     return loads.of(endpoint.id) / endpoint.slots, endpoint.domain != domain
 
 
-def _avoided_ms(now_ms: float, endpoint: Endpoint, loads: Loads) -> float:
-    own_ms = loads.avoided_for_ms(now_ms, endpoint.id)
+def avoided_names(endpoint: Endpoint) -> t.Sequence[str]:
+    """Return the names under which an endpoint may be avoided: its own, its group's."""
     if endpoint.place is None:
-        return own_ms
-    return max(own_ms, loads.avoided_for_ms(now_ms, group_name(endpoint)))
+        return (endpoint.id,)
+    return (endpoint.id, group_name(endpoint))
+
+
+def _avoided_ms(now_ms: float, endpoint: Endpoint, loads: Loads) -> float:
+    names = avoided_names(endpoint)
+    return max(loads.avoided_for_ms(now_ms, name) for name in names)
 
 
 def group_name(endpoint: Endpoint) -> str:
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -11,6 +11,7 @@
 from .. import events
 from ..errors import ProtocolError, SettingsError
 from ..http1.server import Call, Exchange, Intake, Server
+from ..loops import keep_going
 from . import peers as peering
 from .board import Board, waiting
 from .feed import COPY_PATH, Feed
@@ -85,8 +86,9 @@
                 incarnation=self._incarnation,
                 domain=self.board.host.domain,
             )
-            for work in (self._feed.follow(), self._tick()):
-                stack.callback(loop.create_task(work).cancel)
+            for work in (self._feed.follow, self._tick):
+                going = keep_going(work.__name__, work)
+                stack.callback(loop.create_task(going).cancel)
             await self._stop.wait()
             await self._drain()
         self._feed.close()
@@ -172,6 +174,7 @@
         leave_ms = self.board.host.bounds.leave_ms
         if self.board.directory.expire(now_ms, leave_ms):
             self._on_published()
+        self._forwarder.admit_waiting()
 
     def _on_published(self) -> None:
         endpoints = self.board.directory.endpoints.values()
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -199,21 +199,30 @@
             try:
                 ending = await self._send(one, endpoint)
             finally:
-                self._board.loads.end(endpoint.id)
-                self._on_load()
-                self.admit_waiting()
+                self._end_place(endpoint)
             now_ms = self._clock()
             if isinstance(ending, Answered):
                 self._board.loads.held(one.service, now_ms - begun_ms)
-                self._board.loads.succeeded(endpoint.id)
-                if endpoint.place is not None:
-                    self._board.loads.succeeded(admission.group_name(endpoint))
                 return results.DONE
             one.history.note(endpoint.id, ending)
             self._judge(now_ms, one, endpoint, ending)
             if not self._may_repeat(now_ms, one):
                 return self._give_up(one, is_over=False)
 
+    def _end_place(self, endpoint: Endpoint) -> None:
+        loads = self._board.loads
+        loads.end(endpoint.id)
+        for name in admission.avoided_names(endpoint):
+            loads.end_trial(name)
+        self._on_load()
+        self.admit_waiting()
+
+    def _trust(self, endpoint: Endpoint) -> None:
+        """Send calls to an endpoint that has begun to answer one, and to its group."""
+        for name in admission.avoided_names(endpoint):
+            self._board.loads.succeeded(name)
+        self.admit_waiting()
+
     def _may_repeat(self, now_ms: float, one: Handling) -> bool:
         if not may_send_again(one.history, one.route):
             return False
@@ -253,22 +262,20 @@
         """Return an endpoint whose place is counted as taken, or ``None``."""
         now_ms = self._clock()
         left_ms = one.deadline_ms - now_ms
+        route = one.route
         line = self._board.line_of(one.service)
         ahead = line.ahead_of(one.priority, one.arrived_ms)
-        if not ahead:
-            answer = self._choose(now_ms, one.service, frozenset(one.history.tried))
-            if isinstance(answer, admission.Admit):
-                self._take(answer.endpoint)
-                return answer.endpoint
-            if isinstance(answer, admission.Unusable):
-                return None
-            wait_ms = answer.wait_ms
-        else:
-            usable = self._board.directory.of_service(one.service)
-            wait_ms = admission.expected_wait_ms(
-                one.service, usable, self._board.loads, ahead
-            )
-        longest_ms = admission.longest_wait_ms(one.route.goal_ms, left_ms)
+        answer = self._choose(now_ms, one.service, frozenset(one.history.tried))
+        if isinstance(answer, admission.Unusable):
+            return None
+        if isinstance(answer, admission.Admit) and not ahead:
+            self._take(answer.endpoint)
+            return answer.endpoint
+        longest_ms = admission.longest_wait_ms(route.goal_ms, left_ms)
+        usable = self._board.directory.of_service(one.service)
+        wait_ms = admission.expected_wait_ms(
+            one.service, usable, self._board.loads, ahead
+        )
         if wait_ms > longest_ms:
             return None
         return await self._wait_in(line, one, longest_ms)
@@ -294,7 +301,7 @@
             return admitted.result() if admitted.done() else None
         except asyncio.CancelledError:
             if admitted.done():
-                self._board.loads.end(admitted.result().id)
+                self._end_place(admitted.result())
             raise
         finally:
             line.leave(waiting)
@@ -308,7 +315,10 @@
         return answer.endpoint
 
     def _take(self, endpoint: Endpoint) -> None:
-        self._board.loads.begin(endpoint.id)
+        loads = self._board.loads
+        loads.begin(endpoint.id)
+        for name in admission.avoided_names(endpoint):
+            loads.try_again(name)
 
     def _choose(
         self, now_ms: float, service: str, tried: frozenset[str]
@@ -340,7 +350,7 @@
             budget = self._board.budget_of(one.service)
             count_first(self._clock(), budget, self._board.policy)
         try:
-            ending = await self._relay(one, connection)
+            ending = await self._relay(one, endpoint, connection)
         except UpstreamError as error:
             ending = Lost(one.exchange.has_begun, str(error))
         except BaseException:
@@ -365,7 +375,9 @@
         )
         return Request(one.call.method, one.call.target, headers, one.call.body)
 
-    async def _relay(self, one: Handling, connection: EndpointConnection) -> Ending:
+    async def _relay(
+        self, one: Handling, endpoint: Endpoint, connection: EndpointConnection
+    ) -> Ending:
         head = await connection.head()
         said = wire.read_answer(head.status, head.headers)
         while said.id is not None and said.id != one.said.id:
@@ -382,6 +394,8 @@
         is_success = 200 <= head.status < 300
         if is_success and not said.has_proof:
             return Lost(one.exchange.has_begun, "a success without proof")
+        if is_success:
+            self._trust(endpoint)
         if one.route.kind is Kind.STREAMING and is_success:
             return await self._relay_stream(one, head, connection)
         return await self._relay_whole(one, head, connection, said.has_proof)
--- a/src/dotterelplank/gateway/loads.py
+++ b/src/dotterelplank/gateway/loads.py
@@ -7,7 +7,9 @@
 SILENT_PEER_MS: t.Final = 1_500.0
 """After this silence a peer's calls no longer count."""
 AVOID_FIRST_MS: t.Final = 200.0
-AVOID_LONGEST_MS: t.Final = 3_000.0
+AVOID_LONGEST_MS: t.Final = 1_000.0
+TRIAL_MS: t.Final = 50.0
+"""How long others wait for the call that shows whether an endpoint is back."""
 FULL_MS: t.Final = 40.0
 """How long an endpoint that said it is full is passed over."""
 SMOOTHING: t.Final = 0.1
@@ -32,10 +34,13 @@
 
     :param failures: failures in a row.
     :param until_ms: time up to which nothing is sent there.
+    :param is_tried: whether one call is on its way there after that time; until it is
+        answered no other is sent.
     """
 
     failures: int = 0
     until_ms: float = 0.0
+    is_tried: bool = False
 
 
 @dataclasses.dataclass
@@ -100,6 +105,7 @@
     def failed(self, now_ms: float, name: str) -> float:
         """Avoid an endpoint or group, longer each time; return for how long."""
         avoided = self.avoided.setdefault(name, Avoided())
+        avoided.is_tried = False
         if now_ms >= avoided.until_ms:
             avoided.failures += 1
             pause_ms = AVOID_FIRST_MS * 2 ** (avoided.failures - 1)
@@ -111,6 +117,18 @@
         avoided = self.avoided.setdefault(name, Avoided())
         avoided.until_ms = max(avoided.until_ms, now_ms + FULL_MS)
 
+    def try_again(self, name: str) -> None:
+        """Note that a call is about to show whether an endpoint or group is back."""
+        avoided = self.avoided.get(name)
+        if avoided is not None and avoided.failures:
+            avoided.is_tried = True
+
+    def end_trial(self, name: str) -> None:
+        """Note that such a call has ended without showing it."""
+        avoided = self.avoided.get(name)
+        if avoided is not None:
+            avoided.is_tried = False
+
     def succeeded(self, name: str) -> None:
         """Trust an endpoint or group again."""
         self.avoided.pop(name, None)
@@ -118,7 +136,11 @@
     def avoided_for_ms(self, now_ms: float, name: str) -> float:
         """Return for how much longer an endpoint or group is avoided."""
         avoided = self.avoided.get(name)
-        return 0.0 if avoided is None else max(0.0, avoided.until_ms - now_ms)
+        if avoided is None:
+            return 0.0
+        if avoided.is_tried:
+            return max(TRIAL_MS, avoided.until_ms - now_ms)
+        return max(0.0, avoided.until_ms - now_ms)
 
     def _forget(self, peer: str) -> None:
         earlier = self.peers.pop(peer, None)
--- /dev/null
+++ b/src/dotterelplank/loops.py
@@ -0,0 +1,22 @@
+"""Work that goes on for as long as a process lives, whatever fault it meets."""
+
+import asyncio
+import logging
+import typing as t
+
+from . import events
+
+RESTART_PAUSE_S: t.Final = 0.5
+
+log = logging.getLogger(__name__)
+
+
+async def keep_going(name: str, work: t.Callable[[], t.Awaitable[None]]) -> None:
+    """Run ``work`` until cancelled; begin it again after a fault of this program."""
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            events.emit(log, events.HANDLER_FAILED, what=name, why=repr(error))
+            log.exception("a fault ended %s", name)
+        await asyncio.sleep(RESTART_PAUSE_S)
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -12,6 +12,7 @@
 from ..errors import ProtocolError, UpstreamError
 from ..gateway.host import Address, HostSettings
 from ..gateway.tables import ExpertLayout
+from ..loops import keep_going
 from ..platform.members import Members, read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
@@ -88,8 +89,9 @@
                 incarnation=self._incarnation,
                 domain=self._host.domain,
             )
-            for work in (self._sample(), self._turn(), self._look_up()):
-                stack.callback(loop.create_task(work).cancel)
+            for work in (self._sample, self._turn, self._look_up):
+                going = keep_going(work.__name__, work)
+                stack.callback(loop.create_task(going).cancel)
             await self._stop.wait()
             events.emit(
                 log, events.PROCESS_STOPPING, in_change=self._change is not None
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -116,6 +116,22 @@
         loads.failed(NOW_MS, admission.group_name(endpoint("e1", place=place)))
         self.assertIsInstance(self._choose(found, loads), admission.Unusable)
 
+    def test_one_call_alone_shows_whether_a_group_is_back(self):
+        place = GroupPlace("g", 1, 0, 2, True)
+        one, other = endpoint("e1", place=place), endpoint("e2", place=place)
+        found, loads = directory(one, other), Loads()
+        group = admission.group_name(one)
+        paused_ms = loads.failed(NOW_MS, group)
+        late_ms = NOW_MS + paused_ms
+        first = admission.choose(late_ms, ask(), found, loads, "a", 0)
+        self.assertIsInstance(first, admission.Admit)
+        loads.try_again(group)
+        second = admission.choose(late_ms, ask(), found, loads, "a", 0)
+        self.assertEqual(admission.Unusable(), second)
+        loads.succeeded(group)
+        third = admission.choose(late_ms, ask(), found, loads, "a", 0)
+        self.assertIsInstance(third, admission.Admit)
+
     def test_calls_of_silent_peers_count_no_more(self):
         loads = Loads()
         loads.hear("peer", PeerLoad({"e1": 2}, {"drafts": 3}, NOW_MS))
--- /dev/null
+++ b/tests/test_logsink.py
@@ -0,0 +1,34 @@
+import logging
+import os
+
+import testtools
+
+from dotterelplank import logsink
+
+
+class BoundedHandlerTests(testtools.TestCase):
+    def _handler(self):
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        os.set_blocking(writing, False)
+        return logsink.BoundedHandler(writing), reading
+
+    def _emit(self, handler, text):
+        handler.emit(logging.LogRecord("x", logging.INFO, "", 0, text, None, None))
+
+    def test_lines_come_out_in_order_once_flushed(self):
+        handler, reading = self._handler()
+        self._emit(handler, "one")
+        self._emit(handler, "two")
+        handler.flush()
+        self.assertEqual(b"one\ntwo\n", os.read(reading, 100))
+
+    def test_a_reader_that_is_too_slow_costs_lines_and_no_time(self):
+        handler, reading = self._handler()
+        for _ in range(logsink.LINES_HELD + 7):
+            self._emit(handler, "x" * 500)
+        handler.flush()
+        self.assertEqual(7, handler.take_dropped())
+        self.assertEqual(0, handler.take_dropped())
+        self.assertEqual(b"x" * 500 + b"\n", os.read(reading, 501))
--- /dev/null
+++ b/tests/test_loops.py
@@ -0,0 +1,26 @@
+import asyncio
+
+import testtools
+
+from dotterelplank import loops
+
+
+class LoopTests(testtools.TestCase):
+    def test_work_that_met_a_fault_goes_on(self):
+        self.patch(loops, "RESTART_PAUSE_S", 0.0)
+        starts = []
+
+        async def work():
+            starts.append(1)
+            if len(starts) < 3:
+                raise KeyError("a fault")
+            await asyncio.sleep(60)
+
+        async def run():
+            task = asyncio.create_task(loops.keep_going("work", work))
+            while len(starts) < 3:
+                await asyncio.sleep(0)
+            task.cancel()
+
+        asyncio.run(run())
+        self.assertEqual(3, len(starts))
