Give the sending of calls, a call on its way and datagrams modules of their own

The handling of a call was a file of over 500 lines; the clock and the datagram handler stood twice; two settings had no user. Nothing else changes.

--- a/src/dotterelplank/gateway/attempts.py
+++ b/src/dotterelplank/gateway/attempts.py
@@ -12,6 +12,8 @@
 
 CONNECTS_PER_CALL: t.Final = 4
 """Endpoints that are tried in vain before a call is refused."""
+LEAST_LEFT_MS: t.Final = 5.0
+"""Below this a call isn't sent any more."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -9,9 +9,11 @@
 import typing as t
 
 from .. import events
+from ..clocks import boottime_ms
 from ..errors import ProtocolError, SettingsError
 from ..http1.server import Call, Exchange, Intake, Server
 from ..loops import keep_going
+from ..packets import DatagramHandler
 from . import peers as peering
 from .board import Board, waiting
 from .feed import COPY_PATH, Feed
@@ -34,11 +36,6 @@
 DEFAULT_INTAKE: t.Final = Intake(16_384, 1_048_576, 3.0, 15.0)
 
 
-def clock_ms() -> float:
-    """Return milliseconds that go on while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
-
-
 class Entry:
     """An entry on its event loop.
 
@@ -61,10 +58,10 @@
         self._beat_timer: asyncio.TimerHandle | None = None
         self._peers = peering.Peers(host.ip)
         self._forwarder = Forwarder(
-            self.board, clock_ms, self.metrics, self._on_load_changed
+            self.board, boottime_ms, self.metrics, self._on_load_changed
         )
         self._feed = Feed(
-            self.board, self._peers, clock_ms, self.metrics, self._on_published
+            self.board, self._peers, boottime_ms, self.metrics, self._on_published
         )
         self._callers = Server(self._forwarder.handle, self._intake, self._on_refused)
         self._pages = Server(self._page, lambda: DEFAULT_INTAKE, self._on_refused)
@@ -92,7 +89,7 @@
             await self._stop.wait()
             await self._drain()
         self._feed.close()
-        self._forwarder.close()
+        self._forwarder.sender.close()
         events.emit(log, events.PROCESS_STOPPED, role="entry")
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
@@ -113,7 +110,7 @@
             )
             stack.callback(listener.close)
         transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(self._on_datagram),
+            lambda: DatagramHandler(self._on_datagram),
             local_addr=(host.ip, host.peer_port),
         )
         self._datagrams = t.cast(asyncio.DatagramTransport, transport)
@@ -121,7 +118,7 @@
 
     async def _drain(self) -> None:
         """Answer what is in progress, within the bound on a stop."""
-        began_ms = clock_ms()
+        began_ms = boottime_ms()
         self.board.is_stopping = True
         self._callers.stop()
         self._beat()
@@ -129,7 +126,7 @@
             log, events.PROCESS_STOPPING, in_progress=self._callers.in_progress()
         )
         bound_ms = self.board.host.bounds.stop_ms - STOP_MARGIN_MS
-        while (spent_ms := clock_ms() - began_ms) < bound_ms:
+        while (spent_ms := boottime_ms() - began_ms) < bound_ms:
             if spent_ms >= min(BALANCER_NOTICE_MS, bound_ms / 2):
                 # What would begin now might not end before the bound.
                 self.board.is_closed = True
@@ -144,11 +141,11 @@
 
     async def _tick(self) -> None:
         """Let time pass: beats, silent peers, lapsed entries, changed settings."""
-        last_ms = clock_ms()
+        last_ms = boottime_ms()
         checked_ms = last_ms
         while True:
             await asyncio.sleep(TICK_MS / 1000)
-            now_ms = clock_ms()
+            now_ms = boottime_ms()
             if now_ms - last_ms > PAUSE_NOTICED_MS:
                 events.emit(
                     log, events.PAUSE_NOTICED, paused_ms=round(now_ms - last_ms)
@@ -178,7 +175,9 @@
 
     def _on_published(self) -> None:
         endpoints = self.board.directory.endpoints.values()
-        self._forwarder.forget_pools({(one.id, one.started_ms) for one in endpoints})
+        self._forwarder.sender.keep_only(
+            {(one.id, one.started_ms) for one in endpoints}
+        )
         self._beat()
         self._forwarder.admit_waiting()
 
@@ -186,7 +185,7 @@
         """Tell peers soon; several changes go out as one beat."""
         if self._beat_timer is not None:
             return
-        due_ms = max(0.0, self._beat_ms + peering.BEAT_SPACING_MS - clock_ms())
+        due_ms = max(0.0, self._beat_ms + peering.BEAT_SPACING_MS - boottime_ms())
         loop = asyncio.get_running_loop()
         self._beat_timer = loop.call_later(due_ms / 1000, self._beat)
 
@@ -196,7 +195,7 @@
             self._beat_timer = None
         if self._datagrams is None:
             return
-        now_ms = clock_ms()
+        now_ms = boottime_ms()
         self._beat_ms = now_ms
         self._beats += 1
         board, host = self.board, self.board.host
@@ -225,7 +224,7 @@
         return self.board.random.sample(known, peering.PEERS_PER_BEAT)
 
     def _on_datagram(self, data: bytes) -> None:
-        now_ms = clock_ms()
+        now_ms = boottime_ms()
         try:
             beat = peering.CODEC.decode(data)
         except ProtocolError as error:
@@ -294,17 +293,3 @@
         if host != self.board.host:
             self.board.host = host
             events.emit(log, events.SETTINGS_RELOADED, seeds=len(host.seeds))
-
-
-class _Datagrams(asyncio.DatagramProtocol):
-    """Hands each datagram on."""
-
-    def __init__(self, on_datagram: t.Callable[[bytes], None]) -> None:
-        self._on_datagram = on_datagram
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take one datagram."""
-        self._on_datagram(data)
-
-    def error_received(self, exc: Exception) -> None:
-        """Pass over an unreachable peer; its silence is what counts."""
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -3,74 +3,35 @@
 """
 
 import asyncio
-import dataclasses
 import logging
 import typing as t
 
 from .. import events, results
-from ..errors import RequestError, UpstreamError
-from ..http1.client import EndpointConnection, Head, Pool, Request, connect
-from ..http1.messages import Headers, end_to_end, header
+from ..errors import RequestError
+from ..http1.messages import header
 from ..http1.server import Call, Exchange
 from ..platform import headers as wire
 from . import admission, lines
 from .attempts import (
+    LEAST_LEFT_MS,
     Answered,
-    Ending,
-    History,
     Lost,
     NotRun,
     final_result,
     may_send_again,
 )
 from .board import Board, directory_age_ms
-from .budget import count_first, take_repeat
+from .budget import take_repeat
 from .directory import Endpoint
+from .handling import Handling
 from .metrics import EntryMetrics
-from .streams import EventCursor
-from .tables import Kind, Route, Team, pick_target
+from .sender import Sender
+from .tables import pick_target
 
 log = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_MS: t.Final = 300.0
-ANSWER_BOUND_BYTES: t.Final = 1024 * 1024
-"""Answers up to this size are held until they are whole."""
-REUSE_IDLE_MS: t.Final = 8_000.0
-REUSE_IDLE_ONCE_MS: t.Final = 1_000.0
-"""How long a connection may have been idle before a call that may run only once."""
 ELSEWHERE_MS: t.Final = 100.0
 """When a caller is to come back that another entry can serve."""
-_UNAVAILABLE: t.Final = 503
-LEAST_LEFT_MS: t.Final = 5.0
-"""Below this a call isn't sent any more."""
-
-
-@dataclasses.dataclass
-class Handling:
-    """One call on its way.
-
-    :param deadline_ms: when the caller, or the route, stops waiting.
-    """
-
-    call: Call
-    exchange: Exchange
-    said: wire.CallHeaders
-    route: Route
-    service: str
-    team: Team | None
-    arrived_ms: float
-    deadline_ms: float
-    history: History = dataclasses.field(default_factory=History)
-    waited_ms: float = 0.0
-    first_ms: float | None = None
-    cursor: EventCursor = dataclasses.field(default_factory=EventCursor)
-    endpoint: str = ""
-
-    @property
-    def priority(self) -> tuple[int, ...]:
-        """The team's priority, then the route's."""
-        team = self.team.priority if self.team is not None else None
-        return (self.route.priority if team is None else team, self.route.priority)
 
 
 class Forwarder:
@@ -91,7 +52,7 @@
         self._clock = clock
         self._metrics = metrics
         self._on_load = on_load
-        self._pools: dict[tuple[str, int], Pool] = {}
+        self.sender = Sender(board, clock, metrics, self._trust)
         self._numbers = 0
 
     async def handle(self, call: Call, exchange: Exchange) -> None:
@@ -118,11 +79,6 @@
             if line.waiting:
                 lines.admit(line, lambda one, name=service: self._find(name, one))
 
-    def close(self) -> None:
-        """Close the idle connections to endpoints."""
-        for pool in self._pools.values():
-            pool.close()
-
     def _admit_call(
         self, now_ms: float, call: Call, exchange: Exchange
     ) -> Handling | None:
@@ -197,7 +153,7 @@
             one.endpoint = endpoint.id
             begun_ms = self._clock()
             try:
-                ending = await self._send(one, endpoint)
+                ending = await self.sender.send(one, endpoint)
             finally:
                 self._end_place(endpoint)
             now_ms = self._clock()
@@ -330,126 +286,6 @@
             now_ms, ask, board.directory, board.loads, board.host.domain, waiting
         )
 
-    async def _send(self, one: Handling, endpoint: Endpoint) -> Ending:
-        """Send the call to ``endpoint`` and pass its answer on."""
-        pool = self._pool(endpoint)
-        is_once = not one.route.is_idempotent
-        idle_ms = REUSE_IDLE_ONCE_MS if is_once else REUSE_IDLE_MS
-        connection = pool.take(self._clock(), idle_ms)
-        try:
-            if connection is None:
-                self._metrics.count_connection(endpoint.service)
-                connection = await connect(
-                    endpoint.ip, endpoint.port, CONNECT_TIMEOUT_MS / 1000
-                )
-            connection.send(self._request(one, endpoint))
-            one.history.is_open = True
-        except UpstreamError as error:
-            return NotRun(False, str(error))
-        if not one.history.arrivals:
-            budget = self._board.budget_of(one.service)
-            count_first(self._clock(), budget, self._board.policy)
-        try:
-            ending = await self._relay(one, endpoint, connection)
-        except UpstreamError as error:
-            ending = Lost(one.exchange.has_begun, str(error))
-        except BaseException:
-            connection.close()
-            raise
-        if isinstance(ending, Lost):
-            connection.close()
-        else:
-            pool.give_back(self._clock(), connection)
-        return ending
-
-    def _request(self, one: Handling, endpoint: Endpoint) -> Request:
-        resume_after = one.cursor.last_id
-        if resume_after is None:
-            resume_after = one.said.resume_after
-        headers = wire.forwarded(
-            end_to_end(one.call.headers),
-            left_ms=one.deadline_ms - self._clock(),
-            endpoint_id=endpoint.id,
-            team=None if one.team is None else one.team.name,
-            resume_after=resume_after,
-        )
-        return Request(one.call.method, one.call.target, headers, one.call.body)
-
-    async def _relay(
-        self, one: Handling, endpoint: Endpoint, connection: EndpointConnection
-    ) -> Ending:
-        head = await connection.head()
-        said = wire.read_answer(head.status, head.headers)
-        while said.id is not None and said.id != one.said.id:
-            self._metrics.count_stray()
-            await connection.skip_answer()
-            head = await connection.head()
-            said = wire.read_answer(head.status, head.headers)
-        if said.not_run and head.status >= 400:
-            await _read_rest(connection)
-            # A rank that can't go on for want of another names that one.
-            is_group = said.at_fault is not None and head.status == _UNAVAILABLE
-            why = f"refused with {head.status}, at {said.at_fault}"
-            return NotRun(True, why, is_group)
-        is_success = 200 <= head.status < 300
-        if is_success and not said.has_proof:
-            return Lost(one.exchange.has_begun, "a success without proof")
-        if is_success:
-            self._trust(endpoint)
-        if one.route.kind is Kind.STREAMING and is_success:
-            return await self._relay_stream(one, head, connection)
-        return await self._relay_whole(one, head, connection, said.has_proof)
-
-    async def _relay_whole(
-        self,
-        one: Handling,
-        head: Head,
-        connection: EndpointConnection,
-        has_proof: bool,
-    ) -> Ending:
-        parts = bytearray()
-        while (part := await connection.body_part()) is not None:
-            parts += part
-            if len(parts) > ANSWER_BOUND_BYTES:
-                return Lost(False, "the answer is over the bound")
-        is_failure = head.status >= 500
-        if is_failure and one.route.is_idempotent and self._is_worth_repeating(one):
-            return Lost(one.exchange.has_begun, f"failed with {head.status}")
-        if one.exchange.has_begun:
-            return Lost(True, f"can't go on after {head.status}")
-        if not has_proof and not is_failure:
-            return Lost(False, f"{head.status} without proof")
-        one.first_ms = self._clock() - one.arrived_ms
-        one.exchange.answer(head.status, _answer_headers(head.headers), bytes(parts))
-        return Answered(head.status)
-
-    def _is_worth_repeating(self, one: Handling) -> bool:
-        left_ms = one.deadline_ms - self._clock()
-        sends_after = one.history.arrivals + 1
-        return left_ms > LEAST_LEFT_MS and sends_after < one.route.attempts
-
-    async def _relay_stream(
-        self, one: Handling, head: Head, connection: EndpointConnection
-    ) -> Ending:
-        exchange = one.exchange
-        one.cursor.rest = b""
-        if not exchange.has_begun:
-            exchange.begin(head.status, _answer_headers(head.headers), None)
-        while (part := await connection.body_part()) is not None:
-            whole = one.cursor.feed(part)
-            if not whole:
-                continue
-            now_ms = self._clock()
-            if one.first_ms is None:
-                one.first_ms = now_ms - one.arrived_ms
-                self._metrics.first_event.observe(one.first_ms)
-            exchange.send(whole)
-            await exchange.drain()
-        if one.cursor.rest:
-            return Lost(True, "the stream ended inside an event")
-        exchange.finish()
-        return Answered(head.status)
-
     def _give_up(self, one: Handling, *, is_over: bool) -> results.Result:
         result = final_result(one.history, is_over=is_over)
         if one.exchange.has_begun:
@@ -502,28 +338,6 @@
             directory_age_ms=round(directory_age_ms(now_ms, board)),
         )
 
-    def _pool(self, endpoint: Endpoint) -> Pool:
-        key = (endpoint.id, endpoint.started_ms)
-        pool = self._pools.get(key)
-        if pool is None:
-            pool = self._pools[key] = Pool(endpoint.ip, endpoint.port)
-        return pool
-
-    def forget_pools(self, present: t.Collection[tuple[str, int]]) -> None:
-        """Close the idle connections to endpoints that aren't listed any more."""
-        for key in list(self._pools):
-            if key not in present:
-                self._pools.pop(key).close()
-
-
-async def _read_rest(connection: EndpointConnection) -> None:
-    while await connection.body_part() is not None:
-        pass
-
-
-def _answer_headers(headers: Headers) -> Headers:
-    return end_to_end(headers)
-
 
 def _id_of(handling: Handling | None) -> str | None:
     return None if handling is None else handling.said.id.decode("latin-1")
--- a/src/dotterelplank/gateway/host.py
+++ b/src/dotterelplank/gateway/host.py
@@ -19,7 +19,6 @@
     """The times and shares that the users ask for.
 
     :param stop_ms: time from the signal to stop until the process is killed.
-    :param reached_ms: calm time after which a host counts as connected again.
     :param leave_ms: time in which a server that leaves must get nothing new.
     :param retry_ratio: repeated sends over first ones, summed over all hosts.
     :param retry_window_ms: window in which they are counted.
@@ -27,7 +26,6 @@
     """
 
     stop_ms: float
-    reached_ms: float
     leave_ms: float
     retry_ratio: float
     retry_window_ms: float
@@ -56,7 +54,6 @@
     service: str | None
     store: Address
     bounds: Bounds
-    memory_bytes: int
 
     @property
     def peer_port(self) -> int:
--- a/src/dotterelplank/packets.py
+++ b/src/dotterelplank/packets.py
@@ -1,5 +1,6 @@
 """Datagrams that hold one of a few kinds of typed message each."""
 
+import asyncio
 import dataclasses
 import typing as t
 
@@ -43,3 +44,17 @@
             return self._adapters[number].validate_python(dict(zip(fields, values)))
         except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
             raise ProtocolError(f"no known message: {error}") from error
+
+
+class DatagramHandler(asyncio.DatagramProtocol):
+    """Hands each datagram on."""
+
+    def __init__(self, on_datagram: t.Callable[[bytes], None]) -> None:
+        self._on_datagram = on_datagram
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take one datagram."""
+        self._on_datagram(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over an unreachable peer; its silence is what counts."""
--- a/src/dotterelplank/platform/settings.py
+++ b/src/dotterelplank/platform/settings.py
@@ -16,14 +16,8 @@
     ready: str | None = None
 
 
-class _Limits(pydantic.BaseModel):
-    memory_mb: float = pydantic.Field(gt=0)
-
-
 class _Bounds(pydantic.BaseModel):
     grace_s: float = pydantic.Field(gt=0)
-    # The calm span after a disturbance, not how steady a host is.
-    stable_ms: float = pydantic.Field(gt=0)
     # For servers that leave; how long they go on serving at least.
     drain_ms: float = pydantic.Field(gt=0)
     retry_ratio: float = pydantic.Field(ge=0)
@@ -43,7 +37,6 @@
     listen: _Listen
     port_range: tuple[int, int]
     seed_nodes: list[str] = []
-    limits: _Limits
     bounds: _Bounds
     # The metadata store, not the whole platform.
     platform: _Store
@@ -76,13 +69,11 @@
         store=address("platform.address", found.platform.address),
         bounds=Bounds(
             stop_ms=found.bounds.grace_s * 1000,
-            reached_ms=found.bounds.stable_ms,
             leave_ms=found.bounds.drain_ms,
             retry_ratio=found.bounds.retry_ratio,
             retry_window_ms=found.bounds.retry_window_s * 1000,
             retry_burst=found.bounds.retry_burst,
         ),
-        memory_bytes=int(found.limits.memory_mb * 1_000_000),
     )
 
 
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -9,10 +9,12 @@
 import typing as t
 
 from .. import events
+from ..clocks import boottime_ms
 from ..errors import ProtocolError, UpstreamError
 from ..gateway.host import Address, HostSettings
 from ..gateway.tables import ExpertLayout
 from ..loops import keep_going
+from ..packets import DatagramHandler
 from ..platform.members import Members, read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
@@ -36,11 +38,6 @@
 DIRECT_TIMEOUT_MS: t.Final = 200.0
 
 
-def clock_ms() -> float:
-    """Return milliseconds that go on while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
-
-
 class Agent:
     """An agent on its event loop."""
 
@@ -58,7 +55,7 @@
         self._beat_ms = 0.0
         self._looked_ms = 0.0
         self._lookup_ms = LOOKUP_INTERVAL_MS
-        self._heard_ms = clock_ms()
+        self._heard_ms = boottime_ms()
         self._is_lost = False
         self._leader: int | None = None
         self._held_since_ms: float | None = None
@@ -77,7 +74,7 @@
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
         async with contextlib.AsyncExitStack() as stack:
             transport, _ = await loop.create_datagram_endpoint(
-                lambda: _Datagrams(self._on_datagram),
+                lambda: DatagramHandler(self._on_datagram),
                 local_addr=(self._host.ip, self._host.peer_port),
             )
             self._datagrams = t.cast(asyncio.DatagramTransport, transport)
@@ -103,25 +100,25 @@
 
     async def _finish_change(self) -> None:
         """Let a change in progress come to its end, within the bound on a stop."""
-        bound_ms = clock_ms() + self._host.bounds.stop_ms / 2
-        while self._change is not None and clock_ms() < bound_ms:
+        bound_ms = boottime_ms() + self._host.bounds.stop_ms / 2
+        while self._change is not None and boottime_ms() < bound_ms:
             await asyncio.sleep(TURN_MS / 1000)
 
     async def _sample(self) -> None:
         """Read the rank regularly, and tell the leader of its counts."""
         while True:
-            began_ms = clock_ms()
+            began_ms = boottime_ms()
             try:
                 await self._read_rank()
             except UpstreamError as error:
                 self._note_silence(str(error))
-            spent_ms = clock_ms() - began_ms
+            spent_ms = boottime_ms() - began_ms
             pause_ms = max(SAMPLE_INTERVAL_MS - spent_ms, SAMPLE_INTERVAL_MS / 4)
             await asyncio.sleep(pause_ms / 1000)
 
     async def _read_rank(self) -> None:
         view = await self._rank.view()
-        now_ms = clock_ms()
+        now_ms = boottime_ms()
         self._take_view(now_ms, view)
         if now_ms - self._beat_ms >= BEAT_INTERVAL_MS:
             await self._beat(view)
@@ -194,7 +191,7 @@
         )
 
     def _note_silence(self, why: str) -> None:
-        silent_ms = clock_ms() - self._heard_ms
+        silent_ms = boottime_ms() - self._heard_ms
         if not self._is_lost and silent_ms > LOST_MS:
             self._is_lost = True
             events.emit(log, events.RANK_LOST, silent_ms=round(silent_ms), why=why)
@@ -205,7 +202,7 @@
         epoch, version, rows = self._rows
         if (epoch, version) != (view.epoch, view.map_version):
             return
-        now_ms = clock_ms()
+        now_ms = boottime_ms()
         self._beat_ms = now_ms
         self._numbers += 1
         beat = messages.Beat(
@@ -225,7 +222,7 @@
         """Begin changes, and let the one in progress go on."""
         while True:
             await asyncio.sleep(TURN_MS / 1000)
-            now_ms = clock_ms()
+            now_ms = boottime_ms()
             if self._change is None:
                 self._begin_change(now_ms)
             self._advance()
@@ -276,14 +273,14 @@
             copies=found.copies,
             window_ms=round(decision.window_ms),
             pass_ms=round(self._group.pass_ms(now_ms), 1),
-            planned_ms=round(clock_ms() - now_ms, 1),
+            planned_ms=round(boottime_ms() - now_ms, 1),
         )
 
     def _advance(self) -> None:
         change = self._change
         if change is None:
             return
-        now_ms = clock_ms()
+        now_ms = boottime_ms()
         for errand in changes.advance(now_ms, change):
             self._send_errand(change, errand)
         self._group.used_step = max(self._group.used_step, change.step)
@@ -337,7 +334,7 @@
 
     def _hear(self, change: changes.Change, view: RankView) -> None:
         if change is self._change:
-            changes.hear(clock_ms(), change, view)
+            changes.hear(boottime_ms(), change, view)
             self._advance()
 
     def _on_datagram(self, data: bytes) -> None:
@@ -346,7 +343,7 @@
         except ProtocolError as error:
             events.emit(log, events.FRAME_REFUSED, why=str(error))
             return
-        now_ms = clock_ms()
+        now_ms = boottime_ms()
         match message:
             case messages.Beat():
                 if message.service == self._host.service:
@@ -401,7 +398,7 @@
         own = self._group.own
         if own is None or self._members.layout is None:
             return True
-        return len(self._group.alive(clock_ms())) < own.size
+        return len(self._group.alive(boottime_ms())) < own.size
 
     async def _read_members(self) -> None:
         try:
@@ -421,17 +418,3 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-class _Datagrams(asyncio.DatagramProtocol):
-    """Hands each datagram on."""
-
-    def __init__(self, on_datagram: t.Callable[[bytes], None]) -> None:
-        self._on_datagram = on_datagram
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take one datagram."""
-        self._on_datagram(data)
-
-    def error_received(self, exc: Exception) -> None:
-        """Pass over an unreachable peer; its silence is what counts."""
