Clear up a pass that is held for an agent that is silent

A pass held at a rank was released only by that rank's own agent. Now the lowest agent that lives looks at the ranks of silent agents once no pass has begun for 0.7 s though there is work, and clears the hold up, speaking to those ranks directly.

--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -32,6 +32,7 @@
 """How often a change in progress is looked at, besides at each reply."""
 FORGOTTEN_HOLD_MS: t.Final = 400.0
 """How long a pass may be held without a change known here."""
+STALL_CHECK_MS: t.Final = 200.0
 LOST_MS: t.Final = 500.0
 LOOKUP_INTERVAL_MS: t.Final = 1_000.0
 LONGEST_LOOKUP_INTERVAL_MS: t.Final = 8_000.0
@@ -86,7 +87,7 @@
                 incarnation=self._incarnation,
                 domain=self._host.domain,
             )
-            for work in (self._sample, self._turn, self._look_up):
+            for work in (self._sample, self._turn, self._look_up, self._watch_stall):
                 going = keep_going(work.__name__, work)
                 stack.callback(loop.create_task(going).cancel)
             await self._stop.wait()
@@ -169,26 +170,58 @@
             self._held_since_ms = now_ms
         if self._change is not None or now_ms - self._held_since_ms < FORGOTTEN_HOLD_MS:
             return
-        present = self._group.present_map(now_ms)
+        self._take_over(now_ms, view.rank, view.held)
+
+    def _take_over(self, now_ms: float, holder: int, step: int) -> None:
+        """Clear up a pass that a rank holds, whoever had it held."""
+        own = t.cast(RankView, self._group.own)
+        present = self._group.present_map()
         if present is None:
             return
         draw = self._random.getrandbits(VERSION_DRAW_BITS)
-        self._group.used_step = max(self._group.used_step, view.held)
+        self._group.used_step = max(self._group.used_step, step)
         self._change = changes.take_over(
             now_ms,
-            view.epoch,
-            view.size,
-            view.rank,
-            view.held,
+            own.epoch,
+            own.size,
+            holder,
+            step,
             self._group.new_version(draw),
             present,
         )
-        events.emit(
-            log,
-            events.CHANGE_TAKEN_OVER,
-            step=view.held,
-            held_ms=round(now_ms - self._held_since_ms),
-        )
+        events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
+
+    async def _watch_stall(self) -> None:
+        """Look for a pass held at a rank whose agent is silent, and clear it up."""
+        while True:
+            await asyncio.sleep(STALL_CHECK_MS / 1000)
+            now_ms = boottime_ms()
+            own = self._group.own
+            if own is None or self._change is not None:
+                continue
+            if not self._group.is_stalled(now_ms):
+                continue
+            if self._group.leader(now_ms) != own.rank:
+                continue
+            await self._look_for_hold(own)
+
+    async def _look_for_hold(self, own: RankView) -> None:
+        alive = self._group.alive(boottime_ms())
+        for rank, place in sorted(self._members.ranks.items()):
+            if rank in alive:
+                continue
+            client = RankClient(place, DIRECT_TIMEOUT_MS)
+            try:
+                view = await client.view()
+            except UpstreamError as error:
+                events.emit(log, events.RANK_LOST, rank=rank, why=str(error))
+                continue
+            finally:
+                client.close()
+            is_held = view.held is not None and view.held > view.step
+            if is_held and view.epoch == own.epoch and self._change is None:
+                self._take_over(boottime_ms(), rank, t.cast(int, view.held))
+                return
 
     def _note_silence(self, why: str) -> None:
         silent_ms = boottime_ms() - self._heard_ms
@@ -304,7 +337,8 @@
             self._spawn(self._carry_out_here(change, errand.task))
             return
         member = self._group.members.get(errand.rank)
-        if errand.is_direct or member is None:
+        is_silent = errand.rank not in self._group.alive(boottime_ms())
+        if errand.is_direct or member is None or is_silent:
             self._spawn(self._carry_out_there(change, errand))
             return
         self._numbers += 1
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -12,6 +12,8 @@
 SETTLE_STEPS: t.Final = 8
 """Passes after an agent's start before it begins a change: orders that a process before
 it gave may be for passes up to there."""
+STALLED_MS: t.Final = 700.0
+"""Longer than any pass that isn't held or waiting for a lost rank."""
 PASSES_MS: t.Final = 600.0
 """Time over which the length of a pass is taken."""
 VERSION_DRAW_BITS: t.Final = 16
@@ -32,6 +34,7 @@
 
     :param first_step: last pass begun when this agent first saw the epoch.
     :param used_step: highest pass that a change of this agent was for.
+    :param moved_ms: when a pass was last seen to have begun, or there was no work.
     :param passes: time and last pass begun of the latest reads of the own rank.
     :param switched: version and map that a change of this agent ended with.
     """
@@ -40,6 +43,7 @@
     first_step: int = 0
     used_step: int = 0
     switched: tuple[int, ExpertMap] | None = None
+    moved_ms: float = 0.0
     members: dict[int, Member] = dataclasses.field(default_factory=dict)
     passes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=collections.deque
@@ -49,6 +53,8 @@
         """Take in the own rank's state; return whether its group formed anew."""
         own = self.own
         is_new = own is None or (own.group, own.epoch) != (view.group, view.epoch)
+        if is_new or own.step != view.step or not view.active:
+            self.moved_ms = now_ms
         self.own = view
         if is_new:
             self.first_step = view.step
@@ -97,28 +103,39 @@
             return None
         return min([*self.alive(now_ms), own.rank])
 
-    def present_map(self, now_ms: float) -> ExpertMap | None:
-        """Return the map in use, if all ranks are heard and tell of the same one.
+    def present_map(self) -> ExpertMap | None:
+        """Return the map in use, if each rank's part of it is known.
 
+        What a rank told of a version holds for good, so silent agents don't matter.
         What this agent switched the group to is known as soon as its rank uses it.
         """
         own = self.own
-        beats = self.alive(now_ms)
-        if own is None or len(beats) < own.size:
+        if own is None:
             return None
         if self.switched is not None and self.switched[0] == own.map_version:
             return self.switched[1]
-        if len({beat.view.map_version for beat in beats.values()}) != 1:
+        rows = [
+            member.beat.rows
+            for rank, member in sorted(self.members.items())
+            if member.beat.view.map_version == own.map_version
+        ]
+        if len(rows) < own.size or not rows[0]:
             return None
-        rows = [beats[rank].rows for rank in range(own.size)]
-        if any(len(row) != len(rows[0]) for row in rows) or not rows[0]:
+        if any(len(row) != len(rows[0]) for row in rows):
             return None
         return [[row[layer] for row in rows] for layer in range(len(rows[0]))]
 
+    def is_stalled(self, now_ms: float) -> bool:
+        """Return whether there is work, but no pass has begun for long."""
+        own = self.own
+        if own is None or not own.is_open or not own.active:
+            return False
+        return now_ms - self.moved_ms > STALLED_MS
+
     def is_calm(self, now_ms: float) -> bool:
         """Return whether a change may begin: nobody is in the middle of one."""
         own = self.own
-        if own is None or not own.is_open:
+        if own is None or not own.is_open or len(self.alive(now_ms)) < own.size:
             return False
         # The pass of the last change must have begun here, so that it is over.
         if own.step < max(self.first_step + SETTLE_STEPS, self.used_step):
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -148,6 +148,7 @@
     switches: int = 0
     voids: int = 0
     takeovers: int = 0
+    rescues: int = 0
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
@@ -256,6 +257,8 @@
                 self.now_ms, own.epoch, own.size, own.rank, own.held, version, MAP
             )
             self.takeovers += 1
+        elif agent.group.is_stalled(self.now_ms) and self.random.random() < 0.3:
+            self._rescue(agent, version)
         elif agent.rank >= self.planners:
             return
         elif agent.group.is_calm(self.now_ms) and self.random.random() < 0.3:
@@ -264,6 +267,23 @@
                 self.now_ms, own, version, MAP, MAP, 10.0, least_step
             )
 
+    def _rescue(self, agent: Agent, version: int) -> None:
+        """Let an agent clear up a pass that another rank holds."""
+        for rank in self.ranks:
+            if rank.held is not None and rank.held > rank.step:
+                agent.group.used_step = max(agent.group.used_step, rank.held)
+                agent.change = changes.take_over(
+                    self.now_ms,
+                    rank.epoch,
+                    rank.size,
+                    rank.rank,
+                    rank.held,
+                    version,
+                    MAP,
+                )
+                self.rescues += 1
+                return
+
     def _kill(self, agent: Agent) -> None:
         """Replace an agent; what it had sent to its own rank may still be running."""
         self.agents[agent.rank] = Agent(agent.rank)
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -120,6 +120,17 @@
         self.assertGreater(world.takeovers, 0)
         self.assertGreater(world.switches, 10)
 
+    def test_a_pass_held_for_a_frozen_agent_is_cleared_up_by_another(self):
+        world = self._world(seed=3, late=0.0, lost=0.0, deaths=0.0, planners=1)
+        while world.ranks[0].held is None:
+            world.turn()
+        world.agents[0].frozen_until_ms = world.now_ms + 60_000
+        step = world.ranks[0].step
+        world.run(1_000)
+        self.assertGreater(world.rescues, 0)
+        self.assertGreater(world.ranks[0].step, step + 20)
+        self.assertLess(world.now_ms, world.agents[0].frozen_until_ms)
+
     @settings(max_examples=15, deadline=None, derandomize=True)
     @given(
         seed=st.integers(0, 2**32),
--- a/tests/test_ranks_planning.py
+++ b/tests/test_ranks_planning.py
@@ -143,6 +143,9 @@
     def test_a_new_agent_waits_for_passes_before_it_begins(self):
         group = Group()
         group.see(0.0, self._view(0, step=50))
+        for rank in range(2):
+            beat = Beat(f"ip{rank}", "s", 1, 1, self._view(rank), [[0]])
+            group.hear(0.0, beat)
         self.assertFalse(group.is_calm(0.0))
         group.see(0.0, self._view(0, step=58))
         self.assertTrue(group.is_calm(0.0))
@@ -160,9 +163,22 @@
 
     def test_the_map_is_known_only_once_all_ranks_tell_the_same(self):
         same = self._group(self._view(0), self._view(1))
-        self.assertEqual([[[0], [0]]], same.present_map(0.0))
+        self.assertEqual([[[0], [0]]], same.present_map())
         apart = self._group(self._view(0), self._view(1, map_version=3))
-        self.assertIsNone(apart.present_map(0.0))
+        self.assertIsNone(apart.present_map())
+
+    def test_the_map_is_known_while_an_agent_is_silent(self):
+        group = self._group(self._view(0), self._view(1))
+        self.assertEqual({}, group.alive(60_000.0))
+        self.assertEqual([[[0], [0]]], group.present_map())
+        self.assertFalse(group.is_calm(60_000.0))
+
+    def test_a_group_with_work_that_makes_no_pass_is_stalled(self):
+        group = self._group(self._view(0), self._view(1))
+        self.assertFalse(group.is_stalled(100.0))
+        self.assertTrue(group.is_stalled(5_000.0))
+        group.see(5_000.0, self._view(0, active=0))
+        self.assertFalse(group.is_stalled(5_100.0))
 
     def test_no_two_agents_make_one_version(self):
         group = self._group(self._view(0), self._view(1, prepared=7 << 40))
