--- a/src/dotterelplank/gateway/board.py
+++ b/src/dotterelplank/gateway/board.py
@@ -4,7 +4,7 @@
 import random
 import typing as t
 
-from . import budget, lines
+from . import budget, queues
 from .directory import Directory
 from .host import HostSettings
 from .loads import Loads
@@ -29,7 +29,7 @@
     directory: Directory = dataclasses.field(default_factory=Directory)
     loads: Loads = dataclasses.field(default_factory=Loads)
     budgets: dict[str, budget.Budget] = dataclasses.field(default_factory=dict)
-    line_by_service: dict[str, lines.Line] = dataclasses.field(default_factory=dict)
+    queue_by_service: dict[str, queues.Queue] = dataclasses.field(default_factory=dict)
     entries: int = 1
     is_stopping: bool = False
     is_closed: bool = False
@@ -46,9 +46,9 @@
         """Return the budget for repeated sends to ``service``."""
         return self.budgets.setdefault(service, budget.Budget())
 
-    def line_of(self, service: str) -> lines.Line:
+    def queue_of(self, service: str) -> queues.Queue:
         """Return the calls that wait for a place at ``service``."""
-        return self.line_by_service.setdefault(service, lines.Line())
+        return self.queue_by_service.setdefault(service, queues.Queue())
 
     def is_ready(self) -> bool:
         """Return whether callers should be sent here."""
@@ -65,7 +65,7 @@
 def waiting(board: Board) -> t.Mapping[str, int]:
     """Return how many calls wait, by service; services with none left out."""
     return {
-        service: len(line.waiting)
-        for service, line in board.line_by_service.items()
-        if line.waiting
+        service: len(queue.waiting)
+        for service, queue in board.queue_by_service.items()
+        if queue.waiting
     }
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -53,9 +53,9 @@
         self.board = Board(host, random.Random())
         self.metrics = EntryMetrics()
         self._incarnation = time.time_ns() // 1_000_000
-        self._beats = 0
-        self._beat_ms = 0.0
-        self._beat_timer: asyncio.TimerHandle | None = None
+        self._heartbeats = 0
+        self._heartbeat_ms = 0.0
+        self._heartbeat_timer: asyncio.TimerHandle | None = None
         self._peers = peering.Peers(host.ip)
         self._forwarder = Forwarder(
             self.board, boottime_ms, self.metrics, self._on_load_changed
@@ -121,7 +121,7 @@
         began_ms = boottime_ms()
         self.board.is_stopping = True
         self._callers.stop()
-        self._beat()
+        self._heartbeat()
         events.emit(
             log, events.PROCESS_STOPPING, in_progress=self._callers.in_progress()
         )
@@ -140,7 +140,7 @@
         await asyncio.sleep(TICK_MS / 1000)
 
     async def _tick(self) -> None:
-        """Let time pass: beats, silent peers, lapsed entries, changed settings."""
+        """Let time pass: heartbeats, silent peers, lapsed entries, changed settings."""
         last_ms = boottime_ms()
         checked_ms = last_ms
         while True:
@@ -152,8 +152,8 @@
                 )
             last_ms = now_ms
             self._expire(now_ms)
-            if now_ms - self._beat_ms >= peering.BEAT_INTERVAL_MS:
-                self._beat()
+            if now_ms - self._heartbeat_ms >= peering.HEARTBEAT_INTERVAL_MS:
+                self._heartbeat()
             if now_ms - checked_ms >= SETTINGS_CHECK_MS:
                 checked_ms = now_ms
                 self._reload_settings()
@@ -163,7 +163,7 @@
             events.emit(
                 log,
                 events.PEER_LOST,
-                peer=peer.beat.name,
+                peer=peer.heartbeat.name,
                 silent_ms=round(now_ms - peer.heard_ms),
             )
         self.board.loads.expire(now_ms)
@@ -178,34 +178,36 @@
         self._forwarder.sender.keep_only(
             {(one.id, one.started_ms) for one in endpoints}
         )
-        self._beat()
+        self._heartbeat()
         self._forwarder.admit_waiting()
 
     def _on_load_changed(self) -> None:
-        """Tell peers soon; several changes go out as one beat."""
-        if self._beat_timer is not None:
+        """Tell peers soon; several changes go out as one heartbeat."""
+        if self._heartbeat_timer is not None:
             return
-        due_ms = max(0.0, self._beat_ms + peering.BEAT_SPACING_MS - boottime_ms())
+        due_ms = max(
+            0.0, self._heartbeat_ms + peering.HEARTBEAT_SPACING_MS - boottime_ms()
+        )
         loop = asyncio.get_running_loop()
-        self._beat_timer = loop.call_later(due_ms / 1000, self._beat)
+        self._heartbeat_timer = loop.call_later(due_ms / 1000, self._heartbeat)
 
-    def _beat(self) -> None:
-        if self._beat_timer is not None:
-            self._beat_timer.cancel()
-            self._beat_timer = None
+    def _heartbeat(self) -> None:
+        if self._heartbeat_timer is not None:
+            self._heartbeat_timer.cancel()
+            self._heartbeat_timer = None
         if self._datagrams is None:
             return
         now_ms = boottime_ms()
-        self._beat_ms = now_ms
-        self._beats += 1
+        self._heartbeat_ms = now_ms
+        self._heartbeats += 1
         board, host = self.board, self.board.host
         data = peering.CODEC.encode(
-            peering.Beat(
+            peering.Heartbeat(
                 name=host.name,
                 ip=host.ip,
                 domain=host.domain,
                 incarnation=self._incarnation,
-                number=self._beats,
+                number=self._heartbeats,
                 table_version=board.table.version if board.table else 0,
                 directory_revision=board.directory.revision,
                 in_flight=dict(board.loads.own),
@@ -219,31 +221,33 @@
 
     def _peers_to_tell(self) -> list[str]:
         known = list(self._peers.by_ip)
-        if len(known) <= peering.PEERS_PER_BEAT:
+        if len(known) <= peering.PEERS_PER_HEARTBEAT:
             return known
-        return self.board.random.sample(known, peering.PEERS_PER_BEAT)
+        return self.board.random.sample(known, peering.PEERS_PER_HEARTBEAT)
 
     def _on_datagram(self, data: bytes) -> None:
         now_ms = boottime_ms()
         try:
-            beat = peering.CODEC.decode(data)
+            heartbeat = peering.CODEC.decode(data)
         except ProtocolError as error:
             events.emit(log, events.FRAME_REFUSED, why=str(error))
             return
-        known = self._peers.by_ip.get(beat.ip)
-        if not self._peers.hear(now_ms, beat):
+        known = self._peers.by_ip.get(heartbeat.ip)
+        if not self._peers.hear(now_ms, heartbeat):
             return
         if known is None or not known.is_counted:
             events.emit(
                 log,
                 events.PEER_FOUND,
-                peer=beat.name,
-                incarnation=beat.incarnation,
-                table_version=beat.table_version,
+                peer=heartbeat.name,
+                incarnation=heartbeat.incarnation,
+                table_version=heartbeat.table_version,
             )
-        load = PeerLoad(beat.in_flight, beat.waiting, now_ms)
-        self.board.loads.hear(beat.ip, load)
-        self._feed.hear(beat.ip, beat.table_version, beat.directory_revision)
+        load = PeerLoad(heartbeat.in_flight, heartbeat.waiting, now_ms)
+        self.board.loads.hear(heartbeat.ip, load)
+        self._feed.hear(
+            heartbeat.ip, heartbeat.table_version, heartbeat.directory_revision
+        )
         self._forwarder.admit_waiting()
 
     async def _page(self, call: Call, exchange: Exchange) -> None:
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -119,9 +119,9 @@
         """Return whether this entry is one of those that look often."""
         host = self._board.host
         names = [
-            peer.beat.name
+            peer.heartbeat.name
             for peer in self._peers.counted()
-            if peer.beat.domain == host.domain
+            if peer.heartbeat.domain == host.domain
         ]
         return host.name in sorted([*names, host.name])[:READERS_PER_DOMAIN]
 
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -11,7 +11,7 @@
 from ..http1.messages import header
 from ..http1.server import Call, Exchange
 from ..platform import headers as wire
-from . import admission, lines
+from . import admission, queues
 from .attempts import (
     LEAST_LEFT_MS,
     Answered,
@@ -75,9 +75,9 @@
 
     def admit_waiting(self) -> None:
         """Give places that became free to calls that wait."""
-        for service, line in self._board.line_by_service.items():
-            if line.waiting:
-                lines.admit(line, lambda one, name=service: self._find(name, one))
+        for service, queue in self._board.queue_by_service.items():
+            if queue.waiting:
+                queues.admit(queue, lambda one, name=service: self._find(name, one))
 
     def _admit_call(
         self, now_ms: float, call: Call, exchange: Exchange
@@ -219,8 +219,8 @@
         now_ms = self._clock()
         left_ms = one.deadline_ms - now_ms
         route = one.route
-        line = self._board.line_of(one.service)
-        ahead = line.ahead_of(one.priority, one.arrived_ms)
+        queue = self._board.queue_of(one.service)
+        ahead = queue.ahead_of(one.priority, one.arrived_ms)
         answer = self._choose(now_ms, one.service, frozenset(one.history.tried))
         if isinstance(answer, admission.Unusable):
             return None
@@ -234,22 +234,22 @@
         )
         if wait_ms > longest_ms:
             return None
-        return await self._wait_in(line, one, longest_ms)
+        return await self._wait_in(queue, one, longest_ms)
 
     async def _wait_in(
-        self, line: lines.Line, one: Handling, longest_ms: float
+        self, queue: queues.Queue, one: Handling, longest_ms: float
     ) -> Endpoint | None:
         began_ms = self._clock()
         admitted = asyncio.get_running_loop().create_future()
         self._numbers += 1
-        waiting = lines.Waiting(
+        waiting = queues.Waiting(
             one.priority,
             one.arrived_ms,
             self._numbers,
             frozenset(one.history.tried),
             admitted.set_result,
         )
-        line.join(waiting)
+        queue.join(waiting)
         try:
             async with asyncio.timeout(longest_ms / 1000):
                 return await asyncio.shield(admitted)
@@ -260,10 +260,10 @@
                 self._end_place(admitted.result())
             raise
         finally:
-            line.leave(waiting)
+            queue.leave(waiting)
             one.waited_ms += self._clock() - began_ms
 
-    def _find(self, service: str, waiting: lines.Waiting) -> Endpoint | None:
+    def _find(self, service: str, waiting: queues.Waiting) -> Endpoint | None:
         answer = self._choose(self._clock(), service, waiting.tried)
         if not isinstance(answer, admission.Admit):
             return None
@@ -281,7 +281,7 @@
     ) -> admission.Answer:
         board = self._board
         ask = admission.Ask(service, tried, board.random.random())
-        waiting = len(board.line_of(service).waiting)
+        waiting = len(board.queue_of(service).waiting)
         return admission.choose(
             now_ms, ask, board.directory, board.loads, board.host.domain, waiting
         )
@@ -307,7 +307,7 @@
         if isinstance(answer, admission.Unusable):
             return admission.return_after_outage_ms(left_ms, draw) / 1000
         usable = board.directory.of_service(one.service)
-        ahead = len(board.line_of(one.service).waiting)
+        ahead = len(board.queue_of(one.service).waiting)
         wait_ms = admission.expected_wait_ms(one.service, usable, board.loads, ahead)
         return admission.retry_after_ms(wait_ms, left_ms, draw) / 1000
 
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -1,6 +1,6 @@
 """What entries tell each other: their load, and how new what they hold is.
 
-A beat goes out regularly, and at once when the load changes, so that entries which
+A heartbeat goes out regularly, and at once when the load changes, so that entries which
 choose among the same endpoints know of each other's calls within milliseconds.
 """
 
@@ -11,23 +11,23 @@
 
 from ..packets import Codec
 
-BEAT_INTERVAL_MS: t.Final = 250.0
-BEAT_SPACING_MS: t.Final = 8.0
-"""Shortest time between two beats."""
+HEARTBEAT_INTERVAL_MS: t.Final = 250.0
+HEARTBEAT_SPACING_MS: t.Final = 8.0
+"""Shortest time between two heartbeats."""
 SILENT_MS: t.Final = 1_500.0
 """After this silence a peer isn't counted any more."""
 FORGOTTEN_MS: t.Final = 30_000.0
-"""How long a silent peer is still sent beats, as a cut may have ended."""
-SILENT_BEAT_INTERVAL_MS: t.Final = 1_000.0
-PEERS_PER_BEAT: t.Final = 16
+"""How long a silent peer is still sent heartbeats, as a cut may have ended."""
+SILENT_HEARTBEAT_INTERVAL_MS: t.Final = 1_000.0
+PEERS_PER_HEARTBEAT: t.Final = 16
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """What an entry tells its peers.
 
     :param incarnation: rises with each start of the process.
-    :param number: rises with each beat.
+    :param number: rises with each heartbeat.
     :param table_version: version of the routing table in force; 0: none.
     :param directory_revision: revision up to which the list of endpoints is known.
     :param in_flight: calls at each endpoint.
@@ -48,14 +48,14 @@
     is_leaving: bool
 
 
-CODEC: t.Final = Codec(Beat)
+CODEC: t.Final = Codec(Heartbeat)
 
 
 @dataclasses.dataclass(slots=True)
 class Peer:
     """Another entry."""
 
-    beat: Beat
+    heartbeat: Heartbeat
     heard_ms: float
     is_counted: bool = True
 
@@ -72,17 +72,17 @@
     told: dict[str, float] = dataclasses.field(default_factory=dict)
     sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
-    def hear(self, now_ms: float, beat: Beat) -> bool:
-        """Take in a beat; return whether it is newer than what was known."""
-        if beat.ip == self.own_ip:
+    def hear(self, now_ms: float, heartbeat: Heartbeat) -> bool:
+        """Take in a heartbeat; return whether it is newer than what was known."""
+        if heartbeat.ip == self.own_ip:
             return False
-        known = self.by_ip.get(beat.ip)
+        known = self.by_ip.get(heartbeat.ip)
         if known is not None:
-            order = (known.beat.incarnation, known.beat.number)
-            if (beat.incarnation, beat.number) <= order:
+            order = (known.heartbeat.incarnation, known.heartbeat.number)
+            if (heartbeat.incarnation, heartbeat.number) <= order:
                 return False
-        self.by_ip[beat.ip] = Peer(beat, now_ms)
-        for ip in beat.peers:
+        self.by_ip[heartbeat.ip] = Peer(heartbeat, now_ms)
+        for ip in heartbeat.peers:
             if ip != self.own_ip:
                 self.told.setdefault(ip, now_ms)
         return True
@@ -107,21 +107,21 @@
         return [
             peer
             for peer in self.by_ip.values()
-            if peer.is_counted and not peer.beat.is_leaving
+            if peer.is_counted and not peer.heartbeat.is_leaving
         ]
 
     def destinations(self, now_ms: float, seeds: t.Sequence[str]) -> t.Sequence[str]:
-        """Return the addresses that a beat goes to now.
+        """Return the addresses that a heartbeat goes to now.
 
-        Live peers get every beat; seeds and silent ones get one now and then.
+        Live peers get every heartbeat; seeds and silent ones get one now and then.
         """
         live = {ip for ip, peer in self.by_ip.items() if peer.is_counted}
         others = {*seeds, *self.told, *self.by_ip} - live - {self.own_ip}
         due = [
             ip
             for ip in others
-            if now_ms - self.sent_ms.get(ip, -SILENT_BEAT_INTERVAL_MS)
-            >= SILENT_BEAT_INTERVAL_MS
+            if now_ms - self.sent_ms.get(ip, -SILENT_HEARTBEAT_INTERVAL_MS)
+            >= SILENT_HEARTBEAT_INTERVAL_MS
         ]
         for ip in due:
             self.sent_ms[ip] = now_ms
--- a/src/dotterelplank/gateway/lines.py
+++ b/src/dotterelplank/gateway/queues.py
@@ -25,13 +25,13 @@
 
 
 @dataclasses.dataclass
-class Line:
+class Queue:
     """The calls of one service that wait."""
 
     waiting: list[Waiting] = dataclasses.field(default_factory=list)
 
     def join(self, call: Waiting) -> None:
-        """Add a call at its place in the line."""
+        """Add a call at its place in the queue."""
         bisect.insort(self.waiting, call)
 
     def leave(self, call: Waiting) -> None:
@@ -47,14 +47,14 @@
 Find = t.Callable[[Waiting], Endpoint | None]
 
 
-def admit(line: Line, find: Find) -> None:
-    """Admit calls from the front of the line while there are places.
+def admit(queue: Queue, find: Find) -> None:
+    """Admit calls from the front of the queue while there are places.
 
     :param find: returns a place for a call and counts it as taken, or none.
     """
-    for call in list(line.waiting):
+    for call in list(queue.waiting):
         endpoint = find(call)
         if endpoint is None:
             return
-        line.leave(call)
+        queue.leave(call)
         call.on_admitted(endpoint)
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -27,7 +27,7 @@
 log = logging.getLogger(__name__)
 
 SAMPLE_INTERVAL_MS: t.Final = 75.0
-BEAT_INTERVAL_MS: t.Final = 250.0
+HEARTBEAT_INTERVAL_MS: t.Final = 250.0
 TURN_MS: t.Final = 25.0
 """How often a change in progress is looked at, besides at each reply."""
 FORGOTTEN_HOLD_MS: t.Final = 400.0
@@ -53,7 +53,7 @@
         self._rows: tuple[int, int, list[list[int]]] | None = None
         self._incarnation = time.time_ns() // 1_000_000
         self._numbers = 0
-        self._beat_ms = 0.0
+        self._heartbeat_ms = 0.0
         self._looked_ms = 0.0
         self._lookup_ms = LOOKUP_INTERVAL_MS
         self._heard_ms = boottime_ms()
@@ -121,8 +121,8 @@
         view = await self._rank.view()
         now_ms = boottime_ms()
         self._take_view(now_ms, view)
-        if now_ms - self._beat_ms >= BEAT_INTERVAL_MS:
-            await self._beat(view)
+        if now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS:
+            await self._heartbeat(view)
         if not view.active and self._leader is None:
             return
         counts = await self._rank.counts()
@@ -148,7 +148,7 @@
             return
         member = self._group.members.get(t.cast(int, leader))
         if member is not None:
-            self._send(member.beat.ip, sample)
+            self._send(member.heartbeat.ip, sample)
 
     def _take_view(self, now_ms: float, view: RankView) -> None:
         self._heard_ms = now_ms
@@ -229,16 +229,16 @@
             self._is_lost = True
             events.emit(log, events.RANK_LOST, silent_ms=round(silent_ms), why=why)
 
-    async def _beat(self, view: RankView) -> None:
+    async def _heartbeat(self, view: RankView) -> None:
         if self._rows is None or self._rows[:2] != (view.epoch, view.map_version):
             self._rows = await self._rank.rows()
         epoch, version, rows = self._rows
         if (epoch, version) != (view.epoch, view.map_version):
             return
         now_ms = boottime_ms()
-        self._beat_ms = now_ms
+        self._heartbeat_ms = now_ms
         self._numbers += 1
-        beat = messages.Beat(
+        heartbeat = messages.Heartbeat(
             self._host.ip,
             self._host.service or "",
             self._incarnation,
@@ -246,10 +246,10 @@
             view,
             rows,
         )
-        self._group.hear(now_ms, beat)
+        self._group.hear(now_ms, heartbeat)
         for ip in self._members.ips:
             if ip != self._host.ip:
-                self._send(ip, beat)
+                self._send(ip, heartbeat)
 
     async def _turn(self) -> None:
         """Begin changes, and let the one in progress go on."""
@@ -314,8 +314,8 @@
         if change is None:
             return
         now_ms = boottime_ms()
-        for errand in changes.advance(now_ms, change):
-            self._send_errand(change, errand)
+        for assignment in changes.advance(now_ms, change):
+            self._send_assignment(change, assignment)
         self._group.used_step = max(self._group.used_step, change.step)
         if change.outcome is not None:
             self._change = None
@@ -331,20 +331,22 @@
                 prepared_ms=round(max(0.0, change.prepared_ms - change.began_ms)),
             )
 
-    def _send_errand(self, change: changes.Change, errand: changes.Errand) -> None:
+    def _send_assignment(
+        self, change: changes.Change, assignment: changes.Assignment
+    ) -> None:
         own = t.cast(RankView, self._group.own)
-        if errand.rank == own.rank:
-            self._spawn(self._carry_out_here(change, errand.task))
+        if assignment.rank == own.rank:
+            self._spawn(self._carry_out_here(change, assignment.task))
             return
-        member = self._group.members.get(errand.rank)
-        is_silent = errand.rank not in self._group.alive(boottime_ms())
-        if errand.is_direct or member is None or is_silent:
-            self._spawn(self._carry_out_there(change, errand))
+        member = self._group.members.get(assignment.rank)
+        is_silent = assignment.rank not in self._group.alive(boottime_ms())
+        if assignment.is_direct or member is None or is_silent:
+            self._spawn(self._carry_out_there(change, assignment))
             return
         self._numbers += 1
         self._asked[self._numbers] = change.version
-        ask = messages.ask(self._host.ip, self._numbers, change.epoch, errand.task)
-        self._send(member.beat.ip, ask)
+        ask = messages.ask(self._host.ip, self._numbers, change.epoch, assignment.task)
+        self._send(member.heartbeat.ip, ask)
 
     async def _carry_out_here(self, change: changes.Change, task: changes.Task) -> None:
         try:
@@ -353,16 +355,16 @@
             self._note_silence(str(error))
 
     async def _carry_out_there(
-        self, change: changes.Change, errand: changes.Errand
+        self, change: changes.Change, assignment: changes.Assignment
     ) -> None:
-        place = self._members.ranks.get(errand.rank)
+        place = self._members.ranks.get(assignment.rank)
         if place is None:
             return
         rank = RankClient(place, DIRECT_TIMEOUT_MS)
         try:
-            self._hear(change, await carry_out(rank, change.epoch, errand.task))
+            self._hear(change, await carry_out(rank, change.epoch, assignment.task))
         except UpstreamError as error:
-            events.emit(log, events.RANK_LOST, rank=errand.rank, why=str(error))
+            events.emit(log, events.RANK_LOST, rank=assignment.rank, why=str(error))
         finally:
             rank.close()
 
@@ -379,7 +381,7 @@
             return
         now_ms = boottime_ms()
         match message:
-            case messages.Beat():
+            case messages.Heartbeat():
                 if message.service == self._host.service:
                     self._members.ips.add(message.ip)
                     self._group.hear(now_ms, message)
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -108,7 +108,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Errand:
+class Assignment:
     """A task for the agent of a rank, or for the rank itself if ``is_direct``."""
 
     rank: int
@@ -224,13 +224,13 @@
     change.heard_ms[view.rank] = now_ms
 
 
-def advance(now_ms: float, change: Change) -> list[Errand]:
+def advance(now_ms: float, change: Change) -> list[Assignment]:
     """Let the change go on as far as it can; return the tasks to give now."""
     while change.phase is not Phase.OVER:
         phase = change.phase
         tasks = _PHASES[phase](now_ms, change)
         if change.phase is phase:
-            return _errands(now_ms, change, tasks)
+            return _assignments(now_ms, change, tasks)
         change.phase_ms = now_ms
         change.asked_ms.clear()
     return []
@@ -373,10 +373,12 @@
     return {change.holder: Release(change.step)}
 
 
-def _errands(now_ms: float, change: Change, tasks: dict[int, Task]) -> list[Errand]:
+def _assignments(
+    now_ms: float, change: Change, tasks: dict[int, Task]
+) -> list[Assignment]:
     is_preparing = change.phase is Phase.PREPARE
     resend_ms = PREPARE_RESEND_MS if is_preparing else RESEND_MS
-    errands = []
+    assignments = []
     for rank, task in tasks.items():
         asked_ms = change.asked_ms.get(rank)
         if asked_ms is not None and now_ms - asked_ms < resend_ms:
@@ -384,8 +386,10 @@
         change.asked_ms[rank] = now_ms
         heard_ms = change.heard_ms.get(rank, change.began_ms)
         silent_ms = now_ms - max(heard_ms, change.phase_ms)
-        errands.append(Errand(rank, task, not is_preparing and silent_ms > DIRECT_MS))
-    return errands
+        assignments.append(
+            Assignment(rank, task, not is_preparing and silent_ms > DIRECT_MS)
+        )
+    return assignments
 
 
 def _has_begun(change: Change) -> bool:
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -4,7 +4,7 @@
 import dataclasses
 import typing as t
 
-from .messages import Beat
+from .messages import Heartbeat
 from .views import ExpertMap, RankView
 
 ALIVE_MS: t.Final = 1_000.0
@@ -24,7 +24,7 @@
 class Member:
     """The agent of a rank, as last heard."""
 
-    beat: Beat
+    heartbeat: Heartbeat
     heard_ms: float
 
 
@@ -67,23 +67,23 @@
             self.passes.popleft()
         return is_new
 
-    def hear(self, now_ms: float, beat: Beat) -> None:
-        """Take in the beat of a member."""
+    def hear(self, now_ms: float, heartbeat: Heartbeat) -> None:
+        """Take in the heartbeat of a member."""
         own = self.own
-        view = beat.view
+        view = heartbeat.view
         if own is None or (view.group, view.epoch) != (own.group, own.epoch):
             return
         known = self.members.get(view.rank)
-        if known is not None and known.beat.ip == beat.ip:
-            order = (known.beat.incarnation, known.beat.number)
-            if (beat.incarnation, beat.number) <= order:
+        if known is not None and known.heartbeat.ip == heartbeat.ip:
+            order = (known.heartbeat.incarnation, known.heartbeat.number)
+            if (heartbeat.incarnation, heartbeat.number) <= order:
                 return
-        self.members[view.rank] = Member(beat, now_ms)
+        self.members[view.rank] = Member(heartbeat, now_ms)
 
-    def alive(self, now_ms: float) -> t.Mapping[int, Beat]:
-        """Return the last beat of each member that was heard lately."""
+    def alive(self, now_ms: float) -> t.Mapping[int, Heartbeat]:
+        """Return the last heartbeat of each member that was heard lately."""
         return {
-            rank: member.beat
+            rank: member.heartbeat
             for rank, member in self.members.items()
             if now_ms - member.heard_ms < ALIVE_MS
         }
@@ -115,9 +115,9 @@
         if self.switched is not None and self.switched[0] == own.map_version:
             return self.switched[1]
         rows = [
-            member.beat.rows
+            member.heartbeat.rows
             for rank, member in sorted(self.members.items())
-            if member.beat.view.map_version == own.map_version
+            if member.heartbeat.view.map_version == own.map_version
         ]
         if len(rows) < own.size or not rows[0]:
             return None
@@ -140,7 +140,7 @@
         # The pass of the last change must have begun here, so that it is over.
         if own.step < max(self.first_step + SETTLE_STEPS, self.used_step):
             return False
-        views = [beat.view for beat in self.alive(now_ms).values()]
+        views = [heartbeat.view for heartbeat in self.alive(now_ms).values()]
         return not any(_is_in_change(view, own.step) for view in [*views, own])
 
     def new_version(self, draw: int) -> int:
@@ -150,7 +150,7 @@
             agents of one rank make.
         """
         own = t.cast(RankView, self.own)
-        views = [member.beat.view for member in self.members.values()]
+        views = [member.heartbeat.view for member in self.members.values()]
         highest = max(
             max(view.map_version, view.prepared or 0) for view in [*views, own]
         )
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -10,11 +10,11 @@
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """An agent lives, and its rank is as told.
 
     :param incarnation: rises with each start of the agent.
-    :param number: rises with each beat.
+    :param number: rises with each heartbeat.
     :param rows: the experts that the rank holds in the map in use.
     """
 
@@ -62,7 +62,7 @@
     view: RankView
 
 
-CODEC: t.Final = Codec(Beat, Sample, Ask, Reply)
+CODEC: t.Final = Codec(Heartbeat, Sample, Ask, Reply)
 
 
 def ask(ip: str, number: int, epoch: int, task: Task) -> Ask:
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -12,7 +12,7 @@
 from dotterelplank.errors import UpstreamError
 from dotterelplank.ranks import change as changes, participant
 from dotterelplank.ranks.group import VERSION_DRAW_BITS, Group
-from dotterelplank.ranks.messages import Beat
+from dotterelplank.ranks.messages import Heartbeat
 from dotterelplank.ranks.views import (
     Armed,
     ArmMap,
@@ -230,16 +230,18 @@
         if agent.group.see(self.now_ms, self.ranks[agent.rank].view()):
             agent.change = None
         for other in self.ranks:
-            beat = Beat(str(other.rank), "s", 1, int(self.now_ms), other.view(), [[0]])
-            agent.group.hear(self.now_ms, beat)
+            heartbeat = Heartbeat(
+                str(other.rank), "s", 1, int(self.now_ms), other.view(), [[0]]
+            )
+            agent.group.hear(self.now_ms, heartbeat)
         if agent.change is None:
             self._begin(agent)
         change = agent.change
         if change is None:
             return
-        for errand in changes.advance(self.now_ms, change):
-            reach = _Reach(self, errand.rank)
-            work = participant.carry_out(reach, change.epoch, errand.task)
+        for assignment in changes.advance(self.now_ms, change):
+            reach = _Reach(self, assignment.rank)
+            work = participant.carry_out(reach, change.epoch, assignment.task)
             self.running.append((agent, change, work))
         agent.group.used_step = max(agent.group.used_step, change.step)
         if change.outcome is not None:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,7 +1,7 @@
 import testtools
 
 from dotterelplank import results
-from dotterelplank.gateway import admission, attempts, budget, lines
+from dotterelplank.gateway import admission, attempts, budget, queues
 from dotterelplank.gateway.directory import Change, Directory, Endpoint, GroupPlace
 from dotterelplank.gateway.loads import Loads, PeerLoad
 from dotterelplank.gateway.streams import EventCursor
@@ -148,11 +148,11 @@
             self.assertGreater(outage_ms, 150.0)
 
 
-class LineTests(testtools.TestCase):
-    def _join(self, line, priority, arrived_ms, admitted):
-        number = len(line.waiting)
-        line.join(
-            lines.Waiting(
+class QueueTests(testtools.TestCase):
+    def _join(self, queue, priority, arrived_ms, admitted):
+        number = len(queue.waiting)
+        queue.join(
+            queues.Waiting(
                 (priority,),
                 arrived_ms,
                 number,
@@ -162,12 +162,14 @@
         )
 
     def test_the_urgent_and_then_the_oldest_are_admitted_first(self):
-        line, admitted, places = lines.Line(), [], [1, 1]
+        queue, admitted, places = queues.Queue(), [], [1, 1]
         for priority, arrived_ms in ((2, 1.0), (1, 3.0), (1, 2.0)):
-            self._join(line, priority, arrived_ms, admitted)
-        lines.admit(line, lambda _: endpoint("e") if places and places.pop() else None)
+            self._join(queue, priority, arrived_ms, admitted)
+        queues.admit(
+            queue, lambda _: endpoint("e") if places and places.pop() else None
+        )
         self.assertEqual([(1, 2.0), (1, 3.0)], admitted)
-        self.assertEqual(1, len(line.waiting))
+        self.assertEqual(1, len(queue.waiting))
 
 
 class BudgetTests(testtools.TestCase):
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -44,30 +44,32 @@
         return World(**fields)
 
     def test_every_rank_is_asked_to_prepare_first(self):
-        errands = changes.advance(NOW_MS, _begin())
-        self.assertEqual([0, 1], [errand.rank for errand in errands])
-        self.assertTrue(all(isinstance(e.task, changes.Prepare) for e in errands))
+        assignments = changes.advance(NOW_MS, _begin())
+        self.assertEqual([0, 1], [assignment.rank for assignment in assignments])
+        self.assertTrue(all(isinstance(e.task, changes.Prepare) for e in assignments))
 
     def test_nothing_is_armed_before_the_pass_is_held(self):
         change = _begin()
         _hear(change, _view(0, prepared=5), _view(1, prepared=5))
-        (errand,) = changes.advance(NOW_MS, change)
-        self.assertEqual((0, changes.Hold(12)), (errand.rank, errand.task))
+        (assignment,) = changes.advance(NOW_MS, change)
+        self.assertEqual((0, changes.Hold(12)), (assignment.rank, assignment.task))
 
     def test_the_pass_is_released_only_once_all_are_armed(self):
         change = _begin()
         _hear(change, _view(0, prepared=5), _view(1, prepared=5))
         changes.advance(NOW_MS, change)
         _hear(change, _view(0, prepared=5, held=12))
-        errands = changes.advance(NOW_MS, change)
-        self.assertEqual({changes.Arm(5, 12)}, {errand.task for errand in errands})
+        assignments = changes.advance(NOW_MS, change)
+        self.assertEqual(
+            {changes.Arm(5, 12)}, {assignment.task for assignment in assignments}
+        )
         _hear(change, _view(0, prepared=5, held=12, armed=Armed(5, 12)))
         later_ms = NOW_MS + changes.RESEND_MS
-        (errand,) = changes.advance(later_ms, change)
-        self.assertEqual((1, changes.Arm(5, 12)), (errand.rank, errand.task))
+        (assignment,) = changes.advance(later_ms, change)
+        self.assertEqual((1, changes.Arm(5, 12)), (assignment.rank, assignment.task))
         _hear(change, _view(1, prepared=5, armed=Armed(5, 12)))
-        (errand,) = changes.advance(later_ms, change)
-        self.assertEqual((0, changes.Release(12)), (errand.rank, errand.task))
+        (assignment,) = changes.advance(later_ms, change)
+        self.assertEqual((0, changes.Release(12)), (assignment.rank, assignment.task))
 
     def test_a_version_that_may_still_be_armed_everywhere_is_not_disarmed(self):
         views = [_view(0, prepared=5, armed=Armed(5, 12)), _view(1, prepared=5)]
@@ -90,8 +92,8 @@
         _hear(change, _view(0, prepared=5, held=12))
         changes.advance(NOW_MS, change)
         late_ms = NOW_MS + changes.DIRECT_MS + 1
-        errands = changes.advance(late_ms, change)
-        self.assertTrue(all(errand.is_direct for errand in errands))
+        assignments = changes.advance(late_ms, change)
+        self.assertTrue(all(assignment.is_direct for assignment in assignments))
 
     def test_without_faults_changes_switch(self):
         world = self._world(seed=1, late=0.0, lost=0.0, deaths=0.0, planners=1)
@@ -111,8 +113,8 @@
             _view(0, prepared=9, held=12, armed=other),
             _view(1, prepared=9, armed=other),
         )
-        (errand,) = changes.advance(NOW_MS, change)
-        self.assertEqual(changes.Release(12), errand.task)
+        (assignment,) = changes.advance(NOW_MS, change)
+        self.assertEqual(changes.Release(12), assignment.task)
 
     def test_a_pass_held_by_an_agent_that_died_is_cleared_up(self):
         world = self._world(seed=2, late=0.0, lost=0.0, deaths=0.02)
--- a/tests/test_ranks_planning.py
+++ b/tests/test_ranks_planning.py
@@ -6,7 +6,7 @@
 from dotterelplank.ranks import policy
 from dotterelplank.ranks.demand import Demands, distance
 from dotterelplank.ranks.group import Group
-from dotterelplank.ranks.messages import Beat
+from dotterelplank.ranks.messages import Heartbeat
 from dotterelplank.ranks.planning import Room, plan, skew
 from dotterelplank.ranks.views import Armed, RankView
 
@@ -137,15 +137,15 @@
         group.see(0.0, self._view(own.rank, step=0))
         group.see(0.0, own)
         for view in (own, *others):
-            group.hear(0.0, Beat(f"ip{view.rank}", "s", 1, 1, view, [[0]]))
+            group.hear(0.0, Heartbeat(f"ip{view.rank}", "s", 1, 1, view, [[0]]))
         return group
 
     def test_a_new_agent_waits_for_passes_before_it_begins(self):
         group = Group()
         group.see(0.0, self._view(0, step=50))
         for rank in range(2):
-            beat = Beat(f"ip{rank}", "s", 1, 1, self._view(rank), [[0]])
-            group.hear(0.0, beat)
+            heartbeat = Heartbeat(f"ip{rank}", "s", 1, 1, self._view(rank), [[0]])
+            group.hear(0.0, heartbeat)
         self.assertFalse(group.is_calm(0.0))
         group.see(0.0, self._view(0, step=58))
         self.assertTrue(group.is_calm(0.0))
