--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -267,7 +267,7 @@
             return
         if group.leader(now_ms) != own.rank or not group.is_calm(now_ms):
             return
-        present = group.present_map(now_ms)
+        present = group.present_map()
         if present is None:
             return
         pace = policy.Pace(self._group.pass_ms(now_ms), self._members.gap_target_ms)
