Pass a proved failure on when its repeat isn't allowed or is lost

A 503 without a proof for a call that had run was passed on, which callers read as 'not run'. Besides, one failed call made all entries avoid the endpoint for 200 ms, though some calls fail anywhere.

Now the failure is kept while the call is repeated; statuses that mean 'not run' are passed on only with a proof; an endpoint is avoided from the second failure in a row.

Tests that failed first: three in tests/test_gateway_path.py.

--- a/src/dotterelplank/gateway/attempts.py
+++ b/src/dotterelplank/gateway/attempts.py
@@ -12,6 +12,8 @@
 
 CONNECTS_PER_CALL: t.Final = 4
 """Endpoints that are tried in vain before a call is refused."""
+LEAST_FAILURE_STATUS: t.Final = 500
+"""From here on a status tells of a failure of the endpoint."""
 LEAST_LEFT_MS: t.Final = 5.0
 """Below this a call isn't sent any more."""
 
@@ -35,10 +37,12 @@
     """The call was sent, and may have run.
 
     :param has_begun: whether a part of an answer has gone to the caller.
+    :param is_failure: whether the endpoint answered, that the call failed.
     """
 
     has_begun: bool
     reason: str
+    is_failure: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -13,6 +13,7 @@
 from ..platform import headers as wire
 from . import admission, queues
 from .attempts import (
+    LEAST_FAILURE_STATUS,
     LEAST_LEFT_MS,
     Answered,
     Lost,
@@ -159,6 +160,8 @@
             now_ms = self._clock()
             if isinstance(ending, Answered):
                 self._board.loads.held(one.service, now_ms - begun_ms)
+                if ending.status >= LEAST_FAILURE_STATUS:
+                    self._board.loads.stumbled(now_ms, endpoint.id)
                 return results.DONE
             one.history.note(endpoint.id, ending)
             self._judge(now_ms, one, endpoint, ending)
@@ -200,6 +203,8 @@
         elif isinstance(ending, NotRun) and ending.was_sent:
             loads.full(now_ms, endpoint.id)
             avoided_ms = loads.avoided_for_ms(now_ms, endpoint.id)
+        elif isinstance(ending, Lost) and ending.is_failure:
+            avoided_ms = loads.stumbled(now_ms, endpoint.id)
         else:
             avoided_ms = loads.failed(now_ms, endpoint.id)
         self._metrics.count_failure(endpoint.service)
@@ -291,6 +296,9 @@
         if one.exchange.has_begun:
             one.exchange.abort()
             return results.STREAM_CUT
+        if (failure := one.failure) is not None:
+            one.exchange.answer(failure.status, failure.headers, failure.body)
+            return results.DONE
         retry_after_s = None
         if result.outcome is results.Outcome.NOT_RUN:
             retry_after_s = self._retry_after_s(one)
--- a/src/dotterelplank/gateway/handling.py
+++ b/src/dotterelplank/gateway/handling.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ..http1.messages import Headers
 from ..http1.server import Call, Exchange
 from ..platform.headers import CallHeaders
 from .attempts import History
@@ -9,6 +10,15 @@
 from .tables import Route, Team
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A failure that an endpoint answered with, kept while the call is repeated."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 @dataclasses.dataclass
 class Handling:
     """One call.
@@ -20,6 +30,7 @@
     :param first_ms: time from its arrival to the first part of its answer.
     :param cursor: how far its stream has got.
     :param endpoint: id of the endpoint that it was sent to last.
+    :param failure: passed on if no repeat brings a better answer.
     """
 
     call: Call
@@ -35,6 +46,7 @@
     first_ms: float | None = None
     cursor: EventCursor = dataclasses.field(default_factory=EventCursor)
     endpoint: str = ""
+    failure: Failure | None = None
 
     @property
     def priority(self) -> tuple[int, ...]:
--- a/src/dotterelplank/gateway/loads.py
+++ b/src/dotterelplank/gateway/loads.py
@@ -10,6 +10,8 @@
 AVOID_LONGEST_MS: t.Final = 1_000.0
 TRIAL_MS: t.Final = 50.0
 """How long others wait for the call that shows whether an endpoint is back."""
+FAILURES_IN_A_ROW: t.Final = 2
+"""Calls that an endpoint answers with a failure before it is avoided."""
 FULL_MS: t.Final = 40.0
 """How long an endpoint that said it is full is passed over."""
 SMOOTHING: t.Final = 0.1
@@ -49,6 +51,7 @@
 
     :param own: this entry's calls at each endpoint.
     :param others: the peers' calls at each endpoint, summed.
+    :param stumbles: failures in a row that endpoints answered with.
     :param hold_ms: how long a call of a service holds its place, smoothed.
     """
 
@@ -63,6 +66,9 @@
     )
     peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
     avoided: dict[str, Avoided] = dataclasses.field(default_factory=dict)
+    stumbles: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     hold_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def of(self, endpoint_id: str) -> int:
@@ -112,6 +118,16 @@
             avoided.until_ms = now_ms + min(pause_ms, AVOID_LONGEST_MS)
         return avoided.until_ms - now_ms
 
+    def stumbled(self, now_ms: float, endpoint_id: str) -> float:
+        """Take in an answer that is a failure; return for how long to avoid it.
+
+        Some calls fail anywhere, so one failure says little of an endpoint.
+        """
+        self.stumbles[endpoint_id] += 1
+        if self.stumbles[endpoint_id] < FAILURES_IN_A_ROW:
+            return 0.0
+        return self.failed(now_ms, endpoint_id)
+
     def full(self, now_ms: float, name: str) -> None:
         """Pass over an endpoint that has no room for a moment."""
         avoided = self.avoided.setdefault(name, Avoided())
@@ -132,6 +148,7 @@
     def succeeded(self, name: str) -> None:
         """Trust an endpoint or group again."""
         self.avoided.pop(name, None)
+        self.stumbles.pop(name, None)
 
     def avoided_for_ms(self, now_ms: float, name: str) -> float:
         """Return for how much longer an endpoint or group is avoided."""
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -6,11 +6,18 @@
 from ..http1.client import EndpointConnection, Head, Pool, Request, connect
 from ..http1.messages import end_to_end
 from ..platform import headers as wire
-from .attempts import LEAST_LEFT_MS, Answered, Ending, Lost, NotRun
+from .attempts import (
+    LEAST_FAILURE_STATUS,
+    LEAST_LEFT_MS,
+    Answered,
+    Ending,
+    Lost,
+    NotRun,
+)
 from .board import Board
 from .budget import count_first
 from .directory import Endpoint
-from .handling import Handling
+from .handling import Failure, Handling
 from .metrics import EntryMetrics
 from .tables import Kind
 
@@ -80,7 +87,7 @@
         except BaseException:
             connection.close()
             raise
-        if isinstance(ending, Lost):
+        if isinstance(ending, Lost) and not ending.is_failure:
             connection.close()
         else:
             pool.give_back(self._clock(), connection)
@@ -136,15 +143,18 @@
             parts += part
             if len(parts) > ANSWER_BOUND_BYTES:
                 return Lost(False, "the answer is over the bound")
-        is_failure = head.status >= 500
-        if is_failure and one.route.is_idempotent and self._is_worth_repeating(one):
-            return Lost(one.exchange.has_begun, f"failed with {head.status}")
+        is_failure = head.status >= LEAST_FAILURE_STATUS
         if one.exchange.has_begun:
-            return Lost(True, f"can't go on after {head.status}")
-        if not has_proof and not is_failure:
+            return Lost(True, f"can't go on after {head.status}", is_failure)
+        if not has_proof and (not is_failure or head.status in wire.MEAN_NOT_RUN):
             return Lost(False, f"{head.status} without proof")
+        headers = end_to_end(head.headers)
+        if is_failure and one.route.is_idempotent and self._is_worth_repeating(one):
+            if has_proof:
+                one.failure = Failure(head.status, headers, bytes(parts))
+            return Lost(False, f"failed with {head.status}", is_failure=True)
         one.first_ms = self._clock() - one.arrived_ms
-        one.exchange.answer(head.status, end_to_end(head.headers), bytes(parts))
+        one.exchange.answer(head.status, headers, bytes(parts))
         return Answered(head.status)
 
     def _is_worth_repeating(self, one: Handling) -> bool:
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -29,6 +29,8 @@
     _RESUME_AFTER,
 )
 _NEVER_RUN: t.Final = 421
+MEAN_NOT_RUN: t.Final = frozenset({408, _NEVER_RUN, 429, 503})
+"""Statuses by which a caller is told that its call has not run and never will."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -158,7 +158,8 @@
 
     :param fault: what it does wrong: ``refuse``, ``cut`` (its stream breaks off in the
         middle of an event), ``mute`` (it closes without an answer), ``unproved``,
-        ``fail``, or ``stray`` (an answer to another call first).
+        ``fail``, ``promise`` (503 for a call that it ran, without a proof), or
+        ``stray`` (an answer to another call first).
     """
 
     id: str
@@ -201,6 +202,8 @@
         proof = [(b"x-request-id", call_id), (b"x-server-signature", b"s")]
         if self.fault == "fail":
             exchange.answer(500, proof, b"failed")
+        elif self.fault == "promise":
+            exchange.answer(503, proof[:1], b"")
         elif self.fault == "unproved":
             exchange.answer(200, proof[:1], b"whole")
         elif call.target.startswith(b"/s/"):
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -132,6 +132,15 @@
         third = admission.choose(late_ms, ask(), found, loads, "a", 0)
         self.assertIsInstance(third, admission.Admit)
 
+    def test_one_failed_call_alone_says_little_of_an_endpoint(self):
+        loads = Loads()
+        self.assertEqual(0, loads.stumbled(0.0, "a"))
+        loads.succeeded("a")
+        self.assertEqual(0, loads.stumbled(10.0, "a"))
+        self.assertEqual(0, loads.avoided_for_ms(10.0, "a"))
+        self.assertGreater(loads.stumbled(20.0, "a"), 0)
+        self.assertGreater(loads.avoided_for_ms(20.0, "a"), 0)
+
     def test_calls_of_silent_peers_count_no_more(self):
         loads = Loads()
         loads.hear("peer", PeerLoad({"e1": 2}, {"drafts": 3}, NOW_MS))
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -247,6 +247,26 @@
 
         self.assertEqual((500, b"failed"), self._run(work, "fail"))
 
+    def test_a_failure_that_may_not_be_repeated_any_more_is_passed_on(self):
+        async def work(entry, store, *servers):
+            answers = [await entry.call(b"/q/x", call_id=b"%d" % n) for n in range(3)]
+            return {(answer.status, answer.body) for answer in answers}
+
+        self.assertEqual({(500, b"failed")}, self._run(work, "fail", "fail"))
+
+    def test_a_failure_is_passed_on_if_the_repeat_is_lost(self):
+        async def work(entry, store, *servers):
+            answer = await entry.call(b"/q/x")
+            return answer.status, answer.body
+
+        self.assertEqual((500, b"failed"), self._run(work, "fail", "mute"))
+
+    def test_a_promise_without_proof_is_not_passed_on(self):
+        async def work(entry, store, server):
+            return (await entry.call(b"/u/x")).status
+
+        self.assertEqual(502, self._run(work, "promise"))
+
     def test_a_server_is_left_once_its_caller_is_gone(self):
         async def work(entry, store, server):
             server.gap_s, server.events = 0.2, 50
