Take calls away from endpoints that fall silent

Cause: a call at a host that stands still, is cut off, or whose answer was lost stayed there until its caller left; nothing is reset then. An entry now counts the passes that other ranks of the group make meanwhile: after ten of them and 0.4 s a stream goes on elsewhere, an idempotent call that isn't a stream after 1.5 of its objective, each within the retry budget. A group that makes no passes at all is silent as a whole and its calls stay. The endpoint is avoided by new calls.

Tests that failed first: two on the path; the decision in tests/test_gateway_decisions.py.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -123,6 +123,13 @@
 ENDPOINT_FAILED = _define(
     122, "endpoint-failed", logging.WARNING, "The endpoint failed a call."
 )
+ENDPOINT_SILENT = _define(
+    123,
+    "endpoint-silent",
+    logging.WARNING,
+    "The endpoint writes nothing for a call, while its group goes on; the call is "
+    "sent to another one if it may be.",
+)
 
 # 130: the platform
 PLATFORM_READ_FAILED = _define(
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -150,6 +150,9 @@
                 events.emit(
                     log, events.PAUSE_NOTICED, paused_ms=round(now_ms - last_ms)
                 )
+            else:
+                # Right after a pause everybody else would seem to be silent.
+                self._forwarder.watch(now_ms)
             last_ms = now_ms
             self._expire(now_ms)
             if now_ms - self._heartbeat_ms >= peering.HEARTBEAT_INTERVAL_MS:
@@ -178,6 +181,7 @@
         self._forwarder.sender.keep_only(
             {(one.id, one.started_ms) for one in endpoints}
         )
+        self.board.progress.keep_only({one.id for one in endpoints})
         self._heartbeat()
         self._forwarder.admit_waiting()
 
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -11,11 +11,12 @@
 from ..http1.messages import header
 from ..http1.server import Call, Exchange
 from ..platform import headers as wire
-from . import admission, queues
+from . import admission, queues, silence
 from .attempts import (
     LEAST_FAILURE_STATUS,
     LEAST_LEFT_MS,
     Answered,
+    Ending,
     Lost,
     NotRun,
     final_result,
@@ -54,6 +55,7 @@
         self._metrics = metrics
         self._on_load = on_load
         self.sender = Sender(board, clock, metrics, self._trust)
+        self._on_their_way: dict[int, Handling] = {}
         self._numbers = 0
 
     async def handle(self, call: Call, exchange: Exchange) -> None:
@@ -154,7 +156,7 @@
             one.endpoint = endpoint.id
             begun_ms = self._clock()
             try:
-                ending = await self.sender.send(one, endpoint)
+                ending = await self._send(one, endpoint, begun_ms)
             finally:
                 self._end_place(endpoint)
             now_ms = self._clock()
@@ -168,6 +170,66 @@
             if not self._may_repeat(now_ms, one):
                 return self._give_up(one, is_over=False)
 
+    async def _send(self, one: Handling, endpoint: Endpoint, now_ms: float) -> Ending:
+        """Send the call, until it is answered or taken away from the endpoint."""
+        key = id(one)
+        try:
+            async with asyncio.timeout(None) as patience:
+                one.sent = silence.Sent(endpoint, now_ms, patience)
+                self._on_their_way[key] = one
+                return await self.sender.send(one, endpoint)
+        except TimeoutError:
+            return Lost(one.exchange.has_begun, "the endpoint fell silent")
+        finally:
+            del self._on_their_way[key]
+
+    def watch(self, now_ms: float) -> None:
+        """Take calls away from endpoints that have fallen silent."""
+        for one in list(self._on_their_way.values()):
+            sent = t.cast(silence.Sent, one.sent)
+            found = silence.find_silence(now_ms, sent, one.route, self._board.progress)
+            if found is not None:
+                self._act_on(now_ms, one, sent, found)
+
+    def _act_on(
+        self, now_ms: float, one: Handling, sent: silence.Sent, found: silence.Silence
+    ) -> None:
+        is_moved = self._take_move(now_ms, one)
+        if is_moved:
+            sent.patience.reschedule(asyncio.get_running_loop().time())
+        elif not sent.is_noted:
+            self._board.loads.failed(now_ms, sent.endpoint.id)
+        if is_moved or not sent.is_noted:
+            events.emit(
+                log,
+                events.ENDPOINT_SILENT,
+                request=one.said.id.decode("latin-1"),
+                endpoint=sent.endpoint.id,
+                silent_ms=round(found.silent_ms),
+                passes=found.passes,
+                has_begun=one.exchange.has_begun,
+                is_moved=is_moved,
+            )
+        sent.is_noted = True
+
+    def _take_move(self, now_ms: float, one: Handling) -> bool:
+        """Return whether a call is sent elsewhere, and take a repeat for it if so."""
+        sent = t.cast(silence.Sent, one.sent)
+        if not one.route.is_idempotent or one.has_repeat:
+            return False
+        if one.history.arrivals + 1 >= one.route.attempts:
+            return False
+        if one.deadline_ms - now_ms < LEAST_LEFT_MS:
+            return False
+        tried = frozenset({*one.history.tried, sent.endpoint.id})
+        answer = self._choose(now_ms, one.service, tried)
+        if not isinstance(answer, admission.Admit):
+            return False
+        board = self._board
+        budget = board.budget_of(one.service)
+        one.has_repeat = take_repeat(now_ms, budget, board.policy)
+        return one.has_repeat
+
     def _end_place(self, endpoint: Endpoint) -> None:
         loads = self._board.loads
         loads.end(endpoint.id)
@@ -189,6 +251,9 @@
             return False
         if not one.history.arrivals:
             return True
+        if one.has_repeat:
+            one.has_repeat = False
+            return True
         board = self._board
         budget = board.budget_of(one.service)
         return take_repeat(now_ms, budget, board.policy)
--- a/src/dotterelplank/gateway/handling.py
+++ b/src/dotterelplank/gateway/handling.py
@@ -6,6 +6,7 @@
 from ..http1.server import Call, Exchange
 from ..platform.headers import CallHeaders
 from .attempts import History
+from .silence import Sent
 from .streams import EventCursor
 from .tables import Route, Team
 
@@ -30,6 +31,8 @@
     :param first_ms: time from its arrival to the first part of its answer.
     :param cursor: how far its stream has got.
     :param endpoint: id of the endpoint that it was sent to last.
+    :param sent: the send in progress.
+    :param has_repeat: whether the retry budget has already granted another send.
     :param failure: passed on if no repeat brings a better answer.
     """
 
@@ -46,6 +49,8 @@
     first_ms: float | None = None
     cursor: EventCursor = dataclasses.field(default_factory=EventCursor)
     endpoint: str = ""
+    sent: Sent | None = None
+    has_repeat: bool = False
     failure: Failure | None = None
 
     @property
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -19,6 +19,7 @@
 from .directory import Endpoint
 from .handling import Failure, Handling
 from .metrics import EntryMetrics
+from .silence import Sent
 from .tables import Kind
 
 CONNECT_TIMEOUT_MS: t.Final = 300.0
@@ -116,6 +117,7 @@
             await connection.skip_answer()
             head = await connection.head()
             said = wire.read_answer(head.status, head.headers)
+        self._note_heard(one)
         if said.not_run and head.status >= 400:
             await _read_rest(connection)
             # A rank that can't go on for want of another names that one.
@@ -128,7 +130,7 @@
         if is_success:
             self._on_success(endpoint)
         if one.route.kind is Kind.STREAMING and is_success:
-            return await self._relay_stream(one, head, connection)
+            return await self._relay_stream(one, endpoint, head, connection)
         return await self._relay_whole(one, head, connection, said.has_proof)
 
     async def _relay_whole(
@@ -162,14 +164,33 @@
         sends_after = one.history.arrivals + 1
         return left_ms > LEAST_LEFT_MS and sends_after < one.route.attempts
 
+    async def _drain(self, one: Handling) -> None:
+        """Wait until the caller has read enough."""
+        sent = t.cast(Sent, one.sent)
+        sent.is_held_up = True
+        await one.exchange.drain()
+        sent.is_held_up = False
+        self._note_heard(one)
+
+    def _note_heard(self, one: Handling) -> float:
+        """Note that the endpoint isn't silent; return the present time."""
+        now_ms = self._clock()
+        t.cast(Sent, one.sent).heard_ms = now_ms
+        return now_ms
+
     async def _relay_stream(
-        self, one: Handling, head: Head, connection: EndpointConnection
+        self,
+        one: Handling,
+        endpoint: Endpoint,
+        head: Head,
+        connection: EndpointConnection,
     ) -> Ending:
         exchange = one.exchange
         one.cursor.rest = b""
         if not exchange.has_begun:
             exchange.begin(head.status, end_to_end(head.headers), None)
         while (part := await connection.body_part()) is not None:
+            self._board.progress.hear(self._note_heard(one), endpoint)
             whole = one.cursor.feed(part)
             if not whole:
                 continue
@@ -178,7 +199,7 @@
                 one.first_ms = now_ms - one.arrived_ms
                 self._metrics.first_event.observe(one.first_ms)
             exchange.send(whole)
-            await exchange.drain()
+            await self._drain(one)
         if one.cursor.rest:
             return Lost(True, "the stream ended inside an event")
         exchange.finish()
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -158,7 +158,7 @@
 
     :param fault: what it does wrong: ``refuse``, ``cut`` (its stream breaks off in the
         middle of an event), ``mute`` (it closes without an answer), ``unproved``,
-        ``fail``, ``promise`` (503 for a call that it ran, without a proof), or
+        ``fail``, ``stall`` (it falls silent), ``promise`` (503 for a call that it ran, without a proof), or
         ``stray`` (an answer to another call first).
     """
 
@@ -209,6 +209,8 @@
         elif call.target.startswith(b"/s/"):
             await self._stream(call, exchange, proof)
         else:
+            if self.fault == "stall":
+                await asyncio.sleep(60)
             body = b"whole " + call.body
             exchange.answer(200, proof, body)
 
@@ -222,6 +224,8 @@
                     exchange.send(event[:7])
                     exchange.abort()
                     return
+                if self.fault == "stall" and number == 3:
+                    await asyncio.sleep(60)
                 exchange.send(event)
                 await asyncio.sleep(self.gap_s)
         except asyncio.CancelledError:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,7 +1,7 @@
 import testtools
 
 from dotterelplank import results
-from dotterelplank.gateway import admission, attempts, budget, queues
+from dotterelplank.gateway import admission, attempts, budget, queues, silence
 from dotterelplank.gateway.directory import Change, Directory, Endpoint, GroupPlace
 from dotterelplank.gateway.loads import Loads, PeerLoad
 from dotterelplank.gateway.streams import EventCursor
@@ -284,3 +284,61 @@
         self.assertEqual(b"id: 3\ndata: x\n\n", cursor.feed(b"\n\nid: 4\nda"))
         self.assertEqual(3, cursor.last_id)
         self.assertEqual(b"id: 4\nda", cursor.rest)
+
+
+def _rank(number):
+    return endpoint(f"r{number}", place=GroupPlace("g", 1, number, 2, True))
+
+
+class SilenceTests(testtools.TestCase):
+    """The load: a host stands still while its group goes on."""
+
+    def setUp(self):
+        super().setUp()
+        self.progress = silence.Progress()
+        self.stream = route()
+
+    def _write(self, rank, since_ms, passes):
+        for number in range(passes):
+            self.progress.hear(since_ms + 50.0 * (number + 1), _rank(rank))
+
+    def _find(self, now_ms, heard_ms=None, of=None):
+        sent = silence.Sent(_rank(0), 0.0, None, heard_ms)
+        found_route = of or self.stream
+        return silence.find_silence(now_ms, sent, found_route, self.progress)
+
+    def test_a_rank_that_misses_many_passes_is_silent(self):
+        self._write(1, 0.0, 20)
+        self.assertEqual(20, self._find(1_000.0).passes)
+        self.assertIsNotNone(self._find(1_000.0, heard_ms=100.0))
+
+    def test_a_rank_that_missed_a_few_passes_is_not(self):
+        self._write(1, 0.0, 5)
+        self.assertIsNone(self._find(1_000.0))
+
+    def test_a_group_that_makes_no_passes_is_silent_as_a_whole(self):
+        self._write(1, 0.0, 3)
+        self.assertIsNone(self._find(5_000.0))
+
+    def test_a_call_may_wait_behind_others_at_its_rank(self):
+        self._write(1, 0.0, 20)
+        self._write(0, 0.0, 19)
+        self.assertIsNone(self._find(1_000.0))
+
+    def test_a_stream_alone_may_be_silent_at_a_rank_that_writes(self):
+        self._write(1, 0.0, 20)
+        self._write(0, 0.0, 20)
+        self.assertIsNotNone(self._find(1_000.0, heard_ms=100.0))
+
+    def test_a_caller_that_does_not_read_says_nothing_of_the_rank(self):
+        self._write(1, 0.0, 20)
+        sent = silence.Sent(_rank(0), 0.0, None, 10.0, is_held_up=True)
+        found = silence.find_silence(1_000.0, sent, self.stream, self.progress)
+        self.assertIsNone(found)
+
+    def test_an_answer_that_is_not_a_stream_is_late_after_its_objective(self):
+        safe = route(kind=Kind.SAFE)
+        late_ms = safe.goal_ms * silence.ANSWER_PART
+        self.assertIsNone(self._find(late_ms - 1, of=safe))
+        self.assertIsNotNone(self._find(late_ms, of=safe))
+        self.assertIsNone(self._find(late_ms, heard_ms=1.0, of=safe))
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -267,6 +267,26 @@
 
         self.assertEqual(502, self._run(work, "promise"))
 
+    def _call_twice_beside_a_silent_server(self, target):
+        async def work(entry, store, *servers):
+            calls = [entry.call(target, call_id=b"%d" % n) for n in range(2)]
+            answers = await asyncio.gather(*calls)
+            await asyncio.sleep(0.3)
+            return [one.body for one in answers], entry.events("endpoint-silent")
+
+        return self._run(work, "stall", "")
+
+    def test_a_stream_at_a_server_that_falls_silent_goes_on_elsewhere(self):
+        bodies, lines = self._call_twice_beside_a_silent_server(b"/s/x")
+        whole = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 5))
+        self.assertEqual([whole, whole], bodies)
+        self.assertEqual([True], [line["is_moved"] for line in lines])
+
+    def test_a_call_that_gets_no_answer_is_sent_elsewhere(self):
+        bodies, lines = self._call_twice_beside_a_silent_server(b"/q/x")
+        self.assertEqual([b"whole ", b"whole "], bodies)
+        self.assertEqual([True], [line["is_moved"] for line in lines])
+
     def test_a_server_is_left_once_its_caller_is_gone(self):
         async def work(entry, store, server):
             server.gap_s, server.events = 0.2, 50
