Give an order again after 20 ms without an answer, at a far rank after 40 ms

Ruled out: the reads of the rank, which were answered within milliseconds.

Test that failed first: tests/test_ranks_agent.py.

--- a/src/dotterelplank/platform/ranks.py
+++ b/src/dotterelplank/platform/ranks.py
@@ -24,6 +24,8 @@
 
 CALL_TIMEOUT_MS: t.Final = 60.0
 """A rank on the same host answers in a few milliseconds, or not at all."""
+ORDER_TIMEOUT_MS: t.Final = 20.0
+"""Shorter, as a group may be held until an order that got no answer is given again."""
 ANSWER_BOUND_BYTES: t.Final = 4 * 1024 * 1024
 
 _REPORT_PATH = b"/v1/report"
@@ -77,11 +79,21 @@
 
 
 class RankClient:
-    """Speaks to one rank over a kept connection, one call at a time."""
-
-    def __init__(self, address: Address, timeout_ms: float = CALL_TIMEOUT_MS) -> None:
+    """Speaks to one rank over a kept connection, one call at a time.
+
+    :param timeout_ms: longest time that a read may take.
+    :param order_timeout_ms: longest time that an order may take.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+        order_timeout_ms: float = ORDER_TIMEOUT_MS,
+    ) -> None:
         self._address = address
         self._timeout_ms = timeout_ms
+        self._order_timeout_ms = order_timeout_ms
         self._connection: EndpointConnection | None = None
         self._lock = asyncio.Lock()
 
@@ -128,7 +140,9 @@
         :raises UpstreamError: if there was no answer; the order may still be carried
             out, seconds later.
         """
-        status, body = await self._call(b"POST", _ORDER_PATH, _encode(order))
+        body = _encode(order)
+        bound_ms = self._order_timeout_ms
+        status, body = await self._call(b"POST", _ORDER_PATH, body, bound_ms)
         if status in _ACCEPTED:
             return True
         if 400 <= status < 500:
@@ -144,7 +158,7 @@
     _Kind = t.TypeVar("_Kind", bound=pydantic.BaseModel)
 
     async def _read(self, path: bytes, kind: type[_Kind]) -> _Kind:
-        status, body = await self._call(b"GET", path, b"")
+        status, body = await self._call(b"GET", path, b"", self._timeout_ms)
         if status != 200:
             raise UpstreamError(f"status {status}", sent=True)
         try:
@@ -152,10 +166,12 @@
         except pydantic.ValidationError as error:
             raise UpstreamError(f"unreadable: {error}", sent=True) from error
 
-    async def _call(self, method: bytes, path: bytes, body: bytes) -> tuple[int, bytes]:
+    async def _call(
+        self, method: bytes, path: bytes, body: bytes, timeout_ms: float
+    ) -> tuple[int, bytes]:
         async with self._lock:
             try:
-                async with asyncio.timeout(self._timeout_ms / 1000):
+                async with asyncio.timeout(timeout_ms / 1000):
                     return await self._exchange(method, path, body)
             except TimeoutError as error:
                 self.close()
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -37,6 +37,8 @@
 LOOKUP_INTERVAL_MS: t.Final = 1_000.0
 LONGEST_LOOKUP_INTERVAL_MS: t.Final = 8_000.0
 DIRECT_TIMEOUT_MS: t.Final = 200.0
+DIRECT_ORDER_TIMEOUT_MS: t.Final = 40.0
+"""Longest time that an order may take at a rank of another host."""
 
 
 class Agent:
@@ -210,7 +212,7 @@
         for rank, place in sorted(self._members.ranks.items()):
             if rank in alive:
                 continue
-            client = RankClient(place, DIRECT_TIMEOUT_MS)
+            client = _direct(place)
             try:
                 view = await client.view()
             except UpstreamError as error:
@@ -360,7 +362,7 @@
         place = self._members.ranks.get(assignment.rank)
         if place is None:
             return
-        rank = RankClient(place, DIRECT_TIMEOUT_MS)
+        rank = _direct(place)
         try:
             self._hear(change, await carry_out(rank, change.epoch, assignment.task))
         except UpstreamError as error:
@@ -454,3 +456,8 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _direct(place: Address) -> RankClient:
+    """Return a client for a rank of another host."""
+    return RankClient(place, DIRECT_TIMEOUT_MS, DIRECT_ORDER_TIMEOUT_MS)
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -10,7 +10,9 @@
 from platform_standin import StoreStandin, configuration, listening, route
 from rank_model import ModelRank
 
+from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
+from dotterelplank.platform.ranks import RankClient
 from dotterelplank.ranks import policy
 from dotterelplank.ranks.agent import Agent
 from dotterelplank.ranks.views import (
@@ -181,6 +183,31 @@
             await asyncio.gather(*tasks, passes, return_exceptions=True)
 
 
+class RankClientTests(testtools.TestCase):
+    """The load: a group that is held until an order is given again."""
+
+    def test_an_order_that_gets_no_answer_is_given_up_before_a_read_would_be(self):
+        async def run():
+            server = RankServer(0)
+            server.unanswered = 1
+            async with listening(server) as port:
+                rank = RankClient(Address("127.0.0.1", port), 60_000.0, 20.0)
+                async with asyncio.timeout(BOUND_S):
+                    order = HoldStep(1, 5)
+                    error = None
+                    try:
+                        await rank.give(order)
+                    except UpstreamError as caught:
+                        error = caught
+                    is_accepted = await rank.give(order)
+                rank.close()
+            return error, is_accepted
+
+        error, is_accepted = asyncio.run(run())
+        self.assertIsNotNone(error)
+        self.assertTrue(is_accepted)
+
+
 class AgentTests(testtools.TestCase):
     def _run_until_changed(self, servers):
         async def run():
