--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -174,7 +174,7 @@
         leave_ms = self.board.host.bounds.leave_ms
         if self.board.directory.expire(now_ms, leave_ms):
             self._on_published()
-        self._forwarder.admit_waiting()
+        self._forwarder.places.admit_waiting()
 
     def _on_published(self) -> None:
         endpoints = self.board.directory.endpoints.values()
@@ -183,7 +183,7 @@
         )
         self.board.progress.keep_only({one.id for one in endpoints})
         self._heartbeat()
-        self._forwarder.admit_waiting()
+        self._forwarder.places.admit_waiting()
 
     def _on_load_changed(self) -> None:
         """Tell peers soon; several changes go out as one heartbeat."""
@@ -252,7 +252,7 @@
         self._feed.hear(
             heartbeat.ip, heartbeat.table_version, heartbeat.directory_revision
         )
-        self._forwarder.admit_waiting()
+        self._forwarder.places.admit_waiting()
 
     async def _page(self, call: Call, exchange: Exchange) -> None:
         """Answer readiness, metrics, and a peer that asks for a copy."""
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -11,7 +11,7 @@
 from ..http1.messages import header
 from ..http1.server import Call, Exchange
 from ..platform import headers as wire
-from . import admission, queues, silence
+from . import admission, silence
 from .attempts import (
     LEAST_FAILURE_STATUS,
     LEAST_LEFT_MS,
@@ -27,6 +27,7 @@
 from .directory import Endpoint
 from .handling import Handling
 from .metrics import EntryMetrics
+from .places import Places
 from .sender import Sender
 from .tables import pick_target
 
@@ -53,8 +54,8 @@
         self._board = board
         self._clock = clock
         self._metrics = metrics
-        self._on_load = on_load
-        self.sender = Sender(board, clock, metrics, self._trust)
+        self.places = Places(board, clock, on_load)
+        self.sender = Sender(board, clock, metrics, self.places.trust)
         self._on_their_way: dict[int, Handling] = {}
         self._numbers = 0
 
@@ -76,12 +77,6 @@
             events.emit(log, events.REQUEST_FAILED, request=_id_of(handling))
             exchange.abort()
 
-    def admit_waiting(self) -> None:
-        """Give places that became free to calls that wait."""
-        for service, queue in self._board.queue_by_service.items():
-            if queue.waiting:
-                queues.admit(queue, lambda one, name=service: self._find(name, one))
-
     def _admit_call(
         self, now_ms: float, call: Call, exchange: Exchange
     ) -> Handling | None:
@@ -149,16 +144,15 @@
 
     async def _send_until_answered(self, one: Handling) -> results.Result:
         while True:
-            endpoint = await self._place(one)
+            endpoint = await self.places.take(one)
             if endpoint is None:
                 return self._give_up(one, is_over=False)
-            self._on_load()
             one.endpoint = endpoint.id
             begun_ms = self._clock()
             try:
                 ending = await self._send(one, endpoint, begun_ms)
             finally:
-                self._end_place(endpoint)
+                self.places.give_back(endpoint)
             now_ms = self._clock()
             if isinstance(ending, Answered):
                 self._board.loads.held(one.service, now_ms - begun_ms)
@@ -222,7 +216,7 @@
         if one.deadline_ms - now_ms < LEAST_LEFT_MS:
             return False
         tried = frozenset({*one.history.tried, sent.endpoint.id})
-        answer = self._choose(now_ms, one.service, tried)
+        answer = self.places.choose(now_ms, one.service, tried)
         if not isinstance(answer, admission.Admit):
             return False
         board = self._board
@@ -230,20 +224,6 @@
         one.has_repeat = take_repeat(now_ms, budget, board.policy)
         return one.has_repeat
 
-    def _end_place(self, endpoint: Endpoint) -> None:
-        loads = self._board.loads
-        loads.end(endpoint.id)
-        for name in admission.avoided_names(endpoint):
-            loads.end_trial(name)
-        self._on_load()
-        self.admit_waiting()
-
-    def _trust(self, endpoint: Endpoint) -> None:
-        """Send calls to an endpoint that has begun to answer one, and to its group."""
-        for name in admission.avoided_names(endpoint):
-            self._board.loads.succeeded(name)
-        self.admit_waiting()
-
     def _may_repeat(self, now_ms: float, one: Handling) -> bool:
         if not may_send_again(one.history, one.route):
             return False
@@ -284,78 +264,6 @@
             avoided_ms=round(avoided_ms),
         )
 
-    async def _place(self, one: Handling) -> Endpoint | None:
-        """Return an endpoint whose place is counted as taken, or ``None``."""
-        now_ms = self._clock()
-        left_ms = one.deadline_ms - now_ms
-        route = one.route
-        queue = self._board.queue_of(one.service)
-        ahead = queue.ahead_of(one.priority, one.arrived_ms)
-        answer = self._choose(now_ms, one.service, frozenset(one.history.tried))
-        if isinstance(answer, admission.Unusable):
-            return None
-        if isinstance(answer, admission.Admit) and not ahead:
-            self._take(answer.endpoint)
-            return answer.endpoint
-        longest_ms = admission.longest_wait_ms(route.goal_ms, left_ms)
-        usable = self._board.directory.of_service(one.service)
-        wait_ms = admission.expected_wait_ms(
-            one.service, usable, self._board.loads, ahead
-        )
-        if wait_ms > longest_ms:
-            return None
-        return await self._wait_in(queue, one, longest_ms)
-
-    async def _wait_in(
-        self, queue: queues.Queue, one: Handling, longest_ms: float
-    ) -> Endpoint | None:
-        began_ms = self._clock()
-        admitted = asyncio.get_running_loop().create_future()
-        self._numbers += 1
-        waiting = queues.Waiting(
-            one.priority,
-            one.arrived_ms,
-            self._numbers,
-            frozenset(one.history.tried),
-            admitted.set_result,
-        )
-        queue.join(waiting)
-        try:
-            async with asyncio.timeout(longest_ms / 1000):
-                return await asyncio.shield(admitted)
-        except TimeoutError:
-            return admitted.result() if admitted.done() else None
-        except asyncio.CancelledError:
-            if admitted.done():
-                self._end_place(admitted.result())
-            raise
-        finally:
-            queue.leave(waiting)
-            one.waited_ms += self._clock() - began_ms
-
-    def _find(self, service: str, waiting: queues.Waiting) -> Endpoint | None:
-        answer = self._choose(self._clock(), service, waiting.tried)
-        if not isinstance(answer, admission.Admit):
-            return None
-        self._take(answer.endpoint)
-        return answer.endpoint
-
-    def _take(self, endpoint: Endpoint) -> None:
-        loads = self._board.loads
-        loads.begin(endpoint.id)
-        for name in admission.avoided_names(endpoint):
-            loads.try_again(name)
-
-    def _choose(
-        self, now_ms: float, service: str, tried: frozenset[str]
-    ) -> admission.Answer:
-        board = self._board
-        ask = admission.Ask(service, tried, board.random.random())
-        waiting = len(board.queue_of(service).waiting)
-        return admission.choose(
-            now_ms, ask, board.directory, board.loads, board.host.domain, waiting
-        )
-
     def _give_up(self, one: Handling, *, is_over: bool) -> results.Result:
         result = final_result(one.history, is_over=is_over)
         if one.exchange.has_begun:
@@ -366,24 +274,11 @@
             return results.DONE
         retry_after_s = None
         if result.outcome is results.Outcome.NOT_RUN:
-            retry_after_s = self._retry_after_s(one)
+            retry_after_s = self.places.retry_after_s(one)
         headers = wire.own_answer(one.said.id, retry_after_s)
         one.exchange.answer(result.http_status, headers, b"")
         return result
 
-    def _retry_after_s(self, one: Handling) -> float:
-        now_ms = self._clock()
-        board = self._board
-        left_ms = one.deadline_ms - now_ms
-        answer = self._choose(now_ms, one.service, frozenset())
-        draw = board.random.random()
-        if isinstance(answer, admission.Unusable):
-            return admission.return_after_outage_ms(left_ms, draw) / 1000
-        usable = board.directory.of_service(one.service)
-        ahead = len(board.queue_of(one.service).waiting)
-        wait_ms = admission.expected_wait_ms(one.service, usable, board.loads, ahead)
-        return admission.retry_after_ms(wait_ms, left_ms, draw) / 1000
-
     def _note(self, one: Handling, result: results.Result) -> None:
         now_ms = self._clock()
         total_ms = now_ms - one.arrived_ms
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -158,8 +158,8 @@
 
     :param fault: what it does wrong: ``refuse``, ``cut`` (its stream breaks off in the
         middle of an event), ``mute`` (it closes without an answer), ``unproved``,
-        ``fail``, ``stall`` (it falls silent), ``promise`` (503 for a call that it ran, without a proof), or
-        ``stray`` (an answer to another call first).
+        ``fail``, ``stall`` (it falls silent), ``promise`` (503 for a call that it ran,
+        without a proof), or ``stray`` (an answer to another call first).
     """
 
     id: str
