Have a pass held at another host than the giver's, whose rank is armed last

Ruled out: releasing it from afar, the rank answers nobody.

Now the holder is the next rank, ordered from the maker's host, and the maker's rank is armed last of all. While any other rank isn't armed, the maker's can't be, so the holder's agent makes the change void without a word from there. Each maker has a holder of its own.

--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -18,11 +18,11 @@
 from ..platform.members import Members, read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
-from . import change as changes, messages, policy
+from . import change as changes, messages, policy, versions
 from .demand import Demands
-from .group import VERSION_DRAW_BITS, Group
-from .participant import carry_out
-from .views import ExpertMap, RankView
+from .group import Group
+from .participant import carry_out, give_once
+from .views import ExpertMap, HoldStep, RankView
 
 log = logging.getLogger(__name__)
 
@@ -180,7 +180,7 @@
         present = self._group.present_map()
         if present is None:
             return
-        draw = self._random.getrandbits(VERSION_DRAW_BITS)
+        draw = self._random.getrandbits(versions.DRAW_BITS)
         self._group.used_step = max(self._group.used_step, step)
         self._change = changes.take_over(
             now_ms,
@@ -286,7 +286,7 @@
         decision: policy.Decision,
         layout: ExpertLayout,
     ) -> None:
-        version = self._group.new_version(self._random.getrandbits(VERSION_DRAW_BITS))
+        version = self._group.new_version(self._random.getrandbits(versions.DRAW_BITS))
         found = decision.plan
         self._change = changes.begin(
             now_ms,
@@ -321,6 +321,7 @@
         self._group.used_step = max(self._group.used_step, change.step)
         if change.outcome is not None:
             self._change = None
+            self._asked.clear()
             if change.outcome is changes.Outcome.SWITCHED and change.map:
                 self._group.switched = (change.version, change.map)
             events.emit(
@@ -340,16 +341,44 @@
         if assignment.rank == own.rank:
             self._spawn(self._carry_out_here(change, assignment.task))
             return
-        member = self._group.members.get(assignment.rank)
         is_silent = assignment.rank not in self._group.alive(boottime_ms())
-        if assignment.is_direct or member is None or is_silent:
+        if isinstance(assignment.task, changes.Hold) and not is_silent:
+            self._spawn(self._hold_there(change, assignment.rank, assignment.task))
+            return
+        if assignment.is_direct or is_silent:
             self._spawn(self._carry_out_there(change, assignment))
             return
+        self._ask(change, assignment.rank, assignment.task)
+
+    def _ask(self, change: changes.Change, rank: int, task: changes.Task) -> None:
+        """Ask the agent of a rank to carry out a task there."""
+        member = self._group.members.get(rank)
+        if member is None:
+            return
         self._numbers += 1
         self._asked[self._numbers] = change.version
-        ask = messages.ask(self._host.ip, self._numbers, change.epoch, assignment.task)
+        ask = messages.ask(self._host.ip, self._numbers, change.epoch, task)
         self._send(member.heartbeat.ip, ask)
 
+    async def _hold_there(
+        self, change: changes.Change, rank: int, task: changes.Hold
+    ) -> None:
+        """Give the order to hold a pass, and have the agent there tell the outcome.
+
+        A report that is read from afar costs more than one that its agent reads.
+        """
+        place = self._members.ranks.get(rank)
+        if place is None:
+            return
+        client = _direct(place)
+        try:
+            order = HoldStep(change.epoch, task.step)
+            is_accepted = await give_once(client, order)
+        finally:
+            client.close()
+        if is_accepted is not None:
+            self._ask(change, rank, changes.Look())
+
     async def _carry_out_here(self, change: changes.Change, task: changes.Task) -> None:
         try:
             self._hear(change, await carry_out(self._rank, change.epoch, task))
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -4,7 +4,8 @@
 and whoever gave them may die. What binds a change lies in the ranks alone:
 
 * All ranks prepare the map. Then one rank, the holder, holds a pass to come, and all
-  arm the map for just that pass. Each version is armed for one pass only, ever.
+  arm the map for just that pass, the rank of the agent that made the map last. Each
+  version is armed for one pass only, ever.
 * The pass is released only when every rank is armed, or when no rank can switch any
   more: each has a higher version prepared, which refuses a late order to arm.
 * A version is dead once some rank has a higher one prepared and isn't armed with it.
@@ -12,13 +13,16 @@
   dead version is disarmed.
 
 So whoever looks at the ranks can finish a change or make it void, and two that do so at
-once can't contradict each other. ``docs/design/platform-maps.md`` gives the argument.
+once can't contradict each other. The holder is on another host than the maker, and as
+the maker's rank is armed last, a change can be made void without a word from its host.
+``docs/design/platform-maps.md`` gives the argument.
 """
 
 import dataclasses
 import enum
 import typing as t
 
+from .versions import maker_of
 from .views import ExpertMap, RankView
 
 PREPARE_BOUND_MS: t.Final = 2_500.0
@@ -32,6 +36,10 @@
 LEAD_STEPS: t.Final = 2
 """Passes between the last one begun and the one at which the map changes."""
 HOLD_TRIES: t.Final = 6
+SILENT_MAKER_MS: t.Final = 300.0
+"""How long the rank of a map's maker is waited for, where it may be done without."""
+HOLD_BOUND_MS: t.Final = 1_000.0
+"""How long the holder is asked to hold a pass before the change is given up."""
 VOID_RAISE_MS: t.Final = 300.0
 """How long ranks may refuse a void version before a higher one is taken."""
 
@@ -173,7 +181,7 @@
     return Change(
         epoch=own.epoch,
         size=own.size,
-        holder=own.rank,
+        holder=holder_for(own.rank, own.size),
         version=version,
         map=new,
         present=present,
@@ -185,6 +193,19 @@
     )
 
 
+def holder_for(maker: int, size: int) -> int:
+    """Return the rank that holds passes for the agent of rank ``maker``.
+
+    No other agent has passes held there, so nobody else releases them by mistake.
+    """
+    return (maker + 1) % size
+
+
+def maker_for(holder: int, size: int) -> int:
+    """Return the rank whose agent has passes held at rank ``holder``."""
+    return (holder - 1) % size
+
+
 def take_over(
     now_ms: float,
     epoch: int,
@@ -254,8 +275,9 @@
 
 
 def _look(now_ms: float, change: Change) -> dict[int, Task]:
-    if len(change.views) < change.size:
-        return {rank: Look() for rank in _missing(change)}
+    missing = _missing(change)
+    if missing and not _may_do_without(now_ms, change, missing):
+        return {rank: Look() for rank in missing}
     holder = change.views[change.holder]
     if holder.held != change.step:
         _end(change, Outcome.ABANDONED)
@@ -276,10 +298,30 @@
         ]
         change.version = max((_highest(view) for view in open_views), default=0)
     change.void_version = max(change.void_version, max(versions) + 1)
-    change.phase = Phase.ARM if armed else Phase.VOID
+    change.phase = Phase.ARM if armed and not missing else Phase.VOID
     return {}
 
 
+def _may_do_without(now_ms: float, change: Change, missing: t.Sequence[int]) -> bool:
+    """Return whether a pass can be cleared up though ``missing`` ranks aren't heard.
+
+    That is so for the rank of the agent that had the pass held, which is armed only
+    after all others are: as long as one of them isn't, it can't switch to a map of that
+    agent. A map of another agent would be held at another rank as well.
+    """
+    maker = maker_for(change.holder, change.size)
+    if list(missing) != [maker] or now_ms - change.phase_ms < SILENT_MAKER_MS:
+        return False
+    armed = [
+        view.armed.version
+        for view in change.views.values()
+        if view.armed is not None and view.armed.step == change.step
+    ]
+    return len(armed) < len(change.views) and all(
+        maker_of(version) == maker for version in armed
+    )
+
+
 def _prepare(now_ms: float, change: Change) -> dict[int, Task]:
     views = change.views.values()
     if any(_highest(view) > change.version for view in views):
@@ -307,7 +349,8 @@
     if holder.held == change.step:
         change.phase = Phase.ARM
         return {}
-    if holder.held is not None or change.hold_tries > HOLD_TRIES:
+    is_late = now_ms - change.phase_ms > HOLD_BOUND_MS
+    if holder.held is not None or change.hold_tries > HOLD_TRIES or is_late:
         _end(change, Outcome.ABANDONED)
         return {}
     if holder.step >= change.step:
@@ -328,11 +371,12 @@
     if is_dead or now_ms - change.phase_ms > ARM_BOUND_MS:
         change.phase = Phase.VOID
         return {}
-    return {
-        rank: Arm(change.version, change.step)
-        for rank in range(change.size)
-        if not _is_armed(views[rank], change)
-    }
+    waiting = [
+        rank for rank in range(change.size) if not _is_armed(views[rank], change)
+    ]
+    maker = maker_of(change.version)
+    now = [rank for rank in waiting if rank != maker] or waiting
+    return {rank: Arm(change.version, change.step) for rank in now}
 
 
 def _void(now_ms: float, change: Change) -> dict[int, Task]:
@@ -352,7 +396,9 @@
         for rank, view in views.items()
         if not _refuses(view, change.version) and not _is_armed_elsewhere(view, change)
     ]
-    if not waiting:
+    is_maker_silent = now_ms - change.phase_ms > SILENT_MAKER_MS
+    if not waiting or (is_maker_silent and waiting == [maker_of(change.version)]):
+        # The maker's rank is armed last, so it isn't armed if another refuses.
         change.is_forward = False
         change.phase = Phase.RELEASE
         return {}
@@ -386,12 +432,20 @@
         change.asked_ms[rank] = now_ms
         heard_ms = change.heard_ms.get(rank, change.began_ms)
         silent_ms = now_ms - max(heard_ms, change.phase_ms)
-        assignments.append(
-            Assignment(rank, task, not is_preparing and silent_ms > DIRECT_MS)
-        )
+        is_silent = not is_preparing and silent_ms > DIRECT_MS
+        assignments.append(Assignment(rank, task, _is_direct(task) or is_silent))
     return assignments
 
 
+def _is_direct(task: Task) -> bool:
+    """Return whether a task is always for the rank itself.
+
+    Whoever has a pass held gives the order itself: if its host then stands still, the
+    holder's doesn't.
+    """
+    return isinstance(task, Hold)
+
+
 def _has_begun(change: Change) -> bool:
     """End the change if its pass has begun: somebody else has released it."""
     views = change.views.values()
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -4,6 +4,7 @@
 import dataclasses
 import typing as t
 
+from . import versions
 from .messages import Heartbeat
 from .views import ExpertMap, RankView
 
@@ -16,8 +17,6 @@
 """Longer than any pass that isn't held or waiting for a lost rank."""
 PASSES_MS: t.Final = 600.0
 """Time over which the length of a pass is taken."""
-VERSION_DRAW_BITS: t.Final = 16
-RANK_BITS: t.Final = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,17 +145,14 @@
     def new_version(self, draw: int) -> int:
         """Return a version above all that are known, which nobody else makes.
 
-        :param draw: random, below ``2 ** VERSION_DRAW_BITS``; tells apart what two
-            agents of one rank make.
+        :param draw: random, below ``2 ** versions.DRAW_BITS``.
         """
         own = t.cast(RankView, self.own)
         views = [member.heartbeat.view for member in self.members.values()]
         highest = max(
             max(view.map_version, view.prepared or 0) for view in [*views, own]
         )
-        bits = RANK_BITS + VERSION_DRAW_BITS
-        turn = (highest >> bits) + 1
-        return (turn << bits) | (own.rank << VERSION_DRAW_BITS) | draw
+        return versions.next_version(highest, own.rank, draw)
 
 
 def _is_in_change(view: RankView, step: int) -> bool:
--- a/src/dotterelplank/ranks/participant.py
+++ b/src/dotterelplank/ranks/participant.py
@@ -118,14 +118,14 @@
     for _ in range(ORDER_TRIES):
         if not is_due(view) or view.epoch != order.epoch:
             break
-        is_accepted = await _give_once(rank, order)
+        is_accepted = await give_once(rank, order)
         view = await rank.view()
         if is_accepted is not None:
             return _Given(view, is_accepted)
     return _Given(view, False)
 
 
-async def _give_once(rank: Rank, order: Order) -> bool | None:
+async def give_once(rank: Rank, order: Order) -> bool | None:
     """Give an order; return whether it was accepted, or none if it got no answer."""
     is_accepted = None
     why = None
