Read the ranks again while a change is being made void

An agent with a change in hand takes nothing over, so the pass that was held when its next giver was killed at 8.7 s stayed held until 20.4 s.

Now the ranks that get no order in this phase are read. A phase that lasts over a second is logged (event 178): nothing in the log told the phase.

Test that failed first: test_a_pass_that_began_meanwhile_is_noticed_though_no_order_can_be_given.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -243,6 +243,12 @@
     logging.WARNING,
     "An order got no answer; it may still be carried out, seconds later.",
 )
+MAP_CHANGE_SLOW = _define(
+    178,
+    "map-change-slow",
+    logging.WARNING,
+    "A change of the expert map has been in one phase for long; a pass may be held.",
+)
 
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -36,6 +36,8 @@
 LOST_MS: t.Final = 500.0
 LOOKUP_INTERVAL_MS: t.Final = 1_000.0
 LONGEST_LOOKUP_INTERVAL_MS: t.Final = 8_000.0
+SLOW_PHASE_MS: t.Final = 1_000.0
+"""After this a phase of a change is logged."""
 DIRECT_TIMEOUT_MS: t.Final = 200.0
 DIRECT_ORDER_TIMEOUT_MS: t.Final = 40.0
 """Longest time that an order may take at a rank of another host."""
@@ -63,6 +65,7 @@
         self._leader: int | None = None
         self._held_since_ms: float | None = None
         self._change: changes.Change | None = None
+        self._slow: changes.Phase | None = None
         self._asked: dict[int, int] = {}
         self._busy: set[tuple[str, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -319,9 +322,11 @@
         for assignment in changes.advance(now_ms, change):
             self._send_assignment(change, assignment)
         self._group.used_step = max(self._group.used_step, change.step)
+        self._note_slow(now_ms, change)
         if change.outcome is not None:
             self._change = None
             self._asked.clear()
+            self._slow = None
             if change.outcome is changes.Outcome.SWITCHED and change.map:
                 self._group.switched = (change.version, change.map)
             events.emit(
@@ -334,6 +339,23 @@
                 prepared_ms=round(max(0.0, change.prepared_ms - change.began_ms)),
             )
 
+    def _note_slow(self, now_ms: float, change: changes.Change) -> None:
+        """Log once a phase that takes long, and which ranks it may wait for."""
+        if now_ms - change.phase_ms < SLOW_PHASE_MS or self._slow == change.phase:
+            return
+        self._slow = change.phase
+        views = change.views.values()
+        events.emit(
+            log,
+            events.MAP_CHANGE_SLOW,
+            phase=change.phase.value,
+            version=change.version,
+            step=change.step,
+            heard=len(change.views),
+            armed=sorted(view.rank for view in views if view.armed is not None),
+            phase_ms=round(now_ms - change.phase_ms),
+        )
+
     def _send_assignment(
         self, change: changes.Change, assignment: changes.Assignment
     ) -> None:
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -404,11 +404,13 @@
         return {}
     dead = dead_versions(views.values())
     task = Void(change.void_version, change.present, dead)
-    return {
-        rank: task
+    due = {
+        rank
         for rank in waiting
         if (armed := views[rank].armed) is None or armed.version in dead
     }
+    # The others are read again: the pass may have begun without this change.
+    return {rank: task if rank in due else Look() for rank in views}
 
 
 def _release(now_ms: float, change: Change) -> dict[int, Task]:
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -106,6 +106,23 @@
         self.assertEqual(changes.Phase.LOOK, change.phase)
         self.assertEqual([changes.Look()], [assignment.task for assignment in tasks])
 
+    def test_a_pass_that_began_meanwhile_is_noticed_though_no_order_can_be_given(self):
+        """Rank 1 is armed with a version that isn't dead, so it can't be disarmed."""
+        change, _ = self._cleared(
+            _view(0, size=3, prepared=4, armed=Armed(4, 20)),
+            _view(1, size=3, prepared=5, armed=Armed(5, 12), held=12),
+            _view(2, size=3, prepared=4, armed=Armed(4, 20)),
+        )
+        late_ms = NOW_MS + changes.ARM_BOUND_MS + changes.SILENT_MAKER_MS + 10
+        changes.advance(late_ms, change)
+        self.assertEqual(changes.Phase.VOID, change.phase)
+        later_ms = late_ms + changes.RESEND_MS
+        asked = {one.rank for one in changes.advance(later_ms, change)}
+        self.assertEqual({0, 1, 2}, asked)
+        changes.hear(later_ms, change, _view(2, size=3, step=12))
+        changes.advance(later_ms, change)
+        self.assertEqual(changes.Phase.OVER, change.phase)
+
     def test_a_silent_rank_that_isnt_the_makers_is_waited_for(self):
         change, _ = self._cleared(
             _view(0, size=3, prepared=5), _view(1, size=3, prepared=5, held=12)
