--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -18,7 +18,7 @@
 from ..platform.members import Members, read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
-from . import change as changes, messages, policy, versions
+from . import change as changes, messages, policy, tasks, versions
 from .demand import Demands
 from .group import Group
 from .participant import carry_out, give_once
@@ -357,14 +357,14 @@
         )
 
     def _send_assignment(
-        self, change: changes.Change, assignment: changes.Assignment
+        self, change: changes.Change, assignment: tasks.Assignment
     ) -> None:
         own = t.cast(RankView, self._group.own)
         if assignment.rank == own.rank:
             self._spawn(self._carry_out_here(change, assignment.task))
             return
         is_silent = assignment.rank not in self._group.alive(boottime_ms())
-        if isinstance(assignment.task, changes.Hold) and not is_silent:
+        if isinstance(assignment.task, tasks.Hold) and not is_silent:
             self._spawn(self._hold_there(change, assignment.rank, assignment.task))
             return
         if assignment.is_direct or is_silent:
@@ -372,7 +372,7 @@
             return
         self._ask(change, assignment.rank, assignment.task)
 
-    def _ask(self, change: changes.Change, rank: int, task: changes.Task) -> None:
+    def _ask(self, change: changes.Change, rank: int, task: tasks.Task) -> None:
         """Ask the agent of a rank to carry out a task there."""
         member = self._group.members.get(rank)
         if member is None:
@@ -383,7 +383,7 @@
         self._send(member.heartbeat.ip, ask)
 
     async def _hold_there(
-        self, change: changes.Change, rank: int, task: changes.Hold
+        self, change: changes.Change, rank: int, task: tasks.Hold
     ) -> None:
         """Give the order to hold a pass, and have the agent there tell the outcome.
 
@@ -399,16 +399,16 @@
         finally:
             client.close()
         if is_accepted is not None:
-            self._ask(change, rank, changes.Look())
+            self._ask(change, rank, tasks.Look())
 
-    async def _carry_out_here(self, change: changes.Change, task: changes.Task) -> None:
+    async def _carry_out_here(self, change: changes.Change, task: tasks.Task) -> None:
         try:
             self._hear(change, await carry_out(self._rank, change.epoch, task))
         except UpstreamError as error:
             self._note_silence(str(error))
 
     async def _carry_out_there(
-        self, change: changes.Change, assignment: changes.Assignment
+        self, change: changes.Change, assignment: tasks.Assignment
     ) -> None:
         place = self._members.ranks.get(assignment.rank)
         if place is None:
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -22,6 +22,7 @@
 import enum
 import typing as t
 
+from .tasks import Arm, Assignment, Hold, Look, Prepare, Release, Task, Void
 from .versions import maker_of
 from .views import ExpertMap, RankView
 
@@ -65,65 +66,6 @@
     REFORMED = "reformed"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Look:
-    """Say how the rank is."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Prepare:
-    """Have the map prepared."""
-
-    version: int
-    map: ExpertMap
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hold:
-    """Have the pass held."""
-
-    step: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Arm:
-    """Have the map armed for the pass."""
-
-    version: int
-    step: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Void:
-    """Have a version prepared that refuses late orders to arm lower ones.
-
-    :param dead: versions that may be disarmed first.
-    """
-
-    version: int
-    map: ExpertMap
-    dead: tuple[int, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Release:
-    """Have the pass released."""
-
-    step: int
-
-
-Task = Look | Prepare | Hold | Arm | Void | Release
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Assignment:
-    """A task for the agent of a rank, or for the rank itself if ``is_direct``."""
-
-    rank: int
-    task: Task
-    is_direct: bool
-
-
 @dataclasses.dataclass
 class Change:
     """One change of the map, or the clearing up of one.
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -5,7 +5,7 @@
 import pydantic
 
 from ..packets import Codec
-from .change import Arm, Hold, Look, Prepare, Release, Task, Void
+from .tasks import Arm, Hold, Look, Prepare, Release, Task, Void
 from .views import ExpertMap, RankView, Rows
 
 
--- a/src/dotterelplank/ranks/participant.py
+++ b/src/dotterelplank/ranks/participant.py
@@ -11,7 +11,7 @@
 
 from .. import events
 from ..errors import UpstreamError
-from .change import Arm, Hold, Look, Prepare, Release, Task, Void
+from .tasks import Arm, Hold, Look, Prepare, Release, Task, Void
 from .views import (
     ArmMap,
     DisarmMap,
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings, strategies as st
 from rank_model import MAP, World, sleep
 
-from dotterelplank.ranks import change as changes, participant, versions
+from dotterelplank.ranks import change as changes, participant, tasks, versions
 from dotterelplank.ranks.agent import FORGOTTEN_HOLD_MS
 from dotterelplank.ranks.views import Armed, RankView
 
@@ -48,13 +48,13 @@
     def test_every_rank_is_asked_to_prepare_first(self):
         assignments = changes.advance(NOW_MS, _begin())
         self.assertEqual([0, 1], [assignment.rank for assignment in assignments])
-        self.assertTrue(all(isinstance(e.task, changes.Prepare) for e in assignments))
+        self.assertTrue(all(isinstance(e.task, tasks.Prepare) for e in assignments))
 
     def test_nothing_is_armed_before_the_pass_is_held(self):
         change = _begin()
         _hear(change, _view(0, prepared=5), _view(1, prepared=5))
         (assignment,) = changes.advance(NOW_MS, change)
-        self.assertEqual((1, changes.Hold(12)), (assignment.rank, assignment.task))
+        self.assertEqual((1, tasks.Hold(12)), (assignment.rank, assignment.task))
 
     def test_the_pass_is_held_at_another_host_by_an_order_of_the_own_one(self):
         change = _begin()
@@ -75,14 +75,14 @@
         changes.advance(NOW_MS, change)
         _hear(change, _view(1, prepared=5, held=12))
         (assignment,) = changes.advance(NOW_MS, change)
-        self.assertEqual((1, changes.Arm(5, 12)), (assignment.rank, assignment.task))
+        self.assertEqual((1, tasks.Arm(5, 12)), (assignment.rank, assignment.task))
         armed = Armed(5, 12)
         _hear(change, _view(1, prepared=5, held=12, armed=armed))
         (assignment,) = changes.advance(NOW_MS, change)
-        self.assertEqual((0, changes.Arm(5, 12)), (assignment.rank, assignment.task))
+        self.assertEqual((0, tasks.Arm(5, 12)), (assignment.rank, assignment.task))
         _hear(change, _view(0, prepared=5, armed=armed))
         (assignment,) = changes.advance(NOW_MS, change)
-        self.assertEqual((1, changes.Release(12)), (assignment.rank, assignment.task))
+        self.assertEqual((1, tasks.Release(12)), (assignment.rank, assignment.task))
 
     def _cleared(self, *views):
         """Let the clearing up of a pass that rank 0 had held at rank 1 go on."""
@@ -93,18 +93,18 @@
 
     def test_a_silent_maker_is_done_without_while_another_rank_isnt_armed(self):
         ranks = [_view(rank, size=3, prepared=5) for rank in (1, 2)]
-        change, tasks = self._cleared(dataclasses.replace(ranks[0], held=12), ranks[1])
+        change, due = self._cleared(dataclasses.replace(ranks[0], held=12), ranks[1])
         self.assertEqual(changes.Phase.VOID, change.phase)
-        self.assertEqual([1, 2], [assignment.rank for assignment in tasks])
+        self.assertEqual([1, 2], [assignment.rank for assignment in due])
 
     def test_a_silent_maker_is_waited_for_once_all_others_are_armed(self):
         armed = Armed(5, 12)
-        change, tasks = self._cleared(
+        change, due = self._cleared(
             _view(1, size=3, prepared=5, armed=armed, held=12),
             _view(2, size=3, prepared=5, armed=armed),
         )
         self.assertEqual(changes.Phase.LOOK, change.phase)
-        self.assertEqual([changes.Look()], [assignment.task for assignment in tasks])
+        self.assertEqual([tasks.Look()], [assignment.task for assignment in due])
 
     def test_a_pass_that_began_meanwhile_is_noticed_though_no_order_can_be_given(self):
         """Rank 1 is armed with a version that isn't dead, so it can't be disarmed."""
@@ -180,7 +180,7 @@
             _view(1, prepared=9, held=12, armed=other),
         )
         (assignment,) = changes.advance(NOW_MS, change)
-        self.assertEqual(changes.Release(12), assignment.task)
+        self.assertEqual(tasks.Release(12), assignment.task)
 
     def test_a_pass_held_by_an_agent_that_died_is_cleared_up(self):
         world = self._world(seed=2, late=0.0, lost=0.0, deaths=0.02)
