--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import random
 import signal
 import time
 import typing as t
@@ -12,17 +11,17 @@
 from ..clocks import boottime_ms
 from ..errors import ProtocolError, UpstreamError
 from ..gateway.host import Address, HostSettings
-from ..gateway.tables import ExpertLayout
 from ..loops import keep_going
 from ..packets import DatagramHandler
-from ..platform.members import Members, read_members
+from ..platform.members import read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
-from . import change as changes, messages, policy, tasks, versions
+from . import messages, policy
 from .demand import Demands
+from .driver import Driver, direct_client
 from .group import Group
-from .participant import carry_out, give_once
-from .views import ExpertMap, HoldStep, RankView
+from .participant import carry_out
+from .views import RankView
 
 log = logging.getLogger(__name__)
 
@@ -36,11 +35,6 @@
 LOST_MS: t.Final = 500.0
 LOOKUP_INTERVAL_MS: t.Final = 1_000.0
 LONGEST_LOOKUP_INTERVAL_MS: t.Final = 8_000.0
-SLOW_PHASE_MS: t.Final = 1_000.0
-"""After this a phase of a change is logged."""
-DIRECT_TIMEOUT_MS: t.Final = 200.0
-DIRECT_ORDER_TIMEOUT_MS: t.Final = 40.0
-"""Longest time that an order may take at a rank of another host."""
 
 
 class Agent:
@@ -48,12 +42,10 @@
 
     def __init__(self, host: HostSettings) -> None:
         self._host = host
-        self._random = random.Random()
         self._group = Group()
         self._demands = Demands()
         self._rank = RankClient(t.cast(Address, host.endpoint))
         self._store = StoreClient(host.store)
-        self._members = Members({}, None)
         self._rows: tuple[int, int, list[list[int]]] | None = None
         self._incarnation = time.time_ns() // 1_000_000
         self._numbers = 0
@@ -64,9 +56,9 @@
         self._is_lost = False
         self._leader: int | None = None
         self._held_since_ms: float | None = None
-        self._change: changes.Change | None = None
-        self._slow: changes.Phase | None = None
-        self._asked: dict[int, int] = {}
+        self._driver = Driver(
+            host.ip, self._group, self._rank, self._send, self._note_silence
+        )
         self._busy: set[tuple[str, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._datagrams: asyncio.DatagramTransport | None = None
@@ -97,7 +89,7 @@
                 stack.callback(loop.create_task(going).cancel)
             await self._stop.wait()
             events.emit(
-                log, events.PROCESS_STOPPING, in_change=self._change is not None
+                log, events.PROCESS_STOPPING, in_change=self._driver.change is not None
             )
             await self._finish_change()
         self._rank.close()
@@ -107,7 +99,7 @@
     async def _finish_change(self) -> None:
         """Let a change in progress come to its end, within the bound on a stop."""
         bound_ms = boottime_ms() + self._host.bounds.stop_ms / 2
-        while self._change is not None and boottime_ms() < bound_ms:
+        while self._driver.change is not None and boottime_ms() < bound_ms:
             await asyncio.sleep(TURN_MS / 1000)
 
     async def _sample(self) -> None:
@@ -163,7 +155,7 @@
         if self._group.see(now_ms, view):
             self._demands.clear()
             self._rows = None
-            self._change = None
+            self._driver.change = None
         self._watch_hold(now_ms, view)
 
     def _watch_hold(self, now_ms: float, view: RankView) -> None:
@@ -173,28 +165,12 @@
             return
         if self._held_since_ms is None:
             self._held_since_ms = now_ms
-        if self._change is not None or now_ms - self._held_since_ms < FORGOTTEN_HOLD_MS:
-            return
-        self._take_over(now_ms, view.rank, view.held)
-
-    def _take_over(self, now_ms: float, holder: int, step: int) -> None:
-        """Clear up a pass that a rank holds, whoever had it held."""
-        own = t.cast(RankView, self._group.own)
-        present = self._group.present_map()
-        if present is None:
+        if (
+            self._driver.change is not None
+            or now_ms - self._held_since_ms < FORGOTTEN_HOLD_MS
+        ):
             return
-        draw = self._random.getrandbits(versions.DRAW_BITS)
-        self._group.used_step = max(self._group.used_step, step)
-        self._change = changes.take_over(
-            now_ms,
-            own.epoch,
-            own.size,
-            holder,
-            step,
-            self._group.new_version(draw),
-            present,
-        )
-        events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
+        self._driver.take_over(now_ms, view.rank, view.held)
 
     async def _watch_stall(self) -> None:
         """Look for a pass held at a rank whose agent is silent, and clear it up."""
@@ -202,7 +178,7 @@
             await asyncio.sleep(STALL_CHECK_MS / 1000)
             now_ms = boottime_ms()
             own = self._group.own
-            if own is None or self._change is not None:
+            if own is None or self._driver.change is not None:
                 continue
             if not self._group.is_stalled(now_ms):
                 continue
@@ -212,10 +188,10 @@
 
     async def _look_for_hold(self, own: RankView) -> None:
         alive = self._group.alive(boottime_ms())
-        for rank, place in sorted(self._members.ranks.items()):
+        for rank, place in sorted(self._driver.members.ranks.items()):
             if rank in alive:
                 continue
-            client = _direct(place)
+            client = direct_client(place)
             try:
                 view = await client.view()
             except UpstreamError as error:
@@ -224,8 +200,8 @@
             finally:
                 client.close()
             is_held = view.held is not None and view.held > view.step
-            if is_held and view.epoch == own.epoch and self._change is None:
-                self._take_over(boottime_ms(), rank, t.cast(int, view.held))
+            if is_held and view.epoch == own.epoch and self._driver.change is None:
+                self._driver.take_over(boottime_ms(), rank, t.cast(int, view.held))
                 return
 
     def _note_silence(self, why: str) -> None:
@@ -252,7 +228,7 @@
             rows,
         )
         self._group.hear(now_ms, heartbeat)
-        for ip in self._members.ips:
+        for ip in self._driver.members.ips:
             if ip != self._host.ip:
                 self._send(ip, heartbeat)
 
@@ -261,12 +237,12 @@
         while True:
             await asyncio.sleep(TURN_MS / 1000)
             now_ms = boottime_ms()
-            if self._change is None:
+            if self._driver.change is None:
                 self._begin_change(now_ms)
-            self._advance()
+            self._driver.advance()
 
     def _begin_change(self, now_ms: float) -> None:
-        group, layout = self._group, self._members.layout
+        group, layout = self._group, self._driver.members.layout
         own = group.own
         if own is None or layout is None or self._stop.is_set():
             return
@@ -275,156 +251,13 @@
         present = group.present_map()
         if present is None:
             return
-        pace = policy.Pace(self._group.pass_ms(now_ms), self._members.gap_target_ms)
+        pace = policy.Pace(
+            self._group.pass_ms(now_ms), self._driver.members.gap_target_ms
+        )
         decision = policy.decide(now_ms, self._demands, present, layout, pace)
         if decision is None:
             return
-        self._start(now_ms, own, present, decision, layout)
-
-    def _start(
-        self,
-        now_ms: float,
-        own: RankView,
-        present: ExpertMap,
-        decision: policy.Decision,
-        layout: ExpertLayout,
-    ) -> None:
-        version = self._group.new_version(self._random.getrandbits(versions.DRAW_BITS))
-        found = decision.plan
-        self._change = changes.begin(
-            now_ms,
-            own,
-            version,
-            found.map,
-            present,
-            decision.copy_ms,
-            self._group.used_step + 1,
-        )
-        events.emit(
-            log,
-            events.CHANGE_BEGUN,
-            version=version,
-            epoch=own.epoch,
-            step=own.step,
-            skew_before=round(found.skew_before, 3),
-            skew_after=round(found.skew_after, 3),
-            copies=found.copies,
-            window_ms=round(decision.window_ms),
-            pass_ms=round(self._group.pass_ms(now_ms), 1),
-            planned_ms=round(boottime_ms() - now_ms, 1),
-        )
-
-    def _advance(self) -> None:
-        change = self._change
-        if change is None:
-            return
-        now_ms = boottime_ms()
-        for assignment in changes.advance(now_ms, change):
-            self._send_assignment(change, assignment)
-        self._group.used_step = max(self._group.used_step, change.step)
-        self._note_slow(now_ms, change)
-        if change.outcome is not None:
-            self._change = None
-            self._asked.clear()
-            self._slow = None
-            if change.outcome is changes.Outcome.SWITCHED and change.map:
-                self._group.switched = (change.version, change.map)
-            events.emit(
-                log,
-                events.CHANGE_ENDED,
-                version=change.version,
-                step=change.step,
-                outcome=change.outcome.value,
-                took_ms=round(now_ms - change.began_ms),
-                prepared_ms=round(max(0.0, change.prepared_ms - change.began_ms)),
-            )
-
-    def _note_slow(self, now_ms: float, change: changes.Change) -> None:
-        """Log once a phase that takes long, and which ranks it may wait for."""
-        if now_ms - change.phase_ms < SLOW_PHASE_MS or self._slow == change.phase:
-            return
-        self._slow = change.phase
-        views = change.views.values()
-        events.emit(
-            log,
-            events.MAP_CHANGE_SLOW,
-            phase=change.phase.value,
-            version=change.version,
-            step=change.step,
-            heard=len(change.views),
-            armed=sorted(view.rank for view in views if view.armed is not None),
-            phase_ms=round(now_ms - change.phase_ms),
-        )
-
-    def _send_assignment(
-        self, change: changes.Change, assignment: tasks.Assignment
-    ) -> None:
-        own = t.cast(RankView, self._group.own)
-        if assignment.rank == own.rank:
-            self._spawn(self._carry_out_here(change, assignment.task))
-            return
-        is_silent = assignment.rank not in self._group.alive(boottime_ms())
-        if isinstance(assignment.task, tasks.Hold) and not is_silent:
-            self._spawn(self._hold_there(change, assignment.rank, assignment.task))
-            return
-        if assignment.is_direct or is_silent:
-            self._spawn(self._carry_out_there(change, assignment))
-            return
-        self._ask(change, assignment.rank, assignment.task)
-
-    def _ask(self, change: changes.Change, rank: int, task: tasks.Task) -> None:
-        """Ask the agent of a rank to carry out a task there."""
-        member = self._group.members.get(rank)
-        if member is None:
-            return
-        self._numbers += 1
-        self._asked[self._numbers] = change.version
-        ask = messages.ask(self._host.ip, self._numbers, change.epoch, task)
-        self._send(member.heartbeat.ip, ask)
-
-    async def _hold_there(
-        self, change: changes.Change, rank: int, task: tasks.Hold
-    ) -> None:
-        """Give the order to hold a pass, and have the agent there tell the outcome.
-
-        A report that is read from afar costs more than one that its agent reads.
-        """
-        place = self._members.ranks.get(rank)
-        if place is None:
-            return
-        client = _direct(place)
-        try:
-            order = HoldStep(change.epoch, task.step)
-            is_accepted = await give_once(client, order)
-        finally:
-            client.close()
-        if is_accepted is not None:
-            self._ask(change, rank, tasks.Look())
-
-    async def _carry_out_here(self, change: changes.Change, task: tasks.Task) -> None:
-        try:
-            self._hear(change, await carry_out(self._rank, change.epoch, task))
-        except UpstreamError as error:
-            self._note_silence(str(error))
-
-    async def _carry_out_there(
-        self, change: changes.Change, assignment: tasks.Assignment
-    ) -> None:
-        place = self._members.ranks.get(assignment.rank)
-        if place is None:
-            return
-        rank = _direct(place)
-        try:
-            self._hear(change, await carry_out(rank, change.epoch, assignment.task))
-        except UpstreamError as error:
-            events.emit(log, events.RANK_LOST, rank=assignment.rank, why=str(error))
-        finally:
-            rank.close()
-
-    def _hear(self, change: changes.Change, view: RankView) -> None:
-        if change is self._change:
-            changes.hear(boottime_ms(), change, view)
-            self._advance()
+        self._driver.begin(now_ms, own, present, decision)
 
     def _on_datagram(self, data: bytes) -> None:
         try:
@@ -436,14 +269,14 @@
         match message:
             case messages.Heartbeat():
                 if message.service == self._host.service:
-                    self._members.ips.add(message.ip)
+                    self._driver.members.ips.add(message.ip)
                     self._group.hear(now_ms, message)
             case messages.Sample():
                 self._take_sample(now_ms, message)
             case messages.Ask():
                 self._spawn(self._answer(message))
             case messages.Reply():
-                self._take_reply(message)
+                self._driver.take_reply(message)
 
     def _take_sample(self, now_ms: float, sample: messages.Sample) -> None:
         own = self._group.own
@@ -451,12 +284,6 @@
         if own is not None and (view.group, view.epoch) == (own.group, own.epoch):
             self._demands.add(now_ms, view.rank, sample.counts)
 
-    def _take_reply(self, reply: messages.Reply) -> None:
-        version = self._asked.pop(reply.number, None)
-        change = self._change
-        if change is not None and version == change.version:
-            self._hear(change, reply.view)
-
     async def _answer(self, ask: messages.Ask) -> None:
         key = (ask.kind, ask.version or ask.step)
         if key in self._busy:
@@ -485,7 +312,7 @@
 
     def _lacks_members(self) -> bool:
         own = self._group.own
-        if own is None or self._members.layout is None:
+        if own is None or self._driver.members.layout is None:
             return True
         return len(self._group.alive(boottime_ms())) < own.size
 
@@ -495,8 +322,8 @@
         except UpstreamError as error:
             events.emit(log, events.PLATFORM_READ_FAILED, why=str(error))
             return
-        found.ips.update(self._members.ips)
-        self._members = found
+        found.ips.update(self._driver.members.ips)
+        self._driver.members = found
 
     def _send(self, ip: str, message: t.Any) -> None:
         if self._datagrams is not None:
@@ -507,8 +334,3 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _direct(place: Address) -> RankClient:
-    """Return a client for a rank of another host."""
-    return RankClient(place, DIRECT_TIMEOUT_MS, DIRECT_ORDER_TIMEOUT_MS)
--- /dev/null
+++ b/src/dotterelplank/ranks/driver.py
@@ -0,0 +1,238 @@
+"""How one agent drives changes of its group's expert map, and clears up others'."""
+
+import asyncio
+import logging
+import random
+import typing as t
+
+from .. import events
+from ..clocks import boottime_ms
+from ..errors import UpstreamError
+from ..gateway.host import Address
+from ..platform.members import Members
+from ..platform.ranks import RankClient
+from . import change as changes, messages, policy, tasks, versions
+from .group import Group
+from .participant import carry_out, give_once
+from .views import ExpertMap, HoldStep, RankView
+
+log = logging.getLogger(__name__)
+
+SLOW_PHASE_MS: t.Final = 1_000.0
+"""After this a phase of a change is logged."""
+DIRECT_TIMEOUT_MS: t.Final = 200.0
+DIRECT_ORDER_TIMEOUT_MS: t.Final = 40.0
+"""Longest time that an order may take at a rank of another host."""
+
+
+class Driver:
+    """Drives one change at a time.
+
+    :param ip: address of this host.
+    :param rank: the rank of this host.
+    :param send: sends a message to the agent at an address.
+    :param on_silence: told why the rank of this host gave no answer.
+    """
+
+    def __init__(
+        self,
+        ip: str,
+        group: Group,
+        rank: RankClient,
+        send: t.Callable[[str, t.Any], None],
+        on_silence: t.Callable[[str], None],
+    ) -> None:
+        self.members = Members({}, None)
+        self.change: changes.Change | None = None
+        self._ip = ip
+        self._group = group
+        self._rank = rank
+        self._send = send
+        self._on_silence = on_silence
+        self._random = random.Random()
+        self._slow: changes.Phase | None = None
+        self._numbers = 0
+        self._asked: dict[int, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def begin(
+        self,
+        now_ms: float,
+        own: RankView,
+        present: ExpertMap,
+        decision: policy.Decision,
+    ) -> None:
+        """Begin a change; ``present`` is the map in use."""
+        version = self._group.new_version(self._random.getrandbits(versions.DRAW_BITS))
+        found = decision.plan
+        self.change = changes.begin(
+            now_ms,
+            own,
+            version,
+            found.map,
+            present,
+            decision.copy_ms,
+            self._group.used_step + 1,
+        )
+        events.emit(
+            log,
+            events.CHANGE_BEGUN,
+            version=version,
+            epoch=own.epoch,
+            step=own.step,
+            skew_before=round(found.skew_before, 3),
+            skew_after=round(found.skew_after, 3),
+            copies=found.copies,
+            window_ms=round(decision.window_ms),
+            pass_ms=round(self._group.pass_ms(now_ms), 1),
+            planned_ms=round(boottime_ms() - now_ms, 1),
+        )
+
+    def take_over(self, now_ms: float, holder: int, step: int) -> None:
+        """Clear up a pass that a rank holds, whoever had it held."""
+        own = t.cast(RankView, self._group.own)
+        present = self._group.present_map()
+        if present is None:
+            return
+        draw = self._random.getrandbits(versions.DRAW_BITS)
+        self._group.used_step = max(self._group.used_step, step)
+        self.change = changes.take_over(
+            now_ms,
+            own.epoch,
+            own.size,
+            holder,
+            step,
+            self._group.new_version(draw),
+            present,
+        )
+        events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
+
+    def advance(self) -> None:
+        """Let the change in hand, if any, go on as far as it can."""
+        change = self.change
+        if change is None:
+            return
+        now_ms = boottime_ms()
+        for assignment in changes.advance(now_ms, change):
+            self._send_assignment(change, assignment)
+        self._group.used_step = max(self._group.used_step, change.step)
+        self._note_slow(now_ms, change)
+        if change.outcome is not None:
+            self.change = None
+            self._asked.clear()
+            self._slow = None
+            if change.outcome is changes.Outcome.SWITCHED and change.map:
+                self._group.switched = (change.version, change.map)
+            events.emit(
+                log,
+                events.CHANGE_ENDED,
+                version=change.version,
+                step=change.step,
+                outcome=change.outcome.value,
+                took_ms=round(now_ms - change.began_ms),
+                prepared_ms=round(max(0.0, change.prepared_ms - change.began_ms)),
+            )
+
+    def take_reply(self, reply: messages.Reply) -> None:
+        """Take in how a rank is after a task of the change in hand."""
+        version = self._asked.pop(reply.number, None)
+        change = self.change
+        if change is not None and version == change.version:
+            self._hear(change, reply.view)
+
+    def _note_slow(self, now_ms: float, change: changes.Change) -> None:
+        """Log once a phase that takes long, and which ranks it may wait for."""
+        if now_ms - change.phase_ms < SLOW_PHASE_MS or self._slow == change.phase:
+            return
+        self._slow = change.phase
+        views = change.views.values()
+        events.emit(
+            log,
+            events.MAP_CHANGE_SLOW,
+            phase=change.phase.value,
+            version=change.version,
+            step=change.step,
+            heard=len(change.views),
+            armed=sorted(view.rank for view in views if view.armed is not None),
+            phase_ms=round(now_ms - change.phase_ms),
+        )
+
+    def _send_assignment(
+        self, change: changes.Change, assignment: tasks.Assignment
+    ) -> None:
+        own = t.cast(RankView, self._group.own)
+        if assignment.rank == own.rank:
+            self._spawn(self._carry_out_here(change, assignment.task))
+            return
+        is_silent = assignment.rank not in self._group.alive(boottime_ms())
+        if isinstance(assignment.task, tasks.Hold) and not is_silent:
+            self._spawn(self._hold_there(change, assignment.rank, assignment.task))
+            return
+        if assignment.is_direct or is_silent:
+            self._spawn(self._carry_out_there(change, assignment))
+            return
+        self._ask(change, assignment.rank, assignment.task)
+
+    def _ask(self, change: changes.Change, rank: int, task: tasks.Task) -> None:
+        """Ask the agent of a rank to carry out a task there."""
+        member = self._group.members.get(rank)
+        if member is None:
+            return
+        self._numbers += 1
+        self._asked[self._numbers] = change.version
+        ask = messages.ask(self._ip, self._numbers, change.epoch, task)
+        self._send(member.heartbeat.ip, ask)
+
+    async def _hold_there(
+        self, change: changes.Change, rank: int, task: tasks.Hold
+    ) -> None:
+        """Give the order to hold a pass, and have the agent there tell the outcome.
+
+        A report that is read from afar costs more than one that its agent reads.
+        """
+        place = self.members.ranks.get(rank)
+        if place is None:
+            return
+        client = direct_client(place)
+        try:
+            order = HoldStep(change.epoch, task.step)
+            is_accepted = await give_once(client, order)
+        finally:
+            client.close()
+        if is_accepted is not None:
+            self._ask(change, rank, tasks.Look())
+
+    async def _carry_out_here(self, change: changes.Change, task: tasks.Task) -> None:
+        try:
+            self._hear(change, await carry_out(self._rank, change.epoch, task))
+        except UpstreamError as error:
+            self._on_silence(str(error))
+
+    async def _carry_out_there(
+        self, change: changes.Change, assignment: tasks.Assignment
+    ) -> None:
+        place = self.members.ranks.get(assignment.rank)
+        if place is None:
+            return
+        rank = direct_client(place)
+        try:
+            self._hear(change, await carry_out(rank, change.epoch, assignment.task))
+        except UpstreamError as error:
+            events.emit(log, events.RANK_LOST, rank=assignment.rank, why=str(error))
+        finally:
+            rank.close()
+
+    def _hear(self, change: changes.Change, view: RankView) -> None:
+        if change is self.change:
+            changes.hear(boottime_ms(), change, view)
+            self.advance()
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def direct_client(place: Address) -> RankClient:
+    """Return a client for a rank of another host."""
+    return RankClient(place, DIRECT_TIMEOUT_MS, DIRECT_ORDER_TIMEOUT_MS)
