--- a/src/dotterelplank/baselines.py
+++ b/src/dotterelplank/benches/baselines.py
@@ -8,12 +8,12 @@
 
 import numpy as np
 
-from . import rebalancing
-from .experts import EMPTY, ExpertMap, Move, Observation, even_shares
-from .fake_group import FakeGroup
-from .placement import LayerLoad, place_map, search, settle
-from .popularity import Estimate, first_estimate, update
-from .rebalancing import Plan, Policy
+from ..maps import rebalancing
+from ..maps.experts import EMPTY, ExpertMap, Move, Observation, even_shares
+from ..maps.placement import LayerLoad, place_map, search, settle
+from ..maps.popularity import Estimate, first_estimate, update
+from ..maps.rebalancing import Plan, Policy
+from ..standins.fake_group import FakeGroup
 
 Strategy = t.Callable[[float, ExpertMap, Observation], Plan | None]
 Placement = t.Callable[[ExpertMap, Estimate], ExpertMap]
--- a/src/dotterelplank/bench_capacity.py
+++ b/src/dotterelplank/benches/capacity.py
@@ -16,9 +16,10 @@
 
 import typer
 
-from . import bench_tables, membership, revisions
-from .bench_loop import DOCUMENTS, Conditions, Loop, make_peers
-from .bench_replay import DomainSize, Span, control_costs, system_call_ms
+from ..members import membership, revisions
+from . import tables as bench_tables
+from .loop import DOCUMENTS, Conditions, Loop, make_peers
+from .replay import DomainSize, Span, control_costs, system_call_ms
 
 BUDGET_CORE_PERCENT = 1.4
 BUDGET_MEMORY_MB = 256.0
--- a/src/dotterelplank/bench_carriers.py
+++ b/src/dotterelplank/benches/carriers.py
@@ -2,15 +2,11 @@
 
 import typing as t
 
-from . import (
-    datagrams,
-    member_messages as mm,
-    revision_messages as rm,
-    revisions,
-)
+from ..daemons import datagrams
+from ..members import messages as mm, revision_messages as rm, revisions
 
 if t.TYPE_CHECKING:
-    from .bench_loop import Loop, Process
+    from .loop import Loop, Process
 
 
 SECRET = b"a secret of the loop"
--- a/src/dotterelplank/bench_choosers.py
+++ b/src/dotterelplank/benches/choosers.py
@@ -10,9 +10,9 @@
 import random
 import typing as t
 
-from . import endpoint_view, inquiry, prefixes, routing
-from .bench_traffic import Arrival
-from .bench_world import Chooser, Chosen, World
+from ..routing import endpoint_view, inquiry, prefixes, routing
+from .traffic import Arrival
+from .world import Chooser, Chosen, World
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/benches.py
+++ b/src/dotterelplank/benches/cli.py
@@ -7,15 +7,15 @@
 import typer
 
 from . import (
-    bench_capacity,
-    bench_experts,
-    bench_limits,
-    bench_membership,
-    bench_path,
-    bench_routing,
-    bench_shapes,
+    capacity as bench_capacity,
+    experts as bench_experts,
+    limits as bench_limits,
+    membership as bench_membership,
+    path as bench_path,
+    routing as bench_routing,
+    shapes as bench_shapes,
 )
-from .bench_path import BenchError, Load, Target
+from .path import BenchError, Load, Target
 
 app = typer.Typer(help="Measures the decisions and the path.", no_args_is_help=True)
 app.command("experts")(bench_experts.command)
--- a/src/dotterelplank/bench_experts.py
+++ b/src/dotterelplank/benches/experts.py
@@ -13,12 +13,12 @@
 import numpy as np
 import typer
 
+from ..errors import InputError
+from ..maps.experts import ExpertMap
+from ..maps.placement import place_map
+from ..maps.rebalancing import Plan, Policy
+from ..standins.fake_group import HOUR_MS, MINUTE_MS, FakeGroup, Workload
 from . import baselines
-from .errors import InputError
-from .experts import ExpertMap
-from .fake_group import HOUR_MS, MINUTE_MS, FakeGroup, Workload
-from .placement import place_map
-from .rebalancing import Plan, Policy
 from .skew import Ledger, Samples
 
 WINDOW_MS: t.Final = 15_000.0
--- a/src/dotterelplank/bench_failures.py
+++ b/src/dotterelplank/benches/failures.py
@@ -4,10 +4,11 @@
 import math
 import typing as t
 
-from . import bench_tables, member_messages as mm, membership, revisions
-from .bench_loop import DOCUMENTS, Conditions, Loop, Process, make_peers
-from .peers import Role
-from .revision_messages import Adopt, Document
+from ..members import membership, messages as mm, revisions
+from ..members.peers import Role
+from ..members.revision_messages import Adopt, Document
+from . import tables as bench_tables
+from .loop import DOCUMENTS, Conditions, Loop, Process, make_peers
 
 CALM_MS = 3_000
 STEP_MS = 20
--- a/src/dotterelplank/bench_limits.py
+++ b/src/dotterelplank/benches/limits.py
@@ -7,8 +7,8 @@
 
 import typer
 
-from .bench_limits_figures import LimitsFigures, measure
-from .bench_limits_world import Change, LimitsWorldOptions, TeamPlan
+from .limits_figures import LimitsFigures, measure
+from .limits_world import Change, LimitsWorldOptions, TeamPlan
 
 DEFAULT_SEEDS = 5
 LARGE_TEAMS = 3
--- a/src/dotterelplank/bench_limits_figures.py
+++ b/src/dotterelplank/benches/limits_figures.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing as t
 
-from . import demands
-from .bench_limits_world import (
+from ..routing import demands
+from .limits_world import (
     OUTPUT_TOKENS,
     Call,
     LimitsTally,
@@ -12,7 +12,7 @@
     LimitsWorldOptions,
     team_numbers,
 )
-from .bench_routing import percentile
+from .routing import percentile
 
 SETTLING_MS = 5_000.0
 BIN_MS = 2_000.0
--- a/src/dotterelplank/bench_limits_world.py
+++ b/src/dotterelplank/benches/limits_world.py
@@ -10,10 +10,10 @@
 import random
 import typing as t
 
-from . import capacities, endpoint_view, limits, retries
-from .bench_traffic import pick
-from .endpoint_view import EndpointView
-from .fake_engine import EngineOptions, FakeEngine, Happening, Job, Stage
+from ..routing import capacities, endpoint_view, limits, retries
+from ..routing.endpoint_view import EndpointView
+from ..standins.fake_engine import EngineOptions, FakeEngine, Happening, Job, Stage
+from .traffic import pick
 from .virtual_clock import Act, VirtualClock
 
 REPORT_INTERVAL_MS = 500.0
--- a/src/dotterelplank/bench_loop.py
+++ b/src/dotterelplank/benches/loop.py
@@ -11,15 +11,10 @@
 import random
 import typing as t
 
-from . import (
-    datagrams,
-    member_messages as mm,
-    membership,
-    revision_messages as rm,
-    revisions,
-)
-from .bench_carriers import DOCUMENT_CARRIERS, MEMBER_CARRIERS, SECRET
-from .peers import Peer, Role
+from ..daemons import datagrams
+from ..members import membership, messages as mm, revision_messages as rm, revisions
+from ..members.peers import Peer, Role
+from .carriers import DOCUMENT_CARRIERS, MEMBER_CARRIERS, SECRET
 
 # Numbers of the width that they have after months.
 FIRST_MS = 1_000_000_000
--- a/src/dotterelplank/bench_membership.py
+++ b/src/dotterelplank/benches/membership.py
@@ -7,10 +7,10 @@
 
 import typer
 
-from . import bench_failures as failures
-from .bench_capacity import fit
-from .bench_failures import Fleet, FleetSize
-from .peers import Role
+from ..members.peers import Role
+from . import failures
+from .capacity import fit
+from .failures import Fleet, FleetSize
 
 LOSS = 0.01
 NOTICE_MS = 1_000
--- a/src/dotterelplank/bench_path.py
+++ b/src/dotterelplank/benches/path.py
@@ -16,9 +16,9 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
-from . import sse
-from .clocks import monotonic_ms
-from .errors import DotterelplankError
+from ..clocks import monotonic_ms
+from ..daemons import sse
+from ..errors import DotterelplankError
 
 _HIGHEST_US = 600_000_000
 _DIGITS = 3
--- a/src/dotterelplank/bench_replay.py
+++ b/src/dotterelplank/benches/replay.py
@@ -7,10 +7,11 @@
 import time
 import typing as t
 
-from . import datagrams, member_messages as mm, membership, revisions
-from .bench_carriers import SECRET
-from .bench_loop import DOCUMENTS, Conditions, Loop, Process, event_of, make_peers
-from .revision_messages import Document, PeerOffer, PeersChanged, Tick
+from ..daemons import datagrams
+from ..members import membership, messages as mm, revisions
+from ..members.revision_messages import Document, PeerOffer, PeersChanged, Tick
+from .carriers import SECRET
+from .loop import DOCUMENTS, Conditions, Loop, Process, event_of, make_peers
 
 SYSTEM_CALLS = 20_000
 
--- a/src/dotterelplank/bench_routing.py
+++ b/src/dotterelplank/benches/routing.py
@@ -8,9 +8,9 @@
 
 import typer
 
-from . import routing
-from .bench_choosers import ASK_ROUND_TRIP_MS, CHOOSERS
-from .bench_world import Cut, Fault, World, WorldOptions
+from ..routing import routing
+from .choosers import ASK_ROUND_TRIP_MS, CHOOSERS
+from .world import Cut, Fault, World, WorldOptions
 
 DEFAULT_SEEDS = 5
 RATIO_LIMIT_FIRST_TOKEN = 1.15
--- a/src/dotterelplank/bench_shapes.py
+++ b/src/dotterelplank/benches/shapes.py
@@ -12,9 +12,10 @@
 import msgpack
 import typer
 
-from . import datagrams, member_messages as mm
-from .bench_carriers import SECRET
-from .member_state import MembershipPolicy
+from ..daemons import datagrams
+from ..members import messages as mm
+from ..members.state import MembershipPolicy
+from .carriers import SECRET
 
 ENTRIES = 82
 AGENTS = 152
--- a/src/dotterelplank/skew.py
+++ b/src/dotterelplank/benches/skew.py
@@ -4,8 +4,8 @@
 
 import numpy as np
 
-from .experts import EMPTY, ExpertMap
-from .fake_group import HOUR_MS, MINUTE_MS, Workload
+from ..maps.experts import EMPTY, ExpertMap
+from ..standins.fake_group import HOUR_MS, MINUTE_MS, Workload
 
 UNDONE_WITHIN_MS: t.Final = HOUR_MS
 RECOVERED_SKEW: t.Final = 1.15
--- a/src/dotterelplank/bench_tables.py
+++ b/src/dotterelplank/benches/tables.py
@@ -10,7 +10,7 @@
 
 import numpy as np
 
-from . import errors
+from .. import errors
 
 RANKS = 128
 EXPERTS = 128
--- a/src/dotterelplank/bench_traffic.py
+++ b/src/dotterelplank/benches/traffic.py
@@ -7,8 +7,8 @@
 import random
 import typing as t
 
-from . import prefixes
-from .fake_engine import Job
+from ..routing import prefixes
+from ..standins.fake_engine import Job
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/bench_world.py
+++ b/src/dotterelplank/benches/world.py
@@ -9,10 +9,11 @@
 import random
 import typing as t
 
-from . import bench_traffic, endpoint_view
-from .bench_traffic import Arrival
-from .endpoint_view import CacheEvent, EndpointView, LoadReport
-from .fake_engine import EngineOptions, FakeEngine, Happening, Stage
+from ..routing import endpoint_view
+from ..routing.endpoint_view import CacheEvent, EndpointView, LoadReport
+from ..standins.fake_engine import EngineOptions, FakeEngine, Happening, Stage
+from . import traffic as bench_traffic
+from .traffic import Arrival
 from .virtual_clock import Act, VirtualClock
 
 REPORT_INTERVAL_MS = 500.0
--- a/src/dotterelplank/cli.py
+++ b/src/dotterelplank/cli.py
@@ -11,23 +11,19 @@
 import typer
 import urllib3
 
-from . import (
-    configuration,
-    demo as demo_module,
-    explain as explaining,
-    logs,
-    order_soak,
-    settings as settings_module,
-    soak as soaks,
-)
-from .agent import Agent
-from .benches import app as benches_app
-from .entry import Entry
+from . import logs
+from .benches.cli import app as benches_app
+from .config import configuration, settings as settings_module
+from .config.selectors import Work
+from .config.settings import AgentSettings, EntrySettings
+from .daemons import explain as explaining
+from .daemons.agent import Agent
+from .daemons.entry import Entry
+from .daemons.platform_client import parse_host_list
+from .demo import demo as demo_module
 from .errors import ConfigurationError, InputError, InvariantError
-from .platform_client import parse_host_list
-from .selectors import Work
-from .settings import AgentSettings, EntrySettings
-from .standins import app as standins_app
+from .models import order_soak, soak as soaks
+from .standins.cli import app as standins_app
 
 app = typer.Typer(
     help="Load balancer for expert-parallel model groups.", no_args_is_help=True
--- a/src/dotterelplank/configuration.py
+++ b/src/dotterelplank/config/configuration.py
@@ -10,8 +10,9 @@
 
 import pydantic
 
-from . import defaults, jsontext, planned_maps, selectors
-from .errors import ConfigurationError, InputError
+from .. import defaults, jsontext
+from ..errors import ConfigurationError, InputError
+from . import planned_maps, selectors
 from .planned_maps import Planning, PlanningModel
 
 _NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
--- a/src/dotterelplank/planned_maps.py
+++ b/src/dotterelplank/config/planned_maps.py
@@ -12,8 +12,8 @@
 
 import pydantic
 
-from . import defaults
-from .errors import InputError
+from .. import defaults
+from ..errors import InputError
 
 EXPERTS_MEMBER: t.Final = "experts_by_rank"
 SHARES_MEMBER: t.Final = "shares_by_rank"
--- a/src/dotterelplank/settings.py
+++ b/src/dotterelplank/config/settings.py
@@ -6,9 +6,9 @@
 
 import pydantic
 
-from . import defaults, jsontext
+from .. import defaults, jsontext
+from ..errors import InputError, SettingsError
 from .configuration import Name
-from .errors import InputError, SettingsError
 
 Port = t.Annotated[int, pydantic.Field(ge=0, le=65535)]
 Address = pydantic.IPvAnyAddress
--- a/src/dotterelplank/agent.py
+++ b/src/dotterelplank/daemons/agent.py
@@ -5,19 +5,14 @@
 import threading
 import time
 
-from . import answers, defaults, events, jobs, ledger as ledgers, results
-from .answers import Ended, Job
-from .clocks import monotonic_ms
-from .daemon import Daemon
-from .endpoint_calls import EndpointClient, EndpointLoad
-from .errors import LinkClosedError, UpstreamError
-from .jobs import AgentState
-from .ledger import Ledger
-from .link_server import Handlers
-from .links import Link
-from .mapdriver import Hooks, MapDriver, Wanted
-from .member_messages import Load
-from .messages import (
+from .. import defaults, events, results
+from ..clocks import monotonic_ms
+from ..config.settings import AgentSettings
+from ..errors import LinkClosedError, UpstreamError
+from ..links.endpoint_calls import EndpointClient, EndpointLoad
+from ..links.link_server import Handlers
+from ..links.links import Link
+from ..links.messages import (
     Cancel,
     Credit,
     ExpertsLoaded,
@@ -29,9 +24,15 @@
     SampleTaken,
     Submit,
 )
-from .results import Result
-from .settings import AgentSettings
-from .threads import WorkerPool, start_thread
+from ..maps.driver import Hooks, MapDriver, Wanted
+from ..members.messages import Load
+from ..results import Result
+from ..threads import WorkerPool, start_thread
+from . import answers, jobs, ledger as ledgers
+from .answers import Ended, Job
+from .daemon import Daemon
+from .jobs import AgentState
+from .ledger import Ledger
 from .tickets import Ticket
 
 log = logging.getLogger(__name__)
--- a/src/dotterelplank/answers.py
+++ b/src/dotterelplank/daemons/answers.py
@@ -6,12 +6,14 @@
 
 import urllib3
 
-from . import defaults, endpoint_calls, jobs, results, sse
-from .endpoint_calls import EndpointClient
-from .errors import LinkClosedError, UpstreamError
+from .. import defaults, results
+from ..errors import LinkClosedError, UpstreamError
+from ..links import endpoint_calls
+from ..links.endpoint_calls import EndpointClient
+from ..links.links import Link
+from ..links.messages import Begin, Chunk, End, Refuse, Submit
+from . import jobs, sse
 from .ledger import Answer
-from .links import Link
-from .messages import Begin, Chunk, End, Refuse, Submit
 from .tickets import Ticket
 
 _BUSY_STATUSES = frozenset({429, 503})
--- a/src/dotterelplank/blackboard.py
+++ b/src/dotterelplank/daemons/blackboard.py
@@ -3,11 +3,11 @@
 import dataclasses
 import typing as t
 
-from .configuration import Configuration
-from .endpoint_view import EndpointView
-from .links import Link
-from .member_messages import MemberStatus
-from .peers import Peer
+from ..config.configuration import Configuration
+from ..links.links import Link
+from ..members.messages import MemberStatus
+from ..members.peers import Peer
+from ..routing.endpoint_view import EndpointView
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/dotterelplank/calls.py
+++ b/src/dotterelplank/daemons/calls.py
@@ -6,11 +6,13 @@
 import typing as t
 import urllib.parse
 
-from . import defaults, prefixes, results, tickets
-from .configuration import Configuration, Group
-from .errors import DotterelplankError
-from .messages import Header
-from .selectors import Work
+from .. import defaults, results
+from ..config.configuration import Configuration, Group
+from ..config.selectors import Work
+from ..errors import DotterelplankError
+from ..links.messages import Header
+from ..routing import prefixes
+from . import tickets
 
 SERVICES_PREFIX = "/services/"
 TEAM_HEADER = "HTTP_DOTTERELPLANK_TEAM"
--- a/src/dotterelplank/conversations.py
+++ b/src/dotterelplank/daemons/conversations.py
@@ -3,9 +3,12 @@
 import queue
 import typing as t
 
-from . import defaults, exchanges
-from .clocks import monotonic_ms
-from .errors import LinkClosedError
+from .. import defaults
+from ..clocks import monotonic_ms
+from ..errors import LinkClosedError
+from ..links.links import Link
+from ..links.messages import Cancel, Chunk, Credit
+from . import exchanges
 from .exchanges import (
     CallerGone,
     CancelAt,
@@ -23,8 +26,6 @@
     Send,
     Tick,
 )
-from .links import Link
-from .messages import Cancel, Chunk, Credit
 
 Effect = RelayHead | RelayData | Complete | GiveUp
 
--- a/src/dotterelplank/coordination.py
+++ b/src/dotterelplank/daemons/coordination.py
@@ -8,31 +8,30 @@
 import logging
 import typing as t
 
-from . import (
-    datagrams,
-    defaults,
-    events,
-    member_messages as members,
+from .. import defaults, events
+from ..clocks import monotonic_ms
+from ..config.configuration import Configuration, parse_cached
+from ..errors import LinkClosedError, ProtocolError, UpstreamError
+from ..links.link_server import LinkServer
+from ..links.links import Identity, Link
+from ..links.messages import Message, TextAnswer, TextAsk, TextDecline
+from ..members import (
     membership,
+    messages as members,
     revision_messages as revs,
     revisions,
 )
+from ..members.messages import Heartbeat, Notice
+from ..members.peers import Peer, Role
+from ..members.revision_messages import Document
+from ..members.revision_state import RevisionPolicy, digest_of
+from ..members.state import MembershipPolicy
+from ..metrics import Metrics
+from ..routing.demands import DemandDigest
+from ..threads import start_thread
+from . import datagrams
 from .blackboard import Blackboard, ConfigurationPart, Host, HostsPart, MemberPart
-from .clocks import monotonic_ms
-from .configuration import Configuration, parse_cached
-from .demands import DemandDigest
-from .errors import LinkClosedError, ProtocolError, UpstreamError
-from .link_server import LinkServer
-from .links import Identity, Link
-from .member_messages import Heartbeat, Notice
-from .member_state import MembershipPolicy
-from .messages import Message, TextAnswer, TextAsk, TextDecline
-from .metrics import Metrics
-from .peers import Peer, Role
 from .platform_client import PlatformClient, validate_host_list
-from .revision_messages import Document
-from .revision_state import RevisionPolicy, digest_of
-from .threads import start_thread
 
 log = logging.getLogger(__name__)
 
--- a/src/dotterelplank/daemon.py
+++ b/src/dotterelplank/daemons/daemon.py
@@ -8,21 +8,23 @@
 import time
 import typing as t
 
-from . import defaults, events, links, status
+from .. import defaults, events
+from ..clocks import monotonic_ms
+from ..config.settings import AgentSettings, EntrySettings
+from ..errors import LinkClosedError
+from ..links import links
+from ..links.handshakes import Side
+from ..links.link_server import Handlers, LinkServer
+from ..links.links import Identity, Link
+from ..links.messages import Message
+from ..members.messages import Load, MemberChanged, MemberStatus
+from ..metrics import Metrics
+from ..routing.demands import DemandDigest
+from . import status
 from .blackboard import Blackboard, Host, LifecyclePart, PeerPart
-from .clocks import monotonic_ms
 from .coordination import Coordination, Hooks, Place
-from .demands import DemandDigest
-from .errors import LinkClosedError
-from .handshakes import Side
 from .http_server import serving
-from .link_server import Handlers, LinkServer
-from .links import Identity, Link
-from .member_messages import Load, MemberChanged, MemberStatus
-from .messages import Message
-from .metrics import Metrics
 from .platform_client import PlatformClient
-from .settings import AgentSettings, EntrySettings
 from .tracing import Tracer
 
 log = logging.getLogger(__name__)
--- a/src/dotterelplank/datagrams.py
+++ b/src/dotterelplank/daemons/datagrams.py
@@ -8,13 +8,13 @@
 import hashlib
 import hmac
 
-from . import member_messages
-from .codec import Codec
-from .demands import DemandDigest
-from .errors import PeerRefusedError, ProtocolError
-from .member_messages import DomainDigest, Heartbeat, Notice
-from .peers import Peer
-from .revision_messages import Document, Offer
+from ..errors import PeerRefusedError, ProtocolError
+from ..links.codec import Codec
+from ..members import messages as member_messages
+from ..members.messages import DomainDigest, Heartbeat, Notice
+from ..members.peers import Peer
+from ..members.revision_messages import Document, Offer
+from ..routing.demands import DemandDigest
 
 HEADER_BYTES = 28
 MAC_SIZE_BYTES = 8
--- a/src/dotterelplank/endpoints.py
+++ b/src/dotterelplank/daemons/endpoints.py
@@ -2,11 +2,13 @@
 
 import typing as t
 
-from . import defaults, peers, selectors
+from .. import defaults
+from ..config import selectors
+from ..config.configuration import Configuration, Group
+from ..config.selectors import Rule, Work
+from ..members import peers
+from ..routing.endpoint_view import EndpointView, Liveness
 from .blackboard import Blackboard, Host
-from .configuration import Configuration, Group
-from .endpoint_view import EndpointView, Liveness
-from .selectors import Rule, Work
 
 
 def taking_rule(configuration: Configuration, work: Work) -> Rule | None:
--- a/src/dotterelplank/entry.py
+++ b/src/dotterelplank/daemons/entry.py
@@ -8,41 +8,23 @@
 import time
 import typing as t
 
-from . import (
-    calls,
-    defaults,
-    endpoints,
-    events,
-    limits,
-    relays,
-    replies,
-    results,
-    retries,
-    tickets,
-)
+from .. import defaults, events, results
+from ..clocks import monotonic_ms
+from ..config.configuration import Configuration
+from ..config.selectors import Rule
+from ..config.settings import EntrySettings
+from ..links.link_server import Handlers
+from ..links.links import Link
+from ..links.messages import Begin, Chunk, End, Message, Refuse, Report, Submit
+from ..routing import limits, retries
+from ..routing.demands import DemandDigest
+from . import calls, endpoints, relays, replies, tickets
 from .calls import CallerRequest, CallRefusedError
-from .clocks import monotonic_ms
-from .configuration import Configuration
 from .conversations import Conversation
 from .daemon import Daemon
-from .demands import DemandDigest
-from .exchanges import (
-    Choose,
-    Chosen,
-    Complete,
-    Exchange,
-    GiveUp,
-    Lost,
-    Send,
-    StopBound,
-)
+from .exchanges import Choose, Chosen, Complete, Exchange, GiveUp, Lost, Send, StopBound
 from .http_server import CONNECTION_KEY, StartResponse, caller_is_gone, serving
-from .link_server import Handlers
-from .links import Link
-from .messages import Begin, Chunk, End, Message, Refuse, Report, Submit
 from .relays import Body, Effects
-from .selectors import Rule
-from .settings import EntrySettings
 from .tickets import Ticket
 from .traffic import Course, Traffic, engine_priority
 
--- a/src/dotterelplank/exchanges.py
+++ b/src/dotterelplank/daemons/exchanges.py
@@ -9,9 +9,9 @@
 import enum
 import typing as t
 
-from . import defaults, results
-from .errors import InvariantError
-from .messages import Begin, Chunk, End, Refuse
+from .. import defaults, results
+from ..errors import InvariantError
+from ..links.messages import Begin, Chunk, End, Refuse
 
 
 class Phase(enum.Enum):
--- a/src/dotterelplank/explain.py
+++ b/src/dotterelplank/daemons/explain.py
@@ -3,11 +3,12 @@
 import dataclasses
 import typing as t
 
-from . import endpoints, selectors
+from ..config import selectors
+from ..config.configuration import Configuration
+from ..config.selectors import Work
+from ..errors import RequestError
+from . import endpoints
 from .blackboard import Host
-from .configuration import Configuration
-from .errors import RequestError
-from .selectors import Work
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/dotterelplank/http_server.py
+++ b/src/dotterelplank/daemons/http_server.py
@@ -12,9 +12,9 @@
 import cheroot.server
 import cheroot.wsgi
 
-from . import defaults, events
-from .clocks import monotonic_ms
-from .threads import start_thread
+from .. import defaults, events
+from ..clocks import monotonic_ms
+from ..threads import start_thread
 
 log = logging.getLogger(__name__)
 
--- a/src/dotterelplank/jobs.py
+++ b/src/dotterelplank/daemons/jobs.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
-from . import defaults, ledger as ledgers, results, tickets
+from .. import defaults, results
+from ..links.messages import Submit
+from . import ledger as ledgers, tickets
 from .ledger import Ledger
-from .messages import Submit
 from .tickets import Ticket
 
 
--- a/src/dotterelplank/ledger.py
+++ b/src/dotterelplank/daemons/ledger.py
@@ -10,9 +10,9 @@
 import enum
 import typing as t
 
-from . import defaults, results
-from .errors import InvariantError
-from .messages import Header
+from .. import defaults, results
+from ..errors import InvariantError
+from ..links.messages import Header
 from .tickets import Ticket
 
 
--- a/src/dotterelplank/platform_client.py
+++ b/src/dotterelplank/daemons/platform_client.py
@@ -10,9 +10,9 @@
 import pydantic
 import urllib3
 
-from . import defaults, jsontext
+from .. import defaults, jsontext
+from ..errors import ConfigurationError, InputError, UpstreamError
 from .blackboard import Host
-from .errors import ConfigurationError, InputError, UpstreamError
 
 
 class _HostModel(pydantic.BaseModel):
--- a/src/dotterelplank/relays.py
+++ b/src/dotterelplank/daemons/relays.py
@@ -2,7 +2,8 @@
 
 import typing as t
 
-from . import replies, results
+from .. import results
+from . import replies
 from .calls import CallRefusedError
 from .conversations import Effect
 from .exchanges import Complete, GiveUp, RelayData
--- a/src/dotterelplank/replies.py
+++ b/src/dotterelplank/daemons/replies.py
@@ -5,9 +5,11 @@
 import math
 import typing as t
 
-from . import endpoint_calls, results, sse
+from .. import results
+from ..links import endpoint_calls
+from ..links.messages import Begin
+from . import sse
 from .http_server import StartResponse
-from .messages import Begin
 
 RESULT_HEADER = "Dotterelplank-Result"
 OUTCOME_HEADER = "Dotterelplank-Outcome"
--- a/src/dotterelplank/status.py
+++ b/src/dotterelplank/daemons/status.py
@@ -6,13 +6,13 @@
 import resource
 import typing as t
 
-from . import metrics as metrics_module
+from .. import metrics as metrics_module
+from ..clocks import monotonic_ms
+from ..config.settings import AgentSettings, EntrySettings
+from ..metrics import Metrics
+from ..routing.endpoint_view import EndpointView, held_requests
 from .blackboard import Blackboard, Host
-from .clocks import monotonic_ms
-from .endpoint_view import EndpointView, held_requests
 from .http_server import Application, StartResponse
-from .metrics import Metrics
-from .settings import AgentSettings, EntrySettings
 
 _STATM = pathlib.Path("/proc/self/statm")
 
--- a/src/dotterelplank/traffic.py
+++ b/src/dotterelplank/daemons/traffic.py
@@ -10,27 +10,19 @@
 import threading
 import typing as t
 
-from . import (
-    capacities,
-    defaults,
-    endpoint_view,
-    endpoints,
-    limits,
-    prefixes,
-    results,
-    retries,
-    routing,
-)
+from .. import defaults, results
+from ..config.configuration import Configuration
+from ..config.selectors import Rule
+from ..links.links import Link
+from ..links.messages import Report
+from ..members.messages import Load
+from ..routing import capacities, endpoint_view, limits, prefixes, retries, routing
+from ..routing.demands import DemandDigest
+from ..routing.endpoint_view import EndpointView
+from . import endpoints
 from .blackboard import Blackboard, PeerPart
 from .calls import CallerRequest, CallRefusedError
-from .configuration import Configuration
-from .demands import DemandDigest
-from .endpoint_view import EndpointView
 from .exchanges import Exchange
-from .links import Link
-from .member_messages import Load
-from .messages import Report
-from .selectors import Rule
 
 _SHED_RESULTS: dict[limits.ShedReason, results.Result] = {
     limits.ShedReason.TEAM_OVER_SHARE: results.TEAM_OVER_SHARE,
--- a/src/dotterelplank/demo.py
+++ b/src/dotterelplank/demo/demo.py
@@ -7,10 +7,11 @@
 
 import urllib3
 
-from . import fleet as fleets, platform_client, sse
+from ..daemons import platform_client, sse
+from ..standins.engine import EngineFaults, EngineSettings
+from ..standins.tokens import expected_tokens
+from . import fleet as fleets
 from .fleet import Fleet, Plan
-from .standin_engine import EngineFaults, EngineSettings
-from .standin_tokens import expected_tokens
 
 EXAMPLES = pathlib.Path("examples")
 _TOKENS = 12
--- a/src/dotterelplank/fleet.py
+++ b/src/dotterelplank/demo/fleet.py
@@ -6,17 +6,17 @@
 import time
 import typing as t
 
-from . import standins
-from .agent import Agent
-from .blackboard import Host
-from .clocks import monotonic_ms
-from .entry import Entry
-from .errors import DotterelplankError
-from .settings import AgentSettings, EntrySettings
-from .standin_engine import EngineSettings
-from .standin_engine_http import Engine
-from .standin_platform import HostEntry, Platform
-from .standin_service import Service
+from ..clocks import monotonic_ms
+from ..config.settings import AgentSettings, EntrySettings
+from ..daemons.agent import Agent
+from ..daemons.blackboard import Host
+from ..daemons.entry import Entry
+from ..errors import DotterelplankError
+from ..standins import cli as standins
+from ..standins.engine import EngineSettings
+from ..standins.engine_http import Engine
+from ..standins.platform import HostEntry, Platform
+from ..standins.service import Service
 
 SECRET = "a secret of the fleet on loopback"
 _PLATFORM_THREADS = 96
--- /dev/null
+++ b/src/dotterelplank/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between daemons and to endpoints: messages, frames, handshakes, servers."""
--- a/src/dotterelplank/codec.py
+++ b/src/dotterelplank/links/codec.py
@@ -12,7 +12,7 @@
 
 import msgpack
 
-from .errors import ProtocolError
+from ..errors import ProtocolError
 
 _Decoder = t.Callable[[t.Any], t.Any]
 _PLAIN = (int, str, bytes, bool)
--- a/src/dotterelplank/endpoint_calls.py
+++ b/src/dotterelplank/links/endpoint_calls.py
@@ -11,8 +11,8 @@
 
 import urllib3
 
-from . import defaults
-from .errors import UpstreamError
+from .. import defaults
+from ..errors import UpstreamError
 from .messages import Header, Submit
 
 _HOP_HEADERS = frozenset(
--- a/src/dotterelplank/handshakes.py
+++ b/src/dotterelplank/links/handshakes.py
@@ -10,7 +10,7 @@
 import hashlib
 import hmac
 
-from .errors import PeerRefusedError, ProtocolError
+from ..errors import PeerRefusedError, ProtocolError
 from .messages import PROTOCOL_VERSION, Hello, Message, Proof
 
 NONCE_SIZE_BYTES = 16
--- a/src/dotterelplank/link_server.py
+++ b/src/dotterelplank/links/link_server.py
@@ -14,9 +14,10 @@
 import time
 import typing as t
 
-from . import defaults, events, handshakes
-from .clocks import monotonic_ms
-from .errors import LinkClosedError, PeerRefusedError, ProtocolError
+from .. import defaults, events
+from ..clocks import monotonic_ms
+from ..errors import LinkClosedError, PeerRefusedError, ProtocolError
+from . import handshakes
 from .handshakes import Handshake, Side
 from .links import Identity, Link
 from .messages import PROTOCOL_VERSION, Hello, Message
--- a/src/dotterelplank/links.py
+++ b/src/dotterelplank/links/links.py
@@ -12,9 +12,9 @@
 import threading
 import typing as t
 
-from . import defaults
-from .clocks import monotonic_ms
-from .errors import LinkClosedError
+from .. import defaults
+from ..clocks import monotonic_ms
+from ..errors import LinkClosedError
 from .handshakes import Handshake
 from .messages import FrameReader, Hello, Message, encode
 
--- a/src/dotterelplank/messages.py
+++ b/src/dotterelplank/links/messages.py
@@ -9,10 +9,10 @@
 
 import msgpack
 
-from . import defaults
+from .. import defaults
+from ..errors import ProtocolError
+from ..members.revision_messages import Document
 from .codec import Codec
-from .errors import ProtocolError
-from .revision_messages import Document
 
 PROTOCOL_VERSION = 1
 
--- a/src/dotterelplank/mapchange.py
+++ b/src/dotterelplank/maps/change.py
@@ -8,10 +8,10 @@
 
 import typing as t
 
-from . import events
-from .errors import InvariantError
-from .mapjoin import choose_install
-from .mapmessages import (
+from .. import events
+from ..errors import InvariantError
+from .join import choose_install
+from .messages import (
     Ask,
     Command,
     EngineView,
@@ -35,8 +35,8 @@
     Tick,
     Vote,
 )
-from .mapproposals import on_probe, on_propose, on_ready, propose
-from .mapstate import (
+from .proposals import on_probe, on_propose, on_ready, propose
+from .state import (
     Policy,
     Quiet,
     State,
@@ -50,7 +50,7 @@
     report,
     send,
 )
-from .mapvotes import (
+from .votes import (
     answer_questions,
     close,
     on_ask,
--- a/src/dotterelplank/mapdriver.py
+++ b/src/dotterelplank/maps/driver.py
@@ -9,15 +9,19 @@
 import logging
 import typing as t
 
-from . import defaults, events, mapchange, maporders, planner_state
+from .. import defaults, events
+from ..config.configuration import RankGroup
+from ..config.planned_maps import Planning
+from ..errors import InvariantError, LinkClosedError, UpstreamError
+from ..links.codec import Codec
+from ..links.endpoint_calls import EndpointClient
+from ..links.link_server import LinkServer
+from ..links.links import Link
+from ..links.messages import GroupMessage, MapFrame
+from ..threads import WorkerPool
+from . import change as mapchange, orders as maporders, planner_state
 from .ballots import ExpertMap
-from .codec import Codec
-from .configuration import RankGroup
-from .endpoint_calls import EndpointClient
-from .errors import InvariantError, LinkClosedError, UpstreamError
-from .link_server import LinkServer
-from .links import Link
-from .mapmessages import (
+from .messages import (
     Closed,
     Command,
     EngineView,
@@ -36,11 +40,8 @@
     Stop,
     Tick,
 )
-from .mapplanning import MapPlanning, Surroundings
-from .mapstate import Policy, State, new_state
-from .messages import GroupMessage, MapFrame
-from .planned_maps import Planning
-from .threads import WorkerPool
+from .planning import MapPlanning, Surroundings
+from .state import Policy, State, new_state
 
 log = logging.getLogger(__name__)
 
--- a/src/dotterelplank/experts.py
+++ b/src/dotterelplank/maps/experts.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-from .errors import InvariantError
+from ..errors import InvariantError
 
 EMPTY: t.Final = -1
 SHARE_TOLERANCE: t.Final = 1e-6
--- a/src/dotterelplank/mapjoin.py
+++ b/src/dotterelplank/maps/join.py
@@ -2,9 +2,9 @@
 
 import typing as t
 
+from ..errors import InvariantError
 from .ballots import Change, ExpertMap
-from .errors import InvariantError
-from .mapmessages import EngineView, InstallOrder
+from .messages import EngineView, InstallOrder
 
 
 def choose_install(
--- a/src/dotterelplank/maplayouts.py
+++ b/src/dotterelplank/maps/layouts.py
@@ -4,8 +4,8 @@
 
 import numpy as np
 
+from ..config.planned_maps import EXPERTS_MEMBER, SHARES_MEMBER, Planning, value_faults
 from .experts import EMPTY, ExpertMap, even_shares, sum_by_expert
-from .planned_maps import EXPERTS_MEMBER, SHARES_MEMBER, Planning, value_faults
 
 SHARE_DIGITS: t.Final = 6
 
--- a/src/dotterelplank/maploads.py
+++ b/src/dotterelplank/maps/loads.py
@@ -9,8 +9,8 @@
 import dataclasses
 import typing as t
 
-from . import defaults
-from .messages import ExpertsLoaded, LoadExperts
+from .. import defaults
+from ..links.messages import ExpertsLoaded, LoadExperts
 from .moves import Plan
 from .planner_state import Command, Job, Load, Loaded, Send, State
 
--- a/src/dotterelplank/mapmessages.py
+++ b/src/dotterelplank/maps/messages.py
@@ -4,7 +4,7 @@
 import enum
 import typing as t
 
-from . import events
+from .. import events
 from .ballots import Ballot, Change, ExpertMap
 
 # The engine
--- a/src/dotterelplank/maporders.py
+++ b/src/dotterelplank/maps/orders.py
@@ -8,11 +8,13 @@
 
 import pydantic
 
-from . import defaults, mapmessages
+from .. import defaults
+from ..errors import UpstreamError
+from ..links.endpoint_calls import Call, EndpointClient
+from ..links.messages import Header
+from . import messages as mapmessages
 from .ballots import Ballot, Change, ExpertMap
-from .endpoint_calls import Call, EndpointClient
-from .errors import UpstreamError
-from .mapmessages import (
+from .messages import (
     Action,
     EngineView,
     InstallOrder,
@@ -21,7 +23,6 @@
     ResolveOrder,
     StageOrder,
 )
-from .messages import Header
 
 _REFUSAL_BY_REASON = {
     "passed": Refusal.PASSED,
--- a/src/dotterelplank/mapplanner.py
+++ b/src/dotterelplank/maps/planner.py
@@ -13,10 +13,11 @@
 
 import numpy as np
 
-from . import defaults, events, maplayouts, maploads, maporders, rebalancing
+from .. import defaults, events
+from ..links.messages import ExpertsLoaded, LoadExperts, RankSample, SampleTaken
+from . import layouts as maplayouts, loads as maploads, orders as maporders, rebalancing
 from .experts import ExpertMap
-from .mapmessages import Propose
-from .messages import ExpertsLoaded, LoadExperts, RankSample, SampleTaken
+from .messages import Propose
 from .planner_state import (
     Command,
     Compute,
--- a/src/dotterelplank/planner_state.py
+++ b/src/dotterelplank/maps/planner_state.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 
-from . import defaults, events, rebalancing
+from .. import defaults, events
+from ..config.planned_maps import Planning
+from ..links.messages import GroupMessage, LoadExperts, RankSample
+from . import rebalancing
 from .experts import ExpertMap, Observation
-from .mapmessages import Propose
-from .maporders import PublishedMap
-from .messages import GroupMessage, LoadExperts, RankSample
-from .planned_maps import Planning
+from .messages import Propose
+from .orders import PublishedMap
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/dotterelplank/mapplanning.py
+++ b/src/dotterelplank/maps/planning.py
@@ -8,12 +8,14 @@
 import logging
 import typing as t
 
-from . import defaults, events, maporders, mapplanner, rankload, rebalancing
+from .. import defaults, events
+from ..errors import InvariantError, UpstreamError
+from ..links.endpoint_calls import EndpointClient
+from ..links.messages import GroupMessage
+from ..threads import WorkerPool
+from . import orders as maporders, planner as mapplanner, rankload, rebalancing
 from .ballots import ExpertMap
-from .endpoint_calls import EndpointClient
-from .errors import InvariantError, UpstreamError
-from .mapmessages import Propose
-from .messages import GroupMessage
+from .messages import Propose
 from .planner_state import (
     Command,
     Compute,
@@ -28,7 +30,6 @@
     Send,
     Tick,
 )
-from .threads import WorkerPool
 from .weight_store import WeightStore
 
 log = logging.getLogger(__name__)
--- a/src/dotterelplank/mapproposals.py
+++ b/src/dotterelplank/maps/proposals.py
@@ -1,17 +1,9 @@
 """Proposals of a new map, made only while every other agent is ready for one."""
 
-from . import events
+from .. import events
 from .ballots import Ballot, Change, ExpertMap
-from .mapmessages import (
-    Closed,
-    Closure,
-    EngineView,
-    Probe,
-    Propose,
-    Ready,
-    StageOrder,
-)
-from .mapstate import Draft, Proposal, State, Turn, can_speak, give_order, report, send
+from .messages import Closed, Closure, EngineView, Probe, Propose, Ready, StageOrder
+from .state import Draft, Proposal, State, Turn, can_speak, give_order, report, send
 
 
 def on_propose(turn: Turn, event: Propose) -> None:
--- a/src/dotterelplank/rankload.py
+++ b/src/dotterelplank/maps/rankload.py
@@ -4,10 +4,10 @@
 
 import pydantic
 
-from . import defaults
-from .endpoint_calls import Call, EndpointClient
-from .errors import UpstreamError
-from .messages import ExpertLoad, RankSample
+from .. import defaults
+from ..errors import UpstreamError
+from ..links.endpoint_calls import Call, EndpointClient
+from ..links.messages import ExpertLoad, RankSample
 
 
 class _RankModel(pydantic.BaseModel):
--- a/src/dotterelplank/rebalancing.py
+++ b/src/dotterelplank/maps/rebalancing.py
@@ -11,8 +11,8 @@
 
 import numpy as np
 
-from . import events
-from .errors import InvariantError
+from .. import events
+from ..errors import InvariantError
 from .experts import EMPTY, ExpertMap, Observation
 from .moves import SPLIT_ROUNDS, Base, Plan, noise_part, plan_moves, step_time_ms
 from .placement import LayerLoad
--- a/src/dotterelplank/mapstate.py
+++ b/src/dotterelplank/maps/state.py
@@ -4,10 +4,10 @@
 import dataclasses
 import typing as t
 
-from . import events
+from .. import events
+from ..errors import InvariantError
 from .ballots import Ballot, Change
-from .errors import InvariantError
-from .mapmessages import (
+from .messages import (
     Action,
     Ask,
     Closed,
@@ -24,7 +24,7 @@
     Send,
     Status,
 )
-from .maptally import Tally
+from .tally import Tally
 
 _DENIED_KEPT = 256
 
--- a/src/dotterelplank/maptally.py
+++ b/src/dotterelplank/maps/tally.py
@@ -3,9 +3,9 @@
 import dataclasses
 import typing as t
 
+from ..errors import InvariantError
 from .ballots import Ballot
-from .errors import InvariantError
-from .mapmessages import Answer
+from .messages import Answer
 
 
 @dataclasses.dataclass
--- a/src/dotterelplank/mapvotes.py
+++ b/src/dotterelplank/maps/votes.py
@@ -2,10 +2,10 @@
 
 import typing as t
 
-from . import events
+from .. import events
+from ..errors import InvariantError
 from .ballots import Ballot, Change
-from .errors import InvariantError
-from .mapmessages import (
+from .messages import (
     Answer,
     Ask,
     Closed,
@@ -19,17 +19,8 @@
     Status,
     Vote,
 )
-from .mapstate import (
-    Decision,
-    Proposal,
-    State,
-    Turn,
-    can_speak,
-    give_order,
-    report,
-    send,
-)
-from .maptally import Tally, verdict
+from .state import Decision, Proposal, State, Turn, can_speak, give_order, report, send
+from .tally import Tally, verdict
 
 
 def on_stage(turn: Turn, host: str, message: Stage) -> None:
--- a/src/dotterelplank/weight_store.py
+++ b/src/dotterelplank/maps/weight_store.py
@@ -4,11 +4,11 @@
 import time
 import typing as t
 
-from . import defaults, events
-from .clocks import monotonic_ms
-from .endpoint_calls import Call, EndpointClient
-from .errors import UpstreamError
-from .planned_maps import Planning
+from .. import defaults, events
+from ..clocks import monotonic_ms
+from ..config.planned_maps import Planning
+from ..errors import UpstreamError
+from ..links.endpoint_calls import Call, EndpointClient
 
 log = logging.getLogger(__name__)
 
--- a/src/dotterelplank/windows.py
+++ b/src/dotterelplank/maps/windows.py
@@ -4,9 +4,9 @@
 
 import numpy as np
 
+from ..config.planned_maps import Planning
+from ..links.messages import RankSample
 from .experts import Observation
-from .messages import RankSample
-from .planned_maps import Planning
 
 LEAST_BUSY_PART: t.Final = 0.01
 
--- a/src/dotterelplank/worth.py
+++ b/src/dotterelplank/maps/worth.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from .errors import SettingsError
+from ..errors import SettingsError
 
 STEP_MS_PER_STORE_MS: t.Final = 20.0
 
--- /dev/null
+++ b/src/dotterelplank/members/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes belong to the fleet, and the revisions that they pass on."""
--- a/src/dotterelplank/member_beats.py
+++ b/src/dotterelplank/members/beats.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from .member_messages import (
+from .messages import (
     DomainDigest,
     Intent,
     Introduce,
@@ -10,15 +10,8 @@
     SendDigest,
     SendHeartbeat,
 )
-from .member_state import (
-    Member,
-    MembershipState,
-    Turn,
-    is_usable,
-    live_entries,
-    watchers_of,
-)
 from .peers import Role, highest
+from .state import Member, MembershipState, Turn, is_usable, live_entries, watchers_of
 
 
 def plan(turn: Turn) -> None:
--- a/src/dotterelplank/member_list.py
+++ b/src/dotterelplank/members/listing.py
@@ -1,7 +1,7 @@
 """What the platform's host list and introductions say of who belongs to the system."""
 
-from . import events
-from .member_messages import (
+from .. import events
+from .messages import (
     AnswerSender,
     HostListAdopted,
     Intent,
@@ -12,9 +12,9 @@
     PeerIntroduced,
     PeersKnown,
 )
-from .member_state import Member, Turn, is_usable, settle
-from .member_watch import begin_incarnation
 from .peers import Peer, Role
+from .state import Member, Turn, is_usable, settle
+from .watch import begin_incarnation
 
 
 def on_host_list(turn: Turn, event: HostListAdopted) -> None:
--- a/src/dotterelplank/membership.py
+++ b/src/dotterelplank/members/membership.py
@@ -11,8 +11,8 @@
 
 import typing as t
 
-from . import events
-from .member_beats import (
+from .. import events
+from .beats import (
     announce_leave,
     beat_mesh,
     beat_watchers,
@@ -21,7 +21,7 @@
     plan,
     send_digests,
 )
-from .member_list import (
+from .listing import (
     correct,
     follow,
     forget_dropped,
@@ -30,7 +30,7 @@
     refresh,
     tell_peers,
 )
-from .member_messages import (
+from .messages import (
     AskIntroduction,
     Command,
     DigestHeard,
@@ -55,7 +55,8 @@
     Tick,
     VouchAsked,
 )
-from .member_state import (
+from .peers import Role
+from .state import (
     PPM,
     HeldDigest,
     Member,
@@ -66,7 +67,7 @@
     settle,
     start,
 )
-from .member_watch import (
+from .watch import (
     begin_incarnation,
     expire_entries,
     judge_watched,
@@ -78,7 +79,6 @@
     probe,
     scan_leases,
 )
-from .peers import Role
 
 __all__ = [
     "Member",
--- a/src/dotterelplank/member_messages.py
+++ b/src/dotterelplank/members/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from . import events
+from .. import events
 from .peers import Peer
 from .revision_messages import Offer
 
--- a/src/dotterelplank/revision_exchange.py
+++ b/src/dotterelplank/members/revision_exchange.py
@@ -1,6 +1,6 @@
 """Exchange of revisions between peers: offers, pulls, and the question at a start."""
 
-from . import events
+from .. import events
 from .revision_messages import (
     AskOffers,
     AskPeer,
--- a/src/dotterelplank/revision_state.py
+++ b/src/dotterelplank/members/revision_state.py
@@ -5,7 +5,7 @@
 import random
 import typing as t
 
-from . import events
+from .. import events
 from .peers import Peer
 from .revision_messages import Command, Document, Offer, Report
 
--- a/src/dotterelplank/revision_texts.py
+++ b/src/dotterelplank/members/revision_texts.py
@@ -2,7 +2,7 @@
 
 import zlib
 
-from . import errors, events
+from .. import errors, events
 from .revision_messages import Adopt
 from .revision_state import (
     TEXT_BYTES_MAX,
--- a/src/dotterelplank/revisions.py
+++ b/src/dotterelplank/members/revisions.py
@@ -7,7 +7,7 @@
 
 import typing as t
 
-from . import errors, events
+from .. import errors, events
 from .peers import Role, highest
 from .revision_exchange import (
     ask_at_start,
--- a/src/dotterelplank/member_state.py
+++ b/src/dotterelplank/members/state.py
@@ -4,8 +4,8 @@
 import random
 import typing as t
 
-from . import events
-from .member_messages import (
+from .. import events
+from .messages import (
     Command,
     DomainDigest,
     Heartbeat,
--- a/src/dotterelplank/member_watch.py
+++ b/src/dotterelplank/members/watch.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from . import events
-from .member_beats import send_full
-from .member_messages import (
+from .. import events
+from .beats import send_full
+from .messages import (
     AskVouch,
     Intent,
     Introduce,
@@ -19,7 +19,8 @@
     Supersede,
     VouchAsked,
 )
-from .member_state import (
+from .peers import Role
+from .state import (
     Member,
     Turn,
     is_usable,
@@ -30,7 +31,6 @@
     silence_ms,
     watchers_of,
 )
-from .peers import Role
 
 
 def judge_watched(turn: Turn) -> None:
--- /dev/null
+++ b/src/dotterelplank/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models of protocols under random faults, and the checks that they must pass."""
--- a/src/dotterelplank/mapchange_checks.py
+++ b/src/dotterelplank/models/mapchange_checks.py
@@ -3,10 +3,10 @@
 import collections
 import typing as t
 
-from .ballots import Ballot, ExpertMap
-from .errors import InvariantError
+from ..errors import InvariantError
+from ..maps.ballots import Ballot, ExpertMap
+from ..maps.messages import Action, Closed, Closure, EngineView, InstallOrder
 from .mapengine import Engine
-from .mapmessages import Action, Closed, Closure, EngineView, InstallOrder
 
 
 class Checks:
--- a/src/dotterelplank/mapchange_cost.py
+++ b/src/dotterelplank/models/mapchange_cost.py
@@ -7,9 +7,8 @@
 import time
 import typing as t
 
-from .mapchange import decide
-from .mapengine import Engine
-from .mapmessages import (
+from ..maps.change import decide
+from ..maps.messages import (
     Closed,
     Closure,
     Command,
@@ -23,7 +22,8 @@
     Send,
     Tick,
 )
-from .mapstate import Policy, State, new_state
+from ..maps.state import Policy, State, new_state
+from .mapengine import Engine
 
 TICK_MS = 25
 SETTLE_MS = 3_000
--- a/src/dotterelplank/mapchange_model.py
+++ b/src/dotterelplank/models/mapchange_model.py
@@ -7,11 +7,9 @@
 import collections
 import dataclasses
 
-from .errors import InvariantError
-from .mapchange import decide
-from .mapchange_checks import Checks
-from .mapengine import Engine
-from .mapmessages import (
+from ..errors import InvariantError
+from ..maps.change import decide
+from ..maps.messages import (
     Closed,
     Command,
     EngineView,
@@ -31,7 +29,9 @@
     Stop,
     Tick,
 )
-from .mapstate import Policy, State, new_state
+from ..maps.state import Policy, State, new_state
+from .mapchange_checks import Checks
+from .mapengine import Engine
 
 INCARNATION_STEP = 1000
 _TRACE_LENGTH = 60
--- a/src/dotterelplank/mapengine.py
+++ b/src/dotterelplank/models/mapengine.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing as t
 
-from .ballots import Ballot, Change, ExpertMap
-from .mapmessages import (
+from ..maps.ballots import Ballot, Change, ExpertMap
+from ..maps.messages import (
     EngineView,
     InstallOrder,
     Order,
--- a/src/dotterelplank/order_model.py
+++ b/src/dotterelplank/models/order_model.py
@@ -8,13 +8,25 @@
 import collections
 import hashlib
 
-from . import exchanges, jobs, ledger as ledgers, results, tickets
-from .calls import CallRefusedError, unless_ticketed
-from .errors import InvariantError
-from .exchanges import CancelAt, Choose, Chosen, Complete, Exchange, GiveUp, Lost, Send
-from .jobs import AgentState
-from .ledger import Answer, Ledger
-from .messages import Begin, Cancel, Chunk, End, Message, Refuse, Submit
+from .. import results
+from ..daemons import exchanges, jobs, ledger as ledgers, tickets
+from ..daemons.calls import CallRefusedError, unless_ticketed
+from ..daemons.exchanges import (
+    CancelAt,
+    Choose,
+    Chosen,
+    Complete,
+    Exchange,
+    GiveUp,
+    Lost,
+    Send,
+)
+from ..daemons.jobs import AgentState
+from ..daemons.ledger import Answer, Ledger
+from ..daemons.tickets import Ticket
+from ..errors import InvariantError
+from ..links.messages import Begin, Cancel, Chunk, End, Message, Refuse, Submit
+from ..results import Outcome
 from .order_parts import (
     POLICY,
     SECRET,
@@ -32,8 +44,6 @@
     answer_to,
     submit_of,
 )
-from .results import Outcome
-from .tickets import Ticket
 
 TRACE_LENGTH = 40
 
--- a/src/dotterelplank/order_parts.py
+++ b/src/dotterelplank/models/order_parts.py
@@ -3,12 +3,12 @@
 import collections
 import dataclasses
 
-from . import ledger as ledgers
-from .exchanges import Complete, Exchange, GiveUp
-from .jobs import AgentState, Progress
-from .ledger import Answer
-from .messages import Message, Submit
-from .tickets import Ticket
+from ..daemons import ledger as ledgers
+from ..daemons.exchanges import Complete, Exchange, GiveUp
+from ..daemons.jobs import AgentState, Progress
+from ..daemons.ledger import Answer
+from ..daemons.tickets import Ticket
+from ..links.messages import Message, Submit
 
 SECRET = b"a secret of the model, long enough"
 TARGET = "orders"
--- a/src/dotterelplank/order_soak.py
+++ b/src/dotterelplank/models/order_soak.py
@@ -4,8 +4,8 @@
 import random
 import typing as t
 
-from . import results
-from .errors import InvariantError
+from .. import results
+from ..errors import InvariantError
 from .order_model import OrderModel
 
 REBUILD_EVERY = 3_000
--- a/src/dotterelplank/soak.py
+++ b/src/dotterelplank/models/soak.py
@@ -5,10 +5,10 @@
 import random
 import typing as t
 
-from .errors import InvariantError
+from ..errors import InvariantError
+from ..maps.messages import Ask, Hello, Outcome, Probe, Ready, Stage, Status, Vote
+from ..maps.state import Policy
 from .mapchange_model import Model
-from .mapmessages import Ask, Hello, Outcome, Probe, Ready, Stage, Status, Vote
-from .mapstate import Policy
 
 SETTLE_EVERY = 400
 REBUILD_EVERY = 4000
--- a/src/dotterelplank/limits.py
+++ b/src/dotterelplank/routing/limits.py
@@ -12,14 +12,7 @@
 
 from . import prefixes, team_shares
 from .demands import DemandDigest
-from .limit_state import (
-    Heard,
-    LimitPolicy,
-    LimitState,
-    TeamState,
-    Ticket,
-    worth_per_s,
-)
+from .limit_state import Heard, LimitPolicy, LimitState, TeamState, Ticket, worth_per_s
 from .team_shares import digest, digest_interval_ms
 
 __all__ = [
--- a/src/dotterelplank/standins.py
+++ b/src/dotterelplank/standins/cli.py
@@ -15,18 +15,18 @@
 import typer
 
 from . import (
-    standin_engine_http,
-    standin_http as shell,
-    standin_platform,
-    standin_proxy,
-    standin_ranks_http,
-    standin_service,
-    standin_store,
+    engine_http as standin_engine_http,
+    http as shell,
+    platform as standin_platform,
+    proxy as standin_proxy,
+    ranks_http as standin_ranks_http,
+    service as standin_service,
+    store as standin_store,
 )
-from .standin_connection import Target
-from .standin_engine import EngineFaults, EngineSettings
-from .standin_ranks import GroupSettings
-from .standin_store import StoreLimits
+from .connection import Target
+from .engine import EngineFaults, EngineSettings
+from .ranks import GroupSettings
+from .store import StoreLimits
 
 THREADS = 64
 RANK_THREADS = 12
--- a/src/dotterelplank/standin_connection.py
+++ b/src/dotterelplank/standins/connection.py
@@ -7,7 +7,7 @@
 import struct
 import typing as t
 
-from .standin_pipe import Direction, Pipe, ProxyRules
+from .pipe import Direction, Pipe, ProxyRules
 
 CHUNK_BYTES = 64 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/src/dotterelplank/standin_engine.py
+++ b/src/dotterelplank/standins/engine.py
@@ -12,17 +12,11 @@
 
 import pydantic
 
-from . import standin_http as shell
-from .errors import StandinRefusalError
-from .standin_cache import CacheEvents, PrefixCache
-from .standin_orders import OrderDesk, OrderTicket
-from .standin_tokens import (
-    Message,
-    expected_tokens,
-    prefix_blocks,
-    prompt_digest,
-    token_at,
-)
+from ..errors import StandinRefusalError
+from . import http as shell
+from .cache import CacheEvents, PrefixCache
+from .orders import OrderDesk, OrderTicket
+from .tokens import Message, expected_tokens, prefix_blocks, prompt_digest, token_at
 
 __all__ = ["EngineState", "expected_tokens", "prefix_blocks"]
 
--- a/src/dotterelplank/standin_engine_http.py
+++ b/src/dotterelplank/standins/engine_http.py
@@ -7,9 +7,10 @@
 
 import pydantic_core
 
-from . import events, standin_http as shell
-from .errors import StandinRefusalError
-from .standin_engine import (
+from .. import events
+from ..errors import StandinRefusalError
+from . import http as shell
+from .engine import (
     ChatRequest,
     Emission,
     EngineFaults,
@@ -17,8 +18,8 @@
     EngineSettings,
     EngineState,
 )
-from .standin_steps import Stepping, driven
-from .standin_tokens import prompt_text
+from .steps import Stepping, driven
+from .tokens import prompt_text
 
 CHARS_PER_TOKEN = 4
 DONE = b"data: [DONE]\n\n"
--- a/src/dotterelplank/fake_engine.py
+++ b/src/dotterelplank/standins/fake_engine.py
@@ -12,8 +12,8 @@
 import math
 import typing as t
 
-from . import prefixes
-from .endpoint_view import CacheEvent, LoadReport
+from ..routing import prefixes
+from ..routing.endpoint_view import CacheEvent, LoadReport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/fake_group.py
+++ b/src/dotterelplank/standins/fake_group.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-from .experts import ExpertMap, Observation
+from ..maps.experts import ExpertMap, Observation
 
 DAY_MS: t.Final = 86_400_000.0
 HOUR_MS: t.Final = 3_600_000.0
--- a/src/dotterelplank/standin_http.py
+++ b/src/dotterelplank/standins/http.py
@@ -23,9 +23,9 @@
 import pydantic
 import pydantic_core
 
-from . import events
-from .clocks import monotonic_ms
-from .errors import StandinRefusalError
+from .. import events
+from ..clocks import monotonic_ms
+from ..errors import StandinRefusalError
 
 LOOPBACK = "127.0.0.1"
 MAX_BODY_BYTES = 4 * 1024 * 1024
--- a/src/dotterelplank/standin_orders.py
+++ b/src/dotterelplank/standins/orders.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing as t
 
-from . import standin_http as shell
-from .errors import StandinRefusalError
+from ..errors import StandinRefusalError
+from . import http as shell
 
 KEPT_ORDERS = 10_000
 
--- a/src/dotterelplank/standin_pipe.py
+++ b/src/dotterelplank/standins/pipe.py
@@ -10,7 +10,7 @@
 
 import pydantic
 
-from . import standin_http as shell
+from . import http as shell
 
 QUEUE_BYTES = 256 * 1024
 
--- a/src/dotterelplank/standin_popularity.py
+++ b/src/dotterelplank/standins/popularity.py
@@ -6,8 +6,8 @@
 
 import pydantic
 
-from . import standin_http as shell
-from .standin_rank import ExpertMap, VersionedMap
+from . import http as shell
+from .rank import ExpertMap, VersionedMap
 
 PLACEMENT_MEMBER = "experts_by_rank"
 SHARES_MEMBER = "shares_by_rank"
--- a/src/dotterelplank/standin_proxy.py
+++ b/src/dotterelplank/standins/proxy.py
@@ -11,9 +11,10 @@
 import threading
 import typing as t
 
-from . import events, standin_http as shell
-from .standin_connection import Connection, ProxyCounts, Target
-from .standin_pipe import ProxyRules, delay_share
+from .. import events
+from . import http as shell
+from .connection import Connection, ProxyCounts, Target
+from .pipe import ProxyRules, delay_share
 
 WAKE_BYTES = 4096
 
--- a/src/dotterelplank/standin_rank.py
+++ b/src/dotterelplank/standins/rank.py
@@ -5,9 +5,9 @@
 
 import pydantic
 
-from . import standin_http as shell
-from .errors import StandinRefusalError
-from .standin_orders import OrderDesk
+from ..errors import StandinRefusalError
+from . import http as shell
+from .orders import OrderDesk
 
 Ballot = tuple[int, str, int]
 ExpertMap = dict[str, t.Any]
--- a/src/dotterelplank/standin_ranks.py
+++ b/src/dotterelplank/standins/ranks.py
@@ -12,18 +12,12 @@
 
 import pydantic
 
-from . import events, standin_http as shell
-from .errors import StandinRefusalError
-from .standin_orders import OrderTicket
-from .standin_popularity import ExpertsOf, Popularity, Workload, placed_by_list
-from .standin_rank import (
-    ExpertMap,
-    Rank,
-    RankFaults,
-    RankOrder,
-    RankReport,
-    VersionedMap,
-)
+from .. import events
+from ..errors import StandinRefusalError
+from . import http as shell
+from .orders import OrderTicket
+from .popularity import ExpertsOf, Popularity, Workload, placed_by_list
+from .rank import ExpertMap, Rank, RankFaults, RankOrder, RankReport, VersionedMap
 
 MAP_TAIL_STEPS = 64
 
--- a/src/dotterelplank/standin_ranks_http.py
+++ b/src/dotterelplank/standins/ranks_http.py
@@ -6,19 +6,13 @@
 
 import pydantic
 
-from . import events, standin_http as shell
-from .errors import StandinRefusalError
-from .standin_popularity import Popularity
-from .standin_rank import (
-    RankFaults,
-    RankMaps,
-    RankOrder,
-    RankReport,
-    StageOrder,
-    VersionedMap,
-)
-from .standin_ranks import GroupReport, GroupSettings, RankGroup
-from .standin_steps import Stepping, driven
+from .. import events
+from ..errors import StandinRefusalError
+from . import http as shell
+from .popularity import Popularity
+from .rank import RankFaults, RankMaps, RankOrder, RankReport, StageOrder, VersionedMap
+from .ranks import GroupReport, GroupSettings, RankGroup
+from .steps import Stepping, driven
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/dotterelplank/standin_service.py
+++ b/src/dotterelplank/standins/service.py
@@ -8,7 +8,8 @@
 
 import pydantic
 
-from . import events, standin_http as shell
+from .. import events
+from . import http as shell
 
 EXECUTING_METHODS = frozenset({"POST", "PUT", "PATCH", "DELETE"})
 KEPT_EXECUTIONS = 100_000
--- a/src/dotterelplank/standin_steps.py
+++ b/src/dotterelplank/standins/steps.py
@@ -4,8 +4,8 @@
 import threading
 import typing as t
 
-from . import standin_http as shell
-from .errors import StandinRefusalError
+from ..errors import StandinRefusalError
+from . import http as shell
 
 
 class Stepping:
--- a/src/dotterelplank/standin_store.py
+++ b/src/dotterelplank/standins/store.py
@@ -11,8 +11,9 @@
 
 import pydantic
 
-from . import events, standin_http as shell
-from .errors import StandinRefusalError
+from .. import events
+from ..errors import StandinRefusalError
+from . import http as shell
 
 MAX_FETCH_BYTES = 1 << 40
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,8 +4,10 @@
 
 from hypothesis import stateful, strategies as st
 
-from dotterelplank import bench_loop, errors, membership, revision_messages as rm
-from dotterelplank.revisions import RevisionPolicy
+from dotterelplank import errors
+from dotterelplank.benches import loop as bench_loop
+from dotterelplank.members import membership, revision_messages as rm
+from dotterelplank.members.revisions import RevisionPolicy
 
 REACH_MS = 3_000
 
--- a/tests/run_bench_path.py
+++ b/tests/run_bench_path.py
@@ -9,8 +9,8 @@
 
 from processes import start_small, system
 
-from dotterelplank import bench_path
-from dotterelplank.bench_path import Load, Target
+from dotterelplank.benches import path as bench_path
+from dotterelplank.benches.path import Load, Target
 
 ENGINES = 4
 FAST = {"base_step_ms": 1.0, "per_running_ms": 0.0, "max_running": 64}
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,6 +1,6 @@
 import testtools
 
-from dotterelplank import agent
+from dotterelplank.daemons import agent
 
 
 class ReportIntervalTests(testtools.TestCase):
--- a/tests/test_bench_experts.py
+++ b/tests/test_bench_experts.py
@@ -6,11 +6,11 @@
 import numpy as np
 import testtools
 
-from dotterelplank import bench_experts
+from dotterelplank.benches import experts as bench_experts
+from dotterelplank.benches.skew import Ledger, Samples
 from dotterelplank.errors import InputError
-from dotterelplank.experts import ExpertMap, even_shares
-from dotterelplank.fake_group import HOUR_MS, FakeGroup, Workload
-from dotterelplank.skew import Ledger, Samples
+from dotterelplank.maps.experts import ExpertMap, even_shares
+from dotterelplank.standins.fake_group import HOUR_MS, FakeGroup, Workload
 
 
 class LedgerTests(testtools.TestCase):
--- a/tests/test_bench_membership.py
+++ b/tests/test_bench_membership.py
@@ -1,7 +1,11 @@
 """The benches run, and judge by their targets."""
 
-from dotterelplank import bench_capacity, bench_membership, bench_shapes
-from dotterelplank.bench_failures import FleetSize
+from dotterelplank.benches import (
+    capacity as bench_capacity,
+    membership as bench_membership,
+    shapes as bench_shapes,
+)
+from dotterelplank.benches.failures import FleetSize
 
 
 def test_bench_judges_each_reaction_by_its_target():
--- a/tests/test_benches.py
+++ b/tests/test_benches.py
@@ -5,8 +5,8 @@
 
 import typer.testing
 
-from dotterelplank import bench_limits, bench_routing
-from dotterelplank.fake_engine import EngineOptions, FakeEngine, Job, Stage
+from dotterelplank.benches import limits as bench_limits, routing as bench_routing
+from dotterelplank.standins.fake_engine import EngineOptions, FakeEngine, Job, Stage
 
 TINY_ROUTING = bench_routing.RoutingBenchOptions(
     seeds=1, sizes=((3, 4),), warm_up_ms=6_000.0, duration_ms=20_000.0
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,8 +1,9 @@
 import testtools
 
-from dotterelplank import calls, defaults, results, tickets
-from dotterelplank.calls import CallRefusedError
-from dotterelplank.tickets import Ticket
+from dotterelplank import defaults, results
+from dotterelplank.daemons import calls, tickets
+from dotterelplank.daemons.calls import CallRefusedError
+from dotterelplank.daemons.tickets import Ticket
 
 KEY = tickets.mint(
     Ticket("a", 1, 1, "orders", "crew", b"n" * 12), b"a secret of sixteen bytes"
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,7 +5,7 @@
 import testtools
 from hypothesis import given, strategies as st
 
-from dotterelplank import configuration
+from dotterelplank.config import configuration
 from dotterelplank.errors import ConfigurationError
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
--- a/tests/test_endpoint_calls.py
+++ b/tests/test_endpoint_calls.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from dotterelplank import endpoint_calls
-from dotterelplank.messages import Header, Submit
+from dotterelplank.links import endpoint_calls
+from dotterelplank.links.messages import Header, Submit
 
 
 def submit(**changes):
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -1,15 +1,17 @@
 import testtools
 
-from dotterelplank import configuration, defaults, endpoints
-from dotterelplank.blackboard import (
+from dotterelplank import defaults
+from dotterelplank.config import configuration
+from dotterelplank.daemons import endpoints
+from dotterelplank.daemons.blackboard import (
     Blackboard,
     ConfigurationPart,
     Host,
     HostsPart,
     MemberPart,
 )
-from dotterelplank.member_messages import MemberStatus
-from dotterelplank.peers import Peer, Role
+from dotterelplank.members.messages import MemberStatus
+from dotterelplank.members.peers import Peer, Role
 
 TEXT = """{
   "labels": {"app": ["drafting", "orders"]},
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -10,8 +10,9 @@
     run_state_machine_as_test,
 )
 
-from dotterelplank import exchanges, results
-from dotterelplank.exchanges import (
+from dotterelplank import results
+from dotterelplank.daemons import exchanges
+from dotterelplank.daemons.exchanges import (
     CallerGone,
     CancelAt,
     Choose,
@@ -26,7 +27,7 @@
     Send,
     Tick,
 )
-from dotterelplank.messages import Begin, Chunk, End, Refuse
+from dotterelplank.links.messages import Begin, Chunk, End, Refuse
 from dotterelplank.results import Outcome
 
 HEAD = Begin(1, 200, ())
--- a/tests/test_experts.py
+++ b/tests/test_experts.py
@@ -5,9 +5,9 @@
 from hypothesis import given, strategies as st
 
 from dotterelplank.errors import InvariantError
-from dotterelplank.experts import EMPTY, even_shares
-from dotterelplank.placement import place_map
-from dotterelplank.shares import balance, rank_times_ms
+from dotterelplank.maps.experts import EMPTY, even_shares
+from dotterelplank.maps.placement import place_map
+from dotterelplank.maps.shares import balance, rank_times_ms
 
 
 class ExpertMapTests(testtools.TestCase):
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -2,10 +2,10 @@
 
 import testtools
 
-from dotterelplank import handshakes
 from dotterelplank.errors import PeerRefusedError, ProtocolError
-from dotterelplank.handshakes import Handshake, Side
-from dotterelplank.messages import PROTOCOL_VERSION, Credit, Hello, Proof
+from dotterelplank.links import handshakes
+from dotterelplank.links.handshakes import Handshake, Side
+from dotterelplank.links.messages import PROTOCOL_VERSION, Credit, Hello, Proof
 
 SECRET = b"a secret of sixteen bytes or more"
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,6 @@
 import testtools
 
-from dotterelplank import http_server
+from dotterelplank.daemons import http_server
 
 
 class OverdueTests(testtools.TestCase):
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,10 +1,11 @@
 import testtools
 
-from dotterelplank import jobs, ledger as ledgers, results, tickets
-from dotterelplank.jobs import AgentState, Give, Progress, Start, TurnAway
-from dotterelplank.ledger import Answer, Ledger
-from dotterelplank.messages import Submit
-from dotterelplank.tickets import Ticket
+from dotterelplank import results
+from dotterelplank.daemons import jobs, ledger as ledgers, tickets
+from dotterelplank.daemons.jobs import AgentState, Give, Progress, Start, TurnAway
+from dotterelplank.daemons.ledger import Answer, Ledger
+from dotterelplank.daemons.tickets import Ticket
+from dotterelplank.links.messages import Submit
 
 SECRET = b"a secret of sixteen bytes or more"
 TICKET = Ticket("crew-ops-1", 1, 1, "orders", "crew", b"n" * 12)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -10,10 +10,11 @@
     run_state_machine_as_test,
 )
 
-from dotterelplank import ledger as ledgers, results
-from dotterelplank.ledger import Answer, Ledger, Policy, Refused, Repeat, Run
+from dotterelplank import results
+from dotterelplank.daemons import ledger as ledgers
+from dotterelplank.daemons.ledger import Answer, Ledger, Policy, Refused, Repeat, Run
+from dotterelplank.daemons.tickets import Ticket
 from dotterelplank.results import Outcome
-from dotterelplank.tickets import Ticket
 
 POLICY = Policy(
     epoch_ms=100.0,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,7 +4,13 @@
 
 from hypothesis import given, settings, strategies as st
 
-from dotterelplank import capacities, demands, endpoint_view, limits, team_shares
+from dotterelplank.routing import (
+    capacities,
+    demands,
+    endpoint_view,
+    limits,
+    team_shares,
+)
 
 POLICY = limits.LimitPolicy({"large": 0.6, "small": 0.1}, 0.1, 0.3)
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,10 +3,10 @@
 
 import testtools
 
-from dotterelplank import links
-from dotterelplank.link_server import Handlers, LinkServer
-from dotterelplank.links import Identity
-from dotterelplank.messages import Chunk
+from dotterelplank.links import links
+from dotterelplank.links.link_server import Handlers, LinkServer
+from dotterelplank.links.links import Identity
+from dotterelplank.links.messages import Chunk
 
 SECRET = b"a secret of sixteen bytes or more"
 PIECES = 24
--- a/tests/test_mapchange.py
+++ b/tests/test_mapchange.py
@@ -1,12 +1,11 @@
 import testtools
 
-from dotterelplank import events, soak
-from dotterelplank.ballots import Ballot, Change, ExpertMap
+from dotterelplank import events
 from dotterelplank.errors import InvariantError
-from dotterelplank.mapchange import decide
-from dotterelplank.mapchange_model import Model
-from dotterelplank.mapjoin import choose_install
-from dotterelplank.mapmessages import (
+from dotterelplank.maps.ballots import Ballot, Change, ExpertMap
+from dotterelplank.maps.change import decide
+from dotterelplank.maps.join import choose_install
+from dotterelplank.maps.messages import (
     Answer,
     Ask,
     Closed,
@@ -37,8 +36,10 @@
     Tick,
     Vote,
 )
-from dotterelplank.mapstate import new_state
-from dotterelplank.maptally import verdict
+from dotterelplank.maps.state import new_state
+from dotterelplank.maps.tally import verdict
+from dotterelplank.models import soak
+from dotterelplank.models.mapchange_model import Model
 
 POLICY = soak.POLICY
 MAP = ExpertMap(1, b"one")
--- a/tests/test_mapchange_machine.py
+++ b/tests/test_mapchange_machine.py
@@ -3,8 +3,8 @@
 import testtools
 from hypothesis import settings, stateful, strategies as st
 
-from dotterelplank import soak
-from dotterelplank.mapchange_model import Model
+from dotterelplank.models import soak
+from dotterelplank.models.mapchange_model import Model
 
 INDEX = st.integers(0, 63)
 FAULTS_AT_ONCE = 4
--- a/tests/test_mapdriver.py
+++ b/tests/test_mapdriver.py
@@ -7,8 +7,8 @@
 import testtools
 from processes import CONFIGURATION, Place, pool, system, wait_until
 
-from dotterelplank import standins
-from dotterelplank.standin_store import StoreLimits
+from dotterelplank.standins import cli as standins
+from dotterelplank.standins.store import StoreLimits
 
 HOSTS = ("rank-1", "rank-2", "rank-3")
 SPREAD = {"experts_by_rank": [[0, 1], [2, 3], [4, 5]]}
--- a/tests/test_mapplanner.py
+++ b/tests/test_mapplanner.py
@@ -4,12 +4,13 @@
 
 import testtools
 
-from dotterelplank import events, maporders, mapplanner
-from dotterelplank.mapmessages import Propose
-from dotterelplank.maporders import PublishedMap
-from dotterelplank.messages import ExpertLoad, RankSample, SampleTaken
-from dotterelplank.planned_maps import Planning
-from dotterelplank.planner_state import (
+from dotterelplank import events
+from dotterelplank.config.planned_maps import Planning
+from dotterelplank.links.messages import ExpertLoad, RankSample, SampleTaken
+from dotterelplank.maps import orders as maporders, planner as mapplanner
+from dotterelplank.maps.messages import Propose
+from dotterelplank.maps.orders import PublishedMap
+from dotterelplank.maps.planner_state import (
     Compute,
     InUse,
     Load,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,9 +5,11 @@
 import pytest
 from hypothesis import strategies as st
 
-from dotterelplank import datagrams, errors, member_messages as mm, membership
-from dotterelplank.peers import Peer, Role
-from dotterelplank.revision_messages import Document, Offer
+from dotterelplank import errors
+from dotterelplank.daemons import datagrams
+from dotterelplank.members import membership, messages as mm
+from dotterelplank.members.peers import Peer, Role
+from dotterelplank.members.revision_messages import Document, Offer
 
 SECRET = b"a secret of the tests"
 POLICY = membership.MembershipPolicy()
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -6,8 +6,8 @@
 from fleet import REACH_MS, FleetMachine
 from hypothesis import stateful, strategies as st
 
-from dotterelplank import member_messages as mm, membership
-from dotterelplank.peers import Role
+from dotterelplank.members import membership, messages as mm
+from dotterelplank.members.peers import Role
 
 GONE_BOUND_MS = 3_000
 NOTICED_BOUND_MS = 1_000
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -2,11 +2,13 @@
 import testtools
 from hypothesis import given, strategies as st
 
-from dotterelplank import datagrams, defaults, messages
+from dotterelplank import defaults
+from dotterelplank.daemons import datagrams
 from dotterelplank.errors import PeerRefusedError, ProtocolError
-from dotterelplank.member_messages import Heartbeat, Intent, Load
-from dotterelplank.messages import Chunk, FrameReader, Header, Submit
-from dotterelplank.revision_messages import Document, Offer
+from dotterelplank.links import messages
+from dotterelplank.links.messages import Chunk, FrameReader, Header, Submit
+from dotterelplank.members.messages import Heartbeat, Intent, Load
+from dotterelplank.members.revision_messages import Document, Offer
 
 SECRET = b"a secret of sixteen bytes or more"
 SUBMIT = Submit(
--- a/tests/test_order_machine.py
+++ b/tests/test_order_machine.py
@@ -3,8 +3,9 @@
 import testtools
 from hypothesis import settings, stateful, strategies as st
 
-from dotterelplank import order_soak, results
-from dotterelplank.order_model import OrderModel
+from dotterelplank import results
+from dotterelplank.models import order_soak
+from dotterelplank.models.order_model import OrderModel
 
 INDEX = st.integers(0, 63)
 ENTRY = st.sampled_from(("e1", "e2", "e3"))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -11,9 +11,11 @@
 import testtools
 import urllib3
 
-from dotterelplank import demo, fleet as fleets, messages, results
-from dotterelplank.standin_engine import EngineFaults
-from dotterelplank.standin_service import ServiceFaults
+from dotterelplank import results
+from dotterelplank.demo import demo, fleet as fleets
+from dotterelplank.links import messages
+from dotterelplank.standins.engine import EngineFaults
+from dotterelplank.standins.service import ServiceFaults
 
 ROOT_EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 TEAM = {"Dotterelplank-Team": "crew-north"}
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from dotterelplank import prefixes
+from dotterelplank.routing import prefixes
 
 TEXT = bytes(range(256)) * 32
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -17,8 +17,8 @@
     wait_until,
 )
 
-from dotterelplank import sse
-from dotterelplank.standin_tokens import expected_tokens
+from dotterelplank.daemons import sse
+from dotterelplank.standins.tokens import expected_tokens
 
 TOKENS = 40
 SLOW = ("--settings", json.dumps({"base_step_ms": 20.0}))
--- a/tests/test_rebalancing.py
+++ b/tests/test_rebalancing.py
@@ -5,11 +5,11 @@
 import testtools
 from hypothesis import example, given, settings, strategies as st
 
-from dotterelplank import rebalancing
 from dotterelplank.errors import InvariantError, SettingsError
-from dotterelplank.experts import EMPTY, Observation
-from dotterelplank.placement import place_map
-from dotterelplank.popularity import first_estimate, update
+from dotterelplank.maps import rebalancing
+from dotterelplank.maps.experts import EMPTY, Observation
+from dotterelplank.maps.placement import place_map
+from dotterelplank.maps.popularity import first_estimate, update
 
 WINDOW_MS = 15_000.0
 HOUR_MS = 3_600_000.0
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from dotterelplank import retries
+from dotterelplank.routing import retries
 
 NOT_RUN = retries.Failure(retries.Proof.NOT_RUN, is_refusal=True)
 UNKNOWN = retries.Failure(retries.Proof.UNKNOWN)
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -2,8 +2,9 @@
 
 from fleet import validate
 
-from dotterelplank import bench_loop, membership, revision_messages as rm, revisions
-from dotterelplank.peers import Peer, Role
+from dotterelplank.benches import loop as bench_loop
+from dotterelplank.members import membership, revision_messages as rm, revisions
+from dotterelplank.members.peers import Peer, Role
 
 CONFIGURATION = rm.Document.CONFIGURATION
 POLICY = revisions.RevisionPolicy(validate=validate)
--- a/tests/test_revisions_machine.py
+++ b/tests/test_revisions_machine.py
@@ -6,7 +6,7 @@
 from fleet import FleetMachine
 from hypothesis import stateful, strategies as st
 
-from dotterelplank import revision_messages as rm, revisions
+from dotterelplank.members import revision_messages as rm, revisions
 
 CONFIGURATION = rm.Document.CONFIGURATION
 DOMAIN_BOUND_MS = 3_000
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,7 @@
 
 from hypothesis import given, strategies as st
 
-from dotterelplank import inquiry, routing
+from dotterelplank.routing import inquiry, routing
 
 POLICY = routing.RoutingPolicy(live_entries=3)
 REPORT = routing.LoadReport(10, 0, 0.5, 25.0, 400.0)
--- a/tests/test_selectors.py
+++ b/tests/test_selectors.py
@@ -1,8 +1,8 @@
 import testtools
 from hypothesis import given, strategies as st
 
-from dotterelplank import selectors
-from dotterelplank.selectors import (
+from dotterelplank.config import selectors
+from dotterelplank.config.selectors import (
     Condition,
     Expression,
     Label,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from dotterelplank import settings
+from dotterelplank.config import settings
+from dotterelplank.config.settings import AgentSettings, EntrySettings
 from dotterelplank.errors import SettingsError
-from dotterelplank.settings import AgentSettings, EntrySettings
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -3,7 +3,7 @@
 import testtools
 
 from dotterelplank import errors
-from dotterelplank.standin_engine import (
+from dotterelplank.standins.engine import (
     ChatRequest,
     EngineFaults,
     EngineOrder,
--- a/tests/test_standin_engine_http.py
+++ b/tests/test_standin_engine_http.py
@@ -4,8 +4,8 @@
 import urllib3
 from standin_client import Client, wait_until
 
-from dotterelplank import standins
-from dotterelplank.standin_engine import EngineFaults, EngineSettings, expected_tokens
+from dotterelplank.standins import cli as standins
+from dotterelplank.standins.engine import EngineFaults, EngineSettings, expected_tokens
 
 MESSAGES = [{"role": "user", "content": "Name this shade."}]
 
--- a/tests/test_standin_http.py
+++ b/tests/test_standin_http.py
@@ -6,7 +6,12 @@
 import testtools
 from standin_client import Client, wait_until
 
-from dotterelplank import errors, standin_http, standin_platform, standins
+from dotterelplank import errors
+from dotterelplank.standins import (
+    cli as standins,
+    http as standin_http,
+    platform as standin_platform,
+)
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -1,8 +1,9 @@
 import testtools
 from standin_client import Client
 
-from dotterelplank import errors, standins
-from dotterelplank.standin_platform import (
+from dotterelplank import errors
+from dotterelplank.standins import cli as standins
+from dotterelplank.standins.platform import (
     HostChange,
     HostEntry,
     PlatformFaults,
--- a/tests/test_standin_proxy.py
+++ b/tests/test_standin_proxy.py
@@ -4,9 +4,9 @@
 import urllib3
 from standin_client import Client, wait_until
 
-from dotterelplank import standins
-from dotterelplank.standin_connection import Target
-from dotterelplank.standin_pipe import Pipe, ProxyRules, delay_share
+from dotterelplank.standins import cli as standins
+from dotterelplank.standins.connection import Target
+from dotterelplank.standins.pipe import Pipe, ProxyRules, delay_share
 
 FAILURES = (urllib3.exceptions.ProtocolError, urllib3.exceptions.NewConnectionError)
 
--- a/tests/test_standin_ranks.py
+++ b/tests/test_standin_ranks.py
@@ -5,16 +5,17 @@
 import testtools
 from standin_client import Client
 
-from dotterelplank import errors, standins
-from dotterelplank.standin_popularity import Popularity, Workload, placed_by_list
-from dotterelplank.standin_rank import (
+from dotterelplank import errors
+from dotterelplank.standins import cli as standins
+from dotterelplank.standins.popularity import Popularity, Workload, placed_by_list
+from dotterelplank.standins.rank import (
     InstallOrder,
     RankFaults,
     ResolveOrder,
     StageOrder,
     VersionedMap,
 )
-from dotterelplank.standin_ranks import GroupSettings, RankGroup
+from dotterelplank.standins.ranks import GroupSettings, RankGroup
 
 BALLOT = (1, "host-a", 1)
 RANKS = 3
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -4,8 +4,8 @@
 import urllib3
 from standin_client import Client, wait_until
 
-from dotterelplank import standins
-from dotterelplank.standin_service import ServiceFaults, record_of
+from dotterelplank.standins import cli as standins
+from dotterelplank.standins.service import ServiceFaults, record_of
 
 
 class ServiceTests(testtools.TestCase):
--- a/tests/test_standin_store.py
+++ b/tests/test_standin_store.py
@@ -1,8 +1,9 @@
 import testtools
 from standin_client import Client, wait_until
 
-from dotterelplank import errors, standins
-from dotterelplank.standin_store import StoreLimits, StoreState
+from dotterelplank import errors
+from dotterelplank.standins import cli as standins
+from dotterelplank.standins.store import StoreLimits, StoreState
 
 
 class StoreTests(testtools.TestCase):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,7 +9,7 @@
 from standin_client import Client
 
 SOURCE = pathlib.Path(__file__).resolve().parent.parent / "src"
-START = "from dotterelplank.standins import app; app()"
+START = "from dotterelplank.standins.cli import app; app()"
 
 
 class CommandTests(testtools.TestCase):
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -1,8 +1,8 @@
 import testtools
 from hypothesis import given, strategies as st
 
-from dotterelplank import tickets
-from dotterelplank.tickets import Ticket
+from dotterelplank.daemons import tickets
+from dotterelplank.daemons.tickets import Ticket
 
 SECRET = b"a secret of sixteen bytes or more"
 TICKET = Ticket("crew-ops-1", 77, 3, "crew-operations", "crew-north", b"n" * 12)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -1,11 +1,12 @@
 import testtools
 
-from dotterelplank import configuration, endpoint_view
-from dotterelplank.blackboard import Blackboard
-from dotterelplank.calls import CallerRequest, CallRefusedError
-from dotterelplank.endpoint_view import EndpointView, LoadReport
-from dotterelplank.selectors import Work
-from dotterelplank.traffic import Traffic
+from dotterelplank.config import configuration
+from dotterelplank.config.selectors import Work
+from dotterelplank.daemons.blackboard import Blackboard
+from dotterelplank.daemons.calls import CallerRequest, CallRefusedError
+from dotterelplank.daemons.traffic import Traffic
+from dotterelplank.routing import endpoint_view
+from dotterelplank.routing.endpoint_view import EndpointView, LoadReport
 
 TEXT = """{
   "labels": {"app": ["drafting"]},
--- a/tests/test_weight_store.py
+++ b/tests/test_weight_store.py
@@ -2,10 +2,10 @@
 
 import testtools
 
-from dotterelplank import standin_http, standins
-from dotterelplank.planned_maps import Planning
-from dotterelplank.standin_store import StoreLimits
-from dotterelplank.weight_store import WeightStore
+from dotterelplank.config.planned_maps import Planning
+from dotterelplank.maps.weight_store import WeightStore
+from dotterelplank.standins import cli as standins, http as standin_http
+from dotterelplank.standins.store import StoreLimits
 
 EXPERT_BYTES = 1_000
 BOUND_MS = 30_000.0
