Give a rank that reads prompts more passes before it counts as silent

A rank that writes still has ten passes, one that has begun no stream for the call has 24; the head of a stream doesn't count as its beginning.

--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -117,7 +117,9 @@
             await connection.skip_answer()
             head = await connection.head()
             said = wire.read_answer(head.status, head.headers)
-        self._note_heard(one)
+        if one.route.kind is not Kind.STREAMING:
+            # The head of a stream may come long before its first event.
+            self._note_heard(one)
         if said.not_run and head.status >= 400:
             await _read_rest(connection)
             # A rank that can't go on for want of another names that one.
--- a/src/dotterelplank/gateway/silence.py
+++ b/src/dotterelplank/gateway/silence.py
@@ -20,7 +20,9 @@
 """Events of a group that come closer together belong to the same pass."""
 PASSES_KEPT: t.Final = 32
 SILENT_PASSES: t.Final = 10
-"""Passes of a group in which each of its ranks writes or reads for its calls."""
+"""Passes of its group in which a rank that writes a stream adds to it."""
+SILENT_PASSES_READING: t.Final = 24
+"""Passes of its group in which a rank reads all the prompts that it holds."""
 LEAST_SILENCE_MS: t.Final = 400.0
 SILENCE_ALONE_MS: t.Final = 1_000.0
 """Silence of an endpoint that belongs to no group, while it has a stream to write."""
@@ -96,13 +98,15 @@
     if route.kind is not Kind.STREAMING:
         return _late_answer(now_ms, sent, route)
     since_ms = sent.heard_ms
+    bound = SILENT_PASSES
     if since_ms is None:
         # Other calls there may go first, as long as it writes for them.
         since_ms = max(sent.sent_ms, progress.heard_ms.get(sent.endpoint.id, 0.0))
+        bound = SILENT_PASSES_READING
     silence = Silence(now_ms - since_ms, progress.passes_since(sent.endpoint, since_ms))
     if sent.endpoint.place is None:
         return silence if silence.silent_ms >= SILENCE_ALONE_MS else None
-    is_silent = silence.passes >= SILENT_PASSES
+    is_silent = silence.passes >= bound
     return silence if is_silent and silence.silent_ms >= LEAST_SILENCE_MS else None
 
 
