Keep samples within the leader's link, and compress long messages

Cause: on a group of 72 ranks with 12 layers of 144 experts a sample held 1,728 growing numbers, about 7 kB, 13 times a second from each rank to one leader whose link takes 4 Mbit/s: about 50 Mbit/s. A sample now holds what was counted since the one before, long messages are compressed, and the time between samples follows from the number of ranks, the size of a sample and the link that the settings name; small groups sample as often as before. Maps to prepare are compressed too, and given again later in a large group.

--- a/src/dotterelplank/gateway/host.py
+++ b/src/dotterelplank/gateway/host.py
@@ -41,6 +41,7 @@
     :param peer_ports: first and last port for the system's own messages.
     :param seeds: IP addresses of entries that may know the others.
     :param endpoint: the server on this host; an entry has none.
+    :param link_mbps: what the host can send in a second, in millions of bits.
     """
 
     name: str
@@ -54,6 +55,7 @@
     service: str | None
     store: Address
     bounds: Bounds
+    link_mbps: float
 
     @property
     def peer_port(self) -> int:
--- a/src/dotterelplank/packets.py
+++ b/src/dotterelplank/packets.py
@@ -3,12 +3,19 @@
 import asyncio
 import dataclasses
 import typing as t
+import zlib
 
 import msgpack
 import pydantic
 
 from .errors import ProtocolError
 
+PLAIN_BOUND_BYTES: t.Final = 400
+"""Longer messages are compressed."""
+INFLATED_BOUND_BYTES: t.Final = 1024 * 1024
+_COMPRESSED: t.Final = 0x78
+"""First byte of compressed data; a plain message is an array and begins otherwise."""
+
 
 class Codec:
     """Packs messages of the given kinds, and checks what it unpacks.
@@ -29,7 +36,8 @@
         kind = type(message)
         values = [getattr(message, name) for name in self._fields[kind]]
         packed = [self._kinds.index(kind), *values]
-        return msgpack.packb(packed, default=dataclasses.asdict)
+        data = msgpack.packb(packed, default=dataclasses.asdict)
+        return data if len(data) <= PLAIN_BOUND_BYTES else zlib.compress(data)
 
     def decode(self, data: bytes) -> t.Any:
         """Return the message in a datagram.
@@ -37,7 +45,7 @@
         :raises ProtocolError: if it holds none of the kinds.
         """
         try:
-            number, *values = msgpack.unpackb(data)
+            number, *values = msgpack.unpackb(_inflated(data))
             fields = self._fields[self._kinds[number]]
             if len(fields) != len(values):
                 raise ProtocolError("a message of another layout")
@@ -46,6 +54,19 @@
             raise ProtocolError(f"no known message: {error}") from error
 
 
+def _inflated(data: bytes) -> bytes:
+    if not data or data[0] != _COMPRESSED:
+        return data
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(data, INFLATED_BOUND_BYTES)
+    except zlib.error as error:
+        raise ProtocolError(f"not compressed as it should be: {error}") from error
+    if not inflater.eof:
+        raise ProtocolError("a message over the bound, or cut short")
+    return plain
+
+
 class DatagramHandler(asyncio.DatagramProtocol):
     """Hands each datagram on."""
 
--- a/src/dotterelplank/platform/settings.py
+++ b/src/dotterelplank/platform/settings.py
@@ -29,6 +29,10 @@
     address: str
 
 
+class _Limits(pydantic.BaseModel):
+    bandwidth_mbps: float = pydantic.Field(1000.0, gt=0)
+
+
 class _File(pydantic.BaseModel):
     # A process here is a node there.
     node_name: str
@@ -38,6 +42,7 @@
     port_range: tuple[int, int]
     seed_nodes: list[str] = []
     bounds: _Bounds
+    limits: _Limits = _Limits()
     # The metadata store, not the whole platform.
     platform: _Store
     # The server on the same host, of the service named beside it.
@@ -74,6 +79,7 @@
             retry_window_ms=found.bounds.retry_window_s * 1000,
             retry_burst=found.bounds.retry_burst,
         ),
+        link_mbps=found.limits.bandwidth_mbps,
     )
 
 
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -16,7 +16,7 @@
 from ..platform.members import read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
-from . import messages, policy
+from . import messages, policy, sampling
 from .demand import Demands
 from .driver import Driver, direct_client
 from .group import Group
@@ -25,7 +25,7 @@
 
 log = logging.getLogger(__name__)
 
-SAMPLE_INTERVAL_MS: t.Final = 75.0
+READ_INTERVAL_MS: t.Final = 75.0
 HEARTBEAT_INTERVAL_MS: t.Final = 250.0
 TURN_MS: t.Final = 25.0
 """How often a change in progress is looked at, besides at each reply."""
@@ -54,6 +54,9 @@
         self._lookup_ms = LOOKUP_INTERVAL_MS
         self._heard_ms = boottime_ms()
         self._is_lost = False
+        self._counter = sampling.Counter()
+        self._sampled_ms = 0.0
+        self._sample_interval_ms = 0.0
         self._leader: int | None = None
         self._held_since_ms: float | None = None
         self._driver = Driver(
@@ -111,7 +114,7 @@
             except UpstreamError as error:
                 self._note_silence(str(error))
             spent_ms = boottime_ms() - began_ms
-            pause_ms = max(SAMPLE_INTERVAL_MS - spent_ms, SAMPLE_INTERVAL_MS / 4)
+            pause_ms = max(READ_INTERVAL_MS - spent_ms, READ_INTERVAL_MS / 4)
             await asyncio.sleep(pause_ms / 1000)
 
     async def _read_rank(self) -> None:
@@ -122,11 +125,16 @@
             await self._heartbeat(view)
         if not view.active and self._leader is None:
             return
+        if now_ms - self._sampled_ms < self._sample_interval_ms:
+            return
         counts = await self._rank.counts()
         if counts.epoch != view.epoch:
             return
-        sample = messages.Sample(self._host.ip, view, counts.step, counts.counts)
-        self._send_to_leader(now_ms, sample)
+        self._sampled_ms = now_ms
+        new = self._counter.since_last(counts.epoch, counts.counts)
+        if new is not None:
+            sample = messages.Sample(self._host.ip, view, counts.step, new)
+            self._send_to_leader(now_ms, sample)
 
     def _send_to_leader(self, now_ms: float, sample: messages.Sample) -> None:
         leader = self._group.leader(now_ms)
@@ -145,7 +153,10 @@
             return
         member = self._group.members.get(t.cast(int, leader))
         if member is not None:
-            self._send(member.heartbeat.ip, sample)
+            sent_bytes = self._send(member.heartbeat.ip, sample)
+            self._sample_interval_ms = sampling.interval_ms(
+                own.size, sent_bytes, self._host.link_mbps
+            )
 
     def _take_view(self, now_ms: float, view: RankView) -> None:
         self._heard_ms = now_ms
@@ -325,10 +336,12 @@
         found.ips.update(self._driver.members.ips)
         self._driver.members = found
 
-    def _send(self, ip: str, message: t.Any) -> None:
+    def _send(self, ip: str, message: t.Any) -> int:
+        """Send a message; return its size in bytes."""
+        data = messages.CODEC.encode(message)
         if self._datagrams is not None:
-            data = messages.CODEC.encode(message)
             self._datagrams.sendto(data, (ip, self._host.peer_port))
+        return len(data)
 
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -32,6 +32,8 @@
 """How long ranks that don't arm are waited for, while the group may be held."""
 RESEND_MS: t.Final = 60.0
 PREPARE_RESEND_MS: t.Final = 250.0
+PREPARE_RESEND_RANK_MS: t.Final = 16.0
+"""For each rank of a large group, as all are sent the map at once."""
 DIRECT_MS: t.Final = 300.0
 """A rank whose agent is silent this long is spoken to directly."""
 LEAD_STEPS: t.Final = 2
@@ -367,7 +369,9 @@
     now_ms: float, change: Change, tasks: dict[int, Task]
 ) -> list[Assignment]:
     is_preparing = change.phase is Phase.PREPARE
-    resend_ms = PREPARE_RESEND_MS if is_preparing else RESEND_MS
+    resend_ms = RESEND_MS
+    if is_preparing:
+        resend_ms = max(PREPARE_RESEND_MS, PREPARE_RESEND_RANK_MS * change.size)
     assignments = []
     for rank, task in tasks.items():
         asked_ms = change.asked_ms.get(rank)
--- a/src/dotterelplank/ranks/demand.py
+++ b/src/dotterelplank/ranks/demand.py
@@ -17,7 +17,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reading:
-    """The counts of a rank, as read at a time."""
+    """The counts of a rank up to a time, from when it was first heard."""
 
     read_ms: float
     counts: t.Sequence[int]
@@ -32,11 +32,14 @@
     )
 
     def add(self, now_ms: float, rank: int, counts: t.Sequence[int]) -> None:
-        """Take in the counts of a rank; a rank that began anew has lower ones."""
+        """Take in what was counted at a rank since the sample before."""
         readings = self.by_rank.setdefault(rank, collections.deque())
-        if readings and sum(counts) < sum(readings[-1].counts):
+        if not readings or len(readings[-1].counts) != len(counts):
             readings.clear()
-        readings.append(Reading(now_ms, counts))
+            readings.append(Reading(now_ms, [0] * len(counts)))
+        before = readings[-1].counts
+        total = [then + new for then, new in zip(before, counts)]
+        readings.append(Reading(now_ms, total))
         while len(readings) > 2 and now_ms - readings[1].read_ms > KEPT_MS:
             readings.popleft()
 
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -39,7 +39,7 @@
         ip: str,
         group: Group,
         rank: RankClient,
-        send: t.Callable[[str, t.Any], None],
+        send: t.Callable[[str, t.Any], t.Any],
         on_silence: t.Callable[[str], None],
     ) -> None:
         self.members = Members({}, None)
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -28,7 +28,7 @@
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
-    """How often the calls of a rank chose each expert since the rank's start."""
+    """How often the calls of a rank chose each expert since the sample before."""
 
     ip: str
     view: RankView
--- /dev/null
+++ b/tests/test_packets.py
@@ -0,0 +1,33 @@
+import dataclasses
+import zlib
+
+import msgpack
+import pydantic
+import testtools
+
+from dotterelplank.errors import ProtocolError
+from dotterelplank.packets import INFLATED_BOUND_BYTES, PLAIN_BOUND_BYTES, Codec
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class Numbers:
+    values: list[int]
+
+
+CODEC = Codec(Numbers)
+
+
+class CodecTests(testtools.TestCase):
+    def test_short_and_long_messages_come_back(self):
+        for count in (0, 1, PLAIN_BOUND_BYTES, 5_000):
+            message = Numbers(list(range(count)))
+            self.assertEqual(message, CODEC.decode(CODEC.encode(message)))
+
+    def test_long_messages_are_compressed(self):
+        self.assertLess(len(CODEC.encode(Numbers([7] * 5_000))), 100)
+
+    def test_what_is_no_message_is_refused(self):
+        long = CODEC.encode(dataclasses.replace(Numbers([]), values=[7] * 5_000))
+        huge = zlib.compress(msgpack.packb([0, [0] * (2 * INFLATED_BOUND_BYTES)]))
+        for data in (b"", b"\x78", b"\x78abc", long[:-5], huge, b"\x93\x01\x02"):
+            self.assertRaises(ProtocolError, CODEC.decode, data)
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -145,6 +145,7 @@
         service="drafts",
         store=Address("127.0.0.1", store_port),
         bounds=Bounds(2_000.0, 2_000.0, 0.2, 10_000.0, 94.0),
+        link_mbps=10.0,
     )
 
 
