Serve the metrics of agents

Counters of changes, passes cleared up, tasks and silences, the time that a change takes, and the present state, at the port of the deploy file. Test: tests/test_ranks_agent.py reads them from a running agent.

--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -11,7 +11,7 @@
 from .. import events
 from ..clocks import boottime_ms
 from ..errors import ProtocolError, SettingsError
-from ..http1.server import Call, Exchange, Intake, Server
+from ..http1.server import DEFAULT_INTAKE, Call, Exchange, Intake, Server
 from ..loops import keep_going
 from ..packets import DatagramHandler
 from . import peers as peering
@@ -20,7 +20,7 @@
 from .forwarder import Forwarder
 from .host import Address, HostSettings
 from .loads import PeerLoad
-from .metrics import EntryMetrics
+from .metrics import METRICS_PATH, EntryMetrics
 
 log = logging.getLogger(__name__)
 
@@ -32,8 +32,6 @@
 BALANCER_NOTICE_MS: t.Final = 2_500.0
 """Time in which the platform's balancer notices that readiness is gone."""
 BACKLOG: t.Final = 512
-METRICS_PATH: t.Final = b"/metrics"
-DEFAULT_INTAKE: t.Final = Intake(16_384, 1_048_576, 3.0, 15.0)
 
 
 class Entry:
--- a/src/dotterelplank/gateway/metrics.py
+++ b/src/dotterelplank/gateway/metrics.py
@@ -7,6 +7,7 @@
 
 from ..results import Result
 
+METRICS_PATH: t.Final = b"/metrics"
 _BUCKETS_MS: t.Final = [
     1,
     2,
--- a/src/dotterelplank/http1/server.py
+++ b/src/dotterelplank/http1/server.py
@@ -37,6 +37,9 @@
     idle_timeout_s: float
 
 
+DEFAULT_INTAKE: t.Final = Intake(16_384, 1_048_576, 3.0, 15.0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """A call that has been read whole.
--- a/src/dotterelplank/platform/__main__.py
+++ b/src/dotterelplank/platform/__main__.py
@@ -26,7 +26,7 @@
 async def _agent(port: int | None) -> None:
     from ..ranks.agent import Agent
 
-    await Agent(settings.load()).run()
+    await Agent(settings.load(), port).run()
 
 
 _ROLES = {"agent": _agent, "entry": _entry}
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -11,6 +11,8 @@
 from ..clocks import boottime_ms
 from ..errors import ProtocolError, UpstreamError
 from ..gateway.host import Address, HostSettings
+from ..gateway.metrics import METRICS_PATH
+from ..http1.server import DEFAULT_INTAKE, Call, Exchange, Server
 from ..loops import keep_going
 from ..packets import DatagramHandler
 from ..platform.members import read_members
@@ -20,6 +22,7 @@
 from .demand import Demands
 from .driver import Driver, direct_client
 from .group import Group
+from .metrics import AgentMetrics
 from .participant import carry_out
 from .views import RankView
 
@@ -38,10 +41,16 @@
 
 
 class Agent:
-    """An agent on its event loop."""
+    """An agent on its event loop.
 
-    def __init__(self, host: HostSettings) -> None:
+    :param metrics_port: where metrics are served; none: nowhere.
+    """
+
+    def __init__(self, host: HostSettings, metrics_port: int | None = None) -> None:
         self._host = host
+        self._metrics_port = metrics_port
+        self.metrics = AgentMetrics()
+        self._pages = Server(self._page, lambda: DEFAULT_INTAKE, self._on_refused)
         self._group = Group()
         self._demands = Demands()
         self._rank = RankClient(t.cast(Address, host.endpoint))
@@ -60,7 +69,12 @@
         self._leader: int | None = None
         self._held_since_ms: float | None = None
         self._driver = Driver(
-            host.ip, self._group, self._rank, self._send, self._note_silence
+            host.ip,
+            self._group,
+            self._rank,
+            self.metrics,
+            self._send,
+            self._note_silence,
         )
         self._busy: set[tuple[str, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -80,6 +94,12 @@
             )
             self._datagrams = t.cast(asyncio.DatagramTransport, transport)
             stack.callback(transport.close)
+            if self._metrics_port is not None:
+                listener = await loop.create_server(
+                    self._pages.make_connection, self._host.ip, self._metrics_port
+                )
+                stack.callback(listener.close)
+                stack.callback(self._pages.close_all)
             events.emit(
                 log,
                 events.PROCESS_STARTED,
@@ -219,6 +239,7 @@
         silent_ms = boottime_ms() - self._heard_ms
         if not self._is_lost and silent_ms > LOST_MS:
             self._is_lost = True
+            self.metrics.count_silence()
             events.emit(log, events.RANK_LOST, silent_ms=round(silent_ms), why=why)
 
     async def _heartbeat(self, view: RankView) -> None:
@@ -300,6 +321,7 @@
         if key in self._busy:
             return
         self._busy.add(key)
+        self.metrics.count_task(ask.kind)
         try:
             view = await carry_out(self._rank, ask.epoch, messages.task_of(ask))
         except UpstreamError as error:
@@ -309,6 +331,29 @@
             self._busy.discard(key)
         self._send(ask.ip, messages.Reply(ask.number, view))
 
+    async def _page(self, call: Call, exchange: Exchange) -> None:
+        """Answer a read of the metrics."""
+        if call.target.partition(b"?")[0] == METRICS_PATH:
+            exchange.answer(200, [], self.metrics.render(self._state()))
+        else:
+            exchange.answer(404, [], b"")
+
+    def _state(self) -> t.Mapping[str, float]:
+        now_ms = boottime_ms()
+        own = self._group.own
+        return {
+            "agents_alive": len(self._group.alive(now_ms)),
+            "in_change": float(self._driver.change is not None),
+            "is_leader": float(own is not None and self._leader == own.rank),
+            "pass_ms": self._group.pass_ms(now_ms),
+            "rank_silent_ms": now_ms - self._heard_ms,
+            "step": -1 if own is None else own.step,
+            "map_version": -1 if own is None else own.map_version,
+        }
+
+    def _on_refused(self, status: int, why: str) -> None:
+        events.emit(log, events.CALL_UNREADABLE, status=status, why=why)
+
     async def _look_up(self) -> None:
         """Read from the platform who else belongs to the service, while some lack."""
         while True:
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -13,6 +13,7 @@
 from ..platform.ranks import RankClient
 from . import change as changes, messages, policy, tasks, versions
 from .group import Group
+from .metrics import AgentMetrics
 from .participant import carry_out, give_once
 from .views import ExpertMap, HoldStep, RankView
 
@@ -39,6 +40,7 @@
         ip: str,
         group: Group,
         rank: RankClient,
+        metrics: AgentMetrics,
         send: t.Callable[[str, t.Any], t.Any],
         on_silence: t.Callable[[str], None],
     ) -> None:
@@ -47,6 +49,7 @@
         self._ip = ip
         self._group = group
         self._rank = rank
+        self._metrics = metrics
         self._send = send
         self._on_silence = on_silence
         self._random = random.Random()
@@ -105,6 +108,7 @@
             self._group.new_version(draw),
             present,
         )
+        self._metrics.count_take_over()
         events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
 
     def advance(self) -> None:
@@ -123,6 +127,8 @@
             self._slow = None
             if change.outcome is changes.Outcome.SWITCHED and change.map:
                 self._group.switched = (change.version, change.map)
+            self._metrics.count_change(change.outcome.value)
+            self._metrics.change.observe(now_ms - change.began_ms)
             events.emit(
                 log,
                 events.CHANGE_ENDED,
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -12,6 +12,7 @@
 
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
+from dotterelplank.http1.client import Request, one_call, read_whole
 from dotterelplank.platform.ranks import RankClient
 from dotterelplank.ranks import policy
 from dotterelplank.ranks.agent import Agent
@@ -38,6 +39,7 @@
         self.maps = {0: [FIRST_ROWS]}
         self.counts = [0] * EXPERTS
         self.unanswered = 0
+        self.metrics = None
 
     async def handle(self, call, exchange) -> None:
         path = call.target.decode()
@@ -149,6 +151,20 @@
     )
 
 
+def _free_port(ip):
+    with socket.socket() as free:
+        free.bind((ip, 0))
+        return free.getsockname()[1]
+
+
+async def _read_metrics(place):
+    async with one_call(place.ip, place.port, 1.0) as connection:
+        headers = [(b"host", str(place).encode())]
+        connection.send(Request(b"GET", b"/metrics", headers, b""))
+        head = await connection.head()
+        return head.status, (await read_whole(connection, 1_000_000)).decode()
+
+
 @contextlib.asynccontextmanager
 async def _group(servers):
     """Run the store, the ranks, and an agent for each; give the agents' tasks."""
@@ -173,7 +189,9 @@
                 "size": RANKS,
             }
             store.put(f"servers/i-{number}", entry)
-            agent = Agent(_host(ip, peer_port, port, store_port))
+            server.metrics = Address(ip, _free_port(ip))
+            host = _host(ip, peer_port, port, store_port)
+            agent = Agent(host, server.metrics.port)
             tasks.append(asyncio.create_task(agent.run()))
         passes = asyncio.create_task(_make_passes(servers))
         try:
@@ -218,12 +236,24 @@
                         await asyncio.sleep(0.02)
                 if passes.done():
                     passes.result()
+                await self._until_counted(servers[0].metrics)
 
         # The stand-ins count little in a short time.
         with unittest.mock.patch.object(policy, "LEAST_COUNTS_PER_EXPERT", 1.0):
             asyncio.run(run())
         return servers[0].maps[servers[0].version]
 
+    async def _until_counted(self, place):
+        """Wait until the leader's metrics tell of the change."""
+        async with asyncio.timeout(BOUND_S):
+            while True:
+                status, text = await _read_metrics(place)
+                self.assertEqual(200, status)
+                if 'map_changes_total{outcome="switched"}' in text:
+                    break
+                await asyncio.sleep(0.02)
+        self.assertIn("dotterelplank_map_change_ms_bucket", text)
+
     def test_agents_move_a_group_to_a_map_for_its_demand(self):
         (layer,) = self._run_until_changed([RankServer(0), RankServer(1)])
         holders = [rank for rank, row in enumerate(layer) if 0 in row or 2 in row]
