--- /dev/null
+++ b/tests/entry_process.py
@@ -0,0 +1,163 @@
+"""Entries as real processes, and what callers say to them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import socket
+import sys
+import tempfile
+
+from dotterelplank.errors import UpstreamError
+from dotterelplank.http1.client import Request, connect, read_whole
+
+SOURCES = pathlib.Path(__file__).resolve().parent.parent / "src"
+DEADLINE_S = 10.0
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: list
+    body: bytes
+
+
+@dataclasses.dataclass
+class EntryProcess:
+    """A running entry, and where it listens."""
+
+    process: asyncio.subprocess.Process
+    path: pathlib.Path
+    ip: str
+    port: int
+    health_port: int
+    lines: list = dataclasses.field(default_factory=list)
+
+    async def call(self, target, *, call_id=b"c1", key=b"key-1", body=b"", **extra):
+        """Make a call on a new connection, and return its answer."""
+        headers = [
+            (b"host", b"h.example"),
+            (b"x-request-id", call_id),
+            (b"x-deadline-ms", str(extra.pop("deadline_ms", 2_000)).encode()),
+        ]
+        if key is not None:
+            headers.append((b"x-api-key", key))
+        headers += extra.pop("headers", [])
+        return await _get(self.ip, self.port, target, headers, body)
+
+    async def health(self):
+        """Return the status that readiness is answered with."""
+        headers = [(b"host", b"h")]
+        answer = await _get(self.ip, self.health_port, b"/v1/readyz", headers, None)
+        return answer.status
+
+    def events(self, name):
+        """Return the log lines of an event."""
+        return [line for line in self.lines if line.get("name") == name]
+
+
+async def _get(ip, port, target, headers, body):
+    connection = await connect(ip, port, 1.0)
+    try:
+        method = b"GET" if body is None else b"POST"
+        connection.send(Request(method, target, headers, body or b""))
+        head = await connection.head()
+        return Answer(
+            head.status, head.headers, await read_whole(connection, 1_000_000)
+        )
+    finally:
+        connection.close()
+
+
+def free_ports(ip, count):
+    """Return ports of an address that nobody uses now."""
+    with contextlib.ExitStack() as stack:
+        found = []
+        for _ in range(count):
+            one = stack.enter_context(socket.socket())
+            one.bind((ip, 0))
+            found.append(one.getsockname()[1])
+        return found
+
+
+def _settings(name, ip, store_port, ports, peer_port, seeds):
+    return {
+        "node_name": name,
+        "ip": ip,
+        "zone": "a",
+        "listen": {"frontend": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"},
+        "port_range": [peer_port, peer_port + 1],
+        "seed_nodes": [f"{seed}:1" for seed in seeds],
+        "limits": {"memory_mb": 300},
+        "bounds": {
+            "grace_s": 4,
+            "stable_ms": 3000,
+            "drain_ms": 2000,
+            "retry_ratio": 0.2,
+            "retry_window_s": 10,
+            "retry_burst": 94,
+        },
+        "platform": {"address": f"127.0.0.1:{store_port}"},
+    }
+
+
+@contextlib.asynccontextmanager
+async def running(store_port, ip="127.0.0.1", peer_port=None, seeds=(), ports=None):
+    """Run an entry until the block ends.
+
+    :param ports: those for callers and for readiness; none: free ones.
+    """
+    ports = ports or free_ports(ip, 2)
+    if peer_port is None:
+        (peer_port,) = free_ports(ip, 1)
+    found = _settings(f"entry-{ip}", ip, store_port, ports, peer_port, seeds)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.json"
+        path.write_text(json.dumps(found))
+        environment = {
+            **os.environ,
+            "DOTTERELPLANK_NODE_FILE": str(path),
+            "PYTHONPATH": str(SOURCES),
+        }
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "dotterelplank.platform",
+            "entry",
+            stdout=asyncio.subprocess.PIPE,
+            env=environment,
+        )
+        entry = EntryProcess(process, path, ip, *ports)
+        reading = asyncio.create_task(_read_lines(entry))
+        try:
+            yield entry
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            await reading
+
+
+async def _read_lines(entry):
+    async for line in entry.process.stdout:
+        entry.lines.append(json.loads(line))
+
+
+async def until(condition, *, what):
+    """Wait until ``condition`` holds, for a bounded time."""
+    async with asyncio.timeout(DEADLINE_S):
+        while True:
+            with contextlib.suppress(UpstreamError):
+                if await condition():
+                    return
+            await asyncio.sleep(0.02)
+    raise AssertionError(what)
+
+
+async def is_ready(entry):
+    """Return whether the entry says that it is ready."""
+    return await entry.health() == 200
