Soak the path: real entries under overlapping faults from outside

Three entries as processes of their own between callers with kept connections and four servers behind proxies. Faults come in three overlapping series: kills, stops, pauses, reloads; connections delayed, reset, cut one way or silenced; servers that refuse, break off, fall silent or lie; a store that is silent, busy or forgets; configurations; drains. It checks that calls run once, that 'not run' is true, that successes are whole and proved, streams in order, repeats within the bound, and that all entries serve again afterwards.

--- /dev/null
+++ b/tests/path_soak.py
@@ -0,0 +1,333 @@
+"""A soak of the path: real entries between callers and stand-ins, under faults.
+
+The faults come from outside the processes: signals, a proxy before each server, a store
+and servers that misbehave, changes of the configuration and of the list. What is checked
+is what callers and servers see.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+import signal
+
+from entry_process import free_ports, is_ready, running, until
+from platform_standin import (
+    ServiceStandin,
+    StoreStandin,
+    configuration,
+    listening,
+    route,
+)
+from soak_proxy import Mode, proxied
+
+from dotterelplank.errors import UpstreamError
+from dotterelplank.http1.client import Request, connect
+from dotterelplank.http1.messages import header
+
+IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+SERVERS = 4
+CALLERS = 8
+EVENTS = 6
+DEADLINE_MS = 1_500
+WHOLE_S = 4.0
+"""Longest time that a caller waits for a whole answer, on top of its own deadline."""
+RETRY_RATIO = 0.2
+BURST_PER_START = 2
+"""Repeated sends that an entry may make beyond the ratio, whenever it starts."""
+NOT_RUN = {408, 421, 429, 503}
+KINDS = {"once": b"/u/", "safe": b"/q/", "stream": b"/s/"}
+SERVER_FAULTS = ("refuse", "cut", "mute", "unproved", "fail", "stall", "promise")
+STORE_FAULTS = ("silent", "busy", "compacted")
+
+
+class BrokenPromiseError(AssertionError):
+    """Something that must never be was seen."""
+
+
+@dataclasses.dataclass
+class Seen:
+    """What a caller saw of one call; no status: no answer that it could read."""
+
+    call_id: bytes
+    kind: str
+    status: int | None = None
+    body: bytes = b""
+    has_proof: bool = False
+    is_whole: bool = False
+
+
+@dataclasses.dataclass
+class Slot:
+    """The place of an entry, whatever process runs there."""
+
+    ip: str
+    ports: list
+    entry: object = None
+    starts: int = 0
+
+
+class Soak:
+    """One run.
+
+    :param seed: draws all faults; callers and processes add their own timing.
+    """
+
+    def __init__(self, seed, duration_s):
+        self.random = random.Random(seed)
+        self.duration_s = duration_s
+        self.seen = []
+        self.servers = [
+            ServiceStandin(f"i-{number}", events=EVENTS, gap_s=0.01)
+            for number in range(SERVERS)
+        ]
+        self.store = StoreStandin()
+        self.proxies = []
+        self.slots = [Slot(ip, free_ports(ip, 2)) for ip in IPS]
+        self.version = 2
+        self.ports = {}
+        self.faults = []
+
+    async def run(self):
+        """Play all of it, and check what was seen.
+
+        :raises BrokenPromiseError: naming the promise and the call.
+        """
+        self.store.put("op/config", _configuration(self.version))
+        async with contextlib.AsyncExitStack() as stack:
+            for server in self.servers:
+                port = await stack.enter_async_context(listening(server))
+                proxy, own = await stack.enter_async_context(proxied(port))
+                self.proxies.append(proxy)
+                server.port = self.ports[server.id] = own
+                self.store.put(f"servers/{server.id}", server.entry())
+            store_port = await stack.enter_async_context(listening(self.store))
+            (peer_port,) = free_ports(IPS[0], 1)
+            for slot in self.slots:
+                keeping = self._keep(slot, store_port, peer_port)
+                task = asyncio.create_task(keeping)
+                stack.push_async_callback(_end, task)
+            for slot in self.slots:
+                await until(lambda one=slot: _serves(one), what="an entry that serves")
+            await self._play()
+            await self._recover()
+        self.check()
+
+    async def _keep(self, slot, store_port, peer_port):
+        """Run an entry in the slot, and another as often as one ends."""
+        seeds = [ip for ip in IPS if ip != slot.ip]
+        while True:
+            running_here = running(store_port, slot.ip, peer_port, seeds, slot.ports)
+            async with running_here as slot.entry:
+                slot.starts += 1
+                await slot.entry.process.wait()
+            await asyncio.sleep(0.05)
+
+    async def _play(self):
+        end_s = asyncio.get_running_loop().time() + self.duration_s
+        callers = [self._call_until(end_s) for _ in range(CALLERS)]
+        faults = [self._trouble(end_s) for _ in range(3)]
+        await asyncio.gather(*callers, *faults)
+
+    async def _call_until(self, end_s):
+        """Make calls one after the other, on a connection kept as long as it lasts."""
+        loop = asyncio.get_running_loop()
+        connection = None
+        while loop.time() < end_s:
+            if connection is None or not connection.is_usable:
+                connection = await self._connect()
+            if connection is None:
+                await asyncio.sleep(0.05)
+                continue
+            kind = self.random.choice(tuple(KINDS))
+            one = Seen(b"%016x" % self.random.getrandbits(64), kind)
+            self.seen.append(one)
+            if not await self._make(connection, one):
+                connection.close()
+                connection = None
+        if connection is not None:
+            connection.close()
+
+    async def _connect(self):
+        slot = self.random.choice(self.slots)
+        try:
+            return await connect(slot.ip, slot.ports[0], 0.5)
+        except UpstreamError:
+            return None
+
+    async def _make(self, connection, one):
+        """Make a call; return whether its connection may be used again."""
+        headers = [
+            (b"host", b"h.example"),
+            (b"x-request-id", one.call_id),
+            (b"x-deadline-ms", str(DEADLINE_MS).encode()),
+            (b"x-api-key", b"key-1"),
+        ]
+        leaves = self.random.random() < 0.05
+        bound_s = 0.03 if leaves else DEADLINE_MS / 1000 + WHOLE_S
+        try:
+            async with asyncio.timeout(bound_s):
+                connection.send(
+                    Request(b"POST", KINDS[one.kind] + b"x", headers, one.call_id)
+                )
+                head = await connection.head()
+                if header(head.headers, b"x-request-id") != one.call_id:
+                    raise BrokenPromiseError(f"an answer to another call: {one}")
+                one.status = head.status
+                one.has_proof = header(head.headers, b"x-server-signature") is not None
+                while (part := await connection.body_part()) is not None:
+                    one.body += part
+                one.is_whole = True
+        except UpstreamError:
+            return False
+        except TimeoutError as error:
+            if not leaves:
+                raise BrokenPromiseError(f"no answer in time: {one}") from error
+            return False
+        return connection.is_usable
+
+    async def _trouble(self, end_s):
+        """Let one fault after the other happen; three such series overlap."""
+        loop = asyncio.get_running_loop()
+        choices = (
+            self._trouble_process,
+            self._trouble_process,
+            self._trouble_connections,
+            self._trouble_connections,
+            self._trouble_server,
+            self._trouble_server,
+            self._trouble_store,
+            self._change_configuration,
+            self._drain_server,
+        )
+        while loop.time() < end_s:
+            await asyncio.sleep(self.random.uniform(0.0, 0.3))
+            await self.random.choice(choices)()
+
+    def _note(self, *what):
+        self.faults.append(what)
+
+    async def _trouble_process(self):
+        slot = self.random.choice(self.slots)
+        kind = self.random.choice(("kill", "term", "stop", "hup"))
+        self._note(kind, slot.ip)
+        process = slot.entry.process
+        with contextlib.suppress(ProcessLookupError):
+            if kind == "kill":
+                process.kill()
+            elif kind == "term":
+                process.terminate()
+            elif kind == "hup":
+                process.send_signal(signal.SIGHUP)
+            else:
+                process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(self.random.uniform(0.05, 1.2))
+                process.send_signal(signal.SIGCONT)
+
+    async def _trouble_connections(self):
+        proxy = self.random.choice(self.proxies)
+        mode = self.random.choice([mode for mode in Mode if mode is not Mode.PASS])
+        self._note(mode.value, proxy.port)
+        proxy.set(mode)
+        await asyncio.sleep(self.random.uniform(0.05, 0.8))
+        proxy.set(Mode.PASS)
+
+    async def _trouble_server(self):
+        server = self.random.choice(self.servers)
+        server.fault = self.random.choice(SERVER_FAULTS)
+        self._note(server.fault, server.id)
+        await asyncio.sleep(self.random.uniform(0.05, 0.8))
+        server.fault = ""
+
+    async def _trouble_store(self):
+        self.store.fault = self.random.choice(STORE_FAULTS)
+        self._note("store", self.store.fault)
+        await asyncio.sleep(self.random.uniform(0.05, 1.0))
+        self.store.fault = ""
+
+    async def _change_configuration(self):
+        self.version += self.random.randrange(1, 5)
+        self._note("configuration", self.version)
+        self.store.put("op/config", _configuration(self.version))
+
+    async def _drain_server(self):
+        server = self.random.choice(self.servers)
+        self._note("drain", server.id)
+        self.store.put(f"servers/{server.id}", server.entry(state="draining"))
+        await asyncio.sleep(self.random.uniform(0.1, 0.6))
+        self.store.put(f"servers/{server.id}", server.entry())
+
+    async def _recover(self):
+        """See that every entry serves again soon after the last fault."""
+        for slot in self.slots:
+            await until(lambda one=slot: _serves(one), what="an entry that recovers")
+            await until(lambda one=slot: self._answers(one), what="calls that succeed")
+
+    async def _answers(self, slot):
+        call_id = b"%016x" % self.random.getrandbits(64)
+        answer = await slot.entry.call(b"/q/x", call_id=call_id)
+        return answer.status == 200
+
+    def check(self):
+        """Compare what callers saw with what servers ran."""
+        runs = collections.Counter(run for one in self.servers for run in one.runs)
+        for one in self.seen:
+            _check_call(one, runs[one.call_id])
+        self._check_repeats()
+
+    def _check_repeats(self):
+        arrivals = collections.Counter(
+            header(call.headers, b"x-request-id")
+            for server in self.servers
+            for call in server.seen
+        )
+        repeats = sum(count - 1 for count in arrivals.values())
+        starts = sum(slot.starts for slot in self.slots)
+        allowed = RETRY_RATIO * len(self.seen) + BURST_PER_START * starts
+        if repeats > allowed:
+            raise BrokenPromiseError(f"{repeats} repeated sends, {allowed} allowed")
+
+
+def _configuration(version):
+    """Return a configuration in which each call may go to two servers."""
+    routes = [
+        route("stream", "/s/", "streaming", resumable=True),
+        route("once", "/u/", "unsafe", max_attempts=2),
+        route("safe", "/q/", "safe"),
+    ]
+    return configuration(version, routes=routes)
+
+
+def _check_call(one, runs):
+    if one.kind == "once" and runs > 1:
+        raise BrokenPromiseError(f"ran {runs} times: {one}")
+    if one.kind == "once" and one.status in NOT_RUN and runs:
+        raise BrokenPromiseError(f"said not to have run, but ran: {one}")
+    if one.status != 200:
+        return
+    if not one.has_proof:
+        raise BrokenPromiseError(f"a success without proof: {one}")
+    if one.kind == "stream":
+        _check_stream(one)
+    elif one.is_whole and one.body != b"whole " + one.call_id:
+        raise BrokenPromiseError(f"another body: {one}")
+
+
+def _check_stream(one):
+    events = [b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
+    whole = b"".join(events)
+    if not whole.startswith(one.body):
+        raise BrokenPromiseError(f"events missing, doubled or joined: {one}")
+    if one.is_whole and one.body != whole:
+        raise BrokenPromiseError(f"ends as complete before its end: {one}")
+
+
+async def _serves(slot):
+    return slot.entry is not None and await is_ready(slot.entry)
+
+
+async def _end(task):
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
