--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -13,6 +13,7 @@
 from ..errors import ProtocolError, SettingsError
 from ..http1.server import DEFAULT_INTAKE, Call, Exchange, Intake, Server
 from ..loops import keep_going
+from ..metric_set import METRICS_PATH
 from ..packets import DatagramHandler
 from . import peers as peering
 from .board import Board, waiting
@@ -20,7 +21,7 @@
 from .forwarder import Forwarder
 from .host import Address, HostSettings
 from .loads import PeerLoad
-from .metrics import METRICS_PATH, EntryMetrics
+from .metrics import EntryMetrics
 
 log = logging.getLogger(__name__)
 
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -11,9 +11,9 @@
 from ..clocks import boottime_ms
 from ..errors import ProtocolError, UpstreamError
 from ..gateway.host import Address, HostSettings
-from ..gateway.metrics import METRICS_PATH
 from ..http1.server import DEFAULT_INTAKE, Call, Exchange, Server
 from ..loops import keep_going
+from ..metric_set import METRICS_PATH
 from ..packets import DatagramHandler
 from ..platform.members import read_members
 from ..platform.ranks import RankClient
--- a/src/dotterelplank/ranks/metrics.py
+++ b/src/dotterelplank/ranks/metrics.py
@@ -1,37 +1,27 @@
 """The counters and the latency histogram of an agent."""
 
-import typing as t
+from ..metric_set import MetricSet
 
-import aioprometheus
-from aioprometheus.formats import text
 
-from ..gateway.metrics import Latency
-
-
-class AgentMetrics:
-    """What an agent counts; read and written by one loop."""
+class AgentMetrics(MetricSet):
+    """What an agent counts."""
 
     def __init__(self) -> None:
-        self.registry = aioprometheus.Registry()
-        self._changes = self._counter(
+        super().__init__("agent_state")
+        self._changes = self.counter(
             "map_changes_total", "Changes of the expert map driven here, by outcome."
         )
-        self._take_overs = self._counter(
+        self._take_overs = self.counter(
             "take_overs_total", "Held passes of others that were cleared up here."
         )
-        self._tasks = self._counter(
+        self._tasks = self.counter(
             "tasks_total", "Tasks carried out at the own rank for others, by kind."
         )
-        self._silences = self._counter(
+        self._silences = self.counter(
             "rank_lost_total", "Times that the own rank fell silent."
         )
-        self._gauge = aioprometheus.Gauge(
-            "dotterelplank_agent_state", "State by name.", registry=self.registry
-        )
-        self.change = Latency(
-            self.registry,
-            "dotterelplank_map_change_ms",
-            "Time from a change begun to its end.",
+        self.change = self.latency(
+            "map_change_ms", "Time from a change begun to its end."
         )
 
     def count_change(self, outcome: str) -> None:
@@ -49,17 +39,3 @@
     def count_silence(self) -> None:
         """Count that the own rank doesn't answer any more."""
         self._silences.inc({})
-
-    def render(self, state: t.Mapping[str, float]) -> bytes:
-        """Return all metrics in the Prometheus text format.
-
-        :param state: present values by name.
-        """
-        for name, value in state.items():
-            self._gauge.set({"name": name}, value)
-        return text.TextFormatter().marshall(self.registry)
-
-    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(
-            f"dotterelplank_{name}", doc, registry=self.registry
-        )
--- a/tests/path_soak.py
+++ b/tests/path_soak.py
@@ -1,8 +1,8 @@
 """A soak of the path: real entries between callers and stand-ins, under faults.
 
 The faults come from outside the processes: signals, a proxy before each server, a store
-and servers that misbehave, changes of the configuration and of the list. What is checked
-is what callers and servers see.
+and servers that misbehave, new configurations, servers that leave. What callers and
+servers see is checked.
 """
 
 import asyncio
