Keep background tasks and the end of a change in one place each

Agent and driver each kept tasks that nobody waits for; loops.Background does. A change that ends because its group formed anew left what was asked for it and its slow phase behind; one function drops all of it now. Fields that nothing read are gone.

--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -57,7 +57,6 @@
         self.places = Places(board, clock, on_load)
         self.sender = Sender(board, clock, metrics, self.places.trust)
         self._on_their_way: dict[int, Handling] = {}
-        self._numbers = 0
 
     async def handle(self, call: Call, exchange: Exchange) -> None:
         """Answer one call; the caller's leaving cancels it."""
--- a/src/dotterelplank/loops.py
+++ b/src/dotterelplank/loops.py
@@ -20,3 +20,16 @@
             events.emit(log, events.HANDLER_FAILED, what=name, why=repr(error))
             log.exception("a fault ended %s", name)
         await asyncio.sleep(RESTART_PAUSE_S)
+
+
+class Background:
+    """Tasks that nobody waits for; each is kept until it ends."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        """Let ``work`` run on the present loop."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -12,7 +12,7 @@
 from ..errors import ProtocolError, UpstreamError
 from ..gateway.host import Address, HostSettings
 from ..http1.server import DEFAULT_INTAKE, Call, Exchange, Server
-from ..loops import keep_going
+from ..loops import Background, keep_going
 from ..metric_set import METRICS_PATH
 from ..packets import DatagramHandler
 from ..platform.members import read_members
@@ -59,7 +59,6 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._numbers = 0
         self._heartbeat_ms = 0.0
-        self._looked_ms = 0.0
         self._lookup_ms = LOOKUP_INTERVAL_MS
         self._heard_ms = boottime_ms()
         self._is_lost = False
@@ -77,7 +76,7 @@
             self._note_silence,
         )
         self._busy: set[tuple[str, int]] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background()
         self._datagrams: asyncio.DatagramTransport | None = None
         self._stop = asyncio.Event()
 
@@ -186,7 +185,7 @@
         if self._group.see(now_ms, view):
             self._demands.clear()
             self._rows = None
-            self._driver.change = None
+            self._driver.drop()
         self._watch_hold(now_ms, view)
 
     def _watch_hold(self, now_ms: float, view: RankView) -> None:
@@ -306,7 +305,7 @@
             case messages.Sample():
                 self._take_sample(now_ms, message)
             case messages.Ask():
-                self._spawn(self._answer(message))
+                self._background.spawn(self._answer(message))
             case messages.Reply():
                 self._driver.take_reply(message)
 
@@ -387,8 +386,3 @@
         if self._datagrams is not None:
             self._datagrams.sendto(data, (ip, self._host.peer_port))
         return len(data)
-
-    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -1,6 +1,5 @@
 """How one agent drives changes of its group's expert map, and clears up others'."""
 
-import asyncio
 import logging
 import random
 import typing as t
@@ -9,6 +8,7 @@
 from ..clocks import boottime_ms
 from ..errors import UpstreamError
 from ..gateway.host import Address
+from ..loops import Background
 from ..platform.members import Members
 from ..platform.ranks import RankClient
 from . import change as changes, messages, policy, tasks, versions
@@ -56,7 +56,7 @@
         self._slow: changes.Phase | None = None
         self._numbers = 0
         self._asked: dict[int, int] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = Background()
 
     def begin(
         self,
@@ -111,6 +111,12 @@
         self._metrics.count_take_over()
         events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
 
+    def drop(self) -> None:
+        """Forget the change in hand, and what was asked for it."""
+        self.change = None
+        self._asked.clear()
+        self._slow = None
+
     def advance(self) -> None:
         """Let the change in hand, if any, go on as far as it can."""
         change = self.change
@@ -122,9 +128,7 @@
         self._group.used_step = max(self._group.used_step, change.step)
         self._note_slow(now_ms, change)
         if change.outcome is not None:
-            self.change = None
-            self._asked.clear()
-            self._slow = None
+            self.drop()
             if change.outcome is changes.Outcome.SWITCHED and change.map:
                 self._group.switched = (change.version, change.map)
             self._metrics.count_change(change.outcome.value)
@@ -168,14 +172,16 @@
     ) -> None:
         own = t.cast(RankView, self._group.own)
         if assignment.rank == own.rank:
-            self._spawn(self._carry_out_here(change, assignment.task))
+            self._background.spawn(self._carry_out_here(change, assignment.task))
             return
         is_silent = assignment.rank not in self._group.alive(boottime_ms())
         if isinstance(assignment.task, tasks.Hold) and not is_silent:
-            self._spawn(self._hold_there(change, assignment.rank, assignment.task))
+            self._background.spawn(
+                self._hold_there(change, assignment.rank, assignment.task)
+            )
             return
         if assignment.is_direct or is_silent:
-            self._spawn(self._carry_out_there(change, assignment))
+            self._background.spawn(self._carry_out_there(change, assignment))
             return
         self._ask(change, assignment.rank, assignment.task)
 
@@ -233,11 +239,6 @@
             changes.hear(boottime_ms(), change, view)
             self.advance()
 
-    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def direct_client(place: Address) -> RankClient:
     """Return a client for a rank of another host."""
