--- /dev/null
+++ b/tests/group_world.py
@@ -0,0 +1,337 @@
+"""The agents of a large group on a clock and over links of a test's own.
+
+The agents are the package's; ranks, links and time are models. A link carries so many bits
+a second, holds so many bytes back, and loses what is more.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+import selectors
+import typing as t
+import unittest.mock
+
+import numpy as np
+from rank_model import ModelRank
+
+from dotterelplank.gateway.host import Address, Bounds, HostSettings
+from dotterelplank.gateway.tables import ExpertLayout
+from dotterelplank.platform.members import Members
+from dotterelplank.ranks import agent as agents, driver, planning
+from dotterelplank.ranks.views import Counts, Order, PrepareMap, RankView
+
+PORT = 7000
+DELAY_MS = 1.0
+HELD_BACK_BYTES = 32 * 1024
+LOST = 0.002
+CALL_MS = 1.0
+PASS_MS = 80.0
+CHOICES_PER_EXPERT = 3.0
+"""Mean number of times that a rank's calls choose an expert in a pass."""
+TOPICS = 9
+TOPIC_SPREAD = 0.8
+MAIN_PART = 0.7
+"""Part of the demand that is for one topic."""
+PACKET_BYTES = 28
+
+
+class _Selector(selectors.SelectSelector):
+    """Lets the clock of its loop jump to the next timer instead of waiting."""
+
+    loop: "VirtualLoop"
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("nothing is due any more")
+        self.loop.now_s += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop on a clock of its own, whose datagrams go over a modelled network."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        selector = _Selector()
+        selector.loop = self
+        super().__init__(selector)
+        self.network = Network(self)
+
+    def time(self) -> float:
+        return self.now_s
+
+    def add_signal_handler(self, *_args) -> None:
+        pass
+
+    async def create_datagram_endpoint(self, protocol_factory, local_addr=None, **_):
+        protocol = protocol_factory()
+        transport = _Transport(self.network, local_addr[0])
+        self.network.protocols[local_addr[0]] = protocol
+        return transport, protocol
+
+
+@dataclasses.dataclass
+class _Transport:
+    network: "Network"
+    ip: str
+
+    def sendto(self, data, addr) -> None:
+        self.network.send(self.ip, addr[0], data)
+
+    def close(self) -> None:
+        self.network.protocols.pop(self.ip, None)
+
+
+class Network:
+    """Links of all hosts alike; ``link_mbps`` is set before the agents start."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self._loop = loop
+        self.link_mbps = 4.0
+        self.protocols: dict[str, t.Any] = {}
+        self.sent: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
+        self.lost = 0
+        self._free_s: dict[tuple[str, str], float] = collections.defaultdict(float)
+        self._random = random.Random(1)
+
+    def send(self, source: str, target: str, data: bytes) -> None:
+        """Bring a datagram to its target, unless a link on the way is full."""
+        now_s = self._loop.time()
+        size = len(data) + PACKET_BYTES
+        self.sent[source].append((now_s, size))
+        left_s = self._pass((source, "out"), now_s, size)
+        if left_s is None or self._random.random() < LOST:
+            self.lost += 1
+            return
+        there_s = self._pass((target, "in"), left_s + DELAY_MS / 1000, size)
+        if there_s is None:
+            self.lost += 1
+            return
+        self._loop.call_at(there_s, self._deliver, source, target, data)
+
+    def _pass(self, link: tuple[str, str], now_s: float, size: int) -> float | None:
+        a_second = self.link_mbps * 1e6 / 8
+        free_s = max(self._free_s[link], now_s)
+        if (free_s - now_s) * a_second + size > HELD_BACK_BYTES:
+            return None
+        self._free_s[link] = free_s + size / a_second
+        return self._free_s[link]
+
+    def _deliver(self, source: str, target: str, data: bytes) -> None:
+        protocol = self.protocols.get(target)
+        if protocol is not None:
+            protocol.datagram_received(data, (source, PORT))
+
+    def most_bytes(self, window_ms: float, since_s: float) -> int:
+        """Return the most bytes that any host sent within ``window_ms``."""
+        return max(
+            _most_in_window(
+                [one for one in sent if one[0] >= since_s], window_ms / 1000
+            )
+            for sent in self.sent.values()
+        )
+
+
+def _most_in_window(sent: t.Sequence[tuple[float, int]], window_s: float) -> int:
+    most = total = first = 0
+    for sent_s, size in sent:
+        total += size
+        while sent[first][0] <= sent_s - window_s:
+            total -= sent[first][1]
+            first += 1
+        most = max(most, total)
+    return most
+
+
+class WorldRank:
+    """A rank that copies experts, as its agent reaches it."""
+
+    def __init__(self, world: "World", rank: int) -> None:
+        self._world = world
+        self.model = ModelRank(rank, world.size)
+        self.counts = np.zeros(world.layout.layers * world.layout.experts, dtype=int)
+        self.rows_now = [layer[rank] for layer in world.maps[0]]
+
+    async def view(self) -> RankView:
+        await asyncio.sleep(CALL_MS / 1000)
+        return self.model.view()
+
+    async def counts_now(self) -> Counts:
+        await asyncio.sleep(CALL_MS / 1000)
+        model = self.model
+        return Counts(model.epoch, model.step, self.counts.tolist())
+
+    async def rows(self) -> tuple[int, int, list[list[int]]]:
+        await asyncio.sleep(CALL_MS / 1000)
+        version = self.model.map_version
+        rows = [layer[self.model.rank] for layer in self._world.maps[version]]
+        return self.model.epoch, version, rows
+
+    async def give(self, order: Order) -> bool:
+        await asyncio.sleep(CALL_MS / 1000)
+        is_accepted = self.model.apply(order)
+        if is_accepted and isinstance(order, PrepareMap):
+            self._copy(order)
+        return is_accepted
+
+    def close(self) -> None:
+        pass
+
+    def _copy(self, order: PrepareMap) -> None:
+        """Have the map ready once what is new to the rank has been copied."""
+        model = self.model
+        self._world.keep(order.version, order.map)
+        before = self._world.maps[model.map_version]
+        copies = sum(
+            len(set(new[model.rank]) - set(old[model.rank]))
+            for new, old in zip(order.map, before)
+        )
+        model.prepared = None
+        loop = asyncio.get_running_loop()
+        copy_s = copies * self._world.layout.copy_ms / 1000
+        loop.call_later(copy_s, self._finish, order.version)
+
+    def _finish(self, version: int) -> None:
+        if self.model.highest == version:
+            self.model.prepared = version
+
+
+class _Reach:
+    """What the package's client of a rank is to its users."""
+
+    def __init__(self, rank: WorldRank) -> None:
+        self.view, self.rows, self.give = rank.view, rank.rows, rank.give
+        self.counts, self.close = rank.counts_now, rank.close
+
+
+class World:
+    """A group of ``size`` ranks with the layout of ``layout``, and its agents."""
+
+    def __init__(self, size: int, layout: ExpertLayout, link_mbps: float) -> None:
+        self.size, self.layout, self.link_mbps = size, layout, link_mbps
+        self.random = np.random.default_rng(3)
+        self.maps = {0: _first_map(size, layout)}
+        spread = self.random.normal(
+            0, TOPIC_SPREAD, (TOPICS, layout.layers, layout.experts)
+        )
+        weights = np.exp(spread)
+        self.topics = weights / weights.sum(axis=2, keepdims=True)
+        self.main = 0
+        self.ranks = [WorldRank(self, rank) for rank in range(size)]
+        self.switched: list[tuple[float, int]] = []
+        self.network: Network | None = None
+
+    def keep(self, version: int, expert_map: t.Any) -> None:
+        """Note the content of a version, which must be the same at all ranks."""
+        known = self.maps.setdefault(version, expert_map)
+        assert known == expert_map, f"two contents of version {version}"
+
+    def demand(self) -> np.ndarray:
+        """Return the part that each expert has of its layer's choices now."""
+        even = self.topics.mean(axis=0)
+        return MAIN_PART * self.topics[self.main] + (1 - MAIN_PART) * even
+
+    def skew(self) -> float:
+        """Return how uneven the load is on the map in use."""
+        present = self.maps[self.ranks[0].model.map_version]
+        return planning.skew((self.demand() * 1e6).tolist(), present)
+
+    async def make_passes(self) -> None:
+        """Let the group begin pass after pass, on one map."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(PASS_MS / 1000)
+            step = self.ranks[0].model.step + 1
+            if any(rank.model.held == step for rank in self.ranks):
+                continue
+            mean = self.demand().ravel() * self.layout.experts * CHOICES_PER_EXPERT
+            before = self.ranks[0].model.map_version
+            for rank in self.ranks:
+                rank.model.begin_pass()
+                rank.counts += self.random.poisson(mean)
+            versions = {rank.model.map_version for rank in self.ranks}
+            assert len(versions) == 1, versions
+            if versions != {before}:
+                self.switched.append((loop.time(), versions.pop()))
+
+    def run(self, script: t.Callable[["World"], t.Awaitable[None]]) -> None:
+        """Run all agents, and ``script`` beside them, on a clock of their own."""
+        loop = VirtualLoop()
+        loop.network.link_mbps = self.link_mbps
+        self.network = loop.network
+
+        async def members(_client, _service):
+            places = {rank: Address(_ip(rank), rank) for rank in range(self.size)}
+            ips = {_ip(rank) for rank in range(self.size)}
+            return Members(places, self.layout, 150.0, ips)
+
+        def reach(place, *_bounds):
+            return _Reach(self.ranks[place.port])
+
+        def clock_ms():
+            return loop.time() * 1000
+
+        patches = [
+            unittest.mock.patch.object(agents, "RankClient", reach),
+            unittest.mock.patch.object(driver, "direct_client", reach),
+            unittest.mock.patch.object(agents, "read_members", members),
+            unittest.mock.patch.object(agents, "boottime_ms", clock_ms),
+            unittest.mock.patch.object(driver, "boottime_ms", clock_ms),
+        ]
+        with contextlib.ExitStack() as stack:
+            for patch in patches:
+                stack.enter_context(patch)
+            try:
+                loop.run_until_complete(self._run(script))
+            finally:
+                loop.close()
+
+    async def _run(self, script: t.Callable[["World"], t.Awaitable[None]]) -> None:
+        tasks = [
+            asyncio.create_task(agents.Agent(self._host(rank)).run())
+            for rank in range(self.size)
+        ]
+        tasks.append(asyncio.create_task(self.make_passes()))
+        try:
+            await script(self)
+        finally:
+            for task in tasks:
+                task.cancel()
+            ended = await asyncio.gather(*tasks, return_exceptions=True)
+        for one in ended:
+            if isinstance(one, Exception):
+                raise one
+
+    def _host(self, rank: int) -> HostSettings:
+        return HostSettings(
+            name=f"agent-{rank}",
+            ip=_ip(rank),
+            domain="a",
+            callers=None,
+            health=None,
+            peer_ports=(PORT, PORT),
+            seeds=(),
+            endpoint=Address(_ip(rank), rank),
+            service="drafts",
+            store=Address("127.0.0.1", 1),
+            bounds=Bounds(2_000.0, 2_000.0, 0.2, 10_000.0, 94.0),
+            link_mbps=self.link_mbps,
+        )
+
+
+def _ip(rank: int) -> str:
+    return f"10.0.{rank // 200}.{rank % 200 + 1}"
+
+
+def _first_map(size: int, layout: ExpertLayout) -> list[list[list[int]]]:
+    """Return the experts in turn, as groups begin."""
+    rows = [
+        [
+            (rank * layout.places + place) % layout.experts
+            for place in range(layout.places)
+        ]
+        for rank in range(size)
+    ]
+    return [[list(row) for row in rows] for _ in range(layout.layers)]
--- /dev/null
+++ b/tests/test_group_size.py
@@ -0,0 +1,61 @@
+import asyncio
+
+import testtools
+from group_world import World
+
+from dotterelplank.gateway.tables import ExpertLayout
+
+LINK_MBPS = 4.0
+WINDOW_MS = 100.0
+LINK_PART = 0.5
+"""The part of a host's link that the agents may take in any window."""
+SHIFT_INTERVAL_MS = 2_070.0
+"""How long demand stays as it is."""
+SETTLE_S = 4.0
+SIZES = (16, 72, 128)
+
+
+def _layout(size: int) -> ExpertLayout:
+    experts = {16: 64, 72: 144, 128: 128}[size]
+    layers = {16: 4, 72: 12, 128: 12}[size]
+    return ExpertLayout(
+        layers, experts, places=3 if size > 16 else 5, spare=2, copy_ms=16.0
+    )
+
+
+class GroupSizeTests(testtools.TestCase):
+    """The load: demand shifts while a group of many ranks has hosts with thin links."""
+
+    def _shift(self, size):
+        """Let demand shift; return the world and how long after it maps switched."""
+        world = World(size, _layout(size), LINK_MBPS)
+        began_s = []
+
+        async def script(world):
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(SETTLE_S)
+            world.main = 4
+            began_s.append(loop.time())
+            await asyncio.sleep(SHIFT_INTERVAL_MS / 1000)
+
+        world.run(script)
+        after_ms = [
+            (switched_s - began_s[0]) * 1000
+            for switched_s, _ in world.switched
+            if switched_s > began_s[0]
+        ]
+        return world, after_ms
+
+    def test_a_shift_is_answered_within_half_of_the_time_to_the_next(self):
+        for size in SIZES:
+            world, after_ms = self._shift(size)
+            self.assertTrue(after_ms, f"{size} ranks: no switch after the shift")
+            self.assertLessEqual(after_ms[0], SHIFT_INTERVAL_MS / 2, f"{size} ranks")
+            self.assertLess(world.skew(), 2.0, f"{size} ranks")
+
+    def test_no_host_sends_more_at_once_than_its_link_carries(self):
+        bound_bytes = LINK_MBPS * 1e6 / 8 * WINDOW_MS / 1000 * LINK_PART
+        for size in SIZES:
+            world, _ = self._shift(size)
+            most = world.network.most_bytes(WINDOW_MS, 0.0)
+            self.assertLessEqual(most, bound_bytes, f"{size} ranks")
