--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -76,11 +76,12 @@
     :param holder: rank that holds, or is to hold, the pass.
     :param void_version: higher than any that a rank may have met.
     :param least_step: passes before this one aren't used.
-    :param prepared_ms: when all ranks had the map prepared.
     :param present: the map in use, which a void version repeats.
     :param views: the latest word of each rank within this change.
     :param asked_ms: when each rank was last given a task.
     :param heard_ms: when each rank last answered.
+    :param spent_ms: how long each phase that is over took.
+    :param repeats: tasks that were given again, as no answer came.
     """
 
     epoch: int
@@ -94,7 +95,6 @@
     bound_ms: float
     phase: Phase = Phase.PREPARE
     phase_ms: float = 0.0
-    prepared_ms: float = 0.0
     step: int = -1
     hold_tries: int = 0
     void_raises: int = 1
@@ -104,6 +104,8 @@
     views: dict[int, RankView] = dataclasses.field(default_factory=dict)
     asked_ms: dict[int, float] = dataclasses.field(default_factory=dict)
     heard_ms: dict[int, float] = dataclasses.field(default_factory=dict)
+    spent_ms: dict[Phase, float] = dataclasses.field(default_factory=dict)
+    repeats: int = 0
 
 
 def begin(
@@ -196,6 +198,7 @@
         tasks = _PHASES[phase](now_ms, change)
         if change.phase is phase:
             return _assignments(now_ms, change, tasks)
+        change.spent_ms[phase] = now_ms - change.phase_ms
         change.phase_ms = now_ms
         change.asked_ms.clear()
     return []
@@ -278,7 +281,6 @@
     ]
     if not waiting:
         change.phase = Phase.HOLD
-        change.prepared_ms = now_ms
         ahead = max(view.step for view in views) + LEAD_STEPS
         change.step = max(ahead, change.least_step)
         return {}
@@ -377,6 +379,7 @@
         asked_ms = change.asked_ms.get(rank)
         if asked_ms is not None and now_ms - asked_ms < resend_ms:
             continue
+        change.repeats += asked_ms is not None
         change.asked_ms[rank] = now_ms
         heard_ms = change.heard_ms.get(rank, change.began_ms)
         silent_ms = now_ms - max(heard_ms, change.phase_ms)
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -31,7 +31,7 @@
 
     :param ip: address of this host.
     :param rank: the rank of this host.
-    :param send: sends a message to the agent at an address.
+    :param send: sends a message to the agent at an address, and returns its size.
     :param on_silence: told why the rank of this host gave no answer.
     """
 
@@ -41,7 +41,7 @@
         group: Group,
         rank: RankClient,
         metrics: AgentMetrics,
-        send: t.Callable[[str, t.Any], t.Any],
+        send: t.Callable[[str, t.Any], int],
         on_silence: t.Callable[[str], None],
     ) -> None:
         self.members = Members({}, None)
@@ -55,6 +55,7 @@
         self._random = random.Random()
         self._slow: changes.Phase | None = None
         self._numbers = 0
+        self._sent_bytes = 0
         self._asked: dict[int, int] = {}
         self._background = Background()
 
@@ -116,6 +117,7 @@
         self.change = None
         self._asked.clear()
         self._slow = None
+        self._sent_bytes = 0
 
     def advance(self) -> None:
         """Let the change in hand, if any, go on as far as it can."""
@@ -128,6 +130,7 @@
         self._group.used_step = max(self._group.used_step, change.step)
         self._note_slow(now_ms, change)
         if change.outcome is not None:
+            sent_bytes = self._sent_bytes
             self.drop()
             if change.outcome is changes.Outcome.SWITCHED and change.map:
                 self._group.switched = (change.version, change.map)
@@ -140,7 +143,14 @@
                 step=change.step,
                 outcome=change.outcome.value,
                 took_ms=round(now_ms - change.began_ms),
-                prepared_ms=round(max(0.0, change.prepared_ms - change.began_ms)),
+                spent_ms={
+                    phase.value: round(spent_ms)
+                    for phase, spent_ms in change.spent_ms.items()
+                },
+                heard=len(change.views),
+                repeats=change.repeats,
+                sent_bytes=sent_bytes,
+                pass_ms=round(self._group.pass_ms(now_ms), 1),
             )
 
     def take_reply(self, reply: messages.Reply) -> None:
@@ -193,7 +203,7 @@
         self._numbers += 1
         self._asked[self._numbers] = change.version
         ask = messages.ask(self._ip, self._numbers, change.epoch, task)
-        self._send(member.heartbeat.ip, ask)
+        self._sent_bytes += self._send(member.heartbeat.ip, ask)
 
     async def _hold_there(
         self, change: changes.Change, rank: int, task: tasks.Hold
