--- a/src/dotterelplank/ranks/planning.py
+++ b/src/dotterelplank/ranks/planning.py
@@ -6,15 +6,19 @@
 """
 
 import dataclasses
+import heapq
+import itertools
 import typing as t
 
 from .demand import Demand
 from .views import ExpertMap
 
-CANDIDATE_EXPERTS: t.Final = 5
-CANDIDATE_RANKS: t.Final = 6
+CANDIDATE_EXPERTS: t.Final = 2
+CANDIDATE_RANKS: t.Final = 5
 LEAST_FALL: t.Final = 0.002
 """The part of the mean load by which a move must lower the most loaded rank."""
+EVEN_SKEW: t.Final = 1.03
+"""A layer as even as this is left as it is, and a move that makes ranks so is taken."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,9 +49,8 @@
     copies: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Move:
-    """Put ``expert`` on ``to``, in place of ``dropped``; ``back`` goes to ``source``.
+class _Move(t.NamedTuple):
+    """Put ``expert``, which ``source`` holds, on ``to`` in place of ``dropped``.
 
     :param leaves: whether the expert leaves the rank that it comes from.
     """
@@ -57,7 +60,6 @@
     to: int
     dropped: int | None
     leaves: bool
-    peak: float
 
 
 def plan(demand: Demand, present: ExpertMap, room: Room) -> Plan | None:
@@ -66,11 +68,14 @@
     before = _mean_skew(layers)
     copies = [0] * (len(present[0]) if present else 0)
     # The layer that is most uneven goes first, as copies are bounded over all layers.
-    active = [layer for layer in layers if layer.total > 0]
+    active = [(-layer.skew(), number) for number, layer in enumerate(layers)]
+    heapq.heapify(active)
     while active:
-        layer = max(active, key=lambda one: one.skew())
-        if not layer.improve(copies, room.new_per_rank):
-            active.remove(layer)
+        negative_skew, number = heapq.heappop(active)
+        if -negative_skew <= EVEN_SKEW:
+            break
+        if layers[number].improve(copies, room.new_per_rank):
+            heapq.heappush(active, (-layers[number].skew(), number))
     if not any(layer.is_changed for layer in layers):
         return None
     new = [layer.rows() for layer in layers]
@@ -99,37 +104,41 @@
         self._room = room
         self._held = [set(row) for row in rows]
         self._first = [frozenset(row) for row in rows]
-        self._order = [list(row) for row in rows]
-        self._holders = [0] * len(weights)
-        for row in rows:
+        self._order = rows
+        self._holders: list[set[int]] = [set() for _ in weights]
+        for rank, row in enumerate(rows):
             for expert in row:
-                self._holders[expert] += 1
-        self._loads = [self._load_of(rank) for rank in range(len(rows))]
-        self.total = sum(weights)
+                self._holders[expert].add(rank)
+        self._loads = [0.0] * len(rows)
+        for expert, holders in enumerate(self._holders):
+            self._add_share(holders, weights[expert] / max(1, len(holders)))
+        self._mean = sum(weights) / max(1, len(rows))
         self.is_changed = False
 
     def skew(self) -> float:
         """Return the load of the most loaded rank over the mean."""
-        if not self.total:
+        if not self._mean:
             return 1.0
-        return max(self._loads) * len(self._loads) / self.total
+        return max(self._loads) / self._mean
 
     def rows(self) -> list[list[int]]:
-        """Return the experts of each rank."""
+        """Return the experts of each rank, each at its place as long as it stays."""
         return [
-            [one for one in before if one in now] + sorted(now - set(before))
-            for before, now in zip(self._order, self._held)
+            _kept_in_place(before, now) for before, now in zip(self._order, self._held)
         ]
 
     def improve(self, copies: list[int], most_copies: int) -> bool:
         """Make the move that most lowers the peak; return whether there was one."""
         peak = max(self._loads)
         hot = self._loads.index(peak)
-        least = peak - LEAST_FALL * self.total / len(self._loads)
         best: _Move | None = None
+        best_peak = peak - LEAST_FALL * self._mean
         for move in self._moves(hot, copies, most_copies):
-            if move.peak < least and (best is None or move.peak < best.peak):
-                best = move
+            move_peak = self._peak_after(move)
+            if move_peak < best_peak:
+                best, best_peak = move, move_peak
+                if best_peak <= EVEN_SKEW * self._mean:
+                    break
         if best is None:
             return False
         self._apply(best, copies)
@@ -138,83 +147,92 @@
     def _moves(
         self, hot: int, copies: list[int], most_copies: int
     ) -> t.Iterator[_Move]:
-        share = self._share
-        experts = sorted(self._held[hot], key=lambda one: -share(one))
-        ranks = sorted(
-            (rank for rank in range(len(self._loads)) if rank != hot),
-            key=lambda rank: self._loads[rank],
-        )
+        experts = sorted(self._held[hot], key=self._share, reverse=True)
+        ranks = sorted(range(len(self._loads)), key=self._loads.__getitem__)
         for expert in experts[:CANDIDATE_EXPERTS]:
-            tried = 0
-            for rank in ranks:
-                if expert in self._held[rank]:
-                    continue
-                if not self._may_gain(rank, expert, copies, most_copies):
-                    continue
-                tried += 1
-                if tried > CANDIDATE_RANKS:
-                    break
-                yield from self._moves_to(expert, hot, rank)
-
-    def _moves_to(self, expert: int, hot: int, rank: int) -> t.Iterator[_Move]:
-        drops: list[int | None] = [
-            one for one in self._held[rank] if self._holders[one] > 1
-        ]
+            able = (
+                rank
+                for rank in ranks
+                if rank not in self._holders[expert]
+                and self._may_gain(rank, expert, copies, most_copies)
+            )
+            for rank in itertools.islice(able, CANDIDATE_RANKS):
+                for dropped in self._droppable(rank):
+                    yield _Move(expert, hot, rank, dropped, False)
+                    yield _Move(expert, hot, rank, dropped, True)
+
+    def _droppable(self, rank: int) -> t.Sequence[int | None]:
+        """Return what a rank can give up for another expert; none: it has room."""
         if len(self._held[rank]) < self._room.places:
-            drops = [None]
-        for dropped in drops:
-            for leaves in (False, True):
-                yield self._move(expert, hot, rank, dropped, leaves)
-
-    def _move(
-        self, expert: int, hot: int, to: int, dropped: int | None, leaves: bool
-    ) -> _Move:
-        """Return the move with the highest load among the ranks that it touches."""
-        weight = self._weights[expert]
+            return [None]
+        return [one for one in self._held[rank] if len(self._holders[one]) > 1]
+
+    def _peak_after(self, move: _Move) -> float:
+        """Return the highest load among the ranks that a move touches."""
+        loads, weights, expert = self._loads, self._weights, move.expert
         holders = self._holders[expert]
-        now = holders if leaves else holders + 1
-        changes = {hot: -weight / holders, to: weight / now}
-        if not leaves:
-            for rank, held in enumerate(self._held):
-                if expert in held and rank != hot:
-                    changes[rank] = changes.get(rank, 0.0) - weight / holders
-                    changes[rank] += weight / now
-            changes[hot] += weight / now
-        if dropped is not None:
-            share = self._share(dropped)
-            left = self._holders[dropped] - 1
-            changes[to] -= share
-            gain = self._weights[dropped] / left - share
-            for rank, held in enumerate(self._held):
-                if dropped in held and rank != to:
-                    changes[rank] = changes.get(rank, 0.0) + gain
-        peak = max(self._loads[rank] + change for rank, change in changes.items())
-        return _Move(expert, hot, to, dropped, leaves, peak)
+        share = weights[expert] / len(holders)
+        gained = share if move.leaves else weights[expert] / (len(holders) + 1)
+        fall = share if move.leaves else share - gained
+        hot_load, to_load = loads[move.source] - fall, loads[move.to] + gained
+        peak = 0.0
+        if move.dropped is not None:
+            dropping = self._holders[move.dropped]
+            left = weights[move.dropped] / len(dropping)
+            rise = weights[move.dropped] / (len(dropping) - 1) - left
+            to_load -= left
+            for rank in dropping:
+                if rank == move.source:
+                    hot_load += rise
+                elif rank != move.to:
+                    eased = 0.0 if move.leaves or rank not in holders else fall
+                    peak = max(peak, loads[rank] + rise - eased)
+        return max(peak, hot_load, to_load)
 
     def _may_gain(
         self, rank: int, expert: int, copies: list[int], most_copies: int
     ) -> bool:
         if expert in self._first[rank]:
             return True
-        new = len(self._held[rank] - self._first[rank])
-        return new < self._room.new_per_layer and copies[rank] < most_copies
+        if copies[rank] >= most_copies:
+            return False
+        return len(self._held[rank] - self._first[rank]) < self._room.new_per_layer
 
     def _apply(self, move: _Move, copies: list[int]) -> None:
         if move.expert not in self._first[move.to]:
             copies[move.to] += 1
         if move.dropped is not None:
-            self._held[move.to].discard(move.dropped)
-            self._holders[move.dropped] -= 1
-        self._held[move.to].add(move.expert)
-        self._holders[move.expert] += 1
-        if move.leaves:
-            self._held[move.source].discard(move.expert)
-            self._holders[move.expert] -= 1
+            self._place(move.dropped, self._holders[move.dropped] - {move.to})
+        kept = self._holders[move.expert] - ({move.source} if move.leaves else set())
+        self._place(move.expert, kept | {move.to})
         self.is_changed = True
-        self._loads = [self._load_of(rank) for rank in range(len(self._held))]
 
-    def _share(self, expert: int) -> float:
-        return self._weights[expert] / self._holders[expert]
+    def _place(self, expert: int, holders: set[int]) -> None:
+        """Let just these ranks hold an expert, and share its load."""
+        before = self._holders[expert]
+        self._add_share(before, -self._share(expert))
+        for rank in before - holders:
+            self._held[rank].discard(expert)
+        for rank in holders - before:
+            self._held[rank].add(expert)
+        self._holders[expert] = holders
+        self._add_share(holders, self._share(expert))
+
+    def _add_share(self, ranks: t.Iterable[int], share: float) -> None:
+        for rank in ranks:
+            self._loads[rank] += share
 
-    def _load_of(self, rank: int) -> float:
-        return sum(self._share(expert) for expert in self._held[rank])
+    def _share(self, expert: int) -> float:
+        return self._weights[expert] / len(self._holders[expert])
+
+
+def _kept_in_place(before: t.Sequence[int], now: t.Collection[int]) -> list[int]:
+    """Return the experts of a rank, new ones at the places of those that left."""
+    new = sorted(set(now) - set(before))
+    row = []
+    for expert in before:
+        if expert in now:
+            row.append(expert)
+        elif new:
+            row.append(new.pop(0))
+    return row + new
