--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -249,6 +249,12 @@
     logging.WARNING,
     "A change of the expert map has been in one phase for long; a pass may be held.",
 )
+MAP_NOT_KNOWN = _define(
+    179,
+    "map-not-known",
+    logging.INFO,
+    "A task's map can't be told from those known here; it will be sent whole.",
+)
 
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
--- a/src/dotterelplank/packets.py
+++ b/src/dotterelplank/packets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import typing as t
 import zlib
 
@@ -17,26 +18,43 @@
 """First byte of compressed data; a plain message is an array and begins otherwise."""
 
 
+def by_position(kind: type, values: t.Any) -> t.Any:
+    """Name the values of a data class that was packed within a message."""
+    if not isinstance(values, (list, tuple)):
+        return values
+    names = _field_names(kind)
+    if len(names) != len(values):
+        raise ValueError(f"{kind.__name__} of another layout")
+    return dict(zip(names, values))
+
+
+def _values_of(one: t.Any) -> list[t.Any]:
+    return [getattr(one, name) for name in _field_names(type(one))]
+
+
+@functools.cache
+def _field_names(kind: type) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(kind))
+
+
 class Codec:
     """Packs messages of the given kinds, and checks what it unpacks.
 
+    Data classes within a message take :func:`by_position` as their first validator.
+
     :param kinds: pydantic data classes; their order is part of the format.
     """
 
     def __init__(self, *kinds: type) -> None:
         self._kinds = kinds
-        self._fields = {
-            kind: tuple(field.name for field in dataclasses.fields(kind))
-            for kind in kinds
-        }
         self._adapters = [pydantic.TypeAdapter(kind) for kind in kinds]
 
     def encode(self, message: t.Any) -> bytes:
         """Return the datagram of ``message``."""
         kind = type(message)
-        values = [getattr(message, name) for name in self._fields[kind]]
+        values = _values_of(message)
         packed = [self._kinds.index(kind), *values]
-        data = msgpack.packb(packed, default=dataclasses.asdict)
+        data = msgpack.packb(packed, default=_values_of)
         return data if len(data) <= PLAIN_BOUND_BYTES else zlib.compress(data)
 
     def decode(self, data: bytes) -> t.Any:
@@ -46,7 +64,7 @@
         """
         try:
             number, *values = msgpack.unpackb(_inflated(data))
-            fields = self._fields[self._kinds[number]]
+            fields = _field_names(self._kinds[number])
             if len(fields) != len(values):
                 raise ProtocolError("a message of another layout")
             return self._adapters[number].validate_python(dict(zip(fields, values)))
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -18,18 +18,20 @@
 from ..platform.members import read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
-from . import messages, policy, sampling
-from .demand import Demands
+from . import heartbeats, messages, policy, sampling
+from .demand import BLOCK_MS, Demands
 from .driver import Driver, direct_client
-from .group import Group
+from .group import ALIVE_MS, Group
 from .metrics import AgentMetrics
 from .participant import carry_out
+from .tasks import Look, Prepare, Task
 from .views import RankView
 
 log = logging.getLogger(__name__)
 
 READ_INTERVAL_MS: t.Final = 75.0
-HEARTBEAT_INTERVAL_MS: t.Final = 250.0
+ROWS_INTERVAL_MS: t.Final = 250.0
+"""How often a leader that doesn't know the map in use is told a rank's part of it."""
 TURN_MS: t.Final = 25.0
 """How often a change in progress is looked at, besides at each reply."""
 FORGOTTEN_HOLD_MS: t.Final = 400.0
@@ -55,16 +57,18 @@
         self._demands = Demands()
         self._rank = RankClient(t.cast(Address, host.endpoint))
         self._store = StoreClient(host.store)
-        self._rows: tuple[int, int, list[list[int]]] | None = None
         self._incarnation = time.time_ns() // 1_000_000
         self._numbers = 0
-        self._heartbeat_ms = 0.0
+        self._rota = heartbeats.Rota()
+        self._told_rows_ms = 0.0
         self._lookup_ms = LOOKUP_INTERVAL_MS
         self._heard_ms = boottime_ms()
         self._is_lost = False
         self._counter = sampling.Counter()
+        self._sum = sampling.Sum()
         self._sampled_ms = 0.0
         self._sample_interval_ms = 0.0
+        self._planned_ms = 0.0
         self._leader: int | None = None
         self._held_since_ms: float | None = None
         self._driver = Driver(
@@ -140,9 +144,10 @@
         view = await self._rank.view()
         now_ms = boottime_ms()
         self._take_view(now_ms, view)
-        if now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS:
-            await self._heartbeat(view)
-        if not view.active and self._leader is None:
+        self._heartbeat(now_ms, view)
+        await self._tell_rows(now_ms, view)
+        is_idle = not view.active and self._leader is None
+        if is_idle and self._sum.counts is None:
             return
         if now_ms - self._sampled_ms < self._sample_interval_ms:
             return
@@ -152,30 +157,37 @@
         self._sampled_ms = now_ms
         new = self._counter.since_last(counts.epoch, counts.counts)
         if new is not None:
-            sample = messages.Sample(self._host.ip, view, counts.step, new)
-            self._send_to_leader(now_ms, sample)
+            self._sum.add(new)
+        self._tell_counts(now_ms, view)
 
-    def _send_to_leader(self, now_ms: float, sample: messages.Sample) -> None:
-        leader = self._group.leader(now_ms)
-        own = t.cast(RankView, self._group.own)
-        if leader != self._leader:
-            self._leader = leader
-            events.emit(
-                log,
-                events.LEADER_CHANGED,
-                leader=leader,
-                own=own.rank,
-                alive=len(self._group.alive(now_ms)),
-            )
-        if leader == own.rank:
-            self._demands.add(now_ms, own.rank, sample.counts)
+    def _tell_counts(self, now_ms: float, view: RankView) -> None:
+        """Tell the next agent towards the leader what was counted here and below."""
+        alive = self._group.alive(now_ms)
+        leader = t.cast(int, self._group.leader(now_ms))
+        self._note_leader(leader, len(alive))
+        counts = self._sum.take()
+        if counts is None:
             return
-        member = self._group.members.get(t.cast(int, leader))
+        if leader == view.rank:
+            self._demands.add(now_ms, counts)
+            return
+        above = sampling.teller_to(view.rank, leader, view.size, alive)
+        member = self._group.members.get(above)
         if member is not None:
+            told = sampling.coarse(counts)
+            sample = messages.Sample(view.group, view.epoch, told.unit, told.counts)
             sent_bytes = self._send(member.heartbeat.ip, sample)
-            self._sample_interval_ms = sampling.interval_ms(
-                own.size, sent_bytes, self._host.link_mbps
-            )
+            link_mbps = self._host.link_mbps
+            self._sample_interval_ms = sampling.interval_ms(sent_bytes, link_mbps)
+
+    def _note_leader(self, leader: int, alive: int) -> None:
+        if leader == self._leader:
+            return
+        self._leader = leader
+        own = t.cast(RankView, self._group.own)
+        events.emit(
+            log, events.LEADER_CHANGED, leader=leader, own=own.rank, alive=alive
+        )
 
     def _take_view(self, now_ms: float, view: RankView) -> None:
         self._heard_ms = now_ms
@@ -184,7 +196,7 @@
             events.emit(log, events.RANK_REGAINED, rank=view.rank, epoch=view.epoch)
         if self._group.see(now_ms, view):
             self._demands.clear()
-            self._rows = None
+            self._sum.take()
             self._driver.drop()
         self._watch_hold(now_ms, view)
 
@@ -241,14 +253,8 @@
             self.metrics.count_silence()
             events.emit(log, events.RANK_LOST, silent_ms=round(silent_ms), why=why)
 
-    async def _heartbeat(self, view: RankView) -> None:
-        if self._rows is None or self._rows[:2] != (view.epoch, view.map_version):
-            self._rows = await self._rank.rows()
-        epoch, version, rows = self._rows
-        if (epoch, version) != (view.epoch, view.map_version):
-            return
-        now_ms = boottime_ms()
-        self._heartbeat_ms = now_ms
+    def _heartbeat(self, now_ms: float, view: RankView) -> None:
+        """Tell those whose turn it is that this agent lives."""
         self._numbers += 1
         heartbeat = messages.Heartbeat(
             self._host.ip,
@@ -256,12 +262,32 @@
             self._incarnation,
             self._numbers,
             view,
-            rows,
+            self._group.present_map() is not None,
         )
         self._group.hear(now_ms, heartbeat)
-        for ip in self._driver.members.ips:
-            if ip != self._host.ip:
-                self._send(ip, heartbeat)
+        data = messages.CODEC.encode(heartbeat)
+        others = self._driver.members.ips - {self._host.ip}
+        every_ms = heartbeats.interval_ms(len(others), self._host.link_mbps)
+        self._group.alive_ms = max(ALIVE_MS, heartbeats.MISSED * every_ms)
+        for ip in self._rota.due(now_ms, others, every_ms, READ_INTERVAL_MS):
+            self._send_data(ip, data)
+
+    async def _tell_rows(self, now_ms: float, view: RankView) -> None:
+        """Tell a leader that doesn't know the map in use the part of the own rank."""
+        leader = self._group.members.get(t.cast(int, self._group.leader(now_ms)))
+        if leader is None or leader.heartbeat.knows_map:
+            return
+        if now_ms - self._told_rows_ms < ROWS_INTERVAL_MS:
+            return
+        self._told_rows_ms = now_ms
+        epoch, version, rows = await self._rank.rows()
+        if epoch != view.epoch:
+            return
+        if leader.heartbeat.view.rank == view.rank:
+            self._group.learn_rows(view.rank, version, rows)
+        else:
+            told = messages.OwnRows(view.group, epoch, view.rank, version, rows)
+            self._send(leader.heartbeat.ip, told)
 
     async def _turn(self) -> None:
         """Begin changes, and let the one in progress go on."""
@@ -280,8 +306,10 @@
         if group.leader(now_ms) != own.rank or not group.is_calm(now_ms):
             return
         present = group.present_map()
-        if present is None:
+        heard_ms = self._demands.latest_ms()
+        if present is None or heard_ms is None or heard_ms <= self._planned_ms:
             return
+        self._planned_ms = now_ms
         pace = policy.Pace(
             self._group.pass_ms(now_ms), self._driver.members.gap_target_ms
         )
@@ -302,27 +330,47 @@
                 if message.service == self._host.service:
                     self._driver.members.ips.add(message.ip)
                     self._group.hear(now_ms, message)
+            case messages.OwnRows():
+                if self._is_of_group(message):
+                    self._group.learn_rows(message.rank, message.version, message.rows)
             case messages.Sample():
-                self._take_sample(now_ms, message)
+                if self._is_of_group(message):
+                    self._take_sample(now_ms, message, len(data))
             case messages.Ask():
+                self._driver.spread(message, message.pass_on)
                 self._background.spawn(self._answer(message))
             case messages.Reply():
                 self._driver.take_reply(message)
 
-    def _take_sample(self, now_ms: float, sample: messages.Sample) -> None:
+    def _is_of_group(self, message: messages.Sample | messages.OwnRows) -> bool:
         own = self._group.own
-        view = sample.view
-        if own is not None and (view.group, view.epoch) == (own.group, own.epoch):
-            self._demands.add(now_ms, view.rank, sample.counts)
+        return own is not None and (message.group, message.epoch) == (
+            own.group,
+            own.epoch,
+        )
+
+    def _take_sample(
+        self, now_ms: float, sample: messages.Sample, sample_bytes: int
+    ) -> None:
+        own = t.cast(RankView, self._group.own)
+        counts = sampling.counts_of(sampling.Coarse(sample.unit, sample.counts))
+        if self._group.leader(now_ms) != own.rank:
+            self._sum.add(counts)
+            return
+        interval_ms = sampling.interval_ms(sample_bytes, self._host.link_mbps)
+        pass_ms = self._group.pass_ms(now_ms)
+        self._demands.block_ms = max(BLOCK_MS, interval_ms, pass_ms)
+        self._demands.add(now_ms, counts)
 
     async def _answer(self, ask: messages.Ask) -> None:
-        key = (ask.kind, ask.version or ask.step)
+        task = self._task_of(ask)
+        key = (type(task).__name__, ask.version or ask.step)
         if key in self._busy:
             return
         self._busy.add(key)
         self.metrics.count_task(ask.kind)
         try:
-            view = await carry_out(self._rank, ask.epoch, messages.task_of(ask))
+            view = await carry_out(self._rank, ask.epoch, task)
         except UpstreamError as error:
             self._note_silence(str(error))
             return
@@ -330,6 +378,20 @@
             self._busy.discard(key)
         self._send(ask.ip, messages.Reply(ask.number, view))
 
+    def _task_of(self, ask: messages.Ask) -> Task:
+        """Return the task that is asked for, or a look where it can't be told."""
+        own = self._group.own
+        if own is None or own.epoch != ask.epoch:
+            return Look()
+        task = messages.task_of(ask, self._group.maps)
+        if task is None:
+            known = sorted(self._group.maps)
+            events.emit(log, events.MAP_NOT_KNOWN, version=ask.version, known=known)
+            return Look()
+        if isinstance(task, Prepare):
+            self._group.keep_map(task.version, task.map)
+        return task
+
     async def _page(self, call: Call, exchange: Exchange) -> None:
         """Answer a read of the metrics."""
         if call.target.partition(b"?")[0] == METRICS_PATH:
@@ -383,6 +445,9 @@
     def _send(self, ip: str, message: t.Any) -> int:
         """Send a message; return its size in bytes."""
         data = messages.CODEC.encode(message)
+        self._send_data(ip, data)
+        return len(data)
+
+    def _send_data(self, ip: str, data: bytes) -> None:
         if self._datagrams is not None:
             self._datagrams.sendto(data, (ip, self._host.peer_port))
-        return len(data)
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -31,9 +31,10 @@
 ARM_BOUND_MS: t.Final = 1_500.0
 """How long ranks that don't arm are waited for, while the group may be held."""
 RESEND_MS: t.Final = 60.0
-PREPARE_RESEND_MS: t.Final = 250.0
-PREPARE_RESEND_RANK_MS: t.Final = 16.0
-"""For each rank of a large group, as all are sent the map at once."""
+PREPARE_RESEND_MS: t.Final = 100.0
+"""Beyond the time of the copies, after which a rank tells that it is prepared."""
+RESEND_RANK_MS: t.Final = 0.5
+"""For each rank of a group, as tasks go from agent to agent."""
 DIRECT_MS: t.Final = 300.0
 """A rank whose agent is silent this long is spoken to directly."""
 LEAD_STEPS: t.Final = 2
@@ -75,6 +76,7 @@
     :param version: the map to switch to; when clearing up, the highest one met.
     :param holder: rank that holds, or is to hold, the pass.
     :param void_version: higher than any that a rank may have met.
+    :param copy_ms: time that the copies of the slowest rank take.
     :param least_step: passes before this one aren't used.
     :param present: the map in use, which a void version repeats.
     :param views: the latest word of each rank within this change.
@@ -92,7 +94,7 @@
     present: ExpertMap
     void_version: int
     began_ms: float
-    bound_ms: float
+    copy_ms: float
     phase: Phase = Phase.PREPARE
     phase_ms: float = 0.0
     step: int = -1
@@ -133,7 +135,7 @@
         present=present,
         void_version=version + 1,
         began_ms=now_ms,
-        bound_ms=PREPARE_BOUND_MS + 2 * copy_ms,
+        copy_ms=copy_ms,
         phase_ms=now_ms,
         least_step=least_step,
     )
@@ -174,7 +176,7 @@
         present=present,
         void_version=void_version,
         began_ms=now_ms,
-        bound_ms=0.0,
+        copy_ms=0.0,
         phase=Phase.LOOK,
         phase_ms=now_ms,
         step=step,
@@ -224,7 +226,7 @@
 def _look(now_ms: float, change: Change) -> dict[int, Task]:
     missing = _missing(change)
     if missing and not _may_do_without(now_ms, change, missing):
-        return {rank: Look() for rank in missing}
+        return dict.fromkeys(missing, Look())
     holder = change.views[change.holder]
     if holder.held != change.step:
         _end(change, Outcome.ABANDONED)
@@ -284,10 +286,10 @@
         ahead = max(view.step for view in views) + LEAD_STEPS
         change.step = max(ahead, change.least_step)
         return {}
-    if now_ms - change.phase_ms > change.bound_ms:
+    if now_ms - change.phase_ms > PREPARE_BOUND_MS + 2 * change.copy_ms:
         _end(change, Outcome.ABANDONED)
         return {}
-    return {rank: Prepare(change.version, change.map) for rank in waiting}
+    return dict.fromkeys(waiting, Prepare(change.version, change.map))
 
 
 def _hold(now_ms: float, change: Change) -> dict[int, Task]:
@@ -322,7 +324,7 @@
     ]
     maker = maker_of(change.version)
     now = [rank for rank in waiting if rank != maker] or waiting
-    return {rank: Arm(change.version, change.step) for rank in now}
+    return dict.fromkeys(now, Arm(change.version, change.step))
 
 
 def _void(now_ms: float, change: Change) -> dict[int, Task]:
@@ -356,7 +358,8 @@
         if (armed := views[rank].armed) is None or armed.version in dead
     }
     # The others are read again: the pass may have begun without this change.
-    return {rank: task if rank in due else Look() for rank in views}
+    look = Look()
+    return {rank: task if rank in due else look for rank in views}
 
 
 def _release(now_ms: float, change: Change) -> dict[int, Task]:
@@ -371,9 +374,8 @@
     now_ms: float, change: Change, tasks: dict[int, Task]
 ) -> list[Assignment]:
     is_preparing = change.phase is Phase.PREPARE
-    resend_ms = RESEND_MS
-    if is_preparing:
-        resend_ms = max(PREPARE_RESEND_MS, PREPARE_RESEND_RANK_MS * change.size)
+    pause_ms = PREPARE_RESEND_MS + change.copy_ms if is_preparing else RESEND_MS
+    resend_ms = pause_ms + RESEND_RANK_MS * change.size
     assignments = []
     for rank, task in tasks.items():
         asked_ms = change.asked_ms.get(rank)
@@ -384,7 +386,8 @@
         heard_ms = change.heard_ms.get(rank, change.began_ms)
         silent_ms = now_ms - max(heard_ms, change.phase_ms)
         is_silent = not is_preparing and silent_ms > DIRECT_MS
-        assignments.append(Assignment(rank, task, _is_direct(task) or is_silent))
+        is_direct = _is_direct(task) or is_silent
+        assignments.append(Assignment(rank, task, is_direct, asked_ms is not None))
     return assignments
 
 
--- /dev/null
+++ b/src/dotterelplank/ranks/deltas.py
@@ -0,0 +1,72 @@
+"""What differs between two expert maps, so that a change is told in few bytes."""
+
+import dataclasses
+import typing as t
+import zlib
+
+import msgpack
+
+from .views import ExpertMap
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """The places of a map that hold another expert than those of the map before.
+
+    :param cells: for each such place, how far it lies behind the one before it,
+        counted over all places of the map before, and its expert.
+    :param rows: the index, over all layers, of each rank's row that has become longer
+        or shorter, and its experts.
+    """
+
+    cells: list[int]
+    rows: list[list[int]]
+
+
+def difference(before: ExpertMap, after: ExpertMap) -> Delta:
+    """Return what turns ``before`` into ``after``, which has as many rows."""
+    cells: list[int] = []
+    rows: list[list[int]] = []
+    first = last = 0
+    for number, (old, new) in enumerate(zip(_rows(before), _rows(after))):
+        if len(old) != len(new):
+            rows.append([number, *new])
+        else:
+            for place, (left, right) in enumerate(zip(old, new)):
+                if left != right:
+                    cells += (first + place - last, right)
+                    last = first + place
+        first += len(old)
+    return Delta(cells, rows)
+
+
+def applied(before: ExpertMap, delta: Delta) -> ExpertMap:
+    """Return the map that ``delta`` turns ``before`` into.
+
+    :raises ValueError: if it names a place that the map hasn't.
+    """
+    after = [[list(row) for row in layer] for layer in before]
+    flat = [row for layer in after for row in layer]
+    places = [(row, place) for row in flat for place in range(len(row))]
+    at = 0
+    for gap, expert in zip(delta.cells[::2], delta.cells[1::2]):
+        at += gap
+        if not 0 <= at < len(places):
+            raise ValueError(f"place {at} of a map with {len(places)}")
+        row, place = places[at]
+        row[place] = expert
+    for number, *row in delta.rows:
+        if not 0 <= number < len(flat):
+            raise ValueError(f"row {number} of a map with {len(flat)}")
+        flat[number][:] = row
+    return after
+
+
+def digest(expert_map: ExpertMap) -> int:
+    """Return a number that tells maps apart."""
+    return zlib.crc32(msgpack.packb(expert_map))
+
+
+def _rows(expert_map: ExpertMap) -> t.Iterator[list[int]]:
+    for layer in expert_map:
+        yield from layer
--- a/src/dotterelplank/ranks/demand.py
+++ b/src/dotterelplank/ranks/demand.py
@@ -2,50 +2,47 @@
 
 import collections
 import dataclasses
+import operator
 import typing as t
 
-KEPT_MS: t.Final = 1_500.0
-BLOCK_MS: t.Final = 150.0
-"""Length of the pieces of time that are compared with each other."""
-BLOCKS: t.Final = 5
-SHIFT_DISTANCE: t.Final = 0.2
+BLOCK_MS: t.Final = 100.0
+"""Least length of the pieces of time that are compared with each other."""
+BLOCKS: t.Final = 7
+SHIFT_DISTANCE: t.Final = 0.12
 """Part of the choices that differ between pieces of time after a shift."""
 
 Demand = list[list[float]]
 """How often each expert was chosen, by layer and expert."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reading:
-    """The counts of a rank up to a time, from when it was first heard."""
-
-    read_ms: float
-    counts: t.Sequence[int]
-
-
 @dataclasses.dataclass
 class Demands:
-    """The latest readings of all ranks."""
+    """What all ranks chose lately.
 
-    by_rank: dict[int, collections.deque[Reading]] = dataclasses.field(
-        default_factory=dict
+    :param samples: when counts came in, and these.
+    :param block_ms: length of the pieces of time that are compared; not less than the
+        time between two samples of a rank.
+    """
+
+    samples: collections.deque[tuple[float, t.Sequence[int]]] = dataclasses.field(
+        default_factory=collections.deque
     )
+    block_ms: float = BLOCK_MS
+
+    def add(self, now_ms: float, counts: t.Sequence[int]) -> None:
+        """Take in what some ranks counted since their sample before."""
+        self.samples.append((now_ms, counts))
+        kept_ms = self.block_ms * (BLOCKS + 1)
+        while now_ms - self.samples[0][0] > kept_ms:
+            self.samples.popleft()
 
-    def add(self, now_ms: float, rank: int, counts: t.Sequence[int]) -> None:
-        """Take in what was counted at a rank since the sample before."""
-        readings = self.by_rank.setdefault(rank, collections.deque())
-        if not readings or len(readings[-1].counts) != len(counts):
-            readings.clear()
-            readings.append(Reading(now_ms, [0] * len(counts)))
-        before = readings[-1].counts
-        total = [then + new for then, new in zip(before, counts)]
-        readings.append(Reading(now_ms, total))
-        while len(readings) > 2 and now_ms - readings[1].read_ms > KEPT_MS:
-            readings.popleft()
+    def latest_ms(self) -> float | None:
+        """Return when the latest counts came in."""
+        return self.samples[-1][0] if self.samples else None
 
     def clear(self) -> None:
         """Forget everything, as the group has formed anew."""
-        self.by_rank.clear()
+        self.samples.clear()
 
     def since_shift(self, now_ms: float, layers: int, experts: int) -> "Window":
         """Return what was chosen lately, as far back as it was chosen alike.
@@ -53,30 +50,28 @@
         Right after a shift that is little; the longer demand is steady, the more, up
         to a bound.
         """
-        choices = self._block(now_ms, 0, layers * experts)
+        latest = choices = self._block(now_ms, 0, layers * experts)
         blocks = 1
         while blocks < BLOCKS:
+            # Against the latest alone, as word of a shift comes in by and by.
             earlier = self._block(now_ms, blocks, layers * experts)
-            if distance(choices, earlier) > SHIFT_DISTANCE:
+            if distance(latest, earlier) > SHIFT_DISTANCE:
                 break
-            choices = [now + before for now, before in zip(choices, earlier)]
+            choices = list(map(operator.add, choices, earlier))
             blocks += 1
         demand = [
             choices[layer * experts : (layer + 1) * experts] for layer in range(layers)
         ]
-        return Window(demand, blocks * BLOCK_MS)
+        return Window(demand, blocks * self.block_ms)
 
     def _block(self, now_ms: float, number: int, size: int) -> list[float]:
         """Return the choices of a piece of time; number 0 is the latest."""
-        until_ms = now_ms - number * BLOCK_MS
-        total = [0.0] * size
-        for readings in self.by_rank.values():
-            latest = _reading_before(readings, until_ms).counts
-            earlier = _reading_before(readings, until_ms - BLOCK_MS).counts
-            if len(latest) != size:
-                continue
-            for index, count in enumerate(latest):
-                total[index] += count - earlier[index]
+        until_ms = now_ms - number * self.block_ms
+        since_ms = until_ms - self.block_ms
+        total: list[float] = [0.0] * size
+        for heard_ms, counts in self.samples:
+            if since_ms < heard_ms <= until_ms and len(counts) == size:
+                total = list(map(operator.add, total, counts))
         return total
 
 
@@ -103,12 +98,3 @@
         return 0.0
     differences = (abs(a / total - b / other_total) for a, b in zip(one, other))
     return sum(differences) / 2
-
-
-def _reading_before(readings: t.Sequence[Reading], before_ms: float) -> Reading:
-    found = readings[0]
-    for reading in readings:
-        if reading.read_ms > before_ms:
-            break
-        found = reading
-    return found
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -1,5 +1,6 @@
 """How one agent drives changes of its group's expert map, and clears up others'."""
 
+import dataclasses
 import logging
 import random
 import typing as t
@@ -11,7 +12,7 @@
 from ..loops import Background
 from ..platform.members import Members
 from ..platform.ranks import RankClient
-from . import change as changes, messages, policy, tasks, versions
+from . import change as changes, messages, policy, spreading, tasks, versions
 from .group import Group
 from .metrics import AgentMetrics
 from .participant import carry_out, give_once
@@ -56,6 +57,8 @@
         self._slow: changes.Phase | None = None
         self._numbers = 0
         self._sent_bytes = 0
+        self._spread_version = -1
+        self._is_base_told = False
         self._asked: dict[int, int] = {}
         self._background = Background()
 
@@ -69,6 +72,9 @@
         """Begin a change; ``present`` is the map in use."""
         version = self._group.new_version(self._random.getrandbits(versions.DRAW_BITS))
         found = decision.plan
+        # Whoever took part in the change to the map in use knows it.
+        self._is_base_told = self._spread_version == own.map_version
+        self._group.keep_map(version, found.map)
         self.change = changes.begin(
             now_ms,
             own,
@@ -125,15 +131,14 @@
         if change is None:
             return
         now_ms = boottime_ms()
-        for assignment in changes.advance(now_ms, change):
-            self._send_assignment(change, assignment)
+        self._give_out(change, changes.advance(now_ms, change))
         self._group.used_step = max(self._group.used_step, change.step)
         self._note_slow(now_ms, change)
         if change.outcome is not None:
             sent_bytes = self._sent_bytes
             self.drop()
-            if change.outcome is changes.Outcome.SWITCHED and change.map:
-                self._group.switched = (change.version, change.map)
+            if change.outcome is changes.Outcome.SWITCHED:
+                self._spread_version = change.version
             self._metrics.count_change(change.outcome.value)
             self._metrics.change.observe(now_ms - change.began_ms)
             events.emit(
@@ -155,7 +160,7 @@
 
     def take_reply(self, reply: messages.Reply) -> None:
         """Take in how a rank is after a task of the change in hand."""
-        version = self._asked.pop(reply.number, None)
+        version = self._asked.get(reply.number)
         change = self.change
         if change is not None and version == change.version:
             self._hear(change, reply.view)
@@ -177,33 +182,77 @@
             phase_ms=round(now_ms - change.phase_ms),
         )
 
-    def _send_assignment(
-        self, change: changes.Change, assignment: tasks.Assignment
+    def _give_out(
+        self, change: changes.Change, assignments: t.Sequence[tasks.Assignment]
     ) -> None:
+        """Have tasks carried out; one that many agents get is passed on by them."""
+        by_agents: dict[tuple[int, bool], tuple[tasks.Task, list[int]]] = {}
+        for one in assignments:
+            if self._is_for_agent(one):
+                key = (id(one.task), one.is_repeat)
+                by_agents.setdefault(key, (one.task, []))[1].append(one.rank)
+            else:
+                self._carry_out(change, one)
+        for (_, is_repeat), (task, ranks) in by_agents.items():
+            self._ask(change, ranks, task, is_repeat)
+
+    def _is_for_agent(self, one: tasks.Assignment) -> bool:
         own = t.cast(RankView, self._group.own)
-        if assignment.rank == own.rank:
-            self._background.spawn(self._carry_out_here(change, assignment.task))
-            return
-        is_silent = assignment.rank not in self._group.alive(boottime_ms())
-        if isinstance(assignment.task, tasks.Hold) and not is_silent:
-            self._background.spawn(
-                self._hold_there(change, assignment.rank, assignment.task)
-            )
-            return
-        if assignment.is_direct or is_silent:
-            self._background.spawn(self._carry_out_there(change, assignment))
-            return
-        self._ask(change, assignment.rank, assignment.task)
+        if one.rank == own.rank or one.is_direct:
+            return False
+        return one.rank in self._group.alive(boottime_ms())
 
-    def _ask(self, change: changes.Change, rank: int, task: tasks.Task) -> None:
-        """Ask the agent of a rank to carry out a task there."""
-        member = self._group.members.get(rank)
-        if member is None:
-            return
+    def _carry_out(self, change: changes.Change, one: tasks.Assignment) -> None:
+        """Carry out a task at a rank from here."""
+        own = t.cast(RankView, self._group.own)
+        if one.rank == own.rank:
+            work = self._carry_out_here(change, one.task)
+        elif isinstance(one.task, tasks.Hold) and one.rank in self._group.alive(
+            boottime_ms()
+        ):
+            work = self._hold_there(change, one.rank, one.task)
+        else:
+            work = self._carry_out_there(change, one)
+        self._background.spawn(work)
+
+    def _ask(
+        self,
+        change: changes.Change,
+        ranks: t.Sequence[int],
+        task: tasks.Task,
+        is_repeat: bool = False,
+    ) -> None:
+        """Ask the agents of ranks to carry out a task there."""
+        text = None
+        if isinstance(task, (tasks.Prepare, tasks.Void)):
+            text = self._map_text(change, task, is_repeat)
         self._numbers += 1
         self._asked[self._numbers] = change.version
-        ask = messages.ask(self._ip, self._numbers, change.epoch, task)
-        self._sent_bytes += self._send(member.heartbeat.ip, ask)
+        ask = messages.ask(self._ip, self._numbers, change.epoch, task, text)
+        self._sent_bytes += self.spread(ask, ranks)
+
+    def _map_text(
+        self, change: changes.Change, task: tasks.Prepare | tasks.Void, is_repeat: bool
+    ) -> messages.MapText:
+        """Return the text of a map; a whole one where its base may not be known."""
+        own = t.cast(RankView, self._group.own)
+        if is_repeat or not self._is_base_told:
+            return messages.map_text(task.map)
+        return messages.map_text(task.map, (own.map_version, change.present))
+
+    def spread(self, ask: messages.Ask, ranks: t.Sequence[int]) -> int:
+        """Send a task to the agents of ranks, a few of which pass it on to the others.
+
+        Returns how many bytes were sent from here.
+        """
+        members = self._group.members
+        known = [rank for rank in ranks if rank in members]
+        self._random.shuffle(known)
+        sent_bytes = 0
+        for first, *rest in spreading.branches(known):
+            passed = dataclasses.replace(ask, pass_on=tuple(rest))
+            sent_bytes += self._send(members[first].heartbeat.ip, passed)
+        return sent_bytes
 
     async def _hold_there(
         self, change: changes.Change, rank: int, task: tasks.Hold
@@ -222,7 +271,7 @@
         finally:
             client.close()
         if is_accepted is not None:
-            self._ask(change, rank, tasks.Look())
+            self._ask(change, [rank], tasks.Look())
 
     async def _carry_out_here(self, change: changes.Change, task: tasks.Task) -> None:
         try:
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -6,10 +6,11 @@
 
 from . import versions
 from .messages import Heartbeat
-from .views import ExpertMap, RankView
+from .views import ExpertMap, RankView, Rows
 
 ALIVE_MS: t.Final = 1_000.0
-"""After this silence an agent isn't counted on."""
+"""After this silence an agent isn't counted on, in a group of modest size."""
+MAPS_KEPT: t.Final = 8
 SETTLE_STEPS: t.Final = 8
 """Passes after an agent's start before it begins a change: orders that a process before
 it gave may be for passes up to there."""
@@ -35,14 +36,18 @@
     :param used_step: highest pass that a change of this agent was for.
     :param moved_ms: when a pass was last seen to have begun, or there was no work.
     :param passes: time and last pass begun of the latest reads of the own rank.
-    :param switched: version and map that a change of this agent ended with.
+    :param alive_ms: silence after which an agent isn't counted on.
+    :param maps: maps that this agent has met, by version, the latest last.
+    :param rows: version of a rank's map and its part of it, by rank.
     """
 
     own: RankView | None = None
     first_step: int = 0
     used_step: int = 0
-    switched: tuple[int, ExpertMap] | None = None
     moved_ms: float = 0.0
+    alive_ms: float = ALIVE_MS
+    maps: dict[int, ExpertMap] = dataclasses.field(default_factory=dict)
+    rows: dict[int, tuple[int, Rows]] = dataclasses.field(default_factory=dict)
     members: dict[int, Member] = dataclasses.field(default_factory=dict)
     passes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=collections.deque
@@ -58,7 +63,8 @@
         if is_new:
             self.first_step = view.step
             self.used_step = view.step
-            self.switched = None
+            self.maps.clear()
+            self.rows.clear()
             self.members.clear()
             self.passes.clear()
         self.passes.append((now_ms, view.step))
@@ -84,7 +90,7 @@
         return {
             rank: member.heartbeat
             for rank, member in self.members.items()
-            if now_ms - member.heard_ms < ALIVE_MS
+            if now_ms - member.heard_ms < self.alive_ms
         }
 
     def pass_ms(self, now_ms: float) -> float:
@@ -102,21 +108,36 @@
             return None
         return min([*self.alive(now_ms), own.rank])
 
-    def present_map(self) -> ExpertMap | None:
-        """Return the map in use, if each rank's part of it is known.
+    def keep_map(self, version: int, expert_map: ExpertMap) -> None:
+        """Remember the map of a version, and forget old ones."""
+        self.maps.pop(version, None)
+        self.maps[version] = expert_map
+        in_use = None if self.own is None else self.own.map_version
+        old = [one for one in self.maps if one != in_use][:-MAPS_KEPT]
+        for one in old:
+            del self.maps[one]
 
-        What a rank told of a version holds for good, so silent agents don't matter.
-        What this agent switched the group to is known as soon as its rank uses it.
-        """
+    def learn_rows(self, rank: int, version: int, rows: Rows) -> None:
+        """Take in a rank's part of a map."""
+        self.rows[rank] = (version, rows)
+
+    def present_map(self) -> ExpertMap | None:
+        """Return the map in use, if it is known or each rank has told its part."""
         own = self.own
         if own is None:
             return None
-        if self.switched is not None and self.switched[0] == own.map_version:
-            return self.switched[1]
+        known = self.maps.get(own.map_version)
+        if known is None:
+            known = self._put_together(own)
+            if known is not None:
+                self.keep_map(own.map_version, known)
+        return known
+
+    def _put_together(self, own: RankView) -> ExpertMap | None:
         rows = [
-            member.heartbeat.rows
-            for rank, member in sorted(self.members.items())
-            if member.heartbeat.view.map_version == own.map_version
+            rows
+            for _, (version, rows) in sorted(self.rows.items())
+            if version == own.map_version
         ]
         if len(rows) < own.size or not rows[0]:
             return None
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -4,7 +4,8 @@
 
 import pydantic
 
-from ..packets import Codec
+from ..packets import Codec, by_position
+from . import deltas
 from .tasks import Arm, Hold, Look, Prepare, Release, Task, Void
 from .views import ExpertMap, RankView, Rows
 
@@ -15,7 +16,7 @@
 
     :param incarnation: rises with each start of the agent.
     :param number: rises with each heartbeat.
-    :param rows: the experts that the rank holds in the map in use.
+    :param knows_map: whether it knows the map that its rank uses.
     """
 
     ip: str
@@ -23,25 +24,61 @@
     incarnation: int
     number: int
     view: RankView
+    knows_map: bool
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class OwnRows:
+    """The experts that a rank holds, for a leader that doesn't know the map in use."""
+
+    group: str
+    epoch: int
+    rank: int
+    version: int
     rows: Rows
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
-    """How often the calls of a rank chose each expert since the sample before."""
+    """How often the calls of some ranks chose each expert since the sample before.
 
-    ip: str
-    view: RankView
-    step: int
-    counts: list[int]
+    :param unit: what one of ``counts`` stands for.
+    """
+
+    group: str
+    epoch: int
+    unit: int
+    counts: bytes
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class MapText:
+    """A map, as a whole or by what differs from another.
+
+    :param base: version of the map that it differs from; none: it is whole.
+    :param digest: of the map that is meant.
+    """
+
+    base: int | None
+    cells: list[int]
+    rows: list[list[int]]
+    whole: ExpertMap
+    digest: int
+
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _by_position(cls, values: t.Any) -> t.Any:
+        return by_position(cls, values)
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
-    """A task for the agent of a rank.
+    """A task for the agents of some ranks.
 
-    :param number: names the reply.
+    :param ip: where the replies go.
+    :param number: names the replies.
     :param kind: name of the task's type; its fields are those that it has.
+    :param pass_on: ranks that the agent passes the task on to, after its own.
     """
 
     ip: str
@@ -50,23 +87,56 @@
     kind: t.Literal["look", "prepare", "hold", "arm", "void", "release"]
     version: int
     step: int
-    map: ExpertMap
     dead: tuple[int, ...]
+    map: MapText | None
+    pass_on: tuple[int, ...]
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """How the rank is after a task."""
+    """How a rank is after a task."""
 
     number: int
     view: RankView
 
 
-CODEC: t.Final = Codec(Heartbeat, Sample, Ask, Reply)
+CODEC: t.Final = Codec(Heartbeat, OwnRows, Sample, Ask, Reply)
+
 
+def map_text(
+    expert_map: ExpertMap, base: tuple[int, ExpertMap] | None = None
+) -> MapText:
+    """Return the text of a map.
 
-def ask(ip: str, number: int, epoch: int, task: Task) -> Ask:
-    """Return the message of a task."""
+    :param base: version and map that those who get it are thought to know.
+    """
+    number = deltas.digest(expert_map)
+    if base is None:
+        return MapText(None, [], [], expert_map, number)
+    delta = deltas.difference(base[1], expert_map)
+    return MapText(base[0], delta.cells, delta.rows, [], number)
+
+
+def map_of(text: MapText, known: t.Mapping[int, ExpertMap]) -> ExpertMap | None:
+    """Return the map of a text; none if it can't be told from those that are known."""
+    if text.base is None:
+        found = text.whole
+    elif text.base in known:
+        try:
+            delta = deltas.Delta(text.cells, text.rows)
+            found = deltas.applied(known[text.base], delta)
+        except ValueError:
+            return None
+    else:
+        return None
+    return found if deltas.digest(found) == text.digest else None
+
+
+def ask(ip: str, number: int, epoch: int, task: Task, text: MapText | None) -> Ask:
+    """Return the message of a task.
+
+    :param text: the map of a task that has one.
+    """
     kind = type(task).__name__.lower()
     return Ask(
         ip,
@@ -75,22 +145,29 @@
         t.cast(t.Any, kind),
         getattr(task, "version", 0),
         getattr(task, "step", 0),
-        getattr(task, "map", []),
         getattr(task, "dead", ()),
+        text,
+        (),
     )
 
 
-def task_of(message: Ask) -> Task:
-    """Return the task in a message."""
+def task_of(message: Ask, known: t.Mapping[int, ExpertMap]) -> Task | None:
+    """Return the task in a message; none if its map can't be told.
+
+    :param known: maps that its map may be told from, by version.
+    """
+    found = None if message.map is None else map_of(message.map, known)
     match message.kind:
         case "prepare":
-            return Prepare(message.version, message.map)
+            return None if found is None else Prepare(message.version, found)
         case "hold":
             return Hold(message.step)
         case "arm":
             return Arm(message.version, message.step)
         case "void":
-            return Void(message.version, message.map, message.dead)
+            if found is None:
+                return None
+            return Void(message.version, found, message.dead)
         case "release":
             return Release(message.step)
         case "look":
--- a/src/dotterelplank/ranks/sampling.py
+++ b/src/dotterelplank/ranks/sampling.py
@@ -1,31 +1,72 @@
-"""How often an agent tells the leader of its rank's counts, and what it tells.
+"""How the counts of all ranks reach the leader of their group.
 
-The load that this answers: all agents of a large group send to one leader, whose link
-takes little.
+The load that this answers: what the leader hears must not grow with its group, as its
+link takes little. Only the sum over the ranks is needed, so agents add up what others
+tell them, in a tree at whose root is the leader.
 """
 
 import dataclasses
+import operator
 import typing as t
 
 LEAST_INTERVAL_MS: t.Final = 75.0
 LINK_PART: t.Final = 0.3
-"""The part of the leader's link that samples may take."""
+"""The part of a host's link that the samples sent to it may take."""
 PACKET_BYTES: t.Final = 60
 """What a datagram takes besides its data."""
+FAN_IN: t.Final = 11
+"""Ranks that tell one other."""
 
+LARGEST_COUNT: t.Final = 127
+"""Units in the largest count of a sample; more would take more bytes than they tell."""
 
-def interval_ms(ranks: int, sample_bytes: int, link_mbps: float) -> float:
+
+def interval_ms(sample_bytes: int, link_mbps: float) -> float:
     """Return the time between two samples of a rank.
 
-    :param ranks: ranks that send to one leader.
     :param sample_bytes: size of a sample.
-    :param link_mbps: what the leader's host can take in, in millions of bits a second.
+    :param link_mbps: what the host that is told can take in, in millions of bits a
+        second.
     """
-    round_bits = ranks * (sample_bytes + PACKET_BYTES) * 8
+    round_bits = FAN_IN * (sample_bytes + PACKET_BYTES) * 8
     round_ms = round_bits / (link_mbps * 1000 * LINK_PART)
     return max(LEAST_INTERVAL_MS, round_ms)
 
 
+def teller_to(rank: int, leader: int, size: int, alive: t.Collection[int]) -> int:
+    """Return the rank that ``rank`` tells: the next one towards the leader that lives.
+
+    :param size: ranks of the group.
+    """
+    place = (rank - leader) % size
+    while place:
+        place = (place - 1) // FAN_IN
+        above = (leader + place) % size
+        if above in alive:
+            return above
+    return leader
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Coarse:
+    """Counts in whole units, so that each takes one small byte."""
+
+    unit: int
+    counts: bytes
+
+
+def coarse(counts: t.Sequence[int]) -> Coarse:
+    """Return counts in the smallest unit in which each fits."""
+    unit = max(1, -(-max(counts, default=0) // LARGEST_COUNT))
+    half = unit // 2
+    return Coarse(unit, bytes([(count + half) // unit for count in counts]))
+
+
+def counts_of(found: Coarse) -> list[int]:
+    """Return the counts, each within half a unit."""
+    return [count * found.unit for count in found.counts]
+
+
 @dataclasses.dataclass
 class Counter:
     """The counts of a rank as they were told last."""
@@ -38,6 +79,26 @@
         before, self.counts = self.counts, counts
         is_new = epoch != self.epoch or len(before) != len(counts)
         self.epoch = epoch
-        if is_new or any(now < then for now, then in zip(counts, before)):
+        if is_new:
             return None
-        return [now - then for now, then in zip(counts, before)]
+        new = list(map(operator.sub, counts, before))
+        return None if min(new, default=0) < 0 else new
+
+
+@dataclasses.dataclass
+class Sum:
+    """What others have told since this agent told it on."""
+
+    counts: list[int] | None = None
+
+    def add(self, counts: t.Sequence[int]) -> None:
+        """Add the counts of a sample; those of another layout replace the others."""
+        if self.counts is None or len(self.counts) != len(counts):
+            self.counts = list(counts)
+        else:
+            self.counts = list(map(operator.add, self.counts, counts))
+
+    def take(self) -> list[int] | None:
+        """Return the sum and begin a new one."""
+        counts, self.counts = self.counts, None
+        return counts
--- a/src/dotterelplank/ranks/tasks.py
+++ b/src/dotterelplank/ranks/tasks.py
@@ -57,8 +57,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Assignment:
-    """A task for the agent of a rank, or for the rank itself if ``is_direct``."""
+    """A task for the agent of a rank, or for the rank itself if ``is_direct``.
+
+    :param is_repeat: whether the rank was given it before.
+    """
 
     rank: int
     task: Task
     is_direct: bool
+    is_repeat: bool = False
--- a/src/dotterelplank/ranks/views.py
+++ b/src/dotterelplank/ranks/views.py
@@ -9,6 +9,8 @@
 
 import pydantic
 
+from ..packets import by_position
+
 Rows = list[list[int]]
 """The experts that a rank holds, by layer."""
 
@@ -23,6 +25,11 @@
     version: int
     step: int
 
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _by_position(cls, values: t.Any) -> t.Any:
+        return by_position(cls, values)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class RankView:
@@ -48,6 +55,11 @@
     held: int | None
     active: int
 
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _by_position(cls, values: t.Any) -> t.Any:
+        return by_position(cls, values)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Counts:
