--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -9,9 +9,12 @@
 
 from .directory import Directory, Endpoint
 from .loads import Loads
+from .pacing import Paces, taken_share
 
 WAIT_PART: t.Final = 0.45
 """The part of its latency objective that a call may wait for a place."""
+FIRST_MARGIN: t.Final = 1.3
+"""Over the usual time to the first part of an answer, as some take longer."""
 LEAST_RETRY_AFTER_MS: t.Final = 250.0
 LONGEST_RETRY_AFTER_MS: t.Final = 2_500.0
 HEEDED_PART: t.Final = 0.32
@@ -65,9 +68,12 @@
     loads: Loads,
     domain: str,
     waiting: int,
+    paces: Paces,
 ) -> Answer:
     """Return the endpoint with the least work that has a free place.
 
+    Of a group no more places are taken than its passes allow.
+
     Among equals one of the entry's own failure domain goes first; ``ask.draw`` breaks
     the ties that remain, so that entries which choose at once spread out.
 
@@ -82,27 +88,42 @@
     ]
     if not usable:
         return Unusable()
-    free = [one for one in usable if loads.of(one.id) < one.slots]
+    full = _full_groups(listed, loads, paces)
+    free = [
+        one
+        for one in usable
+        if loads.of(one.id) < one.slots
+        and (one.place is None or one.place.group not in full)
+    ]
     if not free:
-        return Full(expected_wait_ms(ask.service, usable, loads, waiting))
+        wait_ms = expected_wait_ms(ask.service, usable, loads, waiting, paces)
+        return Full(wait_ms)
     least = min(_rank(one, loads, domain) for one in free)
     equal = [one for one in free if _rank(one, loads, domain) == least]
     return Admit(equal[int(ask.draw * len(equal))])
 
 
 def expected_wait_ms(
-    service: str, usable: t.Sequence[Endpoint], loads: Loads, waiting: int
+    service: str,
+    usable: t.Sequence[Endpoint],
+    loads: Loads,
+    waiting: int,
+    paces: Paces,
 ) -> float:
     """Return how long a call that joins the line would wait for a place."""
-    places = sum(one.slots for one in usable)
+    places = sum(one.slots * _share(one, paces) for one in usable)
     in_line = waiting + loads.others_waiting[service] + 1
     hold_ms = loads.hold_ms.get(service, DEFAULT_HOLD_MS)
     return in_line * hold_ms / max(1, places)
 
 
-def longest_wait_ms(goal_ms: float, left_ms: float) -> float:
-    """Return how long a call may wait for a place before it is refused."""
-    return min(goal_ms * WAIT_PART, left_ms / 2)
+def longest_wait_ms(goal_ms: float, left_ms: float, first_ms: float) -> float:
+    """Return how long a call may wait for a place before it is refused.
+
+    :param first_ms: usual time from the place to the first part of the answer.
+    """
+    in_time_ms = max(0.0, goal_ms - first_ms * FIRST_MARGIN)
+    return min(goal_ms * WAIT_PART, in_time_ms, left_ms / 2)
 
 
 def retry_after_ms(wait_ms: float, left_ms: float, draw: float) -> float:
@@ -126,6 +147,26 @@
     return max(0.0, left_ms * HEEDED_PART * (1 - OUTAGE_SPREAD * draw))
 
 
+def _full_groups(
+    listed: t.Iterable[Endpoint], loads: Loads, paces: Paces
+) -> t.Collection[str]:
+    """Return the groups of which no more places may be taken."""
+    by_group: dict[str, list[Endpoint]] = {}
+    for one in listed:
+        if one.place is not None:
+            by_group.setdefault(one.place.group, []).append(one)
+    return {
+        group
+        for group, endpoints in by_group.items()
+        if (share := paces.share(group)) < 1.0
+        and taken_share(endpoints, loads) >= share
+    }
+
+
+def _share(endpoint: Endpoint, paces: Paces) -> float:
+    return 1.0 if endpoint.place is None else paces.share(endpoint.place.group)
+
+
 def _rank(endpoint: Endpoint, loads: Loads, domain: str) -> tuple[float, bool]:
     return loads.of(endpoint.id) / endpoint.slots, endpoint.domain != domain
 
--- a/src/dotterelplank/gateway/board.py
+++ b/src/dotterelplank/gateway/board.py
@@ -8,6 +8,7 @@
 from .directory import Directory
 from .host import HostSettings
 from .loads import Loads
+from .pacing import Paces
 from .silence import Progress
 from .tables import Table
 
@@ -30,6 +31,7 @@
     directory: Directory = dataclasses.field(default_factory=Directory)
     loads: Loads = dataclasses.field(default_factory=Loads)
     progress: Progress = dataclasses.field(default_factory=Progress)
+    paces: Paces = dataclasses.field(default_factory=Paces)
     budgets: dict[str, budget.Budget] = dataclasses.field(default_factory=dict)
     queue_by_service: dict[str, queues.Queue] = dataclasses.field(default_factory=dict)
     entries: int = 1
--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -123,6 +123,14 @@
             if endpoint.service == service and not endpoint.is_draining
         ]
 
+    def of_group(self, service: str, group: str) -> t.Sequence[Endpoint]:
+        """Return the endpoints of ``service`` that are ranks of ``group``."""
+        return [
+            one
+            for one in self.of_service(service)
+            if one.place is not None and one.place.group == group
+        ]
+
     def _remove(self, name: str, revision: int) -> None:
         self.endpoints.pop(name, None)
         self.lapsed_ms.pop(name, None)
--- a/src/dotterelplank/gateway/loads.py
+++ b/src/dotterelplank/gateway/loads.py
@@ -53,6 +53,8 @@
     :param others: the peers' calls at each endpoint, summed.
     :param stumbles: failures in a row that endpoints answered with.
     :param hold_ms: how long a call of a service holds its place, smoothed.
+    :param first_ms: time from the send of a call of a service to the first part of its
+        answer, smoothed.
     """
 
     own: collections.Counter[str] = dataclasses.field(
@@ -70,6 +72,7 @@
         default_factory=collections.Counter
     )
     hold_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    first_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def of(self, endpoint_id: str) -> int:
         """Return the calls in progress at an endpoint."""
@@ -105,8 +108,11 @@
 
     def held(self, service: str, duration_ms: float) -> None:
         """Take in how long a call held its place."""
-        before = self.hold_ms.get(service, duration_ms)
-        self.hold_ms[service] = before + SMOOTHING * (duration_ms - before)
+        _smooth(self.hold_ms, service, duration_ms)
+
+    def began(self, service: str, duration_ms: float) -> None:
+        """Take in how long the first part of an answer took from the send on."""
+        _smooth(self.first_ms, service, duration_ms)
 
     def failed(self, now_ms: float, name: str) -> float:
         """Avoid an endpoint or group, longer each time; return for how long."""
@@ -166,3 +172,8 @@
             self.others_waiting.subtract(earlier.waiting)
             self.others = +self.others
             self.others_waiting = +self.others_waiting
+
+
+def _smooth(by_service: dict[str, float], service: str, duration_ms: float) -> None:
+    before = by_service.get(service, duration_ms)
+    by_service[service] = before + SMOOTHING * (duration_ms - before)
--- a/src/dotterelplank/gateway/places.py
+++ b/src/dotterelplank/gateway/places.py
@@ -40,10 +40,11 @@
         if isinstance(answer, admission.Admit) and not ahead:
             self._count(answer.endpoint)
             return answer.endpoint
-        longest_ms = admission.longest_wait_ms(route.goal_ms, left_ms)
+        first_ms = self._board.loads.first_ms.get(one.service, 0.0)
+        longest_ms = admission.longest_wait_ms(route.goal_ms, left_ms, first_ms)
         usable = self._board.directory.of_service(one.service)
         wait_ms = admission.expected_wait_ms(
-            one.service, usable, self._board.loads, ahead
+            one.service, usable, self._board.loads, ahead, self._board.paces
         )
         if wait_ms > longest_ms:
             return None
@@ -81,7 +82,13 @@
         ask = admission.Ask(service, tried, board.random.random())
         waiting = len(board.queue_of(service).waiting)
         return admission.choose(
-            now_ms, ask, board.directory, board.loads, board.host.domain, waiting
+            now_ms,
+            ask,
+            board.directory,
+            board.loads,
+            board.host.domain,
+            waiting,
+            board.paces,
         )
 
     def retry_after_s(self, one: Handling) -> float:
@@ -95,7 +102,9 @@
             return admission.return_after_outage_ms(left_ms, draw) / 1000
         usable = board.directory.of_service(one.service)
         ahead = len(board.queue_of(one.service).waiting)
-        wait_ms = admission.expected_wait_ms(one.service, usable, board.loads, ahead)
+        wait_ms = admission.expected_wait_ms(
+            one.service, usable, board.loads, ahead, board.paces
+        )
         return admission.retry_after_ms(wait_ms, left_ms, draw) / 1000
 
     async def _wait_in(
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -19,6 +19,7 @@
 from .directory import Endpoint
 from .handling import Failure, Handling
 from .metrics import EntryMetrics
+from .pacing import taken_share
 from .silence import Sent
 from .tables import Kind
 
@@ -28,6 +29,8 @@
 REUSE_IDLE_MS: t.Final = 8_000.0
 REUSE_IDLE_ONCE_MS: t.Final = 1_000.0
 """How long a connection may have been idle before a call that may run only once."""
+HELD_UP_MS: t.Final = 10.0
+"""A caller that takes longer to read an event holds up the next one."""
 _UNAVAILABLE: t.Final = 503
 
 
@@ -189,6 +192,7 @@
     ) -> Ending:
         exchange = one.exchange
         one.cursor.rest = b""
+        event_ms: float | None = None
         if not exchange.has_begun:
             exchange.begin(head.status, end_to_end(head.headers), None)
         while (part := await connection.body_part()) is not None:
@@ -200,13 +204,34 @@
             if one.first_ms is None:
                 one.first_ms = now_ms - one.arrived_ms
                 self._metrics.first_event.observe(one.first_ms)
+                sent_ms = t.cast(Sent, one.sent).sent_ms
+                self._board.loads.began(one.service, now_ms - sent_ms)
+            elif event_ms is not None:
+                self._hear_gap(now_ms, one, endpoint, now_ms - event_ms)
             exchange.send(whole)
             await self._drain(one)
+            is_held_up = self._clock() - now_ms > HELD_UP_MS
+            event_ms = None if is_held_up else now_ms
         if one.cursor.rest:
             return Lost(True, "the stream ended inside an event")
         exchange.finish()
         return Answered(head.status)
 
+    def _hear_gap(
+        self, now_ms: float, one: Handling, endpoint: Endpoint, gap_ms: float
+    ) -> None:
+        """Take in the time between two events of a stream, which tells of a pass."""
+        if endpoint.place is None:
+            return
+        board, group = self._board, endpoint.place.group
+        target_ms = one.route.gap_target_ms
+
+        def taken() -> float:
+            ranks = board.directory.of_group(endpoint.service, group)
+            return taken_share(ranks, board.loads)
+
+        board.paces.hear(now_ms, group, gap_ms, target_ms, taken)
+
     def _pool(self, endpoint: Endpoint) -> Pool:
         key = (endpoint.id, endpoint.started_ms)
         pool = self._pools.get(key)
--- a/src/dotterelplank/gateway/silence.py
+++ b/src/dotterelplank/gateway/silence.py
@@ -14,10 +14,9 @@
 import typing as t
 
 from .directory import Endpoint
+from .pacing import SAME_PASS_MS
 from .tables import Kind, Route
 
-SAME_PASS_MS: t.Final = 15.0
-"""Events of a group that come closer together belong to the same pass."""
 PASSES_KEPT: t.Final = 32
 SILENT_PASSES: t.Final = 10
 """Passes of its group in which a rank that writes a stream adds to it."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -4,6 +4,7 @@
 from dotterelplank.gateway import admission, attempts, budget, queues, silence
 from dotterelplank.gateway.directory import Change, Directory, Endpoint, GroupPlace
 from dotterelplank.gateway.loads import Loads, PeerLoad
+from dotterelplank.gateway.pacing import Paces
 from dotterelplank.gateway.streams import EventCursor
 from dotterelplank.gateway.tables import Kind, Limits, Route, Table, Target, Team
 
@@ -78,7 +79,7 @@
 
 class ChooseTests(testtools.TestCase):
     def _choose(self, found, loads, domain="a", **fields):
-        return admission.choose(NOW_MS, ask(**fields), found, loads, domain, 0)
+        return admission.choose(NOW_MS, ask(**fields), found, loads, domain, 0, Paces())
 
     def test_the_least_loaded_endpoint_takes_the_call(self):
         loads = Loads()
@@ -123,13 +124,13 @@
         group = admission.group_name(one)
         paused_ms = loads.failed(NOW_MS, group)
         late_ms = NOW_MS + paused_ms
-        first = admission.choose(late_ms, ask(), found, loads, "a", 0)
+        first = admission.choose(late_ms, ask(), found, loads, "a", 0, Paces())
         self.assertIsInstance(first, admission.Admit)
         loads.try_again(group)
-        second = admission.choose(late_ms, ask(), found, loads, "a", 0)
+        second = admission.choose(late_ms, ask(), found, loads, "a", 0, Paces())
         self.assertEqual(admission.Unusable(), second)
         loads.succeeded(group)
-        third = admission.choose(late_ms, ask(), found, loads, "a", 0)
+        third = admission.choose(late_ms, ask(), found, loads, "a", 0, Paces())
         self.assertIsInstance(third, admission.Admit)
 
     def test_one_failed_call_alone_says_little_of_an_endpoint(self):
