--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -181,16 +181,16 @@
             {(one.id, one.started_ms) for one in endpoints}
         )
         self.board.progress.keep_only({one.id for one in endpoints})
-        self._heartbeat()
+        self._on_load_changed()
         self._forwarder.places.admit_waiting()
 
     def _on_load_changed(self) -> None:
         """Tell peers soon; several changes go out as one heartbeat."""
         if self._heartbeat_timer is not None:
             return
-        due_ms = max(
-            0.0, self._heartbeat_ms + peering.HEARTBEAT_SPACING_MS - boottime_ms()
-        )
+        link_mbps = self.board.host.link_mbps
+        spacing_ms = peering.spacing_ms(self.board.entries - 1, link_mbps)
+        due_ms = max(0.0, self._heartbeat_ms + spacing_ms - boottime_ms())
         loop = asyncio.get_running_loop()
         self._heartbeat_timer = loop.call_later(due_ms / 1000, self._heartbeat)
 
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -28,7 +28,8 @@
 LONGEST_PAUSE_MS: t.Final = 1_000.0
 CUT_MS: t.Final = 3_000.0
 """How long after a failed read removals are taken for lapses that may mend."""
-PULL_DELAY_MS: t.Final = 60.0
+PULL_DELAY_MS: t.Final = 250.0
+"""Time in which most entries hear the same from the platform."""
 PULL_TIMEOUT_MS: t.Final = 500.0
 COPY_PATH: t.Final = b"/copy"
 COPY_BOUND_BYTES: t.Final = 32 * 1024 * 1024
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -12,8 +12,12 @@
 from ..packets import Codec
 
 HEARTBEAT_INTERVAL_MS: t.Final = 250.0
-HEARTBEAT_SPACING_MS: t.Final = 8.0
+LEAST_SPACING_MS: t.Final = 8.0
 """Shortest time between two heartbeats."""
+LINK_PART: t.Final = 0.1
+"""The part of a host's link that heartbeats may take."""
+PACKET_BYTES: t.Final = 200
+"""What a heartbeat takes on a link."""
 SILENT_MS: t.Final = 1_500.0
 """After this silence a peer isn't counted any more."""
 FORGOTTEN_MS: t.Final = 30_000.0
@@ -51,6 +55,15 @@
 CODEC: t.Final = Codec(Heartbeat)
 
 
+def spacing_ms(others: int, link_mbps: float) -> float:
+    """Return the shortest time between two heartbeats to ``others`` entries.
+
+    :param link_mbps: what the host can send, in millions of bits a second.
+    """
+    round_ms = others * PACKET_BYTES * 8 / (link_mbps * 1000 * LINK_PART)
+    return max(LEAST_SPACING_MS, round_ms)
+
+
 @dataclasses.dataclass(slots=True)
 class Peer:
     """Another entry."""
--- a/src/dotterelplank/platform/members.py
+++ b/src/dotterelplank/platform/members.py
@@ -27,11 +27,11 @@
 
 
 async def read_members(client: StoreClient, service: str) -> Members:
-    """Read the servers of ``service`` and its layout.
+    """Read the servers of ``service`` and its layout, as they stood seconds ago.
 
     :raises UpstreamError: if the store can't be read.
     """
-    found = await published.read_all(client)
+    found = await published.read_all(client, may_be_stale=True)
     members = Members({}, None)
     if found.configuration is not None:
         try:
--- a/src/dotterelplank/platform/published.py
+++ b/src/dotterelplank/platform/published.py
@@ -23,12 +23,14 @@
     revision: int
 
 
-async def read_all(client: StoreClient) -> Published:
+async def read_all(client: StoreClient, *, may_be_stale: bool = False) -> Published:
     """Read all that is published.
 
+    :param may_be_stale: whether it may be as it stood seconds ago.
     :raises UpstreamError: if the store can't be read.
     """
-    return _sorted(await client.range(records.EVERYTHING_PREFIX))
+    found = await client.range(records.EVERYTHING_PREFIX, may_be_stale=may_be_stale)
+    return _sorted(found)
 
 
 async def read_changes(client: StoreClient, after: int, wait_ms: float) -> Published:
--- a/src/dotterelplank/platform/store.py
+++ b/src/dotterelplank/platform/store.py
@@ -64,27 +64,28 @@
             return Found((), int(body.get("current_rev", 0)))
         return Found((_item(body),), int(body["current_rev"]))
 
-    async def range(self, prefix: str) -> Found:
+    async def range(self, prefix: str, *, may_be_stale: bool = False) -> Found:
         """Return all items whose keys begin with ``prefix``.
 
         The pages aren't a snapshot; changes after the revision that is returned are
         yet to be taken in.
 
+        :param may_be_stale: whether an answer may be seconds old, which costs less.
         :raises UpstreamError: if the store can't be read.
         """
         items: list[Item] = []
         revision: int | None = None
-        after: dict[str, str] = {}
+        query = {"prefix": prefix}
+        if may_be_stale:
+            query["stale_ok"] = "1"
         while True:
-            _, body = await self._get(
-                _RANGE_PATH, CALL_TIMEOUT_MS, prefix=prefix, **after
-            )
+            _, body = await self._get(_RANGE_PATH, CALL_TIMEOUT_MS, **query)
             items.extend(_item(found) for found in body["items"])
             if revision is None:
                 revision = int(body["current_rev"])
             if not body["has_more"] or not body["items"]:
                 return Found(tuple(items), revision)
-            after = {"after": items[-1].key}
+            query["after"] = items[-1].key
 
     async def watch(self, prefix: str, after: int, wait_ms: float) -> Found:
         """Return what changed after a revision, at the latest after ``wait_ms``.
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -39,7 +39,8 @@
 STALL_CHECK_MS: t.Final = 200.0
 LOST_MS: t.Final = 500.0
 LOOKUP_INTERVAL_MS: t.Final = 1_000.0
-LONGEST_LOOKUP_INTERVAL_MS: t.Final = 8_000.0
+LONGEST_LOOKUP_INTERVAL_MS: t.Final = 16_000.0
+LOOKUP_BACKOFF: t.Final = 2.0
 
 
 class Agent:
@@ -422,7 +423,7 @@
                 await self._read_members()
                 await asyncio.sleep(self._lookup_ms / 1000)
                 longest_ms = LONGEST_LOOKUP_INTERVAL_MS
-                self._lookup_ms = min(self._lookup_ms * 1.5, longest_ms)
+                self._lookup_ms = min(self._lookup_ms * LOOKUP_BACKOFF, longest_ms)
             else:
                 self._lookup_ms = LOOKUP_INTERVAL_MS
                 await asyncio.sleep(LOOKUP_INTERVAL_MS / 1000)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -65,6 +65,7 @@
     values: dict[str, tuple[int, bytes]] = dataclasses.field(default_factory=dict)
     log: list[tuple[int, str, bytes | None]] = dataclasses.field(default_factory=list)
     calls: int = 0
+    stale_calls: int = 0
 
     def __post_init__(self):
         self.changed = asyncio.Event()
@@ -89,6 +90,7 @@
         self.calls += 1
         path, _, query = call.target.decode().partition("?")
         found = dict(urllib.parse.parse_qsl(query))
+        self.stale_calls += found.get("stale_ok") == "1"
         if self.fault == "silent":
             await asyncio.sleep(3_600)
         if self.fault == "busy":
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,7 +1,7 @@
 import testtools
 
 from dotterelplank import results
-from dotterelplank.gateway import admission, attempts, budget, queues, silence
+from dotterelplank.gateway import admission, attempts, budget, peers, queues, silence
 from dotterelplank.gateway.directory import Change, Directory, Endpoint, GroupPlace
 from dotterelplank.gateway.loads import Loads, PeerLoad
 from dotterelplank.gateway.pacing import Paces
@@ -142,6 +142,12 @@
         self.assertGreater(loads.stumbled(20.0, "a"), 0)
         self.assertGreater(loads.avoided_for_ms(20.0, "a"), 0)
 
+    def test_heartbeats_of_many_entries_keep_to_their_part_of_the_link(self):
+        for others, mbps in ((8, 1_000.0), (35, 20.0), (200, 20.0)):
+            spacing_ms = peers.spacing_ms(others, mbps)
+            sent_mbps = others * peers.PACKET_BYTES * 8 / (spacing_ms * 1_000)
+            self.assertLessEqual(sent_mbps, mbps * peers.LINK_PART * 1.001)
+
     def test_calls_of_silent_peers_count_no_more(self):
         loads = Loads()
         loads.hear("peer", PeerLoad({"e1": 2}, {"drafts": 3}, NOW_MS))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 from dotterelplank.errors import InputError, RequestError, SettingsError, UpstreamError
 from dotterelplank.gateway.host import Address
-from dotterelplank.platform import headers, published, records, settings
+from dotterelplank.platform import headers, members, published, records, settings
 from dotterelplank.platform.store import HistoryGoneError, StoreClient
 
 SOURCES = pathlib.Path(__file__).resolve().parent.parent / "src" / "dotterelplank"
@@ -200,6 +200,16 @@
         self.assertIsNone(changes[1].endpoint)
         self.assertEqual(4, found.revision)
 
+    def test_members_are_read_as_they_may_have_stood_seconds_ago(self):
+        async def work(store, client):
+            for number in range(4):
+                store.put(f"servers/{number}", SERVER)
+            await members.read_members(client, "drafts")
+            return store.stale_calls, store.calls
+
+        stale, calls = self._run(work, page_items=3)
+        self.assertEqual((2, 2), (stale, calls))
+
     def test_a_history_that_is_gone_is_told_apart(self):
         async def work(store, client):
             await client.watch("", 0, 100)
