--- a/src/dotterelplank/gateway/pacing.py
+++ b/src/dotterelplank/gateway/pacing.py
@@ -18,6 +18,8 @@
 """Events of a group that come closer together belong to the same pass."""
 TARGET_PART: t.Final = 0.9
 """The part of the longest pause on time that a pass may take."""
+STALLED_PARTS: t.Final = 3.0
+"""Longest pauses on time after which a pass was held up by something else than load."""
 LEAST_SHARE: t.Final = 0.52
 """The least part of a group's places that may be taken."""
 GROWTH: t.Final = 0.004
@@ -66,7 +68,7 @@
         if now_ms - pace.began_ms >= SAME_PASS_MS:
             if pace.gaps_ms:
                 pace.pass_ms = statistics.median(pace.gaps_ms)
-                if target_ms:
+                if pace.pass_ms < target_ms * STALLED_PARTS:
                     _judge(pace, target_ms * TARGET_PART, taken_share())
             pace.began_ms = now_ms
             pace.gaps_ms.clear()
--- a/tests/test_gateway_pacing.py
+++ b/tests/test_gateway_pacing.py
@@ -111,6 +111,12 @@
         self.assertEqual(pacing.LEAST_SHARE, min(shares))
         self.assertEqual(1.0, shares[-1])
 
+    def test_a_pass_that_is_held_for_a_change_or_a_lost_rank_bounds_nothing(self):
+        paces = Paces()
+        for now_ms, pass_ms in ((100.0, 60.0), (4_100.0, 4_000.0), (4_200.0, 60.0)):
+            paces.hear(now_ms, "g", pass_ms, GAP_MS, lambda: 1.0)
+        self.assertEqual(1.0, paces.share("g"))
+
     def test_a_call_that_would_be_late_anyway_isnt_kept_waiting(self):
         longest_ms = admission.longest_wait_ms(GOAL_MS, 8_000.0, 300.0)
         self.assertLessEqual(longest_ms + 300.0, GOAL_MS)
