--- a/src/dotterelplank/gateway/attempts.py
+++ b/src/dotterelplank/gateway/attempts.py
@@ -93,11 +93,16 @@
     return history.arrivals < route.attempts
 
 
-def final_result(history: History, *, is_over: bool) -> results.Result:
+def final_result(
+    history: History, *, is_over: bool, is_crowded: bool = False
+) -> results.Result:
     """Return what a caller is told when its call is given up.
 
     :param is_over: the time for the answer has passed.
+    :param is_crowded: it got no place at endpoints that could serve it.
     """
     if history.is_lost or history.is_open:
         return results.DEADLINE_AFTER_START if is_over else results.ENDPOINT_LOST
-    return results.NOT_STARTED_IN_TIME if is_over else results.NO_ENDPOINT
+    if is_over:
+        return results.NOT_STARTED_IN_TIME
+    return results.OVERLOADED if is_crowded else results.NO_ENDPOINT
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -270,12 +270,8 @@
             "in_flight": sum(board.loads.own.values()),
             "in_flight_elsewhere": sum(board.loads.others.values()),
             "waiting": sum(waiting(board).values()),
-            "pass_ms": max(
-                (pace.pass_ms for pace in board.paces.by_group.values()), default=0.0
-            ),
-            "places_share": min(
-                (pace.share for pace in board.paces.by_group.values()), default=1.0
-            ),
+            "pass_ms": board.paces.longest_ms(),
+            "places_share": board.paces.least_share(),
             "entries": board.entries,
             "endpoints": len(board.directory.endpoints),
             "table_version": board.table.version if board.table else 0,
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -264,7 +264,7 @@
         )
 
     def _give_up(self, one: Handling, *, is_over: bool) -> results.Result:
-        result = final_result(one.history, is_over=is_over)
+        result = final_result(one.history, is_over=is_over, is_crowded=one.is_crowded)
         if one.exchange.has_begun:
             one.exchange.abort()
             return results.STREAM_CUT
@@ -299,6 +299,8 @@
             first_ms=None if one.first_ms is None else round(one.first_ms, 1),
             total_ms=round(total_ms, 1),
             deadline_ms=round(one.deadline_ms - one.arrived_ms),
+            places_share=round(board.paces.least_share(), 2),
+            pass_ms=round(board.paces.longest_ms(), 1),
             in_flight=sum(board.loads.own.values()),
             in_flight_elsewhere=sum(board.loads.others.values()),
             table_version=board.table.version if board.table else None,
--- a/src/dotterelplank/gateway/handling.py
+++ b/src/dotterelplank/gateway/handling.py
@@ -33,6 +33,8 @@
     :param endpoint: id of the endpoint that it was sent to last.
     :param sent: the send in progress.
     :param has_repeat: whether the retry budget has already granted another send.
+    :param is_crowded: whether it got no place though there are endpoints that could
+        serve it.
     :param failure: passed on if no repeat brings a better answer.
     """
 
@@ -51,6 +53,7 @@
     endpoint: str = ""
     sent: Sent | None = None
     has_repeat: bool = False
+    is_crowded: bool = False
     failure: Failure | None = None
 
     @property
--- a/src/dotterelplank/gateway/pacing.py
+++ b/src/dotterelplank/gateway/pacing.py
@@ -79,6 +79,14 @@
         pace = self.by_group.get(group)
         return 1.0 if pace is None else pace.share
 
+    def least_share(self) -> float:
+        """Return the least part of any group's places that may be taken."""
+        return min((pace.share for pace in self.by_group.values()), default=1.0)
+
+    def longest_ms(self) -> float:
+        """Return the length of the longest of the groups' last passes."""
+        return max((pace.pass_ms for pace in self.by_group.values()), default=0.0)
+
 
 def _judge(pace: Pace, longest_ms: float, taken_share: float) -> None:
     if pace.pass_ms > longest_ms:
--- a/src/dotterelplank/gateway/places.py
+++ b/src/dotterelplank/gateway/places.py
@@ -35,7 +35,8 @@
         queue = self._board.queue_of(one.service)
         ahead = queue.ahead_of(one.priority, one.arrived_ms)
         answer = self.choose(now_ms, one.service, frozenset(one.history.tried))
-        if isinstance(answer, admission.Unusable):
+        one.is_crowded = not isinstance(answer, admission.Unusable)
+        if not one.is_crowded:
             return None
         if isinstance(answer, admission.Admit) and not ahead:
             self._count(answer.endpoint)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -256,6 +256,13 @@
             self.assertIs(results.Outcome.NOT_RUN, result.outcome)
             self.assertEqual(503, result.http_status)
 
+    def test_a_call_that_got_no_place_is_told_that_there_was_none(self):
+        history = attempts.History()
+        crowded = attempts.final_result(history, is_over=False, is_crowded=True)
+        self.assertIs(results.OVERLOADED, crowded)
+        unusable = attempts.final_result(history, is_over=False)
+        self.assertIs(results.NO_ENDPOINT, unusable)
+
 
 class DirectoryTests(testtools.TestCase):
     def test_an_older_change_is_no_news(self):
