--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -18,20 +18,19 @@
 from ..platform.members import read_members
 from ..platform.ranks import RankClient
 from ..platform.store import StoreClient
-from . import heartbeats, messages, policy, sampling
-from .demand import BLOCK_MS, Demands
+from . import messages, policy
+from .demand import Demands
 from .driver import Driver, direct_client
-from .group import ALIVE_MS, Group
+from .group import Group
 from .metrics import AgentMetrics
 from .participant import carry_out
 from .tasks import Look, Prepare, Task
+from .teller import Teller
 from .views import RankView
 
 log = logging.getLogger(__name__)
 
 READ_INTERVAL_MS: t.Final = 75.0
-ROWS_INTERVAL_MS: t.Final = 250.0
-"""How often a leader that doesn't know the map in use is told a rank's part of it."""
 TURN_MS: t.Final = 25.0
 """How often a change in progress is looked at, besides at each reply."""
 FORGOTTEN_HOLD_MS: t.Final = 400.0
@@ -59,18 +58,18 @@
         self._rank = RankClient(t.cast(Address, host.endpoint))
         self._store = StoreClient(host.store)
         self._incarnation = time.time_ns() // 1_000_000
-        self._numbers = 0
-        self._rota = heartbeats.Rota()
-        self._told_rows_ms = 0.0
         self._lookup_ms = LOOKUP_INTERVAL_MS
         self._heard_ms = boottime_ms()
         self._is_lost = False
-        self._counter = sampling.Counter()
-        self._sum = sampling.Sum()
-        self._sampled_ms = 0.0
-        self._sample_interval_ms = 0.0
         self._planned_ms = 0.0
-        self._leader: int | None = None
+        self._teller = Teller(
+            host,
+            self._incarnation,
+            self._group,
+            self._rank,
+            self._demands,
+            self._send_to_all,
+        )
         self._held_since_ms: float | None = None
         self._driver = Driver(
             host.ip,
@@ -145,50 +144,10 @@
         view = await self._rank.view()
         now_ms = boottime_ms()
         self._take_view(now_ms, view)
-        self._heartbeat(now_ms, view)
-        await self._tell_rows(now_ms, view)
-        is_idle = not view.active and self._leader is None
-        if is_idle and self._sum.counts is None:
-            return
-        if now_ms - self._sampled_ms < self._sample_interval_ms:
-            return
-        counts = await self._rank.counts()
-        if counts.epoch != view.epoch:
-            return
-        self._sampled_ms = now_ms
-        new = self._counter.since_last(counts.epoch, counts.counts)
-        if new is not None:
-            self._sum.add(new)
-        self._tell_counts(now_ms, view)
-
-    def _tell_counts(self, now_ms: float, view: RankView) -> None:
-        """Tell the next agent towards the leader what was counted here and below."""
-        alive = self._group.alive(now_ms)
-        leader = t.cast(int, self._group.leader(now_ms))
-        self._note_leader(leader, len(alive))
-        counts = self._sum.take()
-        if counts is None:
-            return
-        if leader == view.rank:
-            self._demands.add(now_ms, counts)
-            return
-        above = sampling.teller_to(view.rank, leader, view.size, alive)
-        member = self._group.members.get(above)
-        if member is not None:
-            told = sampling.coarse(counts)
-            sample = messages.Sample(view.group, view.epoch, told.unit, told.counts)
-            sent_bytes = self._send(member.heartbeat.ip, sample)
-            link_mbps = self._host.link_mbps
-            self._sample_interval_ms = sampling.interval_ms(sent_bytes, link_mbps)
-
-    def _note_leader(self, leader: int, alive: int) -> None:
-        if leader == self._leader:
-            return
-        self._leader = leader
-        own = t.cast(RankView, self._group.own)
-        events.emit(
-            log, events.LEADER_CHANGED, leader=leader, own=own.rank, alive=alive
-        )
+        ips = self._driver.members.ips
+        self._teller.heartbeat(now_ms, view, ips, READ_INTERVAL_MS)
+        await self._teller.tell_rows(now_ms, view)
+        await self._teller.tell_counts(now_ms, view)
 
     def _take_view(self, now_ms: float, view: RankView) -> None:
         self._heard_ms = now_ms
@@ -196,8 +155,7 @@
             self._is_lost = False
             events.emit(log, events.RANK_REGAINED, rank=view.rank, epoch=view.epoch)
         if self._group.see(now_ms, view):
-            self._demands.clear()
-            self._sum.take()
+            self._teller.clear()
             self._driver.drop()
         self._watch_hold(now_ms, view)
 
@@ -254,42 +212,6 @@
             self.metrics.count_silence()
             events.emit(log, events.RANK_LOST, silent_ms=round(silent_ms), why=why)
 
-    def _heartbeat(self, now_ms: float, view: RankView) -> None:
-        """Tell those whose turn it is that this agent lives."""
-        self._numbers += 1
-        heartbeat = messages.Heartbeat(
-            self._host.ip,
-            self._host.service or "",
-            self._incarnation,
-            self._numbers,
-            view,
-            self._group.present_map() is not None,
-        )
-        self._group.hear(now_ms, heartbeat)
-        data = messages.CODEC.encode(heartbeat)
-        others = self._driver.members.ips - {self._host.ip}
-        every_ms = heartbeats.interval_ms(len(others), self._host.link_mbps)
-        self._group.alive_ms = max(ALIVE_MS, heartbeats.MISSED * every_ms)
-        for ip in self._rota.due(now_ms, others, every_ms, READ_INTERVAL_MS):
-            self._send_data(ip, data)
-
-    async def _tell_rows(self, now_ms: float, view: RankView) -> None:
-        """Tell a leader that doesn't know the map in use the part of the own rank."""
-        leader = self._group.members.get(t.cast(int, self._group.leader(now_ms)))
-        if leader is None or leader.heartbeat.knows_map:
-            return
-        if now_ms - self._told_rows_ms < ROWS_INTERVAL_MS:
-            return
-        self._told_rows_ms = now_ms
-        epoch, version, rows = await self._rank.rows()
-        if epoch != view.epoch:
-            return
-        if leader.heartbeat.view.rank == view.rank:
-            self._group.learn_rows(view.rank, version, rows)
-        else:
-            told = messages.OwnRows(view.group, epoch, view.rank, version, rows)
-            self._send(leader.heartbeat.ip, told)
-
     async def _turn(self) -> None:
         """Begin changes, and let the one in progress go on."""
         while True:
@@ -336,7 +258,7 @@
                     self._group.learn_rows(message.rank, message.version, message.rows)
             case messages.Sample():
                 if self._is_of_group(message):
-                    self._take_sample(now_ms, message, len(data))
+                    self._teller.take_sample(now_ms, message, len(data))
             case messages.Ask():
                 self._driver.spread(message, message.pass_on)
                 self._background.spawn(self._answer(message))
@@ -350,19 +272,6 @@
             own.epoch,
         )
 
-    def _take_sample(
-        self, now_ms: float, sample: messages.Sample, sample_bytes: int
-    ) -> None:
-        own = t.cast(RankView, self._group.own)
-        counts = sampling.counts_of(sampling.Coarse(sample.unit, sample.counts))
-        if self._group.leader(now_ms) != own.rank:
-            self._sum.add(counts)
-            return
-        interval_ms = sampling.interval_ms(sample_bytes, self._host.link_mbps)
-        pass_ms = self._group.pass_ms(now_ms)
-        self._demands.block_ms = max(BLOCK_MS, interval_ms, pass_ms)
-        self._demands.add(now_ms, counts)
-
     async def _answer(self, ask: messages.Ask) -> None:
         task = self._task_of(ask)
         key = (type(task).__name__, ask.version or ask.step)
@@ -406,7 +315,7 @@
         return {
             "agents_alive": len(self._group.alive(now_ms)),
             "in_change": float(self._driver.change is not None),
-            "is_leader": float(own is not None and self._leader == own.rank),
+            "is_leader": float(own is not None and self._teller.leader == own.rank),
             "pass_ms": self._group.pass_ms(now_ms),
             "rank_silent_ms": now_ms - self._heard_ms,
             "step": -1 if own is None else own.step,
@@ -445,10 +354,11 @@
 
     def _send(self, ip: str, message: t.Any) -> int:
         """Send a message; return its size in bytes."""
-        data = messages.CODEC.encode(message)
-        self._send_data(ip, data)
-        return len(data)
+        return self._send_to_all([ip], message)
 
-    def _send_data(self, ip: str, data: bytes) -> None:
+    def _send_to_all(self, ips: t.Iterable[str], message: t.Any) -> int:
+        data = messages.CODEC.encode(message)
         if self._datagrams is not None:
-            self._datagrams.sendto(data, (ip, self._host.peer_port))
+            for ip in ips:
+                self._datagrams.sendto(data, (ip, self._host.peer_port))
+        return len(data)
