--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -73,6 +73,7 @@
         self._held_since_ms: float | None = None
         self._driver = Driver(
             host.ip,
+            host.link_mbps,
             self._group,
             self._rank,
             self.metrics,
--- a/src/dotterelplank/ranks/demand.py
+++ b/src/dotterelplank/ranks/demand.py
@@ -5,9 +5,9 @@
 import operator
 import typing as t
 
-BLOCK_MS: t.Final = 100.0
+BLOCK_MS: t.Final = 75.0
 """Least length of the pieces of time that are compared with each other."""
-BLOCKS: t.Final = 7
+BLOCKS: t.Final = 10
 SHIFT_DISTANCE: t.Final = 0.12
 """Part of the choices that differ between pieces of time after a shift."""
 
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -31,6 +31,7 @@
     """Drives one change at a time.
 
     :param ip: address of this host.
+    :param link_mbps: what this host can send, in millions of bits a second.
     :param rank: the rank of this host.
     :param send: sends a message to the agent at an address, and returns its size.
     :param on_silence: told why the rank of this host gave no answer.
@@ -39,6 +40,7 @@
     def __init__(
         self,
         ip: str,
+        link_mbps: float,
         group: Group,
         rank: RankClient,
         metrics: AgentMetrics,
@@ -48,6 +50,7 @@
         self.members = Members({}, None)
         self.change: changes.Change | None = None
         self._ip = ip
+        self._link_mbps = link_mbps
         self._group = group
         self._rank = rank
         self._metrics = metrics
@@ -249,7 +252,9 @@
         known = [rank for rank in ranks if rank in members]
         self._random.shuffle(known)
         sent_bytes = 0
-        for first, *rest in spreading.branches(known):
+        message_bytes = len(messages.CODEC.encode(ask))
+        most = spreading.fanout(message_bytes, self._link_mbps)
+        for first, *rest in spreading.branches(known, most):
             passed = dataclasses.replace(ask, pass_on=tuple(rest))
             sent_bytes += self._send(members[first].heartbeat.ip, passed)
         return sent_bytes
--- a/src/dotterelplank/ranks/planning.py
+++ b/src/dotterelplank/ranks/planning.py
@@ -13,8 +13,8 @@
 from .demand import Demand
 from .views import ExpertMap
 
-CANDIDATE_EXPERTS: t.Final = 2
-CANDIDATE_RANKS: t.Final = 5
+CANDIDATE_EXPERTS: t.Final = 4
+CANDIDATE_RANKS: t.Final = 6
 LEAST_FALL: t.Final = 0.002
 """The part of the mean load by which a move must lower the most loaded rank."""
 EVEN_SKEW: t.Final = 1.03
--- a/src/dotterelplank/ranks/spreading.py
+++ b/src/dotterelplank/ranks/spreading.py
@@ -7,12 +7,24 @@
 import typing as t
 
 FANOUT: t.Final = 6
-"""Hosts that each one sends to; each of these passes the message on to its part."""
+"""Most hosts that each one sends to; each of them passes the message on."""
+LEAST_FANOUT: t.Final = 2
+SENDING_MS: t.Final = 30.0
+"""Time that a host's link may take for what it sends at once."""
 
 Name = t.TypeVar("Name")
 
 
-def branches(names: t.Sequence[Name]) -> list[list[Name]]:
-    """Return the parts in which the first is sent the message, for the rest as well."""
-    count = min(FANOUT, len(names))
+def fanout(message_bytes: int, link_mbps: float) -> int:
+    """Return to how many hosts a message is sent: fewer, the longer it is.
+
+    :param link_mbps: what the host can send, in millions of bits a second.
+    """
+    fitting = int(SENDING_MS * link_mbps * 1000 / 8 / max(1, message_bytes))
+    return min(FANOUT, max(LEAST_FANOUT, fitting))
+
+
+def branches(names: t.Sequence[Name], most: int) -> list[list[Name]]:
+    """Return at most ``most`` parts; the first of each is sent the message for all."""
+    count = min(most, len(names))
     return [list(names[number::count]) for number in range(count)]
--- a/tests/test_ranks_spreading.py
+++ b/tests/test_ranks_spreading.py
@@ -47,24 +47,32 @@
 
 
 class SpreadingTests(testtools.TestCase):
-    def _reached(self, names):
+    def _reached(self, names, most):
         """Return who is reached as each passes on to its part, and in how many hops."""
         found = {}
-        parts = [(1, part) for part in spreading.branches(names)]
+        parts = [(1, part) for part in spreading.branches(names, most)]
         while parts:
             hops, (first, *rest) = parts.pop()
             found[first] = hops
-            parts += [(hops + 1, part) for part in spreading.branches(rest)]
+            parts += [(hops + 1, part) for part in spreading.branches(rest, most)]
         return found
 
     def test_all_are_reached_once_by_few_sends_each(self):
         for size in (0, 1, 16, 72, 128, 1_000):
-            found = self._reached(list(range(size)))
+            found = self._reached(list(range(size)), spreading.FANOUT)
             self.assertEqual(set(range(size)), set(found))
             self.assertLessEqual(max(found.values(), default=0), 4)
-            sends = spreading.branches(list(range(size)))
+            sends = spreading.branches(list(range(size)), spreading.FANOUT)
             self.assertLessEqual(len(sends), spreading.FANOUT)
 
+    def test_long_messages_go_to_fewer_hosts_at_once(self):
+        for size, mbps in ((300, 4.0), (4_500, 4.0), (4_500, 100.0)):
+            most = spreading.fanout(size, mbps)
+            self.assertLessEqual(most, spreading.FANOUT)
+            sending_ms = most * size * 8 / (mbps * 1_000)
+            self.assertLessEqual(sending_ms, spreading.SENDING_MS)
+        self.assertEqual(spreading.LEAST_FANOUT, spreading.fanout(50_000, 4.0))
+
 
 class RotaTests(testtools.TestCase):
     """The load: all agents of a large group tell all others."""
