--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -61,7 +61,6 @@
         self._numbers = 0
         self._sent_bytes = 0
         self._spread_version = -1
-        self._is_base_told = False
         self._asked: dict[int, int] = {}
         self._background = Background()
 
@@ -75,8 +74,6 @@
         """Begin a change; ``present`` is the map in use."""
         version = self._group.new_version(self._random.getrandbits(versions.DRAW_BITS))
         found = decision.plan
-        # Whoever took part in the change to the map in use knows it.
-        self._is_base_told = self._spread_version == own.map_version
         self._group.keep_map(version, found.map)
         self.change = changes.begin(
             now_ms,
@@ -239,7 +236,8 @@
     ) -> messages.MapText:
         """Return the text of a map; a whole one where its base may not be known."""
         own = t.cast(RankView, self._group.own)
-        if is_repeat or not self._is_base_told:
+        # Whoever took part in the change to the map in use knows it.
+        if is_repeat or self._spread_version != own.map_version:
             return messages.map_text(task.map)
         return messages.map_text(task.map, (own.map_version, change.present))
 
