--- a/src/dotterelplank/ranks/demand.py
+++ b/src/dotterelplank/ranks/demand.py
@@ -2,14 +2,18 @@
 
 import collections
 import dataclasses
+import math
 import operator
 import typing as t
 
 BLOCK_MS: t.Final = 75.0
 """Least length of the pieces of time that are compared with each other."""
 BLOCKS: t.Final = 10
-SHIFT_DISTANCE: t.Final = 0.12
+LEAST_SHIFT_DISTANCE: t.Final = 0.12
+MOST_SHIFT_DISTANCE: t.Final = 0.2
 """Part of the choices that differ between pieces of time after a shift."""
+NOISE_OF_A_RANK: t.Final = 0.8
+"""How far the choices of one rank's few calls may differ between pieces of time."""
 
 Demand = list[list[float]]
 """How often each expert was chosen, by layer and expert."""
@@ -22,12 +26,14 @@
     :param samples: when counts came in, and these.
     :param block_ms: length of the pieces of time that are compared; not less than the
         time between two samples of a rank.
+    :param shift_distance: from here on two pieces lie on both sides of a shift.
     """
 
     samples: collections.deque[tuple[float, t.Sequence[int]]] = dataclasses.field(
         default_factory=collections.deque
     )
     block_ms: float = BLOCK_MS
+    shift_distance: float = MOST_SHIFT_DISTANCE
 
     def add(self, now_ms: float, counts: t.Sequence[int]) -> None:
         """Take in what some ranks counted since their sample before."""
@@ -55,7 +61,7 @@
         while blocks < BLOCKS:
             # Against the latest alone, as word of a shift comes in by and by.
             earlier = self._block(now_ms, blocks, layers * experts)
-            if distance(latest, earlier) > SHIFT_DISTANCE:
+            if distance(latest, earlier) > self.shift_distance:
                 break
             choices = list(map(operator.add, choices, earlier))
             blocks += 1
@@ -88,6 +94,12 @@
         return sum(map(sum, self.demand))
 
 
+def shift_distance(ranks: int) -> float:
+    """Return what tells a shift from noise: less, the more ranks have calls."""
+    noise = NOISE_OF_A_RANK / math.sqrt(ranks)
+    return min(MOST_SHIFT_DISTANCE, max(LEAST_SHIFT_DISTANCE, noise))
+
+
 def distance(one: t.Sequence[float], other: t.Sequence[float]) -> float:
     """Return the part of the choices by which two pieces of time differ, 0 to 1.
 
--- a/src/dotterelplank/ranks/teller.py
+++ b/src/dotterelplank/ranks/teller.py
@@ -8,7 +8,7 @@
 from ..gateway.host import HostSettings
 from ..platform.ranks import RankClient
 from . import heartbeats, messages, sampling
-from .demand import BLOCK_MS, Demands
+from .demand import BLOCK_MS, Demands, shift_distance
 from .group import ALIVE_MS, Group
 from .views import RankView
 
@@ -125,6 +125,7 @@
             return
         between_ms = sampling.interval_ms(sample_bytes, self.host.link_mbps)
         pass_ms = self.group.pass_ms(now_ms)
+        self.demands.shift_distance = shift_distance(own.size)
         self.demands.block_ms = max(BLOCK_MS, between_ms, pass_ms)
         self.demands.add(now_ms, counts)
 
--- a/tests/test_ranks_planning.py
+++ b/tests/test_ranks_planning.py
@@ -5,7 +5,7 @@
 
 from dotterelplank.gateway.tables import ExpertLayout
 from dotterelplank.ranks import policy, sampling
-from dotterelplank.ranks.demand import Demands, distance
+from dotterelplank.ranks.demand import Demands, distance, shift_distance
 from dotterelplank.ranks.group import Group
 from dotterelplank.ranks.messages import Heartbeat
 from dotterelplank.ranks.planning import Room, plan, skew
@@ -91,6 +91,18 @@
         window = demands.since_shift(2_280, LAYERS, EXPERTS)
         self.assertLessEqual(window.span_ms, 300)
 
+    def test_a_small_group_takes_no_noise_of_few_calls_for_a_shift(self):
+        """One piece of time differs by 0.15 from the next, without end."""
+        windows = []
+        for ranks in (16, 128):
+            demands = Demands(shift_distance=shift_distance(ranks))
+            for turn in range(14):
+                part = 15 * (turn % 2)
+                demands.add(turn * 75.0, [50 + part, 50 - part])
+            windows.append(demands.since_shift(13 * 75.0, 1, 2).span_ms)
+        self.assertGreater(windows[0], 500.0)
+        self.assertEqual(75.0, windows[1])
+
     def test_a_sample_that_is_lost_takes_only_its_own_counts_away(self):
         demands = Demands()
         for now_ms, count in ((0, 500), (75, 10), (225, 12)):
