--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -17,6 +17,7 @@
 import numpy as np
 from rank_model import ModelRank
 
+from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.tables import ExpertLayout
 from dotterelplank.platform.members import Members
@@ -36,6 +37,8 @@
 MAIN_PART = 0.7
 """Part of the demand that is for one topic."""
 PACKET_BYTES = 28
+LATE_S = (2.0, 12.0)
+ORDER_TIMEOUT_MS = 20.0
 
 
 _SEEDED = types.SimpleNamespace(Random=lambda: random.Random(5))
@@ -175,14 +178,23 @@
 
     async def give(self, order: Order) -> bool:
         await asyncio.sleep(CALL_MS / 1000)
+        faults = self._world.faults
+        if faults.random() < self._world.late:
+            late_s = faults.uniform(*LATE_S)
+            asyncio.get_running_loop().call_later(late_s, self._apply, order)
+            await asyncio.sleep(ORDER_TIMEOUT_MS / 1000)
+            raise UpstreamError("no answer in time", sent=True)
+        return self._apply(order)
+
+    def close(self) -> None:
+        pass
+
+    def _apply(self, order: Order) -> bool:
         is_accepted = self.model.apply(order)
         if is_accepted and isinstance(order, PrepareMap):
             self._copy(order)
         return is_accepted
 
-    def close(self) -> None:
-        pass
-
     def _copy(self, order: PrepareMap) -> None:
         """Have the map ready once what is new to the rank has been copied."""
         model = self.model
@@ -210,12 +222,37 @@
         self.counts, self.close = rank.counts_now, rank.close
 
 
+class _Store:
+    """Stands in for the client of the platform's store at one host."""
+
+    def __init__(self, address: Address) -> None:
+        self.rank = address.port
+
+    def close(self) -> None:
+        pass
+
+
 class World:
-    """A group of ``size`` ranks with the layout of ``layout``, and its agents."""
+    """A group of ``size`` ranks with the layout of ``layout``, and its agents.
+
+    Faults are set while it runs.
 
-    def __init__(self, size: int, layout: ExpertLayout, link_mbps: float) -> None:
+    :ivar late: share of the orders that get no answer and are carried out seconds later.
+    :ivar store_away: ranks whose hosts the platform's store turns away.
+    :ivar begun: when passes began, in seconds.
+    """
+
+    def __init__(
+        self, size: int, layout: ExpertLayout, link_mbps: float, seed: int = 3
+    ) -> None:
         self.size, self.layout, self.link_mbps = size, layout, link_mbps
-        self.random = np.random.default_rng(3)
+        self.random = np.random.default_rng(seed)
+        self.faults = random.Random(seed)
+        self.late = 0.0
+        self.store_away: set[int] = set()
+        self.begun: list[float] = []
+        self._agents: list[asyncio.Task[None]] = []
+        self._others: set[asyncio.Task[t.Any] | None] = set()
         self.maps = {0: _first_map(size, layout)}
         spread = self.random.normal(
             0, TOPIC_SPREAD, (TOPICS, layout.layers, layout.experts)
@@ -252,6 +289,7 @@
                 continue
             mean = self.demand().ravel() * self.layout.experts * CHOICES_PER_EXPERT
             before = self.ranks[0].model.map_version
+            self.begun.append(loop.time())
             for rank in self.ranks:
                 rank.model.begin_pass()
                 rank.counts += self.random.poisson(mean)
@@ -266,7 +304,9 @@
         loop.network.link_mbps = self.link_mbps
         self.network = loop.network
 
-        async def members(_client, _service):
+        async def members(client, _service):
+            if client.rank in self.store_away:
+                raise UpstreamError("status 503", sent=True)
             places = {rank: Address(_ip(rank), rank) for rank in range(self.size)}
             ips = {_ip(rank) for rank in range(self.size)}
             return Members(places, self.layout, 150.0, ips)
@@ -279,6 +319,7 @@
 
         patches = [
             unittest.mock.patch.object(agents, "RankClient", reach),
+            unittest.mock.patch.object(agents, "StoreClient", _Store),
             unittest.mock.patch.object(driver, "direct_client", reach),
             unittest.mock.patch.object(driver, "random", _SEEDED),
             unittest.mock.patch.object(agents, "read_members", members),
@@ -294,17 +335,31 @@
                 loop.close()
 
     async def _run(self, script: t.Callable[["World"], t.Awaitable[None]]) -> None:
-        tasks = [
-            asyncio.create_task(agents.Agent(self._host(rank)).run())
-            for rank in range(self.size)
-        ]
-        tasks.append(asyncio.create_task(self.make_passes()))
+        self.start_agents()
+        passes = asyncio.create_task(self.make_passes())
+        self._others = {asyncio.current_task(), passes}
         try:
             await script(self)
         finally:
-            for task in tasks:
-                task.cancel()
-            ended = await asyncio.gather(*tasks, return_exceptions=True)
+            passes.cancel()
+            await self.kill_agents()
+            (ended,) = await asyncio.gather(passes, return_exceptions=True)
+        if isinstance(ended, Exception):
+            raise ended
+
+    def start_agents(self) -> None:
+        """Start an agent beside each rank, which knows nothing yet."""
+        self._agents = [
+            asyncio.create_task(agents.Agent(self._host(rank)).run())
+            for rank in range(self.size)
+        ]
+
+    async def kill_agents(self) -> None:
+        """End all agents at once, with what they had begun."""
+        keep = {asyncio.current_task(), *self._others}
+        for task in asyncio.all_tasks() - keep:
+            task.cancel()
+        ended = await asyncio.gather(*self._agents, return_exceptions=True)
         for one in ended:
             if isinstance(one, Exception):
                 raise one
@@ -320,7 +375,7 @@
             seeds=(),
             endpoint=Address(_ip(rank), rank),
             service="drafts",
-            store=Address("127.0.0.1", 1),
+            store=Address(_ip(rank), rank),
             bounds=Bounds(2_000.0, 2_000.0, 0.2, 10_000.0, 94.0),
             link_mbps=self.link_mbps,
         )
