--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -255,6 +255,12 @@
     logging.INFO,
     "A task's map can't be told from those known here; it will be sent whole.",
 )
+PASS_HELD = _define(
+    180,
+    "pass-held",
+    logging.WARNING,
+    "The rank here has held a pass for long; what its agent knows to clear it up.",
+)
 
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -22,6 +22,7 @@
 from .demand import Demands
 from .driver import Driver, direct_client
 from .group import Group
+from .holds import HoldWatch, is_holding
 from .metrics import AgentMetrics
 from .participant import carry_out
 from .tasks import Look, Prepare, Task
@@ -33,8 +34,6 @@
 READ_INTERVAL_MS: t.Final = 75.0
 TURN_MS: t.Final = 25.0
 """How often a change in progress is looked at, besides at each reply."""
-FORGOTTEN_HOLD_MS: t.Final = 400.0
-"""How long a pass may be held without a change known here."""
 STALL_CHECK_MS: t.Final = 200.0
 LOST_MS: t.Final = 500.0
 LOOKUP_INTERVAL_MS: t.Final = 1_000.0
@@ -70,7 +69,7 @@
             self._demands,
             self._send_to_all,
         )
-        self._held_since_ms: float | None = None
+        self._hold = HoldWatch()
         self._driver = Driver(
             host.ip,
             host.link_mbps,
@@ -162,17 +161,18 @@
 
     def _watch_hold(self, now_ms: float, view: RankView) -> None:
         """Clear up a pass that is held here and that nobody releases."""
-        if view.held is None or view.step >= view.held:
-            self._held_since_ms = None
-            return
-        if self._held_since_ms is None:
-            self._held_since_ms = now_ms
-        if (
-            self._driver.change is not None
-            or now_ms - self._held_since_ms < FORGOTTEN_HOLD_MS
-        ):
+        self._hold.see(now_ms, view)
+        change = self._driver.change
+        self._hold.note(
+            now_ms,
+            phase=None if change is None else change.phase.value,
+            alive=len(self._group.alive(now_ms)),
+            knows_map=self._group.present_map() is not None,
+            knows_members=len(self._driver.members.ranks),
+        )
+        if change is not None or not self._hold.is_forgotten(now_ms):
             return
-        self._driver.take_over(now_ms, view.rank, view.held)
+        self._driver.take_over(now_ms, view.rank, t.cast(int, view.held))
 
     async def _watch_stall(self) -> None:
         """Look for a pass held at a rank whose agent is silent, and clear it up."""
@@ -201,8 +201,7 @@
                 continue
             finally:
                 client.close()
-            is_held = view.held is not None and view.held > view.step
-            if is_held and view.epoch == own.epoch and self._driver.change is None:
+            if is_holding(view) and view.epoch == own.epoch and self._driver.change is None:
                 self._driver.take_over(boottime_ms(), rank, t.cast(int, view.held))
                 return
 
@@ -319,6 +318,7 @@
             "is_leader": float(own is not None and self._teller.leader == own.rank),
             "pass_ms": self._group.pass_ms(now_ms),
             "rank_silent_ms": now_ms - self._heard_ms,
+            "held_ms": self._hold.held_ms(now_ms),
             "step": -1 if own is None else own.step,
             "map_version": -1 if own is None else own.map_version,
         }
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -11,8 +11,8 @@
 
 from dotterelplank.errors import UpstreamError
 from dotterelplank.ranks import change as changes, participant, versions
-from dotterelplank.ranks.agent import FORGOTTEN_HOLD_MS
 from dotterelplank.ranks.group import Group
+from dotterelplank.ranks.holds import FORGOTTEN_HOLD_MS
 from dotterelplank.ranks.messages import Heartbeat
 from dotterelplank.ranks.views import (
     Armed,
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -6,7 +6,7 @@
 from rank_model import MAP, World, sleep
 
 from dotterelplank.ranks import change as changes, participant, tasks, versions
-from dotterelplank.ranks.agent import FORGOTTEN_HOLD_MS
+from dotterelplank.ranks.holds import FORGOTTEN_HOLD_MS
 from dotterelplank.ranks.views import Armed, RankView
 
 NOW_MS = 1_000.0
