Clear up a held pass without knowing the map in use

Cause: the agents were killed while a change held a pass. Clearing up is the duty of the holder's agent, but a void version was sent as a copy of the map in use, and after a restart of all only the leader learns that map. Driver.take_over returned without a word, and while a rank holds a pass nobody begins anything else. Class: a duty of one process that rests on what only another is told.

Ruled out there: a change in hand that doesn't end (phase=null), agents that aren't heard (alive=16).

Mend: a void version is never armed, so the agent of each rank makes its map from what that rank alone tells. The message shrinks to a few bytes.

The world of modelled links held the content of a version to be one at all ranks; void versions differ now. Instead it checks the content in use of all ranks at each pass, and that each map given is a valid one.

--- a/src/dotterelplank/platform/ranks.py
+++ b/src/dotterelplank/platform/ranks.py
@@ -16,6 +16,7 @@
     DisarmMap,
     HoldStep,
     Order,
+    OwnPart,
     PrepareMap,
     RankView,
     ReleaseStep,
@@ -126,13 +127,13 @@
         found = await self._read(_COUNTS_PATH, _Picked)
         return Counts(found.epoch, found.step, found.counts)
 
-    async def rows(self) -> tuple[int, int, Rows]:
-        """Return the epoch, the version of the map in use, and the rank's part of it.
+    async def rows(self) -> OwnPart:
+        """Return the rank's part of the map in use.
 
         :raises UpstreamError: if there was no answer.
         """
         found = await self._read(_ROWS_PATH, _Lists)
-        return found.epoch, found.map.version, found.map.experts
+        return OwnPart(found.epoch, found.map.version, found.map.experts)
 
     async def give(self, order: Order) -> bool:
         """Give an order; return whether it was accepted.
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -201,7 +201,11 @@
                 continue
             finally:
                 client.close()
-            if is_holding(view) and view.epoch == own.epoch and self._driver.change is None:
+            if (
+                is_holding(view)
+                and view.epoch == own.epoch
+                and self._driver.change is None
+            ):
                 self._driver.take_over(boottime_ms(), rank, t.cast(int, view.held))
                 return
 
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -78,7 +78,6 @@
     :param void_version: higher than any that a rank may have met.
     :param copy_ms: time that the copies of the slowest rank take.
     :param least_step: passes before this one aren't used.
-    :param present: the map in use, which a void version repeats.
     :param views: the latest word of each rank within this change.
     :param asked_ms: when each rank was last given a task.
     :param heard_ms: when each rank last answered.
@@ -91,7 +90,6 @@
     holder: int
     version: int
     map: ExpertMap
-    present: ExpertMap
     void_version: int
     began_ms: float
     copy_ms: float
@@ -115,7 +113,6 @@
     own: RankView,
     version: int,
     new: ExpertMap,
-    present: ExpertMap,
     copy_ms: float,
     least_step: int,
 ) -> Change:
@@ -132,7 +129,6 @@
         holder=holder_for(own.rank, own.size),
         version=version,
         map=new,
-        present=present,
         void_version=version + 1,
         began_ms=now_ms,
         copy_ms=copy_ms,
@@ -161,7 +157,6 @@
     holder: int,
     step: int,
     void_version: int,
-    present: ExpertMap,
 ) -> Change:
     """Return the clearing up of a pass that is held at rank ``holder`` by nobody alive.
 
@@ -173,7 +168,6 @@
         holder=holder,
         version=0,
         map=[],
-        present=present,
         void_version=void_version,
         began_ms=now_ms,
         copy_ms=0.0,
@@ -351,7 +345,7 @@
         change.phase = Phase.RELEASE
         return {}
     dead = dead_versions(views.values())
-    task = Void(change.void_version, change.present, dead)
+    task = Void(change.void_version, dead)
     due = {
         rank
         for rank in waiting
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -61,6 +61,7 @@
         self._numbers = 0
         self._sent_bytes = 0
         self._spread_version = -1
+        self._base: tuple[int, ExpertMap] | None = None
         self._asked: dict[int, int] = {}
         self._background = Background()
 
@@ -75,12 +76,12 @@
         version = self._group.new_version(self._random.getrandbits(versions.DRAW_BITS))
         found = decision.plan
         self._group.keep_map(version, found.map)
+        self._base = (own.map_version, present)
         self.change = changes.begin(
             now_ms,
             own,
             version,
             found.map,
-            present,
             decision.copy_ms,
             self._group.used_step + 1,
         )
@@ -101,9 +102,6 @@
     def take_over(self, now_ms: float, holder: int, step: int) -> None:
         """Clear up a pass that a rank holds, whoever had it held."""
         own = t.cast(RankView, self._group.own)
-        present = self._group.present_map()
-        if present is None:
-            return
         draw = self._random.getrandbits(versions.DRAW_BITS)
         self._group.used_step = max(self._group.used_step, step)
         self.change = changes.take_over(
@@ -113,7 +111,6 @@
             holder,
             step,
             self._group.new_version(draw),
-            present,
         )
         self._metrics.count_take_over()
         events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
@@ -224,22 +221,19 @@
     ) -> None:
         """Ask the agents of ranks to carry out a task there."""
         text = None
-        if isinstance(task, (tasks.Prepare, tasks.Void)):
-            text = self._map_text(change, task, is_repeat)
+        if isinstance(task, tasks.Prepare):
+            text = self._map_text(task, is_repeat)
         self._numbers += 1
         self._asked[self._numbers] = change.version
         ask = messages.ask(self._ip, self._numbers, change.epoch, task, text)
         self._sent_bytes += self.spread(ask, ranks)
 
-    def _map_text(
-        self, change: changes.Change, task: tasks.Prepare | tasks.Void, is_repeat: bool
-    ) -> messages.MapText:
+    def _map_text(self, task: tasks.Prepare, is_repeat: bool) -> messages.MapText:
         """Return the text of a map; a whole one where its base may not be known."""
-        own = t.cast(RankView, self._group.own)
         # Whoever took part in the change to the map in use knows it.
-        if is_repeat or self._spread_version != own.map_version:
+        if is_repeat or self._base is None or self._spread_version != self._base[0]:
             return messages.map_text(task.map)
-        return messages.map_text(task.map, (own.map_version, change.present))
+        return messages.map_text(task.map, self._base)
 
     def spread(self, ask: messages.Ask, ranks: t.Sequence[int]) -> int:
         """Send a task to the agents of ranks, a few of which pass it on to the others.
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -135,7 +135,7 @@
 def ask(ip: str, number: int, epoch: int, task: Task, text: MapText | None) -> Ask:
     """Return the message of a task.
 
-    :param text: the map of a task that has one.
+    :param text: the map that is to be prepared.
     """
     kind = type(task).__name__.lower()
     return Ask(
@@ -165,9 +165,7 @@
         case "arm":
             return Arm(message.version, message.step)
         case "void":
-            if found is None:
-                return None
-            return Void(message.version, found, message.dead)
+            return Void(message.version, message.dead)
         case "release":
             return Release(message.step)
         case "look":
--- a/src/dotterelplank/ranks/participant.py
+++ b/src/dotterelplank/ranks/participant.py
@@ -11,10 +11,12 @@
 
 from .. import events
 from ..errors import UpstreamError
+from .placeholder import placeholder
 from .tasks import Arm, Hold, Look, Prepare, Release, Task, Void
 from .views import (
     ArmMap,
     DisarmMap,
+    ExpertMap,
     HoldStep,
     Order,
     PrepareMap,
@@ -88,11 +90,18 @@
             return view
         disarm = DisarmMap(view.epoch, armed.version)
         view = (await _give(rank, view, disarm, lambda one: one.armed == armed)).view
-    order = PrepareMap(view.epoch, task.version, task.map)
+    own_map = await _placeholder(rank, view)
+    order = PrepareMap(view.epoch, task.version, own_map)
     given = await _give(rank, view, order, lambda one: _may_prepare(one, task.version))
     return given.view
 
 
+async def _placeholder(rank: Rank, view: RankView) -> ExpertMap:
+    rows = (await rank.rows()).rows
+    counts = (await rank.counts()).counts
+    return placeholder(view.rank, view.size, rows, len(counts) // max(1, len(rows)))
+
+
 async def _release(rank: Rank, view: RankView, task: Release) -> RankView:
     order = ReleaseStep(view.epoch, task.step)
     given = await _give(rank, view, order, lambda one: one.held == task.step)
--- a/src/dotterelplank/ranks/tasks.py
+++ b/src/dotterelplank/ranks/tasks.py
@@ -37,11 +37,12 @@
 class Void:
     """Have a version prepared that refuses late orders to arm lower ones.
 
+    It is never armed, so its map is made where the rank is.
+
     :param dead: versions that may be disarmed first.
     """
 
     version: int
-    map: ExpertMap
     dead: tuple[int, ...]
 
 
--- a/src/dotterelplank/ranks/teller.py
+++ b/src/dotterelplank/ranks/teller.py
@@ -88,13 +88,15 @@
         if now_ms - self.told_rows_ms < ROWS_INTERVAL_MS:
             return
         self.told_rows_ms = now_ms
-        epoch, version, rows = await self.rank.rows()
-        if epoch != view.epoch:
+        part = await self.rank.rows()
+        if part.epoch != view.epoch:
             return
         if leader.heartbeat.view.rank == view.rank:
-            self.group.learn_rows(view.rank, version, rows)
+            self.group.learn_rows(view.rank, part.version, part.rows)
         else:
-            told = messages.OwnRows(view.group, epoch, view.rank, version, rows)
+            told = messages.OwnRows(
+                view.group, part.epoch, view.rank, part.version, part.rows
+            )
             self.send([leader.heartbeat.ip], told)
 
     async def tell_counts(self, now_ms: float, view: RankView) -> None:
--- a/src/dotterelplank/ranks/views.py
+++ b/src/dotterelplank/ranks/views.py
@@ -73,6 +73,15 @@
     counts: list[int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnPart:
+    """A rank's part of the map in use."""
+
+    epoch: int
+    version: int
+    rows: Rows
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrepareMap:
     """Copy what is new to the rank, and keep the map ready.
@@ -138,5 +147,11 @@
     async def view(self) -> RankView:
         """Return what the rank says of itself now."""
 
+    async def rows(self) -> OwnPart:
+        """Return the rank's part of the map in use."""
+
+    async def counts(self) -> Counts:
+        """Return how often the rank's calls chose each expert."""
+
     async def give(self, order: Order) -> bool:
         """Give an order; return whether it was accepted."""
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -22,7 +22,7 @@
 from dotterelplank.gateway.tables import ExpertLayout
 from dotterelplank.platform.members import Members
 from dotterelplank.ranks import agent as agents, driver, planning
-from dotterelplank.ranks.views import Counts, Order, PrepareMap, RankView
+from dotterelplank.ranks.views import Counts, Order, OwnPart, PrepareMap, RankView
 
 PORT = 7000
 DELAY_MS = 1.0
@@ -159,7 +159,8 @@
         self._world = world
         self.model = ModelRank(rank, world.size)
         self.counts = np.zeros(world.layout.layers * world.layout.experts, dtype=int)
-        self.rows_now = [layer[rank] for layer in world.maps[0]]
+        self.map_in_use = world.first_map
+        self._prepared: dict[int, t.Any] = {}
 
     async def view(self) -> RankView:
         await asyncio.sleep(CALL_MS / 1000)
@@ -170,11 +171,11 @@
         model = self.model
         return Counts(model.epoch, model.step, self.counts.tolist())
 
-    async def rows(self) -> tuple[int, int, list[list[int]]]:
+    async def rows(self) -> OwnPart:
         await asyncio.sleep(CALL_MS / 1000)
-        version = self.model.map_version
-        rows = [layer[self.model.rank] for layer in self._world.maps[version]]
-        return self.model.epoch, version, rows
+        model = self.model
+        rows = [layer[model.rank] for layer in self.map_in_use]
+        return OwnPart(model.epoch, model.map_version, rows)
 
     async def give(self, order: Order) -> bool:
         await asyncio.sleep(CALL_MS / 1000)
@@ -190,20 +191,37 @@
         pass
 
     def _apply(self, order: Order) -> bool:
+        is_prepare = isinstance(order, PrepareMap)
+        if is_prepare:
+            assert self._world.is_valid(order.map), order
+            if max(self._copies(order.map)) > self._world.layout.spare:
+                return False
         is_accepted = self.model.apply(order)
-        if is_accepted and isinstance(order, PrepareMap):
+        if is_accepted and is_prepare:
             self._copy(order)
         return is_accepted
 
+    def begin_pass(self) -> None:
+        """Begin a pass, on a new map if the rank is armed for that."""
+        before = self.model.map_version
+        self.model.begin_pass()
+        if self.model.map_version != before:
+            self.map_in_use = self._prepared[self.model.map_version]
+            self._prepared.clear()
+
+    def _copies(self, expert_map: t.Any) -> list[int]:
+        """Return how many experts of each layer a map makes new here."""
+        rank = self.model.rank
+        return [
+            len(set(new[rank]) - set(old[rank]))
+            for new, old in zip(expert_map, self.map_in_use)
+        ]
+
     def _copy(self, order: PrepareMap) -> None:
         """Have the map ready once what is new to the rank has been copied."""
         model = self.model
-        self._world.keep(order.version, order.map)
-        before = self._world.maps[model.map_version]
-        copies = sum(
-            len(set(new[model.rank]) - set(old[model.rank]))
-            for new, old in zip(order.map, before)
-        )
+        self._prepared[order.version] = order.map
+        copies = sum(self._copies(order.map))
         model.prepared = None
         loop = asyncio.get_running_loop()
         copy_s = copies * self._world.layout.copy_ms / 1000
@@ -240,6 +258,7 @@
     :ivar late: share of the orders that get no answer and are carried out seconds later.
     :ivar store_away: ranks whose hosts the platform's store turns away.
     :ivar begun: when passes began, in seconds.
+    :ivar spare_tasks: tasks that aren't the agents'.
     """
 
     def __init__(
@@ -252,8 +271,8 @@
         self.store_away: set[int] = set()
         self.begun: list[float] = []
         self._agents: list[asyncio.Task[None]] = []
-        self._others: set[asyncio.Task[t.Any] | None] = set()
-        self.maps = {0: _first_map(size, layout)}
+        self.spare_tasks: set[asyncio.Task[t.Any] | None] = set()
+        self.first_map = _first_map(size, layout)
         spread = self.random.normal(
             0, TOPIC_SPREAD, (TOPICS, layout.layers, layout.experts)
         )
@@ -264,10 +283,11 @@
         self.switched: list[tuple[float, int]] = []
         self.network: Network | None = None
 
-    def keep(self, version: int, expert_map: t.Any) -> None:
-        """Note the content of a version, which must be the same at all ranks."""
-        known = self.maps.setdefault(version, expert_map)
-        assert known == expert_map, f"two contents of version {version}"
+    def is_valid(self, expert_map: t.Any) -> bool:
+        """Return whether a map is one of this group."""
+        return len(expert_map) == self.layout.layers and all(
+            _is_valid(layer, self.size, self.layout) for layer in expert_map
+        )
 
     def demand(self) -> np.ndarray:
         """Return the part that each expert has of its layer's choices now."""
@@ -276,7 +296,7 @@
 
     def skew(self) -> float:
         """Return how uneven the load is on the map in use."""
-        present = self.maps[self.ranks[0].model.map_version]
+        present = self.ranks[0].map_in_use
         return planning.skew((self.demand() * 1e6).tolist(), present)
 
     async def make_passes(self) -> None:
@@ -291,13 +311,27 @@
             before = self.ranks[0].model.map_version
             self.begun.append(loop.time())
             for rank in self.ranks:
-                rank.model.begin_pass()
+                rank.begin_pass()
                 rank.counts += self.random.poisson(mean)
             versions = {rank.model.map_version for rank in self.ranks}
             assert len(versions) == 1, versions
+            first = self.ranks[0].map_in_use
+            assert all(rank.map_in_use == first for rank in self.ranks), versions
             if versions != {before}:
                 self.switched.append((loop.time(), versions.pop()))
 
+    def phase(self) -> str:
+        """Return how far the change of the map has got that the ranks tell of."""
+        models = [rank.model for rank in self.ranks]
+        armed = sum(model.armed is not None for model in models)
+        if any(model.held is not None for model in models):
+            return "armed" if armed == self.size else "arming" if armed else "held"
+        return "preparing" if len({model.highest for model in models}) > 1 else "idle"
+
+    def has_begun_since(self, since_s: float) -> bool:
+        """Return whether a pass has begun since then."""
+        return bool(self.begun) and self.begun[-1] > since_s
+
     def run(self, script: t.Callable[["World"], t.Awaitable[None]]) -> None:
         """Run all agents, and ``script`` beside them, on a clock of their own."""
         loop = VirtualLoop()
@@ -337,7 +371,7 @@
     async def _run(self, script: t.Callable[["World"], t.Awaitable[None]]) -> None:
         self.start_agents()
         passes = asyncio.create_task(self.make_passes())
-        self._others = {asyncio.current_task(), passes}
+        self.spare_tasks |= {asyncio.current_task(), passes}
         try:
             await script(self)
         finally:
@@ -356,7 +390,7 @@
 
     async def kill_agents(self) -> None:
         """End all agents at once, with what they had begun."""
-        keep = {asyncio.current_task(), *self._others}
+        keep = {asyncio.current_task(), *self.spare_tasks}
         for task in asyncio.all_tasks() - keep:
             task.cancel()
         ended = await asyncio.gather(*self._agents, return_exceptions=True)
@@ -385,6 +419,16 @@
     return f"10.0.{rank // 200}.{rank % 200 + 1}"
 
 
+def _is_valid(layer: t.Any, size: int, layout: ExpertLayout) -> bool:
+    """Return whether each expert lies somewhere, and no rank holds too many."""
+    held = {expert for row in layer for expert in row}
+    return (
+        len(layer) == size
+        and held == set(range(layout.experts))
+        and all(0 < len(row) <= layout.places for row in layer)
+    )
+
+
 def _first_map(size: int, layout: ExpertLayout) -> list[list[list[int]]]:
     """Return the experts in turn, as groups begin."""
     rows = [
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -17,9 +17,11 @@
 from dotterelplank.ranks.views import (
     Armed,
     ArmMap,
+    Counts,
     DisarmMap,
     HoldStep,
     Order,
+    OwnPart,
     PrepareMap,
     RankView,
     ReleaseStep,
@@ -27,6 +29,7 @@
 
 LATE_MS = (2_000, 12_000)
 MAP = [[[0], [1], [2]]]
+EXPERTS = 3
 
 
 class MapsDifferError(Exception):
@@ -115,6 +118,15 @@
         self.world.reach(self.rank)
         return self.world.ranks[self.rank].view()
 
+    async def rows(self) -> OwnPart:
+        view = await self.view()
+        rows = [layer[self.rank] for layer in MAP]
+        return OwnPart(view.epoch, view.map_version, rows)
+
+    async def counts(self) -> Counts:
+        view = await self.view()
+        return Counts(view.epoch, view.step, [0] * EXPERTS)
+
     async def give(self, order: Order) -> bool:
         await _pause()
         self.world.reach(self.rank)
@@ -280,7 +292,7 @@
         if self._is_forgotten(agent, own):
             agent.group.used_step = max(agent.group.used_step, own.held)
             agent.change = changes.take_over(
-                self.now_ms, own.epoch, own.size, own.rank, own.held, version, MAP
+                self.now_ms, own.epoch, own.size, own.rank, own.held, version
             )
             self.takeovers += 1
         elif agent.group.is_stalled(self.now_ms) and self.random.random() < 0.3:
@@ -290,7 +302,7 @@
         elif agent.group.is_calm(self.now_ms) and self.random.random() < 0.3:
             least_step = agent.group.used_step + 1
             agent.change = changes.begin(
-                self.now_ms, own, version, MAP, MAP, 10.0, least_step
+                self.now_ms, own, version, MAP, 10.0, least_step
             )
 
     def _is_forgotten(self, agent: Agent, own: RankView) -> bool:
@@ -313,7 +325,6 @@
                     rank.rank,
                     rank.held,
                     version,
-                    MAP,
                 )
                 self.rescues += 1
                 return
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -30,7 +30,7 @@
 
 
 def _begin():
-    return changes.begin(NOW_MS, _view(0), 5, MAP, MAP, 100.0, 0)
+    return changes.begin(NOW_MS, _view(0), 5, MAP, 100.0, 0)
 
 
 def _hear(change, *views):
@@ -86,7 +86,7 @@
 
     def _cleared(self, *views):
         """Let the clearing up of a pass that rank 0 had held at rank 1 go on."""
-        change = changes.take_over(NOW_MS, 1, 3, 1, 12, 7, MAP)
+        change = changes.take_over(NOW_MS, 1, 3, 1, 12, 7)
         _hear(change, *views)
         later_ms = NOW_MS + changes.SILENT_MAKER_MS + 1
         return change, changes.advance(later_ms, change)
