Have agents tell each other who belongs to their service

What callers saw: after a restart of all agents while the store was away from 40% of the hosts, groups made no pass for as long as that lasted.

Cause: each agent read addresses and layout from the store for itself. One that the store turned away knew only those whose heartbeats reached it, never another one like it; it couldn't ask a rank directly either (its address wasn't known, and that was passed over in silence). Clearing up a held pass needs a word of all ranks. Class: what only a process itself has read stands in for what its group knows.

Mend: a heartbeat says whether its agent knows the members; who doesn't asks the sender, and is told at the platform's revision. Answers take a tenth of a link at most. While not all is known the store is read once a second, and no longer with pauses of up to 16 s, so that agents are back soon after the store is.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -261,6 +261,12 @@
     logging.WARNING,
     "The rank here has held a pass for long; what its agent knows to clear it up.",
 )
+MEMBERS_TOLD = _define(
+    181,
+    "members-told",
+    logging.INFO,
+    "Another agent told which ranks belong to the service, as the store didn't.",
+)
 
 # 200: configuration and host list revisions
 REVISION_ADOPTED = _define(
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -15,14 +15,14 @@
 from ..loops import Background, keep_going
 from ..metric_set import METRICS_PATH
 from ..packets import DatagramHandler
-from ..platform.members import read_members
 from ..platform.ranks import RankClient
-from ..platform.store import StoreClient
 from . import messages, policy
 from .demand import Demands
 from .driver import Driver, direct_client
 from .group import Group
 from .holds import HoldWatch, is_holding
+from .lookup import Lookup
+from .membership import Membership
 from .metrics import AgentMetrics
 from .participant import carry_out
 from .tasks import Look, Prepare, Task
@@ -36,9 +36,6 @@
 """How often a change in progress is looked at, besides at each reply."""
 STALL_CHECK_MS: t.Final = 200.0
 LOST_MS: t.Final = 500.0
-LOOKUP_INTERVAL_MS: t.Final = 1_000.0
-LONGEST_LOOKUP_INTERVAL_MS: t.Final = 16_000.0
-LOOKUP_BACKOFF: t.Final = 2.0
 
 
 class Agent:
@@ -55,16 +52,17 @@
         self._group = Group()
         self._demands = Demands()
         self._rank = RankClient(t.cast(Address, host.endpoint))
-        self._store = StoreClient(host.store)
         self._incarnation = time.time_ns() // 1_000_000
-        self._lookup_ms = LOOKUP_INTERVAL_MS
         self._heard_ms = boottime_ms()
         self._is_lost = False
         self._planned_ms = 0.0
+        self._membership = Membership(host.link_mbps)
+        self._lookup = Lookup(host, self._group, self._membership, self._send)
         self._teller = Teller(
             host,
             self._incarnation,
             self._group,
+            self._membership,
             self._rank,
             self._demands,
             self._send_to_all,
@@ -74,6 +72,7 @@
             host.ip,
             host.link_mbps,
             self._group,
+            self._membership,
             self._rank,
             self.metrics,
             self._send,
@@ -110,7 +109,12 @@
                 incarnation=self._incarnation,
                 domain=self._host.domain,
             )
-            for work in (self._sample, self._turn, self._look_up, self._watch_stall):
+            for work in (
+                self._sample,
+                self._turn,
+                self._lookup.follow,
+                self._watch_stall,
+            ):
                 going = keep_going(work.__name__, work)
                 stack.callback(loop.create_task(going).cancel)
             await self._stop.wait()
@@ -119,7 +123,7 @@
             )
             await self._finish_change()
         self._rank.close()
-        self._store.close()
+        self._lookup.close()
         events.emit(log, events.PROCESS_STOPPED, role="agent")
 
     async def _finish_change(self) -> None:
@@ -144,8 +148,7 @@
         view = await self._rank.view()
         now_ms = boottime_ms()
         self._take_view(now_ms, view)
-        ips = self._driver.members.ips
-        self._teller.heartbeat(now_ms, view, ips, READ_INTERVAL_MS)
+        self._teller.heartbeat(now_ms, view, READ_INTERVAL_MS)
         await self._teller.tell_rows(now_ms, view)
         await self._teller.tell_counts(now_ms, view)
 
@@ -168,7 +171,7 @@
             phase=None if change is None else change.phase.value,
             alive=len(self._group.alive(now_ms)),
             knows_map=self._group.present_map() is not None,
-            knows_members=len(self._driver.members.ranks),
+            knows_members=len(self._membership.members.ranks),
         )
         if change is not None or not self._hold.is_forgotten(now_ms):
             return
@@ -190,7 +193,7 @@
 
     async def _look_for_hold(self, own: RankView) -> None:
         alive = self._group.alive(boottime_ms())
-        for rank, place in sorted(self._driver.members.ranks.items()):
+        for rank, place in sorted(self._membership.members.ranks.items()):
             if rank in alive:
                 continue
             client = direct_client(place)
@@ -226,7 +229,7 @@
             self._driver.advance()
 
     def _begin_change(self, now_ms: float) -> None:
-        group, layout = self._group, self._driver.members.layout
+        group, layout = self._group, self._membership.members.layout
         own = group.own
         if own is None or layout is None or self._stop.is_set():
             return
@@ -238,7 +241,7 @@
             return
         self._planned_ms = now_ms
         pace = policy.Pace(
-            self._group.pass_ms(now_ms), self._driver.members.gap_target_ms
+            self._group.pass_ms(now_ms), self._membership.members.gap_target_ms
         )
         decision = policy.decide(now_ms, self._demands, present, layout, pace)
         if decision is None:
@@ -255,8 +258,12 @@
         match message:
             case messages.Heartbeat():
                 if message.service == self._host.service:
-                    self._driver.members.ips.add(message.ip)
                     self._group.hear(now_ms, message)
+                    self._lookup.hear(now_ms, message)
+            case messages.MembersAsked():
+                self._lookup.answer(now_ms, message)
+            case messages.MembersTold():
+                self._lookup.take(message)
             case messages.OwnRows():
                 if self._is_of_group(message):
                     self._group.learn_rows(message.rank, message.version, message.rows)
@@ -330,33 +337,6 @@
     def _on_refused(self, status: int, why: str) -> None:
         events.emit(log, events.CALL_UNREADABLE, status=status, why=why)
 
-    async def _look_up(self) -> None:
-        """Read from the platform who else belongs to the service, while some lack."""
-        while True:
-            if self._lacks_members():
-                await self._read_members()
-                await asyncio.sleep(self._lookup_ms / 1000)
-                longest_ms = LONGEST_LOOKUP_INTERVAL_MS
-                self._lookup_ms = min(self._lookup_ms * LOOKUP_BACKOFF, longest_ms)
-            else:
-                self._lookup_ms = LOOKUP_INTERVAL_MS
-                await asyncio.sleep(LOOKUP_INTERVAL_MS / 1000)
-
-    def _lacks_members(self) -> bool:
-        own = self._group.own
-        if own is None or self._driver.members.layout is None:
-            return True
-        return len(self._group.alive(boottime_ms())) < own.size
-
-    async def _read_members(self) -> None:
-        try:
-            found = await read_members(self._store, self._host.service or "")
-        except UpstreamError as error:
-            events.emit(log, events.PLATFORM_READ_FAILED, why=str(error))
-            return
-        found.ips.update(self._driver.members.ips)
-        self._driver.members = found
-
     def _send(self, ip: str, message: t.Any) -> int:
         """Send a message; return its size in bytes."""
         return self._send_to_all([ip], message)
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -10,10 +10,10 @@
 from ..errors import UpstreamError
 from ..gateway.host import Address
 from ..loops import Background
-from ..platform.members import Members
 from ..platform.ranks import RankClient
 from . import change as changes, messages, policy, spreading, tasks, versions
 from .group import Group
+from .membership import Membership
 from .metrics import AgentMetrics
 from .participant import carry_out, give_once
 from .views import ExpertMap, HoldStep, RankView
@@ -42,16 +42,17 @@
         ip: str,
         link_mbps: float,
         group: Group,
+        membership: Membership,
         rank: RankClient,
         metrics: AgentMetrics,
         send: t.Callable[[str, t.Any], int],
         on_silence: t.Callable[[str], None],
     ) -> None:
-        self.members = Members({}, None)
         self.change: changes.Change | None = None
         self._ip = ip
         self._link_mbps = link_mbps
         self._group = group
+        self._membership = membership
         self._rank = rank
         self._metrics = metrics
         self._send = send
@@ -258,7 +259,7 @@
 
         A report that is read from afar costs more than one that its agent reads.
         """
-        place = self.members.ranks.get(rank)
+        place = self._membership.members.ranks.get(rank)
         if place is None:
             return
         client = direct_client(place)
@@ -279,7 +280,7 @@
     async def _carry_out_there(
         self, change: changes.Change, assignment: tasks.Assignment
     ) -> None:
-        place = self.members.ranks.get(assignment.rank)
+        place = self._membership.members.ranks.get(assignment.rank)
         if place is None:
             return
         rank = direct_client(place)
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -1,11 +1,15 @@
 """What the agents of a group tell each other, in datagrams."""
 
+import dataclasses
 import typing as t
 
 import pydantic
 
+from ..gateway.host import Address
+from ..gateway.tables import ExpertLayout
 from ..packets import Codec, by_position
 from . import deltas
+from .membership import Members
 from .tasks import Arm, Hold, Look, Prepare, Release, Task, Void
 from .views import ExpertMap, RankView, Rows
 
@@ -17,6 +21,7 @@
     :param incarnation: rises with each start of the agent.
     :param number: rises with each heartbeat.
     :param knows_map: whether it knows the map that its rank uses.
+    :param knows_members: whether it knows the layout and the address of each rank.
     """
 
     ip: str
@@ -25,6 +30,7 @@
     number: int
     view: RankView
     knows_map: bool
+    knows_members: bool
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +57,54 @@
     counts: bytes
 
 
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class MembersAsked:
+    """An agent wants to know who belongs to its service."""
+
+    ip: str
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """The address of a rank's server."""
+
+    rank: int
+    ip: str
+    port: int
+
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _by_position(cls, values: t.Any) -> t.Any:
+        return by_position(cls, values)
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """The layout of a service's expert maps."""
+
+    layers: int
+    experts: int
+    places: int
+    spare: int
+    copy_ms: float
+
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _by_position(cls, values: t.Any) -> t.Any:
+        return by_position(cls, values)
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class MembersTold:
+    """Who belongs to a service, as the platform had it at ``revision``."""
+
+    service: str
+    revision: int
+    places: list[Place]
+    layout: Layout | None
+    gap_target_ms: float
+
+
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class MapText:
     """A map, as a whole or by what differs from another.
@@ -100,7 +154,33 @@
     view: RankView
 
 
-CODEC: t.Final = Codec(Heartbeat, OwnRows, Sample, Ask, Reply)
+CODEC: t.Final = Codec(
+    Heartbeat, OwnRows, Sample, Ask, Reply, MembersAsked, MembersTold
+)
+
+
+def members_told(service: str, members: Members) -> MembersTold:
+    """Return the message that tells who belongs to a service."""
+    layout = members.layout
+    return MembersTold(
+        service,
+        members.revision,
+        [Place(rank, one.ip, one.port) for rank, one in sorted(members.ranks.items())],
+        None if layout is None else Layout(**dataclasses.asdict(layout)),
+        members.gap_target_ms,
+    )
+
+
+def members_of(told: MembersTold) -> Members:
+    """Return who belongs to a service as another agent told it."""
+    layout = told.layout
+    return Members(
+        {place.rank: Address(place.ip, place.port) for place in told.places},
+        None if layout is None else ExpertLayout(**dataclasses.asdict(layout)),
+        told.gap_target_ms,
+        {place.ip for place in told.places},
+        told.revision,
+    )
 
 
 def map_text(
--- a/src/dotterelplank/ranks/teller.py
+++ b/src/dotterelplank/ranks/teller.py
@@ -10,6 +10,7 @@
 from . import heartbeats, messages, sampling
 from .demand import BLOCK_MS, Demands, shift_distance
 from .group import ALIVE_MS, Group
+from .membership import Membership
 from .views import RankView
 
 log = logging.getLogger(__name__)
@@ -37,6 +38,7 @@
     host: HostSettings
     incarnation: int
     group: Group
+    membership: Membership
     rank: RankClient
     demands: Demands
     send: Send
@@ -54,12 +56,9 @@
         self.below.take()
         self.demands.clear()
 
-    def heartbeat(
-        self, now_ms: float, view: RankView, ips: t.Collection[str], turn_ms: float
-    ) -> None:
+    def heartbeat(self, now_ms: float, view: RankView, turn_ms: float) -> None:
         """Tell those whose turn it is that this agent lives.
 
-        :param ips: addresses of all agents that are known.
         :param turn_ms: time between two calls.
         """
         self.numbers += 1
@@ -70,9 +69,10 @@
             self.numbers,
             view,
             self.group.present_map() is not None,
+            self.membership.knows_all(view.size),
         )
         self.group.hear(now_ms, heartbeat)
-        others = set(ips) - {self.host.ip}
+        others = self.membership.members.ips - {self.host.ip}
         every_ms = heartbeats.interval_ms(len(others), self.host.link_mbps)
         self.group.alive_ms = max(ALIVE_MS, heartbeats.MISSED * every_ms)
         self.send(self.rota.due(now_ms, others, every_ms, turn_ms), heartbeat)
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -20,8 +20,8 @@
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.tables import ExpertLayout
-from dotterelplank.platform.members import Members
-from dotterelplank.ranks import agent as agents, driver, planning
+from dotterelplank.ranks import agent as agents, driver, lookup, planning
+from dotterelplank.ranks.membership import Members
 from dotterelplank.ranks.views import Counts, Order, OwnPart, PrepareMap, RankView
 
 PORT = 7000
@@ -255,7 +255,7 @@
 
     Faults are set while it runs.
 
-    :ivar late: share of the orders that get no answer and are carried out seconds later.
+    :ivar late: share of the orders that are carried out seconds later, unanswered.
     :ivar store_away: ranks whose hosts the platform's store turns away.
     :ivar begun: when passes began, in seconds.
     :ivar spare_tasks: tasks that aren't the agents'.
@@ -343,7 +343,7 @@
                 raise UpstreamError("status 503", sent=True)
             places = {rank: Address(_ip(rank), rank) for rank in range(self.size)}
             ips = {_ip(rank) for rank in range(self.size)}
-            return Members(places, self.layout, 150.0, ips)
+            return Members(places, self.layout, 150.0, ips, revision=1)
 
         def reach(place, *_bounds):
             return _Reach(self.ranks[place.port])
@@ -353,12 +353,14 @@
 
         patches = [
             unittest.mock.patch.object(agents, "RankClient", reach),
-            unittest.mock.patch.object(agents, "StoreClient", _Store),
+            unittest.mock.patch.object(lookup, "StoreClient", _Store),
             unittest.mock.patch.object(driver, "direct_client", reach),
             unittest.mock.patch.object(driver, "random", _SEEDED),
-            unittest.mock.patch.object(agents, "read_members", members),
+            unittest.mock.patch.object(lookup, "read_members", members),
             unittest.mock.patch.object(agents, "boottime_ms", clock_ms),
             unittest.mock.patch.object(driver, "boottime_ms", clock_ms),
+            unittest.mock.patch.object(lookup, "boottime_ms", clock_ms),
+            unittest.mock.patch.object(lookup, "random", _SEEDED),
         ]
         with contextlib.ExitStack() as stack:
             for patch in patches:
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -267,7 +267,7 @@
             if self.agents[other.rank].frozen_until_ms > self.now_ms:
                 continue
             heartbeat = Heartbeat(
-                str(other.rank), "s", 1, int(self.now_ms), other.view(), True
+                str(other.rank), "s", 1, int(self.now_ms), other.view(), True, True
             )
             agent.group.hear(self.now_ms, heartbeat)
         if agent.change is None:
--- a/tests/restart_sweep.py
+++ b/tests/restart_sweep.py
@@ -27,7 +27,7 @@
 class Kind:
     """What is played.
 
-    :param late: share of the orders that get no answer and are carried out seconds later.
+    :param late: share of the orders that are carried out seconds later, unanswered.
     :param away: share of the hosts that the platform's store turns away.
     """
 
--- a/tests/test_ranks_planning.py
+++ b/tests/test_ranks_planning.py
@@ -191,7 +191,7 @@
         group.see(0.0, self._view(own.rank, step=0))
         group.see(0.0, own)
         for view in (own, *others):
-            group.hear(0.0, Heartbeat(f"ip{view.rank}", "s", 1, 1, view, True))
+            group.hear(0.0, Heartbeat(f"ip{view.rank}", "s", 1, 1, view, True, True))
             group.learn_rows(view.rank, view.map_version, [[0]])
         return group
 
@@ -199,7 +199,7 @@
         group = Group()
         group.see(0.0, self._view(0, step=50))
         for rank in range(2):
-            heartbeat = Heartbeat(f"ip{rank}", "s", 1, 1, self._view(rank), True)
+            heartbeat = Heartbeat(f"ip{rank}", "s", 1, 1, self._view(rank), True, True)
             group.hear(0.0, heartbeat)
         self.assertFalse(group.is_calm(0.0))
         group.see(0.0, self._view(0, step=58))
--- a/tests/test_ranks_restart.py
+++ b/tests/test_ranks_restart.py
@@ -22,5 +22,9 @@
     def test_a_group_is_back_after_a_restart_while_orders_are_carried_out_late(self):
         self._play(3, Kind(16, late=0.4), draw(3, 10))
 
+    def test_agents_that_the_store_turns_away_are_back_as_well(self):
+        self._play(5, Kind(16, away=0.4), draw(5, 10))
+        self._play(6, Kind(16, late=0.4, away=0.4), draw(6, 10))
+
     def test_a_large_group_is_back_after_a_restart(self):
-        self._play(4, Kind(72), PHASES_AFTER_A_HOLD)
+        self._play(4, Kind(72, late=0.4, away=0.4), PHASES_AFTER_A_HOLD)
