Tell a process that was started anew by a drawn number, not by its clock

What callers would see: an agent whose host's clock was set back before its restart is never heard again by those that live, so no change of the map begins and a group runs on an old map; an entry's calls in progress aren't counted by its peers.

Cause: incarnations came from the time of day, and a heartbeat of a lower one counted as late. Class: an order between processes that rests on a clock which may go back.

Mend: an incarnation is drawn. Another one than the last is a new process, unless it is among those that were replaced. One copy of this for agents and entries (sequences.py).

--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -5,7 +5,6 @@
 import logging
 import random
 import signal
-import time
 import typing as t
 
 from .. import events
@@ -15,6 +14,7 @@
 from ..loops import keep_going
 from ..metric_set import METRICS_PATH
 from ..packets import DatagramHandler
+from ..sequences import new_incarnation
 from . import peers as peering
 from .board import Board, waiting
 from .feed import COPY_PATH, Feed
@@ -51,7 +51,7 @@
         self._metrics_port = metrics_port
         self.board = Board(host, random.Random())
         self.metrics = EntryMetrics()
-        self._incarnation = time.time_ns() // 1_000_000
+        self._incarnation = new_incarnation()
         self._heartbeats = 0
         self._heartbeat_ms = 0.0
         self._heartbeat_timer: asyncio.TimerHandle | None = None
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -10,6 +10,7 @@
 import pydantic
 
 from ..packets import Codec
+from ..sequences import Sequence
 
 HEARTBEAT_INTERVAL_MS: t.Final = 250.0
 LEAST_SPACING_MS: t.Final = 8.0
@@ -30,7 +31,7 @@
 class Heartbeat:
     """What an entry tells its peers.
 
-    :param incarnation: rises with each start of the process.
+    :param incarnation: another one with each start of the process.
     :param number: rises with each heartbeat.
     :param table_version: version of the routing table in force; 0: none.
     :param directory_revision: revision up to which the list of endpoints is known.
@@ -78,22 +79,22 @@
     """The other entries.
 
     :param told: addresses that others named, and when.
+    :param sequences: the heartbeats from each address.
     """
 
     own_ip: str
     by_ip: dict[str, Peer] = dataclasses.field(default_factory=dict)
     told: dict[str, float] = dataclasses.field(default_factory=dict)
     sent_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    sequences: dict[str, Sequence] = dataclasses.field(default_factory=dict)
 
     def hear(self, now_ms: float, heartbeat: Heartbeat) -> bool:
         """Take in a heartbeat; return whether it is newer than what was known."""
         if heartbeat.ip == self.own_ip:
             return False
-        known = self.by_ip.get(heartbeat.ip)
-        if known is not None:
-            order = (known.heartbeat.incarnation, known.heartbeat.number)
-            if (heartbeat.incarnation, heartbeat.number) <= order:
-                return False
+        sequence = self.sequences.setdefault(heartbeat.ip, Sequence())
+        if not sequence.take(heartbeat.incarnation, heartbeat.number):
+            return False
         self.by_ip[heartbeat.ip] = Peer(heartbeat, now_ms)
         for ip in heartbeat.peers:
             if ip != self.own_ip:
@@ -109,7 +110,7 @@
                 peer.is_counted = False
                 silent.append(peer)
             if silence_ms > FORGOTTEN_MS:
-                del self.by_ip[ip]
+                del self.by_ip[ip], self.sequences[ip]
         for ip, told_ms in list(self.told.items()):
             if now_ms - told_ms > FORGOTTEN_MS:
                 del self.told[ip]
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import signal
-import time
 import typing as t
 
 from .. import events
@@ -16,6 +15,7 @@
 from ..metric_set import METRICS_PATH
 from ..packets import DatagramHandler
 from ..platform.ranks import RankClient
+from ..sequences import new_incarnation
 from . import messages, policy
 from .demand import Demands
 from .driver import Driver, direct_client
@@ -52,7 +52,7 @@
         self._group = Group()
         self._demands = Demands()
         self._rank = RankClient(t.cast(Address, host.endpoint))
-        self._incarnation = time.time_ns() // 1_000_000
+        self._incarnation = new_incarnation()
         self._heard_ms = boottime_ms()
         self._is_lost = False
         self._planned_ms = 0.0
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -4,6 +4,7 @@
 import dataclasses
 import typing as t
 
+from ..sequences import Sequence
 from . import versions
 from .messages import Heartbeat
 from .views import ExpertMap, RankView, Rows
@@ -38,6 +39,7 @@
     :param passes: time and last pass begun of the latest reads of the own rank.
     :param alive_ms: silence after which an agent isn't counted on.
     :param maps: maps that this agent has met, by version, the latest last.
+    :param sequences: the heartbeats from each address.
     :param rows: version of a rank's map and its part of it, by rank.
     """
 
@@ -49,6 +51,7 @@
     maps: dict[int, ExpertMap] = dataclasses.field(default_factory=dict)
     rows: dict[int, tuple[int, Rows]] = dataclasses.field(default_factory=dict)
     members: dict[int, Member] = dataclasses.field(default_factory=dict)
+    sequences: dict[str, Sequence] = dataclasses.field(default_factory=dict)
     passes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -78,11 +81,9 @@
         view = heartbeat.view
         if own is None or (view.group, view.epoch) != (own.group, own.epoch):
             return
-        known = self.members.get(view.rank)
-        if known is not None and known.heartbeat.ip == heartbeat.ip:
-            order = (known.heartbeat.incarnation, known.heartbeat.number)
-            if (heartbeat.incarnation, heartbeat.number) <= order:
-                return
+        sequence = self.sequences.setdefault(heartbeat.ip, Sequence())
+        if not sequence.take(heartbeat.incarnation, heartbeat.number):
+            return
         self.members[view.rank] = Member(heartbeat, now_ms)
 
     def alive(self, now_ms: float) -> t.Mapping[int, Heartbeat]:
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -18,7 +18,7 @@
 class Heartbeat:
     """An agent lives, and its rank is as told.
 
-    :param incarnation: rises with each start of the agent.
+    :param incarnation: another one with each start of the agent.
     :param number: rises with each heartbeat.
     :param knows_map: whether it knows the map that its rank uses.
     :param knows_members: whether it knows the layout and the address of each rank.
--- a/src/dotterelplank/ranks/teller.py
+++ b/src/dotterelplank/ranks/teller.py
@@ -26,7 +26,7 @@
 class Teller:
     """The part of one agent.
 
-    :param incarnation: rises with each start of the agent.
+    :param incarnation: another one with each start of the agent.
     :param demands: what a leader is told is added here.
     :param numbers: heartbeats so far.
     :param leader: the rank that leads, as it was last thought.
--- /dev/null
+++ b/tests/test_sequences.py
@@ -0,0 +1,53 @@
+import dataclasses
+
+import testtools
+
+from dotterelplank.gateway import peers as peering
+from dotterelplank.ranks.group import Group
+from dotterelplank.ranks.messages import Heartbeat
+from dotterelplank.ranks.views import RankView
+
+VIEW = RankView("g", 1, 0, 2, True, 50, 7, None, None, None, 1)
+
+
+def _of_agent(incarnation, number):
+    other = dataclasses.replace(VIEW, rank=1)
+    return Heartbeat("ip1", "s", incarnation, number, other, True, True)
+
+
+def _of_entry(incarnation, number):
+    return peering.Heartbeat(
+        "e", "ip1", "a", incarnation, number, 0, 0, {}, {}, [], False
+    )
+
+
+class RestartedProcessTests(testtools.TestCase):
+    """The load: processes are started anew on hosts whose clock was set back."""
+
+    def test_an_agent_started_after_its_clock_was_set_back_is_heard(self):
+        group = Group()
+        group.see(0.0, VIEW)
+        group.hear(0.0, _of_agent(2_000, 500))
+        group.hear(5_000.0, _of_agent(1_000, 1))
+        self.assertIn(1, group.alive(5_000.0))
+
+    def test_an_entry_started_after_its_clock_was_set_back_is_heard(self):
+        peers = peering.Peers("ip0")
+        self.assertTrue(peers.hear(0.0, _of_entry(2_000, 500)))
+        self.assertTrue(peers.hear(5_000.0, _of_entry(1_000, 1)))
+        self.assertEqual(1_000, peers.by_ip["ip1"].heartbeat.incarnation)
+
+    def test_a_process_that_was_replaced_is_not_heard_any_more(self):
+        peers = peering.Peers("ip0")
+        for incarnation in (2_000, 1_000, 3_000):
+            self.assertTrue(peers.hear(0.0, _of_entry(incarnation, 1)))
+        self.assertFalse(peers.hear(0.0, _of_entry(2_000, 900)))
+        self.assertFalse(peers.hear(0.0, _of_entry(1_000, 900)))
+        self.assertTrue(peers.hear(0.0, _of_entry(3_000, 2)))
+
+    def test_what_a_process_said_earlier_or_twice_is_no_news(self):
+        peers = peering.Peers("ip0")
+        self.assertTrue(peers.hear(0.0, _of_entry(2_000, 5)))
+        self.assertFalse(peers.hear(0.0, _of_entry(2_000, 5)))
+        self.assertFalse(peers.hear(0.0, _of_entry(2_000, 4)))
+        self.assertTrue(peers.hear(0.0, _of_entry(2_000, 6)))
