Give up a change that holds nothing yet to clear up a held pass

What callers would see: while an agent prepares a map, which takes as long as the copies do, nobody releases a pass that is held at its own rank by a late order.

Cause: an agent with a change in hand left held passes alone. Class: a duty that waits for an unrelated piece of work without a bound of its own.

Evidence: tests/test_ranks_restart.py, ..rank_whose_agent_prepares_a_map_is_released: with 1.5 s a copy no pass began in the 2 s after the late order; now it does. Preparing holds nothing, so giving it up costs copies at most.

--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -173,7 +173,7 @@
             knows_map=self._group.present_map() is not None,
             knows_members=len(self._membership.members.ranks),
         )
-        if change is not None or not self._hold.is_forgotten(now_ms):
+        if not self._hold.is_forgotten(now_ms) or not self._driver.is_free():
             return
         self._driver.take_over(now_ms, view.rank, t.cast(int, view.held))
 
@@ -183,13 +183,10 @@
             await asyncio.sleep(STALL_CHECK_MS / 1000)
             now_ms = boottime_ms()
             own = self._group.own
-            if own is None or self._driver.change is not None:
+            if own is None or not self._group.is_stalled(now_ms):
                 continue
-            if not self._group.is_stalled(now_ms):
-                continue
-            if self._group.leader(now_ms) != own.rank:
-                continue
-            await self._look_for_hold(own)
+            if self._group.leader(now_ms) == own.rank and self._driver.is_free():
+                await self._look_for_hold(own)
 
     async def _look_for_hold(self, own: RankView) -> None:
         alive = self._group.alive(boottime_ms())
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -200,6 +200,13 @@
     return []
 
 
+def give_way(change: Change) -> bool:
+    """Give up a change if it holds nothing yet; return whether it is over."""
+    if change.phase is Phase.PREPARE:
+        _end(change, Outcome.ABANDONED)
+    return change.phase is Phase.OVER
+
+
 def dead_versions(views: t.Iterable[RankView]) -> tuple[int, ...]:
     """Return the versions that some rank is armed with and that are dead."""
     views = list(views)
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -116,6 +116,15 @@
         self._metrics.count_take_over()
         events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
 
+    def is_free(self) -> bool:
+        """Return whether a held pass can be cleared up now.
+
+        A change that holds nothing yet is given up for that.
+        """
+        if self.change is not None and changes.give_way(self.change):
+            self.advance()
+        return self.change is None
+
     def drop(self) -> None:
         """Forget the change in hand, and what was asked for it."""
         self.change = None
--- a/tests/test_ranks_restart.py
+++ b/tests/test_ranks_restart.py
@@ -1,5 +1,11 @@
+import asyncio
+import dataclasses
+
 import testtools
-from restart_sweep import Kind, draw, late_ones, play
+from group_world import World
+from restart_sweep import BACK_S, POLL_S, Kind, draw, late_ones, layout, play
+
+from dotterelplank.ranks.views import HoldStep
 
 PHASES_AFTER_A_HOLD = ("held", "arming", "armed")
 
@@ -28,3 +34,24 @@
 
     def test_a_large_group_is_back_after_a_restart(self):
         self._play(4, Kind(72, late=0.4, away=0.4), PHASES_AFTER_A_HOLD)
+
+
+class LateHoldTests(testtools.TestCase):
+    """The load: an order to hold a pass is carried out when nobody wants it any more."""
+
+    def test_a_pass_held_late_at_a_rank_whose_agent_prepares_a_map_is_released(self):
+        slow = dataclasses.replace(layout(16), copy_ms=1_500.0)
+        world = World(16, slow, 4.0)
+        held_s = []
+
+        async def script(world):
+            world.main = 4
+            while world.phase() != "preparing":
+                await asyncio.sleep(POLL_S)
+            model = world.ranks[0].model
+            self.assertTrue(model.apply(HoldStep(model.epoch, model.step + 1)))
+            held_s.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(BACK_S)
+
+        world.run(script)
+        self.assertTrue(world.has_begun_since(held_s[0]))
