Let a trial call that hangs keep others away for half a second only

What callers would see: after a group or an endpoint failed, one call shows whether it is back, and until that was answered the entry refused all others; in a group that is held it is answered when its caller gives up.

Cause: the trial had no bound of its own but its call's. Class: a wait for one answer that may never come.

--- a/src/dotterelplank/gateway/loads.py
+++ b/src/dotterelplank/gateway/loads.py
@@ -10,6 +10,8 @@
 AVOID_LONGEST_MS: t.Final = 1_000.0
 TRIAL_MS: t.Final = 50.0
 """How long others wait for the call that shows whether an endpoint is back."""
+TRIAL_LAPSE_MS: t.Final = 500.0
+"""After this one more call is sent to show it, as the first may hang."""
 FAILURES_IN_A_ROW: t.Final = 2
 """Calls that an endpoint answers with a failure before it is avoided."""
 FULL_MS: t.Final = 40.0
@@ -36,13 +38,13 @@
 
     :param failures: failures in a row.
     :param until_ms: time up to which nothing is sent there.
-    :param is_tried: whether one call is on its way there after that time; until it is
-        answered no other is sent.
+    :param tried_ms: when a call was sent there after that time; until it is answered
+        no other is sent for a while. None: there is no such call.
     """
 
     failures: int = 0
     until_ms: float = 0.0
-    is_tried: bool = False
+    tried_ms: float | None = None
 
 
 @dataclasses.dataclass
@@ -117,7 +119,7 @@
     def failed(self, now_ms: float, name: str) -> float:
         """Avoid an endpoint or group, longer each time; return for how long."""
         avoided = self.avoided.setdefault(name, Avoided())
-        avoided.is_tried = False
+        avoided.tried_ms = None
         if now_ms >= avoided.until_ms:
             avoided.failures += 1
             pause_ms = AVOID_FIRST_MS * 2 ** (avoided.failures - 1)
@@ -139,17 +141,17 @@
         avoided = self.avoided.setdefault(name, Avoided())
         avoided.until_ms = max(avoided.until_ms, now_ms + FULL_MS)
 
-    def try_again(self, name: str) -> None:
+    def try_again(self, now_ms: float, name: str) -> None:
         """Note that a call is about to show whether an endpoint or group is back."""
         avoided = self.avoided.get(name)
         if avoided is not None and avoided.failures:
-            avoided.is_tried = True
+            avoided.tried_ms = now_ms
 
     def end_trial(self, name: str) -> None:
         """Note that such a call has ended without showing it."""
         avoided = self.avoided.get(name)
         if avoided is not None:
-            avoided.is_tried = False
+            avoided.tried_ms = None
 
     def succeeded(self, name: str) -> None:
         """Trust an endpoint or group again."""
@@ -161,7 +163,8 @@
         avoided = self.avoided.get(name)
         if avoided is None:
             return 0.0
-        if avoided.is_tried:
+        tried_ms = avoided.tried_ms
+        if tried_ms is not None and now_ms - tried_ms < TRIAL_LAPSE_MS:
             return max(TRIAL_MS, avoided.until_ms - now_ms)
         return max(0.0, avoided.until_ms - now_ms)
 
--- a/src/dotterelplank/gateway/places.py
+++ b/src/dotterelplank/gateway/places.py
@@ -39,7 +39,7 @@
         if not one.is_crowded:
             return None
         if isinstance(answer, admission.Admit) and not ahead:
-            self._count(answer.endpoint)
+            self._count(now_ms, answer.endpoint)
             return answer.endpoint
         first_ms = self._board.loads.first_ms.get(one.service, 0.0)
         longest_ms = admission.longest_wait_ms(route.goal_ms, left_ms, first_ms)
@@ -136,15 +136,16 @@
             one.waited_ms += self._clock() - began_ms
 
     def _find(self, service: str, waiting: queues.Waiting) -> Endpoint | None:
-        answer = self.choose(self._clock(), service, waiting.tried)
+        now_ms = self._clock()
+        answer = self.choose(now_ms, service, waiting.tried)
         if not isinstance(answer, admission.Admit):
             return None
-        self._count(answer.endpoint)
+        self._count(now_ms, answer.endpoint)
         return answer.endpoint
 
-    def _count(self, endpoint: Endpoint) -> None:
+    def _count(self, now_ms: float, endpoint: Endpoint) -> None:
         loads = self._board.loads
         loads.begin(endpoint.id)
         for name in admission.avoided_names(endpoint):
-            loads.try_again(name)
+            loads.try_again(now_ms, name)
         self._on_load()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -3,7 +3,7 @@
 from dotterelplank import results
 from dotterelplank.gateway import admission, attempts, budget, peers, queues, silence
 from dotterelplank.gateway.directory import Change, Directory, Endpoint, GroupPlace
-from dotterelplank.gateway.loads import Loads, PeerLoad
+from dotterelplank.gateway.loads import TRIAL_LAPSE_MS, Loads, PeerLoad
 from dotterelplank.gateway.pacing import Paces
 from dotterelplank.gateway.streams import EventCursor
 from dotterelplank.gateway.tables import Kind, Limits, Route, Table, Target, Team
@@ -126,13 +126,25 @@
         late_ms = NOW_MS + paused_ms
         first = admission.choose(late_ms, ask(), found, loads, "a", 0, Paces())
         self.assertIsInstance(first, admission.Admit)
-        loads.try_again(group)
+        loads.try_again(late_ms, group)
         second = admission.choose(late_ms, ask(), found, loads, "a", 0, Paces())
         self.assertEqual(admission.Unusable(), second)
         loads.succeeded(group)
         third = admission.choose(late_ms, ask(), found, loads, "a", 0, Paces())
         self.assertIsInstance(third, admission.Admit)
 
+    def test_a_call_that_hangs_doesnt_keep_others_from_a_group_that_is_back(self):
+        loads = Loads()
+        late_ms = NOW_MS + loads.failed(NOW_MS, "group")
+        loads.try_again(late_ms, "group")
+        self.assertGreater(
+            loads.avoided_for_ms(late_ms + TRIAL_LAPSE_MS - 1, "group"), 0
+        )
+        lapsed_ms = late_ms + TRIAL_LAPSE_MS
+        self.assertEqual(0, loads.avoided_for_ms(lapsed_ms, "group"))
+        loads.try_again(lapsed_ms, "group")
+        self.assertGreater(loads.avoided_for_ms(lapsed_ms, "group"), 0)
+
     def test_one_failed_call_alone_says_little_of_an_endpoint(self):
         loads = Loads()
         self.assertEqual(0, loads.stumbled(0.0, "a"))
