Bound what is read of an answer that never ends

What callers would see: an endpoint in trouble sends bytes that are no answer until the caller closes.

Heads, chunk sizes and bodies of answers had bounds already.

Class: a wait that ends with the peer's good will. In a stream only whole events count as a sign of life.

--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -31,6 +31,10 @@
 """How long a connection may have been idle before a call that may run only once."""
 HELD_UP_MS: t.Final = 10.0
 """A caller that takes longer to read an event holds up the next one."""
+STRAY_ANSWERS: t.Final = 4
+"""Answers to other calls that are read past before a connection is given up."""
+EVENT_BOUND_BYTES: t.Final = 256 * 1024
+"""Longest event of a stream."""
 _UNAVAILABLE: t.Final = 503
 
 
@@ -113,18 +117,13 @@
     async def _relay(
         self, one: Handling, endpoint: Endpoint, connection: EndpointConnection
     ) -> Ending:
-        head = await connection.head()
-        said = wire.read_answer(head.status, head.headers)
-        while said.id is not None and said.id != one.said.id:
-            self._metrics.count_stray()
-            await connection.skip_answer()
-            head = await connection.head()
-            said = wire.read_answer(head.status, head.headers)
+        head, said = await self._own_answer(one, connection)
         if one.route.kind is not Kind.STREAMING:
             # The head of a stream may come long before its first event.
             self._note_heard(one)
         if said.not_run and head.status >= 400:
-            await _read_rest(connection)
+            # Where its body has no end the connection is closed; the head proves it.
+            await connection.skip_body()
             # A rank that can't go on for want of another names that one.
             is_group = said.at_fault is not None and head.status == _UNAVAILABLE
             why = f"refused with {head.status}, at {said.at_fault}"
@@ -138,6 +137,19 @@
             return await self._relay_stream(one, endpoint, head, connection)
         return await self._relay_whole(one, head, connection, said.has_proof)
 
+    async def _own_answer(
+        self, one: Handling, connection: EndpointConnection
+    ) -> tuple[Head, wire.AnswerHeaders]:
+        """Return the head of the answer to the call, past those to other calls."""
+        for _ in range(STRAY_ANSWERS + 1):
+            head = await connection.head()
+            said = wire.read_answer(head.status, head.headers)
+            if said.id is None or said.id == one.said.id:
+                return head, said
+            self._metrics.count_stray()
+            await connection.skip_answer()
+        raise UpstreamError("answers to other calls without an end", sent=True)
+
     async def _relay_whole(
         self,
         one: Handling,
@@ -196,10 +208,12 @@
         if not exchange.has_begun:
             exchange.begin(head.status, end_to_end(head.headers), None)
         while (part := await connection.body_part()) is not None:
-            self._board.progress.hear(self._note_heard(one), endpoint)
             whole = one.cursor.feed(part)
+            if len(one.cursor.rest) > EVENT_BOUND_BYTES:
+                return Lost(True, "an event over the bound")
             if not whole:
                 continue
+            self._board.progress.hear(self._note_heard(one), endpoint)
             now_ms = self._clock()
             if one.first_ms is None:
                 one.first_ms = now_ms - one.arrived_ms
@@ -238,8 +252,3 @@
         if pool is None:
             pool = self._pools[key] = Pool(endpoint.ip, endpoint.port)
         return pool
-
-
-async def _read_rest(connection: EndpointConnection) -> None:
-    while await connection.body_part() is not None:
-        pass
--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -14,6 +14,10 @@
 
 HEAD_BOUND_BYTES: t.Final = 64 * 1024
 HELD_BOUND_BYTES: t.Final = 256 * 1024
+SKIPPED_BOUND_BYTES: t.Final = 64 * 1024
+"""The most that is read of a body that nobody wants."""
+INTERIM_BOUND: t.Final = 8
+"""The most answers of status 1xx before the final one."""
 UNACKNOWLEDGED_MS: t.Final = 1_500
 """How long sent bytes may stay unacknowledged before the connection is given up."""
 PROBE_IDLE_S: t.Final = 1
@@ -87,8 +91,9 @@
             self._fail("bytes that belong to no request")
             self.close()
             return
-        self._h11.receive_data(data)
-        self._read()
+        if self._failure is None:
+            self._h11.receive_data(data)
+            self._read()
 
     def eof_received(self) -> bool:
         """Take in the clean end of the endpoint's bytes."""
@@ -121,16 +126,11 @@
 
         :raises UpstreamError: if the connection ended or the bytes are no answer.
         """
-        while True:
+        for _ in range(INTERIM_BOUND + 1):
             event = await self._next()
             if isinstance(event, h11.Response):
-                headers = list(event.headers)
-                kept_ms = keep_alive_ms(headers)
-                if kept_ms is not None:
-                    self.keep_alive_ms = kept_ms
-                if (header(headers, b"connection") or b"").lower() == b"close":
-                    self._is_doubtful = True
-                return Head(event.status_code, headers)
+                return self._head(event)
+        raise UpstreamError("interim answers without an end", sent=True)
 
     async def body_part(self) -> bytes | None:
         """Return the next bytes of the body, or ``None`` at its end.
@@ -139,20 +139,28 @@
         """
         event = await self._next()
         if isinstance(event, h11.Data):
-            self._held_bytes -= len(event.data)
-            if self._held_bytes < HELD_BOUND_BYTES and self._transport is not None:
-                self._transport.resume_reading()
+            self._let_go(event)
             return bytes(event.data)
         self._end_exchange()
         return None
 
+    async def skip_body(self) -> bool:
+        """Read past the body; return whether it ended within the bound on that.
+
+        :raises UpstreamError: if the body was cut short.
+        """
+        is_ended = await self._skip()
+        if is_ended:
+            self._end_exchange()
+        return is_ended
+
     async def skip_answer(self) -> None:
         """Read past an answer that isn't the one to the request in progress.
 
         :raises UpstreamError: if it can't be told where the answer ends.
         """
-        while not isinstance(await self._next(), h11.EndOfMessage):
-            pass
+        if not await self._skip():
+            raise UpstreamError("an answer to another request, over the bound", True)
         self._is_doubtful = True
         rest, is_closed = self._h11.trailing_data
         if self._h11.their_state is not h11.DONE or is_closed:
@@ -165,6 +173,31 @@
             self._h11.receive_data(rest)
         self._read()
 
+    def _head(self, response: h11.Response) -> Head:
+        headers = list(response.headers)
+        kept_ms = keep_alive_ms(headers)
+        if kept_ms is not None:
+            self.keep_alive_ms = kept_ms
+        if (header(headers, b"connection") or b"").lower() == b"close":
+            self._is_doubtful = True
+        return Head(response.status_code, headers)
+
+    async def _skip(self) -> bool:
+        """Read past a body, within a bound; return whether its end was met."""
+        skipped_bytes = 0
+        while isinstance(event := await self._next(), h11.Data):
+            self._let_go(event)
+            skipped_bytes += len(event.data)
+            if skipped_bytes > SKIPPED_BOUND_BYTES:
+                return False
+        return True
+
+    def _let_go(self, event: h11.Data) -> None:
+        """Note that a part of a body isn't held any more."""
+        self._held_bytes -= len(event.data)
+        if self._held_bytes < HELD_BOUND_BYTES and self._transport is not None:
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Close the connection, whatever is in progress."""
         self._is_doubtful = True
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -133,7 +133,7 @@
         third = admission.choose(late_ms, ask(), found, loads, "a", 0, Paces())
         self.assertIsInstance(third, admission.Admit)
 
-    def test_a_call_that_hangs_doesnt_keep_others_from_a_group_that_is_back(self):
+    def test_a_call_that_hangs_doesnt_keep_others_away_for_good(self):
         loads = Loads()
         late_ms = NOW_MS + loads.failed(NOW_MS, "group")
         loads.try_again(late_ms, "group")
--- a/tests/test_ranks_restart.py
+++ b/tests/test_ranks_restart.py
@@ -37,9 +37,9 @@
 
 
 class LateHoldTests(testtools.TestCase):
-    """The load: an order to hold a pass is carried out when nobody wants it any more."""
+    """The load: an order to hold a pass is carried out once nobody wants it."""
 
-    def test_a_pass_held_late_at_a_rank_whose_agent_prepares_a_map_is_released(self):
+    def test_a_pass_held_late_is_released_by_an_agent_that_prepares_a_map(self):
         slow = dataclasses.replace(layout(16), copy_ms=1_500.0)
         world = World(16, slow, 4.0)
         held_s = []
