Let the soak kill and restart agents beside a group of ranks

Real agents change the map of three ranks while entries forward calls: both are killed, stopped, paused and started again, one by one and all at once; orders to ranks are carried out late. Checked: no pass on two maps, passes and changes of the map after the last fault.

--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -84,12 +84,16 @@
         return found
 
 
+def _listen(ip, ports):
+    return {"frontend": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"}
+
+
 def _settings(name, ip, store_port, ports, peer_port, seeds):
     return {
         "node_name": name,
         "ip": ip,
         "zone": "a",
-        "listen": {"frontend": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"},
+        "listen": ports and _listen(ip, ports),
         "port_range": [peer_port, peer_port + 1],
         "seed_nodes": [f"{seed}:1" for seed in seeds],
         "limits": {"memory_mb": 300},
@@ -115,6 +119,31 @@
     if peer_port is None:
         (peer_port,) = free_ports(ip, 1)
     found = _settings(f"entry-{ip}", ip, store_port, ports, peer_port, seeds)
+    async with _process("entry", found) as (process, path):
+        entry = EntryProcess(process, path, ip, *ports)
+        reading = asyncio.create_task(_read_lines(entry))
+        try:
+            yield entry
+        finally:
+            await _kill(process)
+            await reading
+
+
+@contextlib.asynccontextmanager
+async def running_agent(store_port, ip, peer_port, service, port):
+    """Run the agent of the server at ``port`` until the block ends; give its process."""
+    found = _settings(f"agent-{ip}", ip, store_port, None, peer_port, ())
+    found |= {"listen": {}, "service": service, "app": f"{ip}:{port}"}
+    async with _process("agent", found) as (process, _):
+        try:
+            yield process
+        finally:
+            await _kill(process)
+
+
+@contextlib.asynccontextmanager
+async def _process(role, found):
+    """Start a process with the settings ``found``; give it and their path."""
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "settings.json"
         path.write_text(json.dumps(found))
@@ -123,23 +152,22 @@
             "DOTTERELPLANK_NODE_FILE": str(path),
             "PYTHONPATH": str(SOURCES),
         }
+        is_read = role == "entry"
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "dotterelplank.platform",
-            "entry",
-            stdout=asyncio.subprocess.PIPE,
+            role,
+            stdout=asyncio.subprocess.PIPE if is_read else asyncio.subprocess.DEVNULL,
             env=environment,
         )
-        entry = EntryProcess(process, path, ip, *ports)
-        reading = asyncio.create_task(_read_lines(entry))
-        try:
-            yield entry
-        finally:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
-            await reading
+        yield process, path
+
+
+async def _kill(process):
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+    await process.wait()
 
 
 async def _read_lines(entry):
--- a/tests/path_soak.py
+++ b/tests/path_soak.py
@@ -1,4 +1,4 @@
-"""A soak of the path: real entries between callers and stand-ins, under faults.
+"""A soak: real entries and agents between callers and stand-ins, under faults.
 
 The faults come from outside the processes: signals, a proxy before each server, a store
 and servers that misbehave, new configurations, servers that leave. What callers and
@@ -13,6 +13,7 @@
 import signal
 
 from entry_process import free_ports, is_ready, running, until
+from group_soak import LATE_SHARE, RankGroup, service
 from platform_standin import (
     ServiceStandin,
     StoreStandin,
@@ -88,6 +89,8 @@
         self.version = 2
         self.ports = {}
         self.faults = []
+        self.group = RankGroup()
+        self.back_s = 0.0
 
     async def run(self):
         """Play all of it, and check what was seen.
@@ -104,6 +107,9 @@
                 self.store.put(f"servers/{server.id}", server.entry())
             store_port = await stack.enter_async_context(listening(self.store))
             (peer_port,) = free_ports(IPS[0], 1)
+            await stack.enter_async_context(
+                self.group.running(self.store, store_port, peer_port)
+            )
             for slot in self.slots:
                 keeping = self._keep(slot, store_port, peer_port)
                 task = asyncio.create_task(keeping)
@@ -191,8 +197,12 @@
         """Let one fault after the other happen; three such series overlap."""
         loop = asyncio.get_running_loop()
         choices = (
-            self._trouble_process,
-            self._trouble_process,
+            self._trouble_entry,
+            self._trouble_entry,
+            self._trouble_agent,
+            self._trouble_agent,
+            self._kill_all,
+            self._delay_orders,
             self._trouble_connections,
             self._trouble_connections,
             self._trouble_server,
@@ -208,11 +218,33 @@
     def _note(self, *what):
         self.faults.append(what)
 
-    async def _trouble_process(self):
+    async def _trouble_entry(self):
         slot = self.random.choice(self.slots)
+        await self._trouble_process(slot.entry.process, slot.ip)
+
+    async def _trouble_agent(self):
+        rank = self.random.randrange(len(self.group.agents))
+        process = self.group.agents[rank]
+        if process is not None:
+            await self._trouble_process(process, f"rank {rank}")
+
+    async def _kill_all(self):
+        """End all entries and agents at once; each is started again."""
+        self._note("kill", "all")
+        self.group.kill_agents()
+        for slot in self.slots:
+            with contextlib.suppress(ProcessLookupError):
+                slot.entry.process.kill()
+
+    async def _delay_orders(self):
+        self._note("orders", "late")
+        self.group.set_late(LATE_SHARE)
+        await asyncio.sleep(self.random.uniform(0.05, 1.0))
+        self.group.set_late(0.0)
+
+    async def _trouble_process(self, process, what):
         kind = self.random.choice(("kill", "term", "stop", "hup"))
-        self._note(kind, slot.ip)
-        process = slot.entry.process
+        self._note(kind, what)
         with contextlib.suppress(ProcessLookupError):
             if kind == "kill":
                 process.kill()
@@ -259,11 +291,23 @@
         self.store.put(f"servers/{server.id}", server.entry())
 
     async def _recover(self):
-        """See that every entry serves again soon after the last fault."""
+        """See that every entry serves and the group works soon after the last fault."""
+        began_s = asyncio.get_running_loop().time()
+        passes = len(self.group.begun_s)
+        await until(lambda: self._begins(passes), what="a group that makes passes")
+        self.back_s = asyncio.get_running_loop().time() - began_s
+        maps = self.group.maps()
+        await until(lambda: self._changes(maps), what="a change of the map")
         for slot in self.slots:
             await until(lambda one=slot: _serves(one), what="an entry that recovers")
             await until(lambda one=slot: self._answers(one), what="calls that succeed")
 
+    async def _begins(self, passes):
+        return len(self.group.begun_s) > passes
+
+    async def _changes(self, maps):
+        return self.group.maps() > maps
+
     async def _answers(self, slot):
         call_id = b"%016x" % self.random.getrandbits(64)
         answer = await slot.entry.call(b"/q/x", call_id=call_id)
@@ -296,7 +340,9 @@
         route("once", "/u/", "unsafe", max_attempts=2),
         route("safe", "/q/", "safe"),
     ]
-    return configuration(version, routes=routes)
+    found = configuration(version, routes=routes)
+    found["services"].append(service())
+    return found
 
 
 def _check_call(one, runs):
--- a/tests/run_path_soak.py
+++ b/tests/run_path_soak.py
@@ -22,7 +22,12 @@
             result = traceback.format_exc()
         statuses = sorted({str(one.status) for one in soak.seen})
         print(f"seed {seed}: {len(soak.seen)} calls, {len(soak.faults)} faults,")
-        print(f"  {' '.join(statuses)}: {result}", flush=True)
+        print(f"  {' '.join(statuses)}; {soak.group.maps()} maps,", end=" ")
+        pause_s = soak.group.longest_pause_s()
+        print(
+            f"longest pause {pause_s:.1f} s, back after {soak.back_s:.1f} s:", end=" "
+        )
+        print(result, flush=True)
     return broken
 
 
--- a/tests/test_path_soak.py
+++ b/tests/test_path_soak.py
@@ -19,3 +19,4 @@
         answered = [one for one in soak.seen if one.status == 200 and one.is_whole]
         self.assertGreater(len(answered), 50)
         self.assertGreater(len(soak.faults), 10)
+        self.assertGreater(soak.group.maps(), 0)
