--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -131,7 +131,7 @@
 
 @contextlib.asynccontextmanager
 async def running_agent(store_port, ip, peer_port, service, port):
-    """Run the agent of the server at ``port`` until the block ends; give its process."""
+    """Run the agent of the server at ``port``, and give its process."""
     found = _settings(f"agent-{ip}", ip, store_port, None, peer_port, ())
     found |= {"listen": {}, "service": service, "app": f"{ip}:{port}"}
     async with _process("agent", found) as (process, _):
