Have agents that are told to stop end what others drive, and say farewell

Cause: an agent that was told to stop ended its own change and went at once. Others counted on it for another second, so their tasks were lost; the rank was then spoken to directly, and what it tells other hosts is 200 ms old. Class: planned work that is met like a failure, by a timeout.

Mend: heartbeats tell that an agent leaves; no change begins then and it leads no more. It stays while its rank is armed or tasks come, and says farewell as it ends.

The modelled ranks of the tests tell other hosts what is 200 ms old, as real ones do.

--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -34,6 +34,8 @@
 READ_INTERVAL_MS: t.Final = 75.0
 TURN_MS: t.Final = 25.0
 """How often a change in progress is looked at, besides at each reply."""
+QUIET_MS: t.Final = 300.0
+"""Longest time between two tasks of one change for the same rank."""
 STALL_CHECK_MS: t.Final = 200.0
 LOST_MS: t.Final = 500.0
 
@@ -54,6 +56,7 @@
         self._rank = RankClient(t.cast(Address, host.endpoint))
         self._incarnation = new_incarnation()
         self._heard_ms = boottime_ms()
+        self._asked_ms = 0.0
         self._is_lost = False
         self._planned_ms = 0.0
         self._membership = Membership(host.link_mbps)
@@ -121,16 +124,27 @@
             events.emit(
                 log, events.PROCESS_STOPPING, in_change=self._driver.change is not None
             )
-            await self._finish_change()
+            self._teller.leave()
+            await self._finish_changes()
+            self._teller.say_farewell()
         self._rank.close()
         self._lookup.close()
         events.emit(log, events.PROCESS_STOPPED, role="agent")
 
-    async def _finish_change(self) -> None:
-        """Let a change in progress come to its end, within the bound on a stop."""
-        bound_ms = boottime_ms() + self._host.bounds.stop_ms / 2
-        while self._driver.change is not None and boottime_ms() < bound_ms:
+    async def _finish_changes(self) -> None:
+        """Let changes in progress come to their end, within the bound on a stop."""
+        now_ms = self._asked_ms = boottime_ms()
+        bound_ms = now_ms + self._host.bounds.stop_ms / 2
+        while self._is_in_change(now_ms) and now_ms < bound_ms:
             await asyncio.sleep(TURN_MS / 1000)
+            now_ms = boottime_ms()
+
+    def _is_in_change(self, now_ms: float) -> bool:
+        """Return whether a change needs this agent, its own or another's."""
+        own = self._group.own
+        is_armed = own is not None and own.armed is not None
+        is_asked = now_ms - self._asked_ms < QUIET_MS
+        return self._driver.change is not None or is_armed or is_asked
 
     async def _sample(self) -> None:
         """Read the rank regularly, and tell the leader of its counts."""
@@ -267,7 +281,10 @@
             case messages.Sample():
                 if self._is_of_group(message):
                     self._teller.take_sample(now_ms, message, len(data))
+            case messages.Farewell():
+                self._group.forget(message)
             case messages.Ask():
+                self._asked_ms = now_ms
                 self._driver.spread(message, message.pass_on)
                 self._background.spawn(self._answer(message))
             case messages.Reply():
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -6,7 +6,7 @@
 
 from ..sequences import Sequence
 from . import versions
-from .messages import Heartbeat
+from .messages import Farewell, Heartbeat
 from .views import ExpertMap, RankView, Rows
 
 ALIVE_MS: t.Final = 1_000.0
@@ -86,6 +86,16 @@
             return
         self.members[view.rank] = Member(heartbeat, now_ms)
 
+    def forget(self, farewell: Farewell) -> None:
+        """Take in that an agent has ended."""
+        for rank, member in list(self.members.items()):
+            heartbeat = member.heartbeat
+            if (heartbeat.ip, heartbeat.incarnation) == (
+                farewell.ip,
+                farewell.incarnation,
+            ):
+                del self.members[rank]
+
     def alive(self, now_ms: float) -> t.Mapping[int, Heartbeat]:
         """Return the last heartbeat of each member that was heard lately."""
         return {
@@ -103,11 +113,15 @@
         return (now_ms - first_ms) / begun if begun else 0.0
 
     def leader(self, now_ms: float) -> int | None:
-        """Return the rank whose agent plans maps: the lowest one that lives."""
+        """Return the rank whose agent plans maps: the lowest that lives and stays."""
         own = self.own
         if own is None:
             return None
-        return min([*self.alive(now_ms), own.rank])
+        alive = self.alive(now_ms)
+        staying = [
+            rank for rank, heartbeat in alive.items() if not heartbeat.is_leaving
+        ]
+        return min(staying, default=own.rank)
 
     def keep_map(self, version: int, expert_map: ExpertMap) -> None:
         """Remember the map of a version, and forget old ones."""
@@ -161,7 +175,10 @@
         # The pass of the last change must have begun here, so that it is over.
         if own.step < max(self.first_step + SETTLE_STEPS, self.used_step):
             return False
-        views = [heartbeat.view for heartbeat in self.alive(now_ms).values()]
+        heartbeats = self.alive(now_ms).values()
+        if any(heartbeat.is_leaving for heartbeat in heartbeats):
+            return False
+        views = [heartbeat.view for heartbeat in heartbeats]
         return not any(_is_in_change(view, own.step) for view in [*views, own])
 
     def new_version(self, draw: int) -> int:
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -22,6 +22,7 @@
     :param number: rises with each heartbeat.
     :param knows_map: whether it knows the map that its rank uses.
     :param knows_members: whether it knows the layout and the address of each rank.
+    :param is_leaving: whether it was told to stop, and only ends what is in progress.
     """
 
     ip: str
@@ -31,6 +32,15 @@
     view: RankView
     knows_map: bool
     knows_members: bool
+    is_leaving: bool = False
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True)
+class Farewell:
+    """An agent ends: its rank is to be spoken to directly."""
+
+    ip: str
+    incarnation: int
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
@@ -155,7 +165,7 @@
 
 
 CODEC: t.Final = Codec(
-    Heartbeat, OwnRows, Sample, Ask, Reply, MembersAsked, MembersTold
+    Heartbeat, OwnRows, Sample, Ask, Reply, MembersAsked, MembersTold, Farewell
 )
 
 
--- a/src/dotterelplank/ranks/teller.py
+++ b/src/dotterelplank/ranks/teller.py
@@ -33,6 +33,7 @@
     :param below: what the agents below have told.
     :param counted_ms: when the own rank's counts were last read.
     :param interval_ms: time between two reads of them.
+    :param is_leaving: whether this agent was told to stop.
     """
 
     host: HostSettings
@@ -50,6 +51,7 @@
     counted_ms: float = 0.0
     interval_ms: float = 0.0
     told_rows_ms: float = 0.0
+    is_leaving: bool = False
 
     def clear(self) -> None:
         """Forget what was counted, as the group has formed anew."""
@@ -70,6 +72,7 @@
             view,
             self.group.present_map() is not None,
             self.membership.knows_all(view.size),
+            self.is_leaving,
         )
         self.group.hear(now_ms, heartbeat)
         others = self.membership.members.ips - {self.host.ip}
@@ -77,6 +80,16 @@
         self.group.alive_ms = max(ALIVE_MS, heartbeats.MISSED * every_ms)
         self.send(self.rota.due(now_ms, others, every_ms, turn_ms), heartbeat)
 
+    def leave(self) -> None:
+        """Have the next heartbeat to each agent tell that this one will end."""
+        self.is_leaving = True
+        self.rota.sent_ms.clear()
+
+    def say_farewell(self) -> None:
+        """Tell all others that this agent ends now."""
+        others = self.membership.members.ips - {self.host.ip}
+        self.send(others, messages.Farewell(self.host.ip, self.incarnation))
+
     async def tell_rows(self, now_ms: float, view: RankView) -> None:
         """Tell a leader that doesn't know the map in use the part of the own rank.
 
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -8,8 +8,10 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import random
 import selectors
+import signal
 import types
 import typing as t
 import unittest.mock
@@ -29,6 +31,8 @@
 HELD_BACK_BYTES = 32 * 1024
 LOST = 0.002
 CALL_MS = 1.0
+REPORT_LAG_S = 0.2
+"""How old a rank's report is to those of other hosts."""
 PASS_MS = 80.0
 CHOICES_PER_EXPERT = 3.0
 """Mean number of times that a rank's calls choose an expert in a pass."""
@@ -65,12 +69,13 @@
         selector.loop = self
         super().__init__(selector)
         self.network = Network(self)
+        self.handlers: dict[t.Any, t.Callable[[], None]] = {}
 
     def time(self) -> float:
         return self.now_s
 
-    def add_signal_handler(self, *_args) -> None:
-        pass
+    def add_signal_handler(self, number, callback) -> None:
+        self.handlers[asyncio.current_task(), number] = callback
 
     async def create_datagram_endpoint(self, protocol_factory, local_addr=None, **_):
         protocol = protocol_factory()
@@ -161,11 +166,27 @@
         self.counts = np.zeros(world.layout.layers * world.layout.experts, dtype=int)
         self.map_in_use = world.first_map
         self._prepared: dict[int, t.Any] = {}
+        self._views: collections.deque[tuple[float, RankView]] = collections.deque()
 
     async def view(self) -> RankView:
+        """Return the report, as the host of the rank gets it."""
         await asyncio.sleep(CALL_MS / 1000)
         return self.model.view()
 
+    async def far_view(self) -> RankView:
+        """Return the report as other hosts get it: as it was a while ago."""
+        await asyncio.sleep(CALL_MS / 1000)
+        self._note_view()
+        oldest_s = asyncio.get_running_loop().time() - REPORT_LAG_S
+        while len(self._views) > 1 and self._views[1][0] <= oldest_s:
+            self._views.popleft()
+        return self._views[0][1]
+
+    def _note_view(self) -> None:
+        view = self.model.view()
+        if not self._views or self._views[-1][1] != view:
+            self._views.append((asyncio.get_running_loop().time(), view))
+
     async def counts_now(self) -> Counts:
         await asyncio.sleep(CALL_MS / 1000)
         model = self.model
@@ -199,6 +220,7 @@
         is_accepted = self.model.apply(order)
         if is_accepted and is_prepare:
             self._copy(order)
+        self._note_view()
         return is_accepted
 
     def begin_pass(self) -> None:
@@ -208,6 +230,7 @@
         if self.model.map_version != before:
             self.map_in_use = self._prepared[self.model.map_version]
             self._prepared.clear()
+        self._note_view()
 
     def _copies(self, expert_map: t.Any) -> list[int]:
         """Return how many experts of each layer a map makes new here."""
@@ -230,13 +253,15 @@
     def _finish(self, version: int) -> None:
         if self.model.highest == version:
             self.model.prepared = version
+            self._note_view()
 
 
 class _Reach:
     """What the package's client of a rank is to its users."""
 
-    def __init__(self, rank: WorldRank) -> None:
-        self.view, self.rows, self.give = rank.view, rank.rows, rank.give
+    def __init__(self, rank: WorldRank, *, is_far: bool = False) -> None:
+        self.view = rank.far_view if is_far else rank.view
+        self.rows, self.give = rank.rows, rank.give
         self.counts, self.close = rank.counts_now, rank.close
 
 
@@ -348,13 +373,16 @@
         def reach(place, *_bounds):
             return _Reach(self.ranks[place.port])
 
+        def reach_far(place):
+            return _Reach(self.ranks[place.port], is_far=True)
+
         def clock_ms():
             return loop.time() * 1000
 
         patches = [
             unittest.mock.patch.object(agents, "RankClient", reach),
             unittest.mock.patch.object(lookup, "StoreClient", _Store),
-            unittest.mock.patch.object(driver, "direct_client", reach),
+            unittest.mock.patch.object(driver, "direct_client", reach_far),
             unittest.mock.patch.object(driver, "random", _SEEDED),
             unittest.mock.patch.object(lookup, "read_members", members),
             unittest.mock.patch.object(agents, "boottime_ms", clock_ms),
@@ -385,10 +413,23 @@
 
     def start_agents(self) -> None:
         """Start an agent beside each rank, which knows nothing yet."""
-        self._agents = [
-            asyncio.create_task(agents.Agent(self._host(rank)).run())
-            for rank in range(self.size)
-        ]
+        self._agents = [self._start_agent(rank) for rank in range(self.size)]
+
+    async def restart_agent(self, rank: int, down_s: float) -> None:
+        """Tell an agent to stop, and start another some time after it has."""
+        stopping = self._agents[rank]
+        asyncio.get_running_loop().handlers[stopping, signal.SIGTERM]()
+        await stopping
+        await asyncio.sleep(down_s)
+        self._agents[rank] = self._start_agent(rank)
+
+    def longest_pause_s(self, since_s: float) -> float:
+        """Return the longest time between two passes since then."""
+        begun = [one for one in self.begun if one > since_s]
+        return max(late - early for early, late in itertools.pairwise(begun))
+
+    def _start_agent(self, rank: int) -> asyncio.Task[None]:
+        return asyncio.create_task(agents.Agent(self._host(rank)).run())
 
     async def kill_agents(self) -> None:
         """End all agents at once, with what they had begun."""
--- a/tests/test_ranks_restart.py
+++ b/tests/test_ranks_restart.py
@@ -3,10 +3,21 @@
 
 import testtools
 from group_world import World
-from restart_sweep import BACK_S, POLL_S, Kind, draw, late_ones, layout, play
-
+from restart_sweep import (
+    BACK_S,
+    POLL_S,
+    SETTLE_S,
+    Kind,
+    draw,
+    late_ones,
+    layout,
+    play,
+)
+
+from dotterelplank.ranks.holds import FORGOTTEN_HOLD_MS
 from dotterelplank.ranks.views import HoldStep
 
+STOPPED_S = 0.8
 PHASES_AFTER_A_HOLD = ("held", "arming", "armed")
 
 
@@ -55,3 +66,24 @@
 
         world.run(script)
         self.assertTrue(world.has_begun_since(held_s[0]))
+
+
+class RollingRestartTests(testtools.TestCase):
+    """The load: agents are stopped and started in turn while maps change."""
+
+    def test_agents_that_are_told_to_stop_hold_no_pass_up(self):
+        world = World(16, layout(16), 4.0, 7)
+        began_s = []
+
+        async def script(world):
+            await asyncio.sleep(SETTLE_S)
+            began_s.append(asyncio.get_running_loop().time())
+            for rank in range(8):
+                world.main = (world.main + 1) % len(world.topics)
+                while world.phase() == "idle":
+                    await asyncio.sleep(POLL_S)
+                await world.restart_agent(rank, STOPPED_S)
+                await asyncio.sleep(BACK_S / 2)
+
+        world.run(script)
+        self.assertLess(world.longest_pause_s(began_s[0]), FORGOTTEN_HOLD_MS / 1000)
