Wait for a silent store for unlike times, so that agents are back soon after it is

What callers would see: all agents were started anew while the store let them wait; after its return their reads, all begun at once, hung for up to 2 s more, then paused for one.

Class: what all do at once, and with the same bound.

tests/test_ranks_restart.py, ..store_was_down_are_back_once_it_is, fails on the code before where the store was silent; now a group is back within 2 s of its return.

--- a/src/dotterelplank/ranks/lookup.py
+++ b/src/dotterelplank/ranks/lookup.py
@@ -17,6 +17,11 @@
 
 log = logging.getLogger(__name__)
 
+TIMEOUT_MS: t.Final = (400.0, 2_000.0)
+"""Bounds between which agents draw how long they wait for the platform: some notice
+soon that a silent one is back, and tell those that wait for a slow one."""
+MISSING_INTERVAL_MS: t.Final = 500.0
+"""Between two reads while not all ranks are known."""
 INTERVAL_MS: t.Final = 1_000.0
 LONGEST_INTERVAL_MS: t.Final = 16_000.0
 """Between two reads while all ranks are known, but some agents are silent."""
@@ -100,13 +105,16 @@
     def _next_interval_ms(self) -> float:
         own = self._group.own
         if own is None or not self._membership.knows_all(own.size):
-            return INTERVAL_MS
+            return MISSING_INTERVAL_MS
         return min(self._interval_ms * BACKOFF, LONGEST_INTERVAL_MS)
 
     async def _read(self) -> None:
+        timeout_ms = self._random.uniform(*TIMEOUT_MS)
         try:
-            found = await read_members(self._store, self._host.service or "")
-        except UpstreamError as error:
-            events.emit(log, events.PLATFORM_READ_FAILED, why=str(error))
+            async with asyncio.timeout(timeout_ms / 1000):
+                found = await read_members(self._store, self._host.service or "")
+        except (UpstreamError, TimeoutError) as error:
+            why = str(error) or f"no answer in {timeout_ms:.0f} ms"
+            events.emit(log, events.PLATFORM_READ_FAILED, why=why)
             return
         self._membership.learn(found)
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -43,6 +43,7 @@
 PACKET_BYTES = 28
 LATE_S = (2.0, 12.0)
 ORDER_TIMEOUT_MS = 20.0
+STORE_TIMEOUT_S = 2.0
 
 
 _SEEDED = types.SimpleNamespace(Random=lambda: random.Random(5))
@@ -282,6 +283,7 @@
 
     :ivar late: share of the orders that are carried out seconds later, unanswered.
     :ivar store_away: ranks whose hosts the platform's store turns away.
+    :ivar store_is_silent: it lets them wait instead of refusing them.
     :ivar begun: when passes began, in seconds.
     :ivar spare_tasks: tasks that aren't the agents'.
     """
@@ -294,6 +296,7 @@
         self.faults = random.Random(seed)
         self.late = 0.0
         self.store_away: set[int] = set()
+        self.store_is_silent = False
         self.begun: list[float] = []
         self._agents: list[asyncio.Task[None]] = []
         self.spare_tasks: set[asyncio.Task[t.Any] | None] = set()
@@ -365,6 +368,8 @@
 
         async def members(client, _service):
             if client.rank in self.store_away:
+                if self.store_is_silent:
+                    await asyncio.sleep(STORE_TIMEOUT_S)
                 raise UpstreamError("status 503", sent=True)
             places = {rank: Address(_ip(rank), rank) for rank in range(self.size)}
             ips = {_ip(rank) for rank in range(self.size)}
--- a/tests/test_ranks_restart.py
+++ b/tests/test_ranks_restart.py
@@ -18,6 +18,8 @@
 from dotterelplank.ranks.views import HoldStep
 
 STOPPED_S = 0.8
+DOWN_S = (2.5, 3.1, 4.2)
+"""How long the store is down for all."""
 PHASES_AFTER_A_HOLD = ("held", "arming", "armed")
 
 
@@ -43,6 +45,32 @@
         self._play(5, Kind(16, away=0.4), draw(5, 10))
         self._play(6, Kind(16, late=0.4, away=0.4), draw(6, 10))
 
+    def test_agents_started_while_the_store_was_down_are_back_once_it_is(self):
+        for down_s in DOWN_S:
+            for is_silent in (False, True):
+                self._restart_without_store(down_s, is_silent)
+
+    def _restart_without_store(self, down_s, is_silent):
+        world = World(16, layout(16), 4.0, 8)
+        world.store_is_silent = is_silent
+        back_s = []
+
+        async def script(world):
+            await asyncio.sleep(SETTLE_S)
+            world.main = 4
+            while world.phase() != "arming":
+                await asyncio.sleep(POLL_S)
+            world.store_away = set(range(16))
+            await world.kill_agents()
+            world.start_agents()
+            await asyncio.sleep(down_s)
+            world.store_away = set()
+            back_s.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(BACK_S)
+
+        world.run(script)
+        self.assertTrue(world.has_begun_since(back_s[0]), (down_s, is_silent))
+
     def test_a_large_group_is_back_after_a_restart(self):
         self._play(4, Kind(72, late=0.4, away=0.4), PHASES_AFTER_A_HOLD)
 
