--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -18,14 +18,13 @@
 from ..sequences import new_incarnation
 from . import messages, policy
 from .demand import Demands
-from .driver import Driver, direct_client
+from .driver import Driver
 from .group import Group
-from .holds import HoldWatch, is_holding
 from .lookup import Lookup
 from .membership import Membership
 from .metrics import AgentMetrics
-from .participant import carry_out
-from .tasks import Look, Prepare, Task
+from .rescue import Rescue
+from .task_runner import TaskRunner
 from .teller import Teller
 from .views import RankView
 
@@ -36,7 +35,6 @@
 """How often a change in progress is looked at, besides at each reply."""
 QUIET_MS: t.Final = 300.0
 """Longest time between two tasks of one change for the same rank."""
-STALL_CHECK_MS: t.Final = 200.0
 LOST_MS: t.Final = 500.0
 
 
@@ -70,7 +68,6 @@
             self._demands,
             self._send_to_all,
         )
-        self._hold = HoldWatch()
         self._driver = Driver(
             host.ip,
             host.link_mbps,
@@ -81,7 +78,10 @@
             self._send,
             self._note_silence,
         )
-        self._busy: set[tuple[str, int]] = set()
+        self._rescue = Rescue(self._group, self._membership, self._driver)
+        self._tasks = TaskRunner(
+            self._group, self._rank, self.metrics, self._send, self._note_silence
+        )
         self._background = Background()
         self._datagrams: asyncio.DatagramTransport | None = None
         self._stop = asyncio.Event()
@@ -116,9 +116,9 @@
                 self._sample,
                 self._turn,
                 self._lookup.follow,
-                self._watch_stall,
+                self._rescue.follow,
             ):
-                going = keep_going(work.__name__, work)
+                going = keep_going(work.__qualname__, work)
                 stack.callback(loop.create_task(going).cancel)
             await self._stop.wait()
             events.emit(
@@ -174,54 +174,7 @@
         if self._group.see(now_ms, view):
             self._teller.clear()
             self._driver.drop()
-        self._watch_hold(now_ms, view)
-
-    def _watch_hold(self, now_ms: float, view: RankView) -> None:
-        """Clear up a pass that is held here and that nobody releases."""
-        self._hold.see(now_ms, view)
-        change = self._driver.change
-        self._hold.note(
-            now_ms,
-            phase=None if change is None else change.phase.value,
-            alive=len(self._group.alive(now_ms)),
-            knows_map=self._group.present_map() is not None,
-            knows_members=len(self._membership.members.ranks),
-        )
-        if not self._hold.is_forgotten(now_ms) or not self._driver.is_free():
-            return
-        self._driver.take_over(now_ms, view.rank, t.cast(int, view.held))
-
-    async def _watch_stall(self) -> None:
-        """Look for a pass held at a rank whose agent is silent, and clear it up."""
-        while True:
-            await asyncio.sleep(STALL_CHECK_MS / 1000)
-            now_ms = boottime_ms()
-            own = self._group.own
-            if own is None or not self._group.is_stalled(now_ms):
-                continue
-            if self._group.leader(now_ms) == own.rank and self._driver.is_free():
-                await self._look_for_hold(own)
-
-    async def _look_for_hold(self, own: RankView) -> None:
-        alive = self._group.alive(boottime_ms())
-        for rank, place in sorted(self._membership.members.ranks.items()):
-            if rank in alive:
-                continue
-            client = direct_client(place)
-            try:
-                view = await client.view()
-            except UpstreamError as error:
-                events.emit(log, events.RANK_LOST, rank=rank, why=str(error))
-                continue
-            finally:
-                client.close()
-            if (
-                is_holding(view)
-                and view.epoch == own.epoch
-                and self._driver.change is None
-            ):
-                self._driver.take_over(boottime_ms(), rank, t.cast(int, view.held))
-                return
+        self._rescue.see(now_ms, view)
 
     def _note_silence(self, why: str) -> None:
         silent_ms = boottime_ms() - self._heard_ms
@@ -286,7 +239,7 @@
             case messages.Ask():
                 self._asked_ms = now_ms
                 self._driver.spread(message, message.pass_on)
-                self._background.spawn(self._answer(message))
+                self._background.spawn(self._tasks.answer(message))
             case messages.Reply():
                 self._driver.take_reply(message)
 
@@ -297,36 +250,6 @@
             own.epoch,
         )
 
-    async def _answer(self, ask: messages.Ask) -> None:
-        task = self._task_of(ask)
-        key = (type(task).__name__, ask.version or ask.step)
-        if key in self._busy:
-            return
-        self._busy.add(key)
-        self.metrics.count_task(ask.kind)
-        try:
-            view = await carry_out(self._rank, ask.epoch, task)
-        except UpstreamError as error:
-            self._note_silence(str(error))
-            return
-        finally:
-            self._busy.discard(key)
-        self._send(ask.ip, messages.Reply(ask.number, view))
-
-    def _task_of(self, ask: messages.Ask) -> Task:
-        """Return the task that is asked for, or a look where it can't be told."""
-        own = self._group.own
-        if own is None or own.epoch != ask.epoch:
-            return Look()
-        task = messages.task_of(ask, self._group.maps)
-        if task is None:
-            known = sorted(self._group.maps)
-            events.emit(log, events.MAP_NOT_KNOWN, version=ask.version, known=known)
-            return Look()
-        if isinstance(task, Prepare):
-            self._group.keep_map(task.version, task.map)
-        return task
-
     async def _page(self, call: Call, exchange: Exchange) -> None:
         """Answer a read of the metrics."""
         if call.target.partition(b"?")[0] == METRICS_PATH:
@@ -343,7 +266,7 @@
             "is_leader": float(own is not None and self._teller.leader == own.rank),
             "pass_ms": self._group.pass_ms(now_ms),
             "rank_silent_ms": now_ms - self._heard_ms,
-            "held_ms": self._hold.held_ms(now_ms),
+            "held_ms": self._rescue.held_ms(now_ms),
             "step": -1 if own is None else own.step,
             "map_version": -1 if own is None else own.map_version,
         }
--- /dev/null
+++ b/src/dotterelplank/ranks/rescue.py
@@ -0,0 +1,80 @@
+"""How an agent clears up passes that are held and that nobody goes on with."""
+
+import asyncio
+import logging
+import typing as t
+
+from .. import events
+from ..clocks import boottime_ms
+from ..errors import UpstreamError
+from .driver import Driver, direct_client
+from .group import Group
+from .holds import HoldWatch, is_holding
+from .membership import Membership
+from .views import RankView
+
+log = logging.getLogger(__name__)
+
+STALL_CHECK_MS: t.Final = 200.0
+
+
+class Rescue:
+    """The part of one agent: its own rank, and those whose agents are silent."""
+
+    def __init__(self, group: Group, membership: Membership, driver: Driver) -> None:
+        self._group = group
+        self._membership = membership
+        self._driver = driver
+        self._hold = HoldWatch()
+
+    def held_ms(self, now_ms: float) -> float:
+        """Return for how long the own rank has held a pass; 0 if it holds none."""
+        return self._hold.held_ms(now_ms)
+
+    def see(self, now_ms: float, view: RankView) -> None:
+        """Take in the own rank's state; clear up a pass that nobody releases."""
+        self._hold.see(now_ms, view)
+        if not self._hold.is_forgotten(now_ms):
+            return
+        self._note(now_ms)
+        if self._driver.is_free():
+            self._driver.take_over(now_ms, view.rank, t.cast(int, view.held))
+
+    async def follow(self) -> None:
+        """Look for passes held at ranks whose agents are silent, until cancelled."""
+        while True:
+            await asyncio.sleep(STALL_CHECK_MS / 1000)
+            now_ms = boottime_ms()
+            own = self._group.own
+            if own is None or not self._group.is_stalled(now_ms):
+                continue
+            if self._group.leader(now_ms) == own.rank and self._driver.is_free():
+                await self._look_elsewhere(own)
+
+    def _note(self, now_ms: float) -> None:
+        change = self._driver.change
+        self._hold.note(
+            now_ms,
+            phase=None if change is None else change.phase.value,
+            alive=len(self._group.alive(now_ms)),
+            knows_map=self._group.present_map() is not None,
+            knows_members=len(self._membership.members.ranks),
+        )
+
+    async def _look_elsewhere(self, own: RankView) -> None:
+        alive = self._group.alive(boottime_ms())
+        for rank, place in sorted(self._membership.members.ranks.items()):
+            if rank in alive:
+                continue
+            client = direct_client(place)
+            try:
+                view = await client.view()
+            except UpstreamError as error:
+                events.emit(log, events.RANK_LOST, rank=rank, why=str(error))
+                continue
+            finally:
+                client.close()
+            is_here = is_holding(view) and view.epoch == own.epoch
+            if is_here and self._driver.change is None:
+                self._driver.take_over(boottime_ms(), rank, t.cast(int, view.held))
+                return
