--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -23,7 +23,7 @@
 from .lookup import Lookup
 from .membership import Membership
 from .metrics import AgentMetrics
-from .rescue import Rescue
+from .recovery import Recovery
 from .task_runner import TaskRunner
 from .teller import Teller
 from .views import RankView
@@ -78,7 +78,7 @@
             self._send,
             self._note_silence,
         )
-        self._rescue = Rescue(self._group, self._membership, self._driver)
+        self._recovery = Recovery(self._group, self._membership, self._driver)
         self._tasks = TaskRunner(
             self._group, self._rank, self.metrics, self._send, self._note_silence
         )
@@ -116,7 +116,7 @@
                 self._sample,
                 self._turn,
                 self._lookup.follow,
-                self._rescue.follow,
+                self._recovery.follow,
             ):
                 going = keep_going(work.__qualname__, work)
                 stack.callback(loop.create_task(going).cancel)
@@ -126,7 +126,7 @@
             )
             self._teller.leave()
             await self._finish_changes()
-            self._teller.say_farewell()
+            self._teller.tell_stopped()
         self._rank.close()
         self._lookup.close()
         events.emit(log, events.PROCESS_STOPPED, role="agent")
@@ -174,7 +174,7 @@
         if self._group.see(now_ms, view):
             self._teller.clear()
             self._driver.drop()
-        self._rescue.see(now_ms, view)
+        self._recovery.see(now_ms, view)
 
     def _note_silence(self, why: str) -> None:
         silent_ms = boottime_ms() - self._heard_ms
@@ -234,7 +234,7 @@
             case messages.Sample():
                 if self._is_of_group(message):
                     self._teller.take_sample(now_ms, message, len(data))
-            case messages.Farewell():
+            case messages.AgentStopped():
                 self._group.forget(message)
             case messages.Ask():
                 self._asked_ms = now_ms
@@ -266,7 +266,7 @@
             "is_leader": float(own is not None and self._teller.leader == own.rank),
             "pass_ms": self._group.pass_ms(now_ms),
             "rank_silent_ms": now_ms - self._heard_ms,
-            "held_ms": self._rescue.held_ms(now_ms),
+            "held_ms": self._recovery.held_ms(now_ms),
             "step": -1 if own is None else own.step,
             "map_version": -1 if own is None else own.map_version,
         }
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -6,7 +6,7 @@
 
 from ..sequences import Sequence
 from . import versions
-from .messages import Farewell, Heartbeat
+from .messages import AgentStopped, Heartbeat
 from .views import ExpertMap, RankView, Rows
 
 ALIVE_MS: t.Final = 1_000.0
@@ -86,13 +86,13 @@
             return
         self.members[view.rank] = Member(heartbeat, now_ms)
 
-    def forget(self, farewell: Farewell) -> None:
+    def forget(self, stopped: AgentStopped) -> None:
         """Take in that an agent has ended."""
         for rank, member in list(self.members.items()):
             heartbeat = member.heartbeat
             if (heartbeat.ip, heartbeat.incarnation) == (
-                farewell.ip,
-                farewell.incarnation,
+                stopped.ip,
+                stopped.incarnation,
             ):
                 del self.members[rank]
 
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -36,7 +36,7 @@
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
-class Farewell:
+class AgentStopped:
     """An agent ends: its rank is to be spoken to directly."""
 
     ip: str
@@ -165,7 +165,7 @@
 
 
 CODEC: t.Final = Codec(
-    Heartbeat, OwnRows, Sample, Ask, Reply, MembersAsked, MembersTold, Farewell
+    Heartbeat, OwnRows, Sample, Ask, Reply, MembersAsked, MembersTold, AgentStopped
 )
 
 
--- a/src/dotterelplank/ranks/rescue.py
+++ b/src/dotterelplank/ranks/recovery.py
@@ -18,7 +18,7 @@
 STALL_CHECK_MS: t.Final = 200.0
 
 
-class Rescue:
+class Recovery:
     """The part of one agent: its own rank, and those whose agents are silent."""
 
     def __init__(self, group: Group, membership: Membership, driver: Driver) -> None:
--- a/src/dotterelplank/ranks/teller.py
+++ b/src/dotterelplank/ranks/teller.py
@@ -85,10 +85,10 @@
         self.is_leaving = True
         self.rota.sent_ms.clear()
 
-    def say_farewell(self) -> None:
+    def tell_stopped(self) -> None:
         """Tell all others that this agent ends now."""
         others = self.membership.members.ips - {self.host.ip}
-        self.send(others, messages.Farewell(self.host.ip, self.incarnation))
+        self.send(others, messages.AgentStopped(self.host.ip, self.incarnation))
 
     async def tell_rows(self, now_ms: float, view: RankView) -> None:
         """Tell a leader that doesn't know the map in use the part of the own rank.
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -22,7 +22,7 @@
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.tables import ExpertLayout
-from dotterelplank.ranks import agent as agents, driver, lookup, planning, rescue
+from dotterelplank.ranks import agent as agents, driver, lookup, planning, recovery
 from dotterelplank.ranks.membership import Members
 from dotterelplank.ranks.views import Counts, Order, OwnPart, PrepareMap, RankView
 
@@ -390,8 +390,8 @@
             unittest.mock.patch.object(agents, "RankClient", reach),
             unittest.mock.patch.object(lookup, "StoreClient", _Store),
             unittest.mock.patch.object(driver, "direct_client", reach_far),
-            unittest.mock.patch.object(rescue, "direct_client", reach_far),
-            unittest.mock.patch.object(rescue, "boottime_ms", clock_ms),
+            unittest.mock.patch.object(recovery, "direct_client", reach_far),
+            unittest.mock.patch.object(recovery, "boottime_ms", clock_ms),
             unittest.mock.patch.object(driver, "random", _SEEDED),
             unittest.mock.patch.object(lookup, "read_members", members),
             unittest.mock.patch.object(agents, "boottime_ms", clock_ms),
