Log that a rank's address isn't known, where a task for it is passed over

The same class as the incident's cause: a precondition that isn't met was passed over in silence. What gives a change up says so by its name.

--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -116,11 +116,8 @@
         self._metrics.count_take_over()
         events.emit(log, events.CHANGE_TAKEN_OVER, holder=holder, step=step)
 
-    def is_free(self) -> bool:
-        """Return whether a held pass can be cleared up now.
-
-        A change that holds nothing yet is given up for that.
-        """
+    def make_room(self) -> bool:
+        """Give up a change that holds nothing yet; return whether none is in hand."""
         if self.change is not None and changes.give_way(self.change):
             self.advance()
         return self.change is None
@@ -268,7 +265,7 @@
 
         A report that is read from afar costs more than one that its agent reads.
         """
-        place = self._membership.members.ranks.get(rank)
+        place = self._place_of(rank)
         if place is None:
             return
         client = direct_client(place)
@@ -289,7 +286,7 @@
     async def _carry_out_there(
         self, change: changes.Change, assignment: tasks.Assignment
     ) -> None:
-        place = self._membership.members.ranks.get(assignment.rank)
+        place = self._place_of(assignment.rank)
         if place is None:
             return
         rank = direct_client(place)
@@ -300,6 +297,12 @@
         finally:
             rank.close()
 
+    def _place_of(self, rank: int) -> Address | None:
+        place = self._membership.members.ranks.get(rank)
+        if place is None:
+            events.emit(log, events.RANK_LOST, rank=rank, why="its address isn't known")
+        return place
+
     def _hear(self, change: changes.Change, view: RankView) -> None:
         if change is self.change:
             changes.hear(boottime_ms(), change, view)
--- a/src/dotterelplank/ranks/recovery.py
+++ b/src/dotterelplank/ranks/recovery.py
@@ -37,7 +37,7 @@
         if not self._hold.is_forgotten(now_ms):
             return
         self._note(now_ms)
-        if self._driver.is_free():
+        if self._driver.make_room():
             self._driver.take_over(now_ms, view.rank, t.cast(int, view.held))
 
     async def follow(self) -> None:
@@ -48,7 +48,7 @@
             own = self._group.own
             if own is None or not self._group.is_stalled(now_ms):
                 continue
-            if self._group.leader(now_ms) == own.rank and self._driver.is_free():
+            if self._group.leader(now_ms) == own.rank and self._driver.make_room():
                 await self._look_elsewhere(own)
 
     def _note(self, now_ms: float) -> None:
