Keep the groups of one service apart, at agents and entries

Cause: members were keyed by rank alone, so the agents of a service with two groups of the same ranks sent holds and direct tasks to whichever group was read last, heartbeats went to all agents of the service, and entries kept limits by the group's name alone. Now a rank is named by its group and number, a task by its group and epoch, and an entry's limits and passes by service and group.

--- a/src/dotterelplank/datagram_codec.py
+++ b/src/dotterelplank/datagram_codec.py
@@ -47,10 +47,12 @@
 
     Data classes nested in a message need :func:`name_fields` as their first validator.
 
+    :param name: name of the format; datagrams of any other format are refused.
     :param kinds: pydantic data classes; their order is part of the format.
     """
 
-    def __init__(self, *kinds: type) -> None:
+    def __init__(self, name: str, *kinds: type) -> None:
+        self._name = name
         self._kinds = kinds
         self._adapters = [pydantic.TypeAdapter(kind) for kind in kinds]
 
@@ -58,7 +60,7 @@
         """Return the datagram that holds ``message``."""
         kind = type(message)
         values = _field_values(message)
-        packed = [self._kinds.index(kind), *values]
+        packed = [self._name, self._kinds.index(kind), *values]
         data = msgpack.packb(packed, default=_field_values)
         return data if len(data) <= MAX_PLAIN_BYTES else zlib.compress(data)
 
@@ -68,7 +70,9 @@
         :raises ProtocolError: if the datagram holds no valid message of these kinds.
         """
         try:
-            number, *values = msgpack.unpackb(_inflated(data))
+            name, number, *values = msgpack.unpackb(_inflated(data))
+            if name != self._name:
+                raise ProtocolError(f"format {name!r} instead of {self._name!r}")
             fields = _field_names(self._kinds[number])
             if len(fields) != len(values):
                 raise ProtocolError("a message with a different number of fields")
--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from .concurrency import ConcurrencyLimits, used_share
-from .directory import Directory, Endpoint
+from .directory import Directory, Endpoint, GroupKey
 from .loads import Loads
 
 MAX_WAIT_RATIO: t.Final = 0.45
@@ -99,7 +99,7 @@
         endpoint
         for endpoint in usable
         if loads.in_flight_at(endpoint.id) < endpoint.slots
-        and (endpoint.place is None or endpoint.place.group not in saturated)
+        and endpoint.group not in saturated
     ]
     if not free:
         wait_ms = expected_wait_ms(
@@ -177,12 +177,12 @@
 
 def _saturated_groups(
     listed: t.Iterable[Endpoint], loads: Loads, concurrency_limits: ConcurrencyLimits
-) -> t.Collection[str]:
+) -> t.Collection[GroupKey]:
     """Return the groups that have reached their concurrency limit."""
-    by_group: dict[str, list[Endpoint]] = {}
+    by_group: dict[GroupKey, list[Endpoint]] = {}
     for endpoint in listed:
-        if endpoint.place is not None:
-            by_group.setdefault(endpoint.place.group, []).append(endpoint)
+        if endpoint.group is not None:
+            by_group.setdefault(endpoint.group, []).append(endpoint)
     return {
         group
         for group, endpoints in by_group.items()
@@ -192,11 +192,8 @@
 
 
 def _group_share(endpoint: Endpoint, concurrency_limits: ConcurrencyLimits) -> float:
-    return (
-        1.0
-        if endpoint.place is None
-        else concurrency_limits.share(endpoint.place.group)
-    )
+    group = endpoint.group
+    return 1.0 if group is None else concurrency_limits.share(group)
 
 
 def _load_key(endpoint: Endpoint, loads: Loads, domain: str) -> tuple[float, bool]:
@@ -217,5 +214,4 @@
 
 def group_breaker_key(endpoint: Endpoint) -> str:
     """Return the key of the breaker of an endpoint's group."""
-    assert endpoint.place is not None
-    return f"group {endpoint.service}/{endpoint.place.group}"
+    return f"group {endpoint.group}"
--- a/src/dotterelplank/gateway/concurrency.py
+++ b/src/dotterelplank/gateway/concurrency.py
@@ -13,7 +13,7 @@
 import statistics
 import typing as t
 
-from .directory import Endpoint
+from .directory import Endpoint, GroupKey
 from .loads import Loads
 
 SAME_PASS_MS: t.Final = 15.0
@@ -51,15 +51,15 @@
 class ConcurrencyLimits:
     """The concurrency limits of all groups.
 
-    :param by_group: the limit of each group, by its name.
+    :param by_group: the limit of each group.
     """
 
-    by_group: dict[str, ConcurrencyLimit] = dataclasses.field(default_factory=dict)
+    by_group: dict[GroupKey, ConcurrencyLimit] = dataclasses.field(default_factory=dict)
 
     def record_event_gap(
         self,
         now_ms: float,
-        group: str,
+        group: GroupKey,
         gap_ms: float,
         target_ms: float,
         used_share: t.Callable[[], float],
@@ -81,7 +81,7 @@
             limit.gaps_ms.clear()
         limit.gaps_ms.append(gap_ms)
 
-    def share(self, group: str) -> float:
+    def share(self, group: GroupKey) -> float:
         """Return the part of a group's slots that may be in use."""
         limit = self.by_group.get(group)
         return 1.0 if limit is None else limit.share
--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -26,6 +26,16 @@
     is_open: bool
 
 
+class GroupKey(t.NamedTuple):
+    """The identity of a group; two services may have groups of the same name."""
+
+    service: str
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.name}"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
     """A server in the platform's list.
@@ -48,6 +58,11 @@
     started_ms: int
     place: GroupPlace | None
 
+    @property
+    def group(self) -> GroupKey | None:
+        """The group that the endpoint is a rank of; None: it is in no group."""
+        return None if self.place is None else GroupKey(self.service, self.place.group)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointChange:
@@ -146,12 +161,12 @@
             if endpoint.service == service and not endpoint.is_draining
         ]
 
-    def of_group(self, service: str, group: str) -> t.Sequence[Endpoint]:
-        """Return the endpoints of ``service`` that are ranks of ``group``."""
+    def of_group(self, group: GroupKey) -> t.Sequence[Endpoint]:
+        """Return the endpoints that are ranks of ``group``."""
         return [
             endpoint
-            for endpoint in self.of_service(service)
-            if endpoint.place is not None and endpoint.place.group == group
+            for endpoint in self.of_service(group.service)
+            if endpoint.group == group
         ]
 
     def _remove(self, endpoint_id: str, revision: int) -> None:
--- a/src/dotterelplank/gateway/inactivity.py
+++ b/src/dotterelplank/gateway/inactivity.py
@@ -15,7 +15,7 @@
 import typing as t
 
 from .concurrency import SAME_PASS_MS
-from .directory import Endpoint
+from .directory import Endpoint, GroupKey
 from .tables import Route, RouteKind
 
 MAX_RECENT_PASSES: t.Final = 32
@@ -64,26 +64,27 @@
     """
 
     last_seen_ms: dict[str, float] = dataclasses.field(default_factory=dict)
-    passes: dict[str, collections.deque[float]] = dataclasses.field(
+    passes: dict[GroupKey, collections.deque[float]] = dataclasses.field(
         default_factory=dict
     )
 
     def record_event(self, now_ms: float, endpoint: Endpoint) -> None:
         """Record an event of a stream, and the pass that it shows."""
         self.last_seen_ms[endpoint.id] = now_ms
-        if endpoint.place is None:
+        group = endpoint.group
+        if group is None:
             return
         passes = self.passes.setdefault(
-            endpoint.place.group, collections.deque(maxlen=MAX_RECENT_PASSES)
+            group, collections.deque(maxlen=MAX_RECENT_PASSES)
         )
         if not passes or now_ms - passes[-1] >= SAME_PASS_MS:
             passes.append(now_ms)
 
     def passes_since(self, endpoint: Endpoint, since_ms: float) -> int:
         """Return how many recent passes the endpoint's group has run after a time."""
-        if endpoint.place is None:
+        if endpoint.group is None:
             return 0
-        passes = self.passes.get(endpoint.place.group, ())
+        passes = self.passes.get(endpoint.group, ())
         return sum(pass_ms >= since_ms + SAME_PASS_MS for pass_ms in passes)
 
     def keep_only(self, present: t.Collection[str]) -> None:
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -61,7 +61,10 @@
     is_leaving: bool
 
 
-CODEC: t.Final = Codec(Heartbeat)
+FORMAT: t.Final = "entry/2"
+"""Entries ignore heartbeats of another format, as those of an older program are."""
+
+CODEC: t.Final = Codec(FORMAT, Heartbeat)
 
 
 def spacing_ms(others: int, link_mbps: float) -> float:
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -256,13 +256,13 @@
         self, now_ms: float, context: CallContext, endpoint: Endpoint, gap_ms: float
     ) -> None:
         """Record the gap between two events of a stream for the concurrency limit."""
-        if endpoint.place is None:
+        state, group = self._state, endpoint.group
+        if group is None:
             return
-        state, group = self._state, endpoint.place.group
         target_ms = context.route.gap_target_ms
 
         def group_used_share() -> float:
-            ranks = state.directory.of_group(endpoint.service, group)
+            ranks = state.directory.of_group(group)
             return used_share(ranks, state.loads)
 
         state.concurrency_limits.record_event_gap(
--- a/src/dotterelplank/platform/members.py
+++ b/src/dotterelplank/platform/members.py
@@ -3,7 +3,7 @@
 from ..errors import InputError
 from ..gateway.host import Address
 from ..gateway.tables import RoutingTable
-from ..ranks.membership import Members
+from ..ranks.membership import Members, RankId
 from . import published
 from .store import StoreClient
 
@@ -32,10 +32,11 @@
             continue
         if endpoint is None or endpoint.service != service:
             continue
-        members.ips.add(endpoint.ip)
-        if endpoint.place is not None:
-            rank = endpoint.place.rank
-            members.ranks[rank] = Address(endpoint.ip, endpoint.port)
+        place = endpoint.place
+        members.groups[endpoint.ip] = None if place is None else place.group
+        if place is not None:
+            rank_id = RankId(place.group, place.rank)
+            members.ranks[rank_id] = Address(endpoint.ip, endpoint.port)
     return members
 
 
--- a/src/dotterelplank/ranks/change.py
+++ b/src/dotterelplank/ranks/change.py
@@ -27,7 +27,7 @@
 
 from .tasks import Arm, Assignment, Hold, Prepare, QueryState, Release, Supersede, Task
 from .versions import initiator_of
-from .views import ExpertMap, RankView
+from .views import ExpertMap, Formation, RankView
 
 PREPARE_TIMEOUT_MS: t.Final = 2_500.0
 """The time allowed to prepare a map, in addition to twice the expected copy time.
@@ -91,7 +91,7 @@
 class Change:
     """The state of one map change, or of the recovery of another agent's change.
 
-    :param epoch: epoch of the group in which the change was begun.
+    :param formation: the group, and its epoch in which the change was begun.
     :param size: number of ranks of the group.
     :param version: version of the map to switch to; in a recovery, the highest version
         that may be armed for the pass, or 0 before the ranks have reported.
@@ -116,7 +116,7 @@
     :param resends: number of tasks that were sent again for lack of a report.
     """
 
-    epoch: int
+    formation: Formation
     size: int
     holder: int
     version: int
@@ -157,7 +157,7 @@
         affect this change.
     """
     return Change(
-        epoch=own.epoch,
+        formation=own.formation,
         size=own.size,
         holder=holder_for(own.rank, own.size),
         version=version,
@@ -185,7 +185,7 @@
 
 def take_over(
     now_ms: float,
-    epoch: int,
+    formation: Formation,
     size: int,
     holder: int,
     step: int,
@@ -197,7 +197,7 @@
     :param superseding_version: higher than any that a rank of the group has had.
     """
     return Change(
-        epoch=epoch,
+        formation=formation,
         size=size,
         holder=holder,
         version=0,
@@ -214,10 +214,13 @@
 def record_view(now_ms: float, change: Change, view: RankView) -> None:
     """Record the report of a rank that executed a task of this change.
 
-    The change ends if the report shows that the group has formed anew.
+    The change ends if the report shows that the group has formed anew. A report of
+    another group is ignored; its server has taken over an address.
     """
-    if view.epoch != change.epoch:
-        if view.epoch > change.epoch:
+    if view.group != change.formation.group:
+        return
+    if view.epoch != change.formation.epoch:
+        if view.epoch > change.formation.epoch:
             _end(change, Outcome.REFORMED)
         return
     change.views[view.rank] = view
--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -17,7 +17,7 @@
 from ..platform.ranks import RankClient
 from . import change as changes, fanout, messages, policy, tasks, versions
 from .group import Group
-from .membership import Membership
+from .membership import Membership, RankId
 from .metrics import AgentMetrics
 from .participant import execute, send_order_once
 from .views import ExpertMap, HoldStep, RankView
@@ -118,7 +118,7 @@
         self._group.last_change_step = max(self._group.last_change_step, step)
         self.change = changes.take_over(
             now_ms,
-            own.epoch,
+            own.formation,
             own.size,
             holder,
             step,
@@ -258,7 +258,7 @@
         self._last_request_id += 1
         self._requested_versions[self._last_request_id] = change.version
         task_request = messages.task_request(
-            self._ip, self._last_request_id, change.epoch, task, encoded
+            self._ip, self._last_request_id, change.formation, task, encoded
         )
         self._sent_bytes += self.fan_out(task_request, ranks)
 
@@ -303,7 +303,7 @@
             return
         client = direct_client(address)
         try:
-            order = HoldStep(change.epoch, task.step)
+            order = HoldStep(change.formation.epoch, task.step)
             is_accepted = await send_order_once(client, order)
         finally:
             client.close()
@@ -312,7 +312,7 @@
 
     async def _execute_locally(self, change: changes.Change, task: tasks.Task) -> None:
         try:
-            self._record_view(change, await execute(self._rank, change.epoch, task))
+            self._record_view(change, await execute(self._rank, change.formation, task))
         except UpstreamError as error:
             self._on_unreachable(str(error))
 
@@ -325,7 +325,7 @@
         rank = direct_client(address)
         try:
             self._record_view(
-                change, await execute(rank, change.epoch, assignment.task)
+                change, await execute(rank, change.formation, assignment.task)
             )
         except UpstreamError as error:
             events.emit(log, events.RANK_LOST, rank=assignment.rank, why=str(error))
@@ -333,7 +333,8 @@
             rank.close()
 
     def _address_of(self, rank: int) -> Address | None:
-        address = self._membership.members.ranks.get(rank)
+        own = t.cast(RankView, self._group.own)
+        address = self._membership.members.ranks.get(RankId(own.group, rank))
         if address is None:
             events.emit(log, events.RANK_LOST, rank=rank, why="its address isn't known")
         return address
--- a/src/dotterelplank/ranks/lookup.py
+++ b/src/dotterelplank/ranks/lookup.py
@@ -73,12 +73,12 @@
 
     def on_heartbeat(self, now_ms: float, heartbeat: messages.Heartbeat) -> None:
         """Record the address of an agent; request the members if it knows more."""
-        self._membership.add_ip(heartbeat.ip)
+        self._membership.add_ip(heartbeat.ip, heartbeat.view.group)
         own = self._group.own
         if own is None or not heartbeat.knows_members:
             return
         if heartbeat.ip != self._host.ip and self._membership.may_request(
-            now_ms, own.size
+            now_ms, own.group, own.size
         ):
             self._send(heartbeat.ip, messages.MembersRequest(self._host.ip))
 
@@ -105,13 +105,13 @@
 
     def _lacks_members(self) -> bool:
         own = self._group.own
-        if own is None or not self._membership.knows_all(own.size):
+        if own is None or not self._membership.knows_all(own.group, own.size):
             return True
         return len(self._group.alive(boottime_ms())) < own.size
 
     def _next_interval_ms(self) -> float:
         own = self._group.own
-        if own is None or not self._membership.knows_all(own.size):
+        if own is None or not self._membership.knows_all(own.group, own.size):
             return INCOMPLETE_INTERVAL_MS
         return min(self._interval_ms * BACKOFF_FACTOR, MAX_INTERVAL_MS)
 
--- a/src/dotterelplank/ranks/membership.py
+++ b/src/dotterelplank/ranks/membership.py
@@ -16,24 +16,47 @@
 """The fraction of a link's bandwidth that replies to such requests may use."""
 
 
+class RankId(t.NamedTuple):
+    """The identity of a rank within its service.
+
+    :param rank: number of the rank, which is unique within its group only.
+    """
+
+    group: str
+    rank: int
+
+
 @dataclasses.dataclass
 class Members:
-    """The servers of a service.
+    """The servers of a service, which may form several groups of ranks.
 
     :param ranks: address of each rank's server.
     :param layout: the layout of the service's expert maps; ``None`` if it isn't known.
     :param gap_target_ms: shortest target of the service's routes for the time between
         two events of a response; 0 if no route has such a target.
-    :param ips: addresses of the hosts whose agents are known.
+    :param groups: the group of the rank on each known host, by the host's IP address;
+        ``None`` if it isn't known.
     :param revision: revision of the platform's store at which the members were read.
     """
 
-    ranks: dict[int, Address]
+    ranks: dict[RankId, Address]
     layout: ExpertLayout | None
     gap_target_ms: float = 0.0
-    ips: set[str] = dataclasses.field(default_factory=set)
+    groups: dict[str, str | None] = dataclasses.field(default_factory=dict)
     revision: int = 0
 
+    def addresses(self, group: str) -> dict[int, Address]:
+        """Return the addresses of a group's servers, by rank."""
+        return {
+            rank_id.rank: address
+            for rank_id, address in self.ranks.items()
+            if rank_id.group == group
+        }
+
+    def ips(self, group: str) -> set[str]:
+        """Return the hosts whose agents belong to a group, or may belong to it."""
+        return {ip for ip, known in self.groups.items() if known in (None, group)}
+
 
 @dataclasses.dataclass
 class Membership:
@@ -50,13 +73,22 @@
     last_request_ms: float | None = None
     link_busy_until_ms: float = 0.0
 
-    def knows_all(self, size: int) -> bool:
-        """Return whether the layout and the addresses of ``size`` ranks are known."""
-        return self.members.layout is not None and len(self.members.ranks) >= size
+    def knows_all(self, group: str, size: int) -> bool:
+        """Return whether the layout and the addresses of all ranks are known.
 
-    def add_ip(self, ip: str) -> None:
-        """Add the address of an agent."""
-        self.members.ips.add(ip)
+        :param size: number of ranks of the group.
+        """
+        if self.members.layout is None:
+            return False
+        return len(self.members.addresses(group)) >= size
+
+    def add_ip(self, ip: str, group: str | None = None) -> None:
+        """Add the address of an agent.
+
+        :param group: group of the agent's rank; ``None`` if it isn't known.
+        """
+        if group is not None or ip not in self.members.groups:
+            self.members.groups[ip] = group
 
     def merge(self, received: Members) -> bool:
         """Replace the known members by ``received`` ones, unless those are older.
@@ -69,16 +101,16 @@
             and received.revision < self.members.revision
         ):
             return False
-        received.ips.update(self.members.ips)
+        received.groups = {**self.members.groups, **received.groups}
         self.members = received
         return True
 
-    def may_request(self, now_ms: float, size: int) -> bool:
+    def may_request(self, now_ms: float, group: str, size: int) -> bool:
         """Return whether to send a request now, and record it as sent.
 
         :param size: number of ranks of the group.
         """
-        if self.knows_all(size):
+        if self.knows_all(group, size):
             return False
         if (
             self.last_request_ms is not None
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -9,9 +9,9 @@
 from ..gateway.host import Address
 from ..gateway.tables import ExpertLayout
 from . import deltas
-from .membership import Members
+from .membership import Members, RankId
 from .tasks import Arm, Hold, Prepare, QueryState, Release, Supersede, Task
-from .views import ExpertMap, RankView, Rows
+from .views import ExpertMap, Formation, RankView, Rows
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +87,7 @@
 class RankAddress:
     """The address of a rank's server."""
 
+    group: str
     rank: int
     ip: str
     port: int
@@ -157,6 +158,7 @@
 
     :param ip: address of the host that the replies are sent to.
     :param request_id: a number that the replies repeat.
+    :param group: group that the task is for, in ``epoch``.
     :param kind: type of the task. ``version``, ``step``, ``dead`` and ``map`` are set
         as far as a task of this type has them.
     :param forward_to: ranks whose agents the receiver forwards the task to.
@@ -164,6 +166,7 @@
 
     ip: str
     request_id: int
+    group: str
     epoch: int
     kind: t.Literal["look", "prepare", "hold", "arm", "void", "release"]
     version: int
@@ -181,7 +184,11 @@
     view: RankView
 
 
+FORMAT: t.Final = "agent/2"
+"""Agents ignore messages of another format, as those of an older program are."""
+
 CODEC: t.Final = Codec(
+    FORMAT,
     Heartbeat,
     RowsReport,
     Sample,
@@ -200,8 +207,8 @@
         service,
         members.revision,
         [
-            RankAddress(rank, address.ip, address.port)
-            for rank, address in sorted(members.ranks.items())
+            RankAddress(rank_id.group, rank_id.rank, address.ip, address.port)
+            for rank_id, address in sorted(members.ranks.items())
         ],
         None if layout is None else Layout(**dataclasses.asdict(layout)),
         members.gap_target_ms,
@@ -213,12 +220,12 @@
     layout = reply.layout
     return Members(
         {
-            address.rank: Address(address.ip, address.port)
+            RankId(address.group, address.rank): Address(address.ip, address.port)
             for address in reply.addresses
         },
         None if layout is None else ExpertLayout(**dataclasses.asdict(layout)),
         reply.gap_target_ms,
-        {address.ip for address in reply.addresses},
+        {address.ip: address.group for address in reply.addresses},
         reply.revision,
     )
 
@@ -260,16 +267,22 @@
 
 
 def task_request(
-    ip: str, request_id: int, epoch: int, task: Task, encoded: EncodedMap | None
+    ip: str,
+    request_id: int,
+    formation: Formation,
+    task: Task,
+    encoded: EncodedMap | None,
 ) -> TaskRequest:
     """Return the message that carries a task.
 
+    :param formation: the group and epoch that the task is for.
     :param encoded: the map to prepare; ``None`` for any other task.
     """
     return TaskRequest(
         ip,
         request_id,
-        epoch,
+        formation.group,
+        formation.epoch,
         t.cast(t.Any, task.kind),
         getattr(task, "version", 0),
         getattr(task, "step", 0),
--- a/src/dotterelplank/ranks/participant.py
+++ b/src/dotterelplank/ranks/participant.py
@@ -17,6 +17,7 @@
     ArmMap,
     DisarmMap,
     ExpertMap,
+    Formation,
     HoldStep,
     Order,
     PrepareMap,
@@ -34,15 +35,15 @@
 """How often an order is sent if it remains unanswered."""
 
 
-async def execute(rank: Rank, epoch: int, task: Task) -> RankView:
+async def execute(rank: Rank, formation: Formation, task: Task) -> RankView:
     """Execute ``task`` and return the rank's report after it.
 
-    :param epoch: epoch of the group that the task is for; no order is sent to a rank
-        that is in another epoch.
+    :param formation: the group and epoch that the task is for; no order is sent to a
+        rank that is in another group or epoch.
     :raises UpstreamError: if the rank can't be read.
     """
     view = await rank.view()
-    if view.epoch != epoch or isinstance(task, QueryState):
+    if view.formation != formation or isinstance(task, QueryState):
         return view
     return await _EXECUTORS[type(task)](rank, view, task)
 
--- a/src/dotterelplank/ranks/recovery.py
+++ b/src/dotterelplank/ranks/recovery.py
@@ -57,19 +57,21 @@
                 await self._check_unresponsive_ranks(own)
 
     def _log_orphaned(self, now_ms: float) -> None:
+        own = t.cast(RankView, self._group.own)
         change = self._driver.change
         self._hold.log_orphaned(
             now_ms,
             phase=None if change is None else change.phase.value,
             alive=len(self._group.alive(now_ms)),
             knows_map=self._group.current_map() is not None,
-            knows_members=len(self._membership.members.ranks),
+            knows_members=len(self._membership.members.addresses(own.group)),
         )
 
     async def _check_unresponsive_ranks(self, own: RankView) -> None:
         """Query ranks whose agents aren't alive; resolve the first hold found."""
         alive = self._group.alive(boottime_ms())
-        for rank, address in sorted(self._membership.members.ranks.items()):
+        addresses = self._membership.members.addresses(own.group)
+        for rank, address in sorted(addresses.items()):
             if rank in alive:
                 continue
             client = direct_client(address)
@@ -80,7 +82,7 @@
                 continue
             finally:
                 client.close()
-            is_held = is_holding(view) and view.epoch == own.epoch
+            is_held = is_holding(view) and view.formation == own.formation
             if is_held and self._driver.change is None:
                 self._driver.take_over(boottime_ms(), rank, t.cast(int, view.held))
                 return
--- a/src/dotterelplank/ranks/reporter.py
+++ b/src/dotterelplank/ranks/reporter.py
@@ -83,11 +83,11 @@
             self.heartbeats_sent,
             view,
             self.group.current_map() is not None,
-            self.membership.knows_all(view.size),
+            self.membership.knows_all(view.group, view.size),
             self.is_leaving,
         )
         self.group.on_heartbeat(now_ms, heartbeat)
-        others = self.membership.members.ips - {self.host.ip}
+        others = self._others(view)
         period_ms = heartbeats.interval_ms(len(others), self.host.link_mbps)
         self.group.alive_timeout_ms = max(
             ALIVE_TIMEOUT_MS, heartbeats.MAX_MISSED * period_ms
@@ -103,8 +103,16 @@
 
     def announce_stopped(self) -> None:
         """Notify all other agents that this agent has stopped."""
-        others = self.membership.members.ips - {self.host.ip}
-        self.send(others, messages.AgentStopped(self.host.ip, self.incarnation))
+        own = self.group.own
+        if own is None:
+            return
+        self.send(
+            self._others(own), messages.AgentStopped(self.host.ip, self.incarnation)
+        )
+
+    def _others(self, own: RankView) -> set[str]:
+        """Return the hosts of the other agents of the group of ``own``."""
+        return self.membership.members.ips(own.group) - {self.host.ip}
 
     async def report_rows(self, now_ms: float, view: RankView) -> None:
         """Send the own rank's rows to the leader if it doesn't know the map in use.
--- a/src/dotterelplank/ranks/task_runner.py
+++ b/src/dotterelplank/ranks/task_runner.py
@@ -10,7 +10,7 @@
 from .metrics import AgentMetrics
 from .participant import execute
 from .tasks import Prepare, QueryState, Task
-from .views import Rank
+from .views import Formation, Rank
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +49,7 @@
         self._busy.add(key)
         self._metrics.count_task(task_request.kind)
         try:
-            view = await execute(self._rank, task_request.epoch, task)
+            view = await execute(self._rank, _formation(task_request), task)
         except UpstreamError as error:
             self._on_unreachable(str(error))
             return
@@ -60,10 +60,11 @@
     def _decode_task(self, task_request: messages.TaskRequest) -> Task:
         """Return the requested task, or ``QueryState`` if it can't be executed here.
 
-        That is so if the request is for another epoch or its map can't be decoded.
+        That is so if the request is for another group or epoch, or if its map can't be
+        decoded.
         """
         own = self._group.own
-        if own is None or own.epoch != task_request.epoch:
+        if own is None or own.formation != _formation(task_request):
             return QueryState()
         task = messages.decode_task(task_request, self._group.maps)
         if task is None:
@@ -75,3 +76,8 @@
         if isinstance(task, Prepare):
             self._group.store_map(task.version, task.map)
         return task
+
+
+def _formation(task_request: messages.TaskRequest) -> Formation:
+    """Return the group and epoch that a task is for."""
+    return Formation(task_request.group, task_request.epoch)
--- a/src/dotterelplank/ranks/views.py
+++ b/src/dotterelplank/ranks/views.py
@@ -32,6 +32,16 @@
         return name_fields(cls, values)
 
 
+class Formation(t.NamedTuple):
+    """A group of ranks as it formed once.
+
+    :param epoch: a number that rises each time the group forms anew.
+    """
+
+    group: str
+    epoch: int
+
+
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class RankView:
     """The report of a rank on its state.
@@ -63,6 +73,11 @@
     held: int | None
     active: int
 
+    @property
+    def formation(self) -> Formation:
+        """The group and its epoch."""
+        return Formation(self.group, self.epoch)
+
     @pydantic.model_validator(mode="before")
     @classmethod
     def _by_position(cls, values: t.Any) -> t.Any:
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -23,7 +23,7 @@
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.tables import ExpertLayout
 from dotterelplank.ranks import agent as agents, driver, lookup, planning, recovery
-from dotterelplank.ranks.membership import Members
+from dotterelplank.ranks.membership import Members, RankId
 from dotterelplank.ranks.views import Counts, Order, PrepareMap, RankRows, RankView
 
 PORT = 7000
@@ -105,6 +105,7 @@
     :ivar link_mbps: the bandwidth in megabits per second; set before the agents start.
     :ivar sent: when each host sent a datagram, in seconds, and the datagram's size.
     :ivar lost: number of datagrams that were dropped.
+    :ivar routes: for each datagram, the source, the target and the time in seconds.
     """
 
     def __init__(self, loop: VirtualLoop) -> None:
@@ -113,6 +114,7 @@
         self.protocols: dict[str, t.Any] = {}
         self.sent: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
         self.lost = 0
+        self.routes: list[tuple[str, str, float]] = []
         self._free_s: dict[tuple[str, str], float] = collections.defaultdict(float)
         self._random = random.Random(1)
 
@@ -121,6 +123,7 @@
         now_s = self._loop.time()
         size = len(data) + HEADER_BYTES
         self.sent[source].append((now_s, size))
+        self.routes.append((source, target, now_s))
         departure_s = self._transmit((source, "out"), now_s, size)
         if departure_s is None or self._random.random() < LOSS_RATIO:
             self.lost += 1
@@ -173,7 +176,7 @@
 
     def __init__(self, world: "World", rank: int) -> None:
         self._world = world
-        self.model = ModelRank(rank, world.size)
+        self.model = ModelRank(rank, world.size, group=world.group)
         self.counts = np.zeros(world.layout.layers * world.layout.experts, dtype=int)
         self.map_in_use = world.first_map
         self._prepared: dict[int, t.Any] = {}
@@ -293,6 +296,9 @@
 
     :param layout: layout of the group's expert maps.
     :param link_mbps: bandwidth of each host's link, in megabits per second.
+    :param number: number of the group, which differs from those of other worlds.
+    :ivar service_worlds: the groups of the service, with this one; see
+        :func:`run_together`.
     :ivar p_late: probability that an order is executed seconds late and not answered.
     :ivar store_rejected_ranks: ranks whose hosts the platform's store refuses.
     :ivar store_hangs: whether the store delays its refusals by
@@ -304,9 +310,17 @@
     """
 
     def __init__(
-        self, size: int, layout: ExpertLayout, link_mbps: float, seed: int = 3
+        self,
+        size: int,
+        layout: ExpertLayout,
+        link_mbps: float,
+        seed: int = 3,
+        number: int = 0,
     ) -> None:
         self.size, self.layout, self.link_mbps = size, layout, link_mbps
+        self.number = number
+        self.group = f"g{number}"
+        self.service_worlds = [self]
         self.random = np.random.default_rng(seed)
         self.faults = random.Random(seed)
         self.p_late = 0.0
@@ -382,25 +396,38 @@
         return bool(self.pass_times_s) and self.pass_times_s[-1] > since_s
 
     def run(self, script: t.Callable[["World"], t.Awaitable[None]]) -> None:
-        """Run all agents and ``script`` on a virtual clock, until the script ends."""
+        """Run all agents and ``script`` on a virtual clock, until the script ends.
+
+        The agents of the service's other groups run as well.
+        """
         loop = VirtualLoop()
         loop.network.link_mbps = self.link_mbps
-        self.network = loop.network
+        worlds = self.service_worlds
+        by_ip = {world.ip(rank): world for world in worlds for rank in range(self.size)}
+        for world in worlds:
+            world.network = loop.network
 
         async def members(client, _service):
             if client.rank in self.store_rejected_ranks:
                 if self.store_hangs:
                     await asyncio.sleep(STORE_TIMEOUT_S)
                 raise UpstreamError("status 503", sent=True)
-            addresses = {rank: Address(_ip(rank), rank) for rank in range(self.size)}
-            ips = {_ip(rank) for rank in range(self.size)}
-            return Members(addresses, self.layout, 150.0, ips, revision=1)
+            addresses = {
+                RankId(world.group, rank): Address(world.ip(rank), rank)
+                for world in worlds
+                for rank in range(world.size)
+            }
+            groups = {
+                address.ip: rank_id.group for rank_id, address in addresses.items()
+            }
+            return Members(addresses, self.layout, 150.0, groups, revision=1)
 
         def make_client(address, *_timeouts):
-            return _RankClient(self.ranks[address.port])
+            return _RankClient(by_ip[address.ip].ranks[address.port])
 
         def make_remote_client(address):
-            return _RankClient(self.ranks[address.port], is_remote=True)
+            rank = by_ip[address.ip].ranks[address.port]
+            return _RankClient(rank, is_remote=True)
 
         def clock_ms():
             return loop.time() * 1000
@@ -422,23 +449,10 @@
             for patch in patches:
                 stack.enter_context(patch)
             try:
-                loop.run_until_complete(self._run(script))
+                loop.run_until_complete(_run_worlds(worlds, script))
             finally:
                 loop.close()
 
-    async def _run(self, script: t.Callable[["World"], t.Awaitable[None]]) -> None:
-        self.start_agents()
-        passes = asyncio.create_task(self.make_passes())
-        self.harness_tasks |= {asyncio.current_task(), passes}
-        try:
-            await script(self)
-        finally:
-            passes.cancel()
-            await self.kill_agents()
-            (ended,) = await asyncio.gather(passes, return_exceptions=True)
-        if isinstance(ended, Exception):
-            raise ended
-
     def start_agents(self) -> None:
         """Start an agent without state for each rank."""
         self._agents = [self._start_agent(rank) for rank in range(self.size)]
@@ -469,25 +483,54 @@
             if isinstance(result, Exception):
                 raise result
 
+    def ip(self, rank: int) -> str:
+        """Return the address of the host of a rank."""
+        return f"10.{self.number}.{rank // 200}.{rank % 200 + 1}"
+
     def _host(self, rank: int) -> HostSettings:
         return HostSettings(
-            name=f"agent-{rank}",
-            ip=_ip(rank),
+            name=f"agent-{self.number}-{rank}",
+            ip=self.ip(rank),
             domain="a",
             caller_address=None,
             health_address=None,
             peer_ports=(PORT, PORT),
             seeds=(),
-            endpoint=Address(_ip(rank), rank),
+            endpoint=Address(self.ip(rank), rank),
             service="drafts",
-            store=Address(_ip(rank), rank),
+            store=Address(self.ip(rank), rank),
             bounds=Bounds(2_000.0, 2_000.0, 0.2, 10_000.0, 94.0),
             link_mbps=self.link_mbps,
         )
 
 
-def _ip(rank: int) -> str:
-    return f"10.0.{rank // 200}.{rank % 200 + 1}"
+def run_together(
+    worlds: t.Sequence[World], script: t.Callable[[World], t.Awaitable[None]]
+) -> None:
+    """Run several groups of one service, until the script for the first one ends."""
+    for world in worlds:
+        world.service_worlds = list(worlds)
+    worlds[0].run(script)
+
+
+async def _run_worlds(
+    worlds: t.Sequence[World], script: t.Callable[[World], t.Awaitable[None]]
+) -> None:
+    passes = [asyncio.create_task(world.make_passes()) for world in worlds]
+    for world in worlds:
+        world.start_agents()
+        world.harness_tasks |= {asyncio.current_task(), *passes}
+    try:
+        await script(worlds[0])
+    finally:
+        for task in passes:
+            task.cancel()
+        for world in worlds:
+            await world.kill_agents()
+        ended = await asyncio.gather(*passes, return_exceptions=True)
+    for result in ended:
+        if isinstance(result, Exception):
+            raise result
 
 
 def _is_valid(layer: t.Any, size: int, layout: ExpertLayout) -> bool:
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -50,10 +50,11 @@
     prepared: int | None = None
     armed: Armed | None = None
     held: int | None = None
+    group: str = "g"
 
     def view(self) -> RankView:
         return RankView(
-            "g",
+            self.group,
             self.epoch,
             self.rank,
             self.size,
@@ -292,7 +293,7 @@
             return
         for assignment in changes.advance(self.now_ms, change):
             proxy = _RankProxy(self, assignment.rank)
-            work = participant.execute(proxy, change.epoch, assignment.task)
+            work = participant.execute(proxy, change.formation, assignment.task)
             self.running_tasks.append((agent, change, work))
         agent.group.last_change_step = max(agent.group.last_change_step, change.step)
         if change.outcome is not None:
@@ -307,7 +308,7 @@
         if self._is_orphaned(agent, own):
             agent.group.last_change_step = max(agent.group.last_change_step, own.held)
             agent.change = changes.take_over(
-                self.now_ms, own.epoch, own.size, own.rank, own.held, version
+                self.now_ms, own.formation, own.size, own.rank, own.held, version
             )
             self.takeovers += 1
         elif agent.group.is_stalled(self.now_ms) and self.random.random() < 0.3:
@@ -335,7 +336,7 @@
                 )
                 agent.change = changes.take_over(
                     self.now_ms,
-                    rank.epoch,
+                    rank.view().formation,
                     rank.size,
                     rank.rank,
                     rank.held,
--- a/tests/test_datagram_codec.py
+++ b/tests/test_datagram_codec.py
@@ -14,7 +14,8 @@
     values: list[int]
 
 
-CODEC = Codec(Numbers)
+FORMAT = "numbers/1"
+CODEC = Codec(FORMAT, Numbers)
 
 
 class CodecTests(testtools.TestCase):
@@ -28,6 +29,12 @@
 
     def test_invalid_messages_are_refused(self):
         long = CODEC.encode(dataclasses.replace(Numbers([]), values=[7] * 5_000))
-        huge = zlib.compress(msgpack.packb([0, [0] * (2 * MAX_INFLATED_BYTES)]))
+        huge = zlib.compress(msgpack.packb([FORMAT, 0, [0] * (2 * MAX_INFLATED_BYTES)]))
         for data in (b"", b"\x78", b"\x78abc", long[:-5], huge, b"\x93\x01\x02"):
             self.assertRaises(ProtocolError, CODEC.decode, data)
+
+    def test_messages_of_another_format_are_refused(self):
+        other = Codec("numbers/2", Numbers)
+        without_format = msgpack.packb([0, [1, 2]])
+        for data in (other.encode(Numbers([1, 2])), without_format):
+            self.assertRaises(ProtocolError, CODEC.decode, data)
--- a/tests/test_gateway_concurrency.py
+++ b/tests/test_gateway_concurrency.py
@@ -9,11 +9,13 @@
     Directory,
     Endpoint,
     EndpointChange,
+    GroupKey,
     GroupPlace,
 )
 from dotterelplank.gateway.loads import Loads
 
 RANKS, SLOTS = 24, 5
+GROUP = GroupKey("s", "g")
 GAP_MS, GOAL_MS = 150.0, 500.0
 EVENTS = 19
 PREFILL_PASSES = 2
@@ -93,7 +95,7 @@
         elif stream.passes > PREFILL_PASSES:
             stream.is_late = stream.is_late or pass_ms > GAP_MS
             self.concurrency_limits.record_event_gap(
-                now_ms, "g", pass_ms, GAP_MS, self.used_share
+                now_ms, GROUP, pass_ms, GAP_MS, self.used_share
             )
         if stream.passes == PREFILL_PASSES + EVENTS:
             self.streams.remove(stream)
@@ -134,9 +136,9 @@
         for pass_ms in [100.0, 300.0, 300.0] + [60.0] * 400:
             now_ms += pass_ms
             concurrency_limits.record_event_gap(
-                now_ms, "g", pass_ms, GAP_MS, lambda: concurrency_limits.share("g")
+                now_ms, GROUP, pass_ms, GAP_MS, lambda: concurrency_limits.share(GROUP)
             )
-            shares.append(concurrency_limits.share("g"))
+            shares.append(concurrency_limits.share(GROUP))
         self.assertEqual(concurrency.MIN_SHARE, min(shares))
         self.assertEqual(1.0, shares[-1])
 
@@ -144,9 +146,18 @@
         concurrency_limits = ConcurrencyLimits()
         for now_ms, pass_ms in ((100.0, 60.0), (4_100.0, 4_000.0), (4_200.0, 60.0)):
             concurrency_limits.record_event_gap(
-                now_ms, "g", pass_ms, GAP_MS, lambda: 1.0
+                now_ms, GROUP, pass_ms, GAP_MS, lambda: 1.0
             )
-        self.assertEqual(1.0, concurrency_limits.share("g"))
+        self.assertEqual(1.0, concurrency_limits.share(GROUP))
+
+    def test_groups_of_the_same_name_in_two_services_have_limits_of_their_own(self):
+        concurrency_limits = ConcurrencyLimits()
+        for now_ms in (100.0, 400.0, 700.0):
+            concurrency_limits.record_event_gap(
+                now_ms, GROUP, 2 * GAP_MS, GAP_MS, lambda: 1.0
+            )
+        self.assertLess(concurrency_limits.share(GROUP), 1.0)
+        self.assertEqual(1.0, concurrency_limits.share(GroupKey("other", "g")))
 
     def test_a_call_that_would_be_late_is_not_kept_waiting(self):
         max_wait_ms = admission.max_wait_ms(GOAL_MS, 8_000.0, 300.0)
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -7,7 +7,7 @@
 
 from dotterelplank.ranks import change as changes, participant, tasks, versions
 from dotterelplank.ranks.holds import ORPHANED_HOLD_TIMEOUT_MS
-from dotterelplank.ranks.views import Armed, RankView
+from dotterelplank.ranks.views import Armed, Formation, RankView
 
 NOW_MS = 1_000.0
 
@@ -89,7 +89,7 @@
 
         Return the change and the tasks that are due after the initiator's timeout.
         """
-        change = changes.take_over(NOW_MS, 1, 3, 1, 12, 7)
+        change = changes.take_over(NOW_MS, Formation("g", 1), 3, 1, 12, 7)
         _record_views(change, *views)
         later_ms = NOW_MS + changes.INITIATOR_TIMEOUT_MS + 1
         return change, changes.advance(later_ms, change)
@@ -154,6 +154,13 @@
         changes.advance(NOW_MS, change)
         self.assertEqual(changes.Outcome.REFORMED, change.outcome)
 
+    def test_a_report_of_another_group_is_ignored(self):
+        change = _begin()
+        for epoch in (1, 2):
+            changes.record_view(NOW_MS, change, _view(1, group="other", epoch=epoch))
+        self.assertEqual({}, change.views)
+        self.assertIsNone(change.outcome)
+
     def test_an_unresponsive_agent_is_bypassed_while_the_pass_may_be_held(self):
         change = _begin()
         _record_views(change, _view(0, prepared=5), _view(1, prepared=5))
--- a/tests/test_ranks_fanout.py
+++ b/tests/test_ranks_fanout.py
@@ -5,9 +5,10 @@
 from hypothesis import given, strategies as st
 
 from dotterelplank.ranks import deltas, fanout, heartbeats, messages, sampling, tasks
+from dotterelplank.ranks.views import Formation
 
 LAYERS, RANKS, EXPERTS = 2, 3, 200
-KIND_POSITION = 4
+KIND_POSITION = 6
 """The position of the task's kind in an encoded ``TaskRequest``."""
 ROWS = st.lists(st.integers(0, EXPERTS - 1), min_size=1, max_size=4)
 MAPS = st.lists(
@@ -45,7 +46,9 @@
     def test_a_task_is_decoded_from_its_message(self):
         task = tasks.Prepare(9, self.AFTER)
         encoded = messages.encode_map(task.map, (7, self.BEFORE))
-        data = messages.CODEC.encode(messages.task_request("ip", 1, 2, task, encoded))
+        data = messages.CODEC.encode(
+            messages.task_request("ip", 1, Formation("g", 2), task, encoded)
+        )
         received = messages.CODEC.decode(data)
         self.assertEqual(task, messages.decode_task(received, {7: self.BEFORE}))
         self.assertIsNone(messages.decode_task(received, {}))
@@ -65,7 +68,8 @@
         )
         for kind, task in expected.items():
             encoded = messages.encode_map(self.AFTER) if kind == "prepare" else None
-            request = messages.task_request("ip", 1, 2, task, encoded)
+            formation = Formation("g", 2)
+            request = messages.task_request("ip", 1, formation, task, encoded)
             self.assertEqual(kind, request.kind)
             data = messages.CODEC.encode(request)
             self.assertEqual(kind, msgpack.unpackb(data)[KIND_POSITION])
--- a/tests/test_ranks_membership.py
+++ b/tests/test_ranks_membership.py
@@ -3,16 +3,26 @@
 from dotterelplank.gateway.host import Address
 from dotterelplank.gateway.tables import ExpertLayout
 from dotterelplank.ranks import messages
-from dotterelplank.ranks.membership import REQUEST_INTERVAL_MS, Members, Membership
+from dotterelplank.ranks.membership import (
+    REQUEST_INTERVAL_MS,
+    Members,
+    Membership,
+    RankId,
+)
 
 LAYOUT = ExpertLayout(layers=2, experts=8, places=5, spare=2, copy_ms=16.0)
 NOW_MS = 1_000.0
+GROUP = "g"
 
 
-def _members(size, revision=1):
-    addresses = {rank: Address(f"10.0.0.{rank + 1}", 80) for rank in range(size)}
-    ips = {address.ip for address in addresses.values()}
-    return Members(addresses, LAYOUT, 150.0, ips, revision)
+def _members(size, revision=1, groups=(GROUP,)):
+    addresses = {
+        RankId(group, rank): Address(f"10.0.{number}.{rank + 1}", 80)
+        for number, group in enumerate(groups)
+        for rank in range(size)
+    }
+    group_by_ip = {address.ip: rank_id.group for rank_id, address in addresses.items()}
+    return Members(addresses, LAYOUT, 150.0, group_by_ip, revision)
 
 
 class MembershipTests(testtools.TestCase):
@@ -20,15 +30,15 @@
 
     def test_an_agent_that_knows_no_members_repeats_its_request(self):
         membership = Membership(link_mbps=10.0)
-        self.assertTrue(membership.may_request(NOW_MS, 2))
-        self.assertFalse(membership.may_request(NOW_MS + 1, 2))
-        self.assertTrue(membership.may_request(NOW_MS + REQUEST_INTERVAL_MS, 2))
+        self.assertTrue(membership.may_request(NOW_MS, GROUP, 2))
+        self.assertFalse(membership.may_request(NOW_MS + 1, GROUP, 2))
+        self.assertTrue(membership.may_request(NOW_MS + REQUEST_INTERVAL_MS, GROUP, 2))
 
     def test_an_agent_that_knows_all_ranks_sends_no_request(self):
         membership = Membership(link_mbps=10.0)
         membership.merge(_members(2))
-        self.assertFalse(membership.may_request(NOW_MS, 2))
-        self.assertTrue(membership.may_request(NOW_MS, 3))
+        self.assertFalse(membership.may_request(NOW_MS, GROUP, 2))
+        self.assertTrue(membership.may_request(NOW_MS, GROUP, 3))
 
     def test_an_agent_without_a_layout_sends_no_reply(self):
         membership = Membership(link_mbps=10.0)
@@ -49,7 +59,28 @@
         self.assertTrue(membership.merge(_members(2, revision=5)))
         self.assertFalse(membership.merge(_members(1, revision=4)))
         self.assertEqual(2, len(membership.members.ranks))
-        self.assertIn("10.0.0.99", membership.members.ips)
+        self.assertIn("10.0.0.99", membership.members.ips(GROUP))
+
+    def test_ranks_of_the_same_number_are_known_for_each_group(self):
+        membership = Membership(link_mbps=10.0)
+        membership.merge(_members(2, groups=("g", "h")))
+        members = membership.members
+        self.assertEqual(Address("10.0.0.2", 80), members.addresses("g")[1])
+        self.assertEqual(Address("10.0.1.2", 80), members.addresses("h")[1])
+
+    def test_the_ranks_of_another_group_dont_count(self):
+        membership = Membership(link_mbps=10.0)
+        membership.merge(_members(2, groups=("h",)))
+        self.assertFalse(membership.knows_all("g", 2))
+        self.assertTrue(membership.knows_all("h", 2))
+
+    def test_hosts_of_another_group_get_no_heartbeats(self):
+        membership = Membership(link_mbps=10.0)
+        membership.merge(_members(1, groups=("g", "h")))
+        membership.add_ip("10.0.2.1")
+        self.assertEqual({"10.0.0.1", "10.0.2.1"}, membership.members.ips("g"))
+        membership.add_ip("10.0.2.1", "h")
+        self.assertEqual({"10.0.0.1"}, membership.members.ips("g"))
 
     def test_members_are_decoded_from_their_message(self):
         reply = messages.encode_members("drafts", _members(3, revision=7))
