--- a/src/dotterelplank/ranks/planning.py
+++ b/src/dotterelplank/ranks/planning.py
@@ -17,8 +17,11 @@
 """The number of experts of the most loaded rank that are considered for a move."""
 CANDIDATE_RANKS: t.Final = 6
 """The number of target ranks, least loaded first, that are considered per expert."""
-MIN_PEAK_REDUCTION: t.Final = 0.002
-"""The fraction of the mean load by which a move must lower the highest load."""
+MIN_PEAK_REDUCTION: t.Final = 0.03
+"""The fraction of the mean load by which a move must lower the highest load.
+
+A smaller gain isn't worth a copy, which slows down the passes while it is made.
+"""
 BALANCED_SKEW: t.Final = 1.03
 """The skew at which a layer is balanced: no further moves are made on it.
 
--- a/src/dotterelplank/ranks/policy.py
+++ b/src/dotterelplank/ranks/policy.py
@@ -14,8 +14,6 @@
 """The skew reduction that justifies a change when passes take the target time."""
 IDLE_SKEW_REDUCTION: t.Final = 0.35
 """The skew reduction that justifies a change however short passes are."""
-MIN_BUCKETS: t.Final = 2
-"""The smallest window, as a single bucket may span both sides of a shift."""
 MIN_COPIES: t.Final = 2
 """The number of experts that a change may add to a rank however long copies take."""
 COPY_BUDGET_MS: t.Final = 100.0
@@ -61,8 +59,6 @@
     :param current_map: the map in use.
     """
     window = demand_history.since_shift(now_ms, layout.layers, layout.experts)
-    if window.span_ms < MIN_BUCKETS * demand_history.bucket_ms:
-        return None
     if window.choices < LEAST_COUNTS_PER_EXPERT * layout.layers * layout.experts:
         return None
     if skew(window.demand, current_map) - 1 < min_skew_reduction(timing):
--- a/src/dotterelplank/ranks/reporter.py
+++ b/src/dotterelplank/ranks/reporter.py
@@ -8,7 +8,7 @@
 from ..gateway.host import HostSettings
 from ..platform.ranks import RankClient
 from . import heartbeats, messages, sampling
-from .demand import MIN_BUCKET_MS, DemandHistory, shift_distance
+from .demand import MIN_BUCKET_MS, DemandHistory
 from .group import ALIVE_TIMEOUT_MS, Group
 from .membership import Membership
 from .views import RankView
@@ -177,7 +177,6 @@
             return
         sample_interval_ms = sampling.interval_ms(sample_bytes, self.host.link_mbps)
         pass_ms = self.group.pass_ms(now_ms)
-        self.demand_history.shift_distance = shift_distance(own.size)
         self.demand_history.bucket_ms = max(MIN_BUCKET_MS, sample_interval_ms, pass_ms)
         self.demand_history.add(now_ms, counts)
 
