Compare revisions by era, and send no call to a server whose address another one has

The store may come back from a copy some seconds old: its era, told in each answer, rises, revisions go back and are given out again. A revision is now an era and a number, at entries, agents, in heartbeats and copies. After a restore an entry keeps what it had read until it is written again: a server that drains goes on draining, one that had left stays away, one that the copy lacks has the grace period; all records are read again after 5 s.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -200,6 +200,12 @@
 )
 
 # 160: expert maps in the agent
+STORE_RESTORED = _define(
+    142,
+    "store-restored",
+    logging.WARNING,
+    "The platform's store was restored from an older copy; all records are read again.",
+)
 RANK_GROUP_CHANGED = _define(
     160,
     "rank-group-changed",
--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing as t
 
+from .revisions import FIRST, Revision
+
 MISSING_GRACE_MS: t.Final = 2_000.0
 """How long an endpoint is still used that went missing during a store outage."""
 LEAVE_MARGIN_MS: t.Final = 250.0
@@ -73,7 +75,7 @@
     """
 
     id: str
-    revision: int
+    revision: Revision
     endpoint: Endpoint | None
 
 
@@ -91,19 +93,21 @@
     """
 
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
-    revisions: dict[str, int] = dataclasses.field(default_factory=dict)
-    revision: int = 0
+    revisions: dict[str, Revision] = dataclasses.field(default_factory=dict)
+    revision: Revision = FIRST
     updated_ms: float | None = None
     missing_since_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    _newest_by_address: dict[tuple[str, int], str] | None = None
 
     def apply(self, now_ms: float, change: EndpointChange) -> bool:
         """Apply one change, unless a newer one was applied.
 
         :return: whether the list has changed.
         """
-        if change.revision <= self.revisions.get(change.id, 0):
+        if change.revision <= self.revisions.get(change.id, FIRST):
             return False
         self.revisions[change.id] = change.revision
+        self._newest_by_address = None
         self.missing_since_ms.pop(change.id, None)
         self.updated_ms = now_ms
         if change.endpoint is None:
@@ -116,7 +120,7 @@
         self,
         now_ms: float,
         changes: t.Sequence[EndpointChange],
-        revision: int,
+        revision: Revision,
         was_stale: bool,
     ) -> None:
         """Replace the list by a snapshot of it, read at ``revision``.
@@ -129,7 +133,10 @@
         for change in changes:
             self.apply(now_ms, change)
         for endpoint_id in list(self.endpoints):
-            if endpoint_id in present or self.revisions.get(endpoint_id, 0) > revision:
+            if (
+                endpoint_id in present
+                or self.revisions.get(endpoint_id, FIRST) > revision
+            ):
                 continue
             if not was_stale:
                 self._remove(endpoint_id, revision)
@@ -138,6 +145,33 @@
         self.revision = max(self.revision, revision)
         self.updated_ms = now_ms
 
+    def restore(
+        self, now_ms: float, changes: t.Sequence[EndpointChange], revision: Revision
+    ) -> None:
+        """Apply a snapshot of a store that was restored from an older copy.
+
+        Servers write their records again soon. Until then the copy may list a server
+        that has left since, and lack one that has come: a server that is known to
+        drain goes on draining, one that was removed stays so, and one that is missing
+        is used until expire() removes it. A later replace() settles what remains.
+        """
+        kept = [self._keep_draining(change) for change in changes]
+        present = [
+            change
+            for change in kept
+            if change.id in self.endpoints or change.id not in self.revisions
+        ]
+        self.replace(now_ms, present, revision, was_stale=True)
+
+    def _keep_draining(self, change: EndpointChange) -> EndpointChange:
+        known, copied = self.endpoints.get(change.id), change.endpoint
+        if known is None or copied is None or not known.is_draining:
+            return change
+        if known.started_ms != copied.started_ms:
+            return change
+        endpoint = dataclasses.replace(copied, is_draining=True)
+        return EndpointChange(change.id, change.revision, endpoint)
+
     def expire(self, now_ms: float, leave_ms: float) -> t.Sequence[str]:
         """Remove endpoints whose grace period has passed, and return their ids.
 
@@ -154,13 +188,33 @@
         return due
 
     def of_service(self, service: str) -> t.Sequence[Endpoint]:
-        """Return the endpoints of ``service`` that take new calls."""
+        """Return the endpoints of ``service`` that take new calls.
+
+        A server that ended without notice stays listed for seconds. It is left out once
+        another server is listed at its address.
+        """
+        newest = self._newest_at_addresses()
         return [
             endpoint
             for endpoint in self.endpoints.values()
-            if endpoint.service == service and not endpoint.is_draining
+            if endpoint.service == service
+            and not endpoint.is_draining
+            and newest[endpoint.ip, endpoint.port] == endpoint.id
         ]
 
+    def _newest_at_addresses(self) -> t.Mapping[tuple[str, int], str]:
+        """Return the id of the endpoint at each address whose record changed last.
+
+        Revisions tell which one is newer, as clocks of servers may be wrong.
+        """
+        if self._newest_by_address is None:
+            by_age = sorted(self.endpoints, key=self.revisions.__getitem__)
+            self._newest_by_address = {
+                (self.endpoints[name].ip, self.endpoints[name].port): name
+                for name in by_age
+            }
+        return self._newest_by_address
+
     def of_group(self, group: GroupKey) -> t.Sequence[Endpoint]:
         """Return the endpoints that are ranks of ``group``."""
         return [
@@ -169,7 +223,10 @@
             if endpoint.group == group
         ]
 
-    def _remove(self, endpoint_id: str, revision: int) -> None:
+    def _remove(self, endpoint_id: str, revision: Revision) -> None:
         self.endpoints.pop(endpoint_id, None)
+        self._newest_by_address = None
         self.missing_since_ms.pop(endpoint_id, None)
-        self.revisions[endpoint_id] = max(self.revisions.get(endpoint_id, 0), revision)
+        self.revisions[endpoint_id] = max(
+            self.revisions.get(endpoint_id, FIRST), revision
+        )
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -296,7 +296,8 @@
             "entries": state.entries,
             "endpoints": len(state.directory.endpoints),
             "table_version": state.table.version if state.table else 0,
-            "directory_revision": state.directory.revision,
+            "directory_revision": state.directory.revision.number,
+            "store_era": state.directory.revision.era,
         }
 
     def _connection_limits(self) -> ConnectionLimits:
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import typing as t
 
@@ -19,7 +20,9 @@
 from .host import Address
 from .metrics import EntryMetrics
 from .peers import Peers
+from .revisions import FIRST, Revision
 from .state import EntryState
+from .tables import RoutingTable
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +45,8 @@
 A snapshot is fetched from a peer only if the change is still missing after it.
 """
 PULL_TIMEOUT_MS: t.Final = 500.0
+RESTORE_SETTLE_MS: t.Final = 5_000.0
+"""Time after which servers have written their records to a restored store again."""
 SNAPSHOT_PATH: t.Final = b"/copy"
 MAX_SNAPSHOT_BYTES: t.Final = 32 * 1024 * 1024
 
@@ -72,6 +77,7 @@
         self._configuration: Item | None = None
         self._failed_ms: float | None = None
         self._is_disconnected = False
+        self._restored_ms: float | None = None
         self._pull_task: asyncio.Task[None] | None = None
 
     async def follow(self) -> None:
@@ -80,7 +86,7 @@
         is_synced = False
         while True:
             try:
-                if is_synced:
+                if is_synced and self._settle_ms() > 0:
                     await self._watch()
                 else:
                     await self._read_all()
@@ -108,7 +114,7 @@
         return msgpack.packb([revision, published.as_lists(items)])
 
     def on_heartbeat(
-        self, ip: str, table_version: int, directory_revision: int
+        self, ip: str, table_version: int, directory_revision: Revision
     ) -> None:
         """Fetch a peer's snapshot if the peer has a newer table or list."""
         if (
@@ -123,6 +129,8 @@
         self._client.close()
 
     async def _read_all(self) -> None:
+        if self._settle_ms() <= 0:
+            self._restored_ms = None
         records = await published.read_all(self._client)
         self._note_success()
         self._apply(records, is_snapshot=True, was_stale=self._was_stale())
@@ -130,10 +138,20 @@
     async def _watch(self) -> None:
         after = self._state.directory.revision
         wait_ms = READER_WAIT_MS if self._is_reader() else FOLLOWER_WAIT_MS
+        wait_ms = min(wait_ms, self._settle_ms())
         records = await published.read_changes(self._client, after, wait_ms)
         self._note_success()
         self._apply(records, is_snapshot=False, was_stale=self._was_stale())
 
+    def _settle_ms(self) -> float:
+        """Return the time until all records of a restored store are to be read again.
+
+        It is infinite if the store wasn't restored.
+        """
+        if self._restored_ms is None:
+            return math.inf
+        return self._restored_ms + RESTORE_SETTLE_MS - self._clock()
+
     def _is_reader(self) -> bool:
         """Return whether this entry is one that sends short watch requests."""
         host = self._state.host
@@ -144,13 +162,13 @@
         ]
         return host.name in sorted([*names, host.name])[:READERS_PER_DOMAIN]
 
-    def _is_behind(self, table_version: int, directory_revision: int) -> bool:
+    def _is_behind(self, table_version: int, directory_revision: Revision) -> bool:
         table = self._state.table
         version = 0 if table is None else table.version
         revision = self._state.directory.revision
         return table_version > version or directory_revision > revision
 
-    async def _pull(self, ip: str, version: int, revision: int) -> None:
+    async def _pull(self, ip: str, version: int, revision: Revision) -> None:
         try:
             await asyncio.sleep(PULL_DELAY_MS / 1000)
             if not self._is_behind(version, revision):
@@ -166,9 +184,10 @@
             self._pull_task = None
 
     def _apply_snapshot(self, data: bytes) -> None:
-        revision, rows = msgpack.unpackb(data)
-        records = published.from_lists(int(revision), rows)
-        self._apply(records, is_snapshot=revision > 0, was_stale=False)
+        numbers, rows = msgpack.unpackb(data)
+        revision = Revision(*numbers)
+        records = published.from_lists(revision, rows)
+        self._apply(records, is_snapshot=revision > FIRST, was_stale=False)
 
     def _apply(
         self, records: published.PublishedRecords, *, is_snapshot: bool, was_stale: bool
@@ -176,9 +195,15 @@
         now_ms = self._clock()
         if records.configuration is not None:
             self._apply_table(now_ms, records.configuration)
-        changes = [self._parse_change(item) for item in records.servers]
         directory = self._state.directory
-        if is_snapshot:
+        if records.revision.era < directory.revision.era:
+            # A peer hasn't noticed yet that the store was restored.
+            return
+        changes = [self._parse_change(item) for item in records.servers]
+        if is_snapshot and self._is_restored(records.revision):
+            self._note_restored(now_ms, records.revision)
+            directory.restore(now_ms, changes, records.revision)
+        elif is_snapshot:
             directory.replace(now_ms, changes, records.revision, was_stale)
         else:
             for change in changes:
@@ -189,7 +214,7 @@
             events.emit(
                 log,
                 events.ENDPOINT_LISTED,
-                revision=records.revision,
+                revision=str(records.revision),
                 changed=len(changes),
                 endpoints=len(directory.endpoints),
                 draining=sum(e.is_draining for e in directory.endpoints.values()),
@@ -198,13 +223,25 @@
         if changes or records.configuration is not None:
             self._on_change()
 
+    def _is_restored(self, revision: Revision) -> bool:
+        directory = self._state.directory
+        is_informed = directory.updated_ms is not None
+        return is_informed and revision.era > directory.revision.era
+
+    def _note_restored(self, now_ms: float, revision: Revision) -> None:
+        self._restored_ms = now_ms
+        known = self._state.directory.revision
+        events.emit(
+            log, events.STORE_RESTORED, known=str(known), revision=str(revision)
+        )
+
     def _apply_change(
         self, now_ms: float, change: EndpointChange, was_stale: bool
     ) -> None:
         directory = self._state.directory
         is_removed = change.endpoint is None
         if is_removed and was_stale and change.id in directory.endpoints:
-            if change.revision > directory.revisions.get(change.id, 0):
+            if change.revision > directory.revisions.get(change.id, FIRST):
                 directory.missing_since_ms.setdefault(change.id, now_ms)
             return
         directory.apply(now_ms, change)
@@ -217,11 +254,11 @@
             table = published.table_of(item)
         except InputError as error:
             events.emit(
-                log, events.TABLE_REFUSED, revision=item.revision, why=str(error)
+                log, events.TABLE_REFUSED, revision=str(item.revision), why=str(error)
             )
             return
         before = self._state.table
-        if before is not None and table.version <= before.version:
+        if before is not None and not self._is_newer(table, item):
             return
         self._configuration = item
         self._state.table = table
@@ -231,11 +268,23 @@
             events.TABLE_IN_FORCE,
             version=table.version,
             before=None if before is None else before.version,
-            revision=item.revision,
+            revision=str(item.revision),
             routes=len(table.routes),
             keys=len(table.team_by_key),
         )
 
+    def _is_newer(self, table: RoutingTable, item: Item) -> bool:
+        """Return whether a table replaces the one in force.
+
+        Its version must be higher. A restored store may also hold another table of the
+        same version, which the operator published in place of the lost one.
+        """
+        known, before = self._configuration, self._state.table
+        if known is None or before is None or table.version > before.version:
+            return True
+        is_later_era = item.revision.era > known.revision.era
+        return table.version == before.version and is_later_era
+
     def _parse_change(self, item: Item) -> EndpointChange:
         try:
             change = published.change_of(item)
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -11,6 +11,7 @@
 
 from ..datagram_codec import Codec
 from ..sequences import Sequence
+from .revisions import Revision
 
 HEARTBEAT_INTERVAL_MS: t.Final = 250.0
 MIN_SPACING_MS: t.Final = 8.0
@@ -54,7 +55,7 @@
     incarnation: int
     number: int
     table_version: int
-    directory_revision: int
+    directory_revision: Revision
     in_flight: dict[str, int]
     waiting: dict[str, int]
     peers: list[str]
--- a/src/dotterelplank/platform/published.py
+++ b/src/dotterelplank/platform/published.py
@@ -5,6 +5,7 @@
 
 from ..errors import InputError
 from ..gateway.directory import EndpointChange
+from ..gateway.revisions import Revision
 from ..gateway.tables import RoutingTable
 from . import records
 from .store import Item, ReadResult, StoreClient
@@ -21,7 +22,7 @@
 
     configuration: Item | None
     servers: tuple[Item, ...]
-    revision: int
+    revision: Revision
 
 
 async def read_all(
@@ -37,13 +38,14 @@
 
 
 async def read_changes(
-    client: StoreClient, after: int, wait_ms: float
+    client: StoreClient, after: Revision, wait_ms: float
 ) -> PublishedRecords:
     """Wait for records that are published after a revision.
 
     :param after: the revision.
     :param wait_ms: longest time to wait for a change.
-    :raises HistoryGoneError: if the store no longer has these changes.
+    :raises HistoryGoneError: if the store no longer has these changes, or was restored
+        from an older copy.
     :raises UpstreamError: if the store can't be read.
     """
     return _group_by_kind(await client.watch(records.ALL_KEYS_PREFIX, after, wait_ms))
@@ -79,9 +81,14 @@
     return [[item.key, item.revision, item.value] for item in items]
 
 
-def from_lists(revision: int, rows: t.Iterable[t.Sequence[t.Any]]) -> PublishedRecords:
+def from_lists(
+    revision: Revision, rows: t.Iterable[t.Sequence[t.Any]]
+) -> PublishedRecords:
     """Return the records in rows made by :func:`as_lists`, as received from a peer."""
-    items = tuple(Item(str(key), int(number), value) for key, number, value in rows)
+    items = tuple(
+        Item(str(key), Revision(*row_revision), value)
+        for key, row_revision, value in rows
+    )
     return _group_by_kind(ReadResult(items, revision))
 
 
--- a/src/dotterelplank/platform/records.py
+++ b/src/dotterelplank/platform/records.py
@@ -7,6 +7,7 @@
 
 from ..errors import InputError, SettingsError
 from ..gateway.directory import Endpoint, EndpointChange, GroupPlace
+from ..gateway.revisions import Revision
 from ..gateway.tables import (
     ExpertLayout,
     Limits,
@@ -147,7 +148,7 @@
     )
 
 
-def parse_server(key: str, revision: int, value: bytes) -> EndpointChange:
+def parse_server(key: str, revision: Revision, value: bytes) -> EndpointChange:
     """Return the change that a server's record makes to the list of endpoints.
 
     :raises InputError: if the record is invalid. The error names the first fault.
--- a/src/dotterelplank/platform/store.py
+++ b/src/dotterelplank/platform/store.py
@@ -10,7 +10,9 @@
 
 from ..errors import UpstreamError
 from ..gateway.host import Address
+from ..gateway.revisions import Revision
 from ..http1.client import EndpointConnection, Request, connect, read_body
+from ..http1.messages import Headers, header
 
 CONNECT_TIMEOUT_MS: t.Final = 1_000.0
 CALL_TIMEOUT_MS: t.Final = 2_000.0
@@ -21,6 +23,8 @@
 _ITEM_PATH = "/v1/kv-key"
 _RANGE_PATH = "/v1/kv-range"
 _WATCH_PATH = "/v1/kv-watch"
+# Rises by one each time that the store is restored from an older copy.
+_ERA = b"store-era"
 _GONE = 410
 _NOT_FOUND = 404
 
@@ -34,7 +38,7 @@
     """The value of a key since ``revision``; a value of None means it was removed."""
 
     key: str
-    revision: int
+    revision: Revision
     value: bytes | None
 
 
@@ -43,7 +47,18 @@
     """Items and the revision of the store at the time of its response."""
 
     items: tuple[Item, ...]
-    revision: int
+    revision: Revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Response:
+    status: int
+    era: int
+    body: dict[str, t.Any]
+
+    @property
+    def revision(self) -> Revision:
+        return Revision(self.era, int(self.body.get("current_rev", 0)))
 
 
 class StoreClient:
@@ -59,10 +74,10 @@
 
         :raises UpstreamError: if the store can't be read.
         """
-        status, body = await self._get(_ITEM_PATH, CALL_TIMEOUT_MS, key=key)
-        if status == _NOT_FOUND:
-            return ReadResult((), int(body.get("current_rev", 0)))
-        return ReadResult((_item(body),), int(body["current_rev"]))
+        response = await self._get(_ITEM_PATH, CALL_TIMEOUT_MS, key=key)
+        if response.status == _NOT_FOUND:
+            return ReadResult((), response.revision)
+        return ReadResult((_item(response.era, response.body),), response.revision)
 
     async def range(self, prefix: str, *, may_be_stale: bool = False) -> ReadResult:
         """Return all items whose keys begin with ``prefix``.
@@ -75,38 +90,44 @@
         :raises UpstreamError: if the store can't be read.
         """
         items: list[Item] = []
-        revision: int | None = None
+        revision: Revision | None = None
         query = {"prefix": prefix}
         if may_be_stale:
             query["stale_ok"] = "1"
         while True:
-            _, body = await self._get(_RANGE_PATH, CALL_TIMEOUT_MS, **query)
-            items.extend(_item(result) for result in body["items"])
+            response = await self._get(_RANGE_PATH, CALL_TIMEOUT_MS, **query)
+            body = response.body
+            items.extend(_item(response.era, result) for result in body["items"])
             if revision is None:
-                revision = int(body["current_rev"])
+                revision = response.revision
+            elif response.era != revision.era:
+                raise UpstreamError("the store was restored between two pages", True)
             if not body["has_more"] or not body["items"]:
                 return ReadResult(tuple(items), revision)
             query["after"] = items[-1].key
 
-    async def watch(self, prefix: str, after: int, wait_ms: float) -> ReadResult:
+    async def watch(self, prefix: str, after: Revision, wait_ms: float) -> ReadResult:
         """Return the items changed after a revision, waiting at most ``wait_ms``.
 
         The result has no items if nothing changed in that time.
 
         :param after: the revision.
-        :raises HistoryGoneError: if the store no longer has these changes.
+        :raises HistoryGoneError: if the store no longer has these changes, or was
+            restored from an older copy.
         :raises UpstreamError: if the store can't be read.
         """
-        _, body = await self._get(
+        response = await self._get(
             _WATCH_PATH,
             wait_ms + WATCH_MARGIN_MS,
             prefix=prefix,
-            after=str(after),
+            after=str(after.number),
             wait_ms=str(int(wait_ms)),
         )
-        items = tuple(_item(result) for result in body["events"])
+        if response.era != after.era:
+            raise HistoryGoneError("the store was restored from an older copy", True)
+        items = tuple(_item(after.era, result) for result in response.body["events"])
         highest = max((item.revision for item in items), default=after)
-        return ReadResult(items, max(highest, int(body["current_rev"])))
+        return ReadResult(items, max(highest, response.revision))
 
     def close(self) -> None:
         """Close the connection."""
@@ -114,14 +135,13 @@
             self._connection.close()
             self._connection = None
 
-    async def _get(
-        self, path: str, timeout_ms: float, **query: str
-    ) -> tuple[int, dict[str, t.Any]]:
+    async def _get(self, path: str, timeout_ms: float, **query: str) -> _Response:
         target = f"{path}?{urllib.parse.urlencode(query)}"
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                status, body = await self._call(target.encode())
+                status, headers, body = await self._call(target.encode())
+                era = int(header(headers, _ERA) or 0)
                 result = json.loads(body)
         except TimeoutError as error:
             self.close()
@@ -136,9 +156,9 @@
         is_missing = status == _NOT_FOUND and path == _ITEM_PATH
         if not isinstance(result, dict) or (status != 200 and not is_missing):
             raise UpstreamError(f"status {status}", sent=True)
-        return status, result
+        return _Response(status, era, result)
 
-    async def _call(self, target: bytes) -> tuple[int, bytes]:
+    async def _call(self, target: bytes) -> tuple[int, Headers, bytes]:
         connection = self._connection
         if connection is None or not connection.is_usable:
             self.close()
@@ -150,16 +170,17 @@
         host = (b"host", str(self._address).encode())
         connection.send(Request(b"GET", target, [host], b""))
         head = await connection.head()
-        return head.status, await read_body(connection, MAX_RESPONSE_BYTES)
+        body = await read_body(connection, MAX_RESPONSE_BYTES)
+        return head.status, head.headers, body
 
 
-def _item(result: t.Any) -> Item:
+def _item(era: int, result: t.Any) -> Item:
     """Decode an item; a value that can't be decoded is replaced by empty bytes.
 
     :raises UpstreamError: if the item has no key or no revision.
     """
     try:
-        key, revision = str(result["key"]), int(result["revision"])
+        key, revision = str(result["key"]), Revision(era, int(result["revision"]))
     except (KeyError, TypeError, ValueError) as error:
         raise UpstreamError(
             f"an item without key or revision: {error}", True
--- a/src/dotterelplank/ranks/lookup.py
+++ b/src/dotterelplank/ranks/lookup.py
@@ -100,7 +100,7 @@
                 log,
                 events.MEMBERS_RECEIVED,
                 ranks=len(reply.addresses),
-                revision=reply.revision,
+                revision=str(reply.revision),
             )
 
     def _lacks_members(self) -> bool:
--- a/src/dotterelplank/ranks/membership.py
+++ b/src/dotterelplank/ranks/membership.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from ..gateway.host import Address
+from ..gateway.revisions import FIRST, Revision
 from ..gateway.tables import ExpertLayout
 
 REQUEST_INTERVAL_MS: t.Final = 100.0
@@ -43,7 +44,7 @@
     layout: ExpertLayout | None
     gap_target_ms: float = 0.0
     groups: dict[str, str | None] = dataclasses.field(default_factory=dict)
-    revision: int = 0
+    revision: Revision = FIRST
 
     def addresses(self, group: str) -> dict[int, Address]:
         """Return the addresses of a group's servers, by rank."""
@@ -94,13 +95,17 @@
         """Replace the known members by ``received`` ones, unless those are older.
 
         Known members without a layout are always replaced. Addresses of agents are
-        kept. Return whether the members were replaced.
+        kept. Those of ranks are kept if the store was restored from a copy, which may
+        lack some ranks. Return whether the members were replaced.
         """
         if (
             self.members.layout is not None
             and received.revision < self.members.revision
         ):
             return False
+        if received.revision.era > self.members.revision.era:
+            received.ranks = {**self.members.ranks, **received.ranks}
+            received.layout = received.layout or self.members.layout
         received.groups = {**self.members.groups, **received.groups}
         self.members = received
         return True
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -7,6 +7,7 @@
 
 from ..datagram_codec import Codec, name_fields
 from ..gateway.host import Address
+from ..gateway.revisions import Revision
 from ..gateway.tables import ExpertLayout
 from . import deltas
 from .membership import Members, RankId
@@ -122,7 +123,7 @@
     """
 
     service: str
-    revision: int
+    revision: Revision
     addresses: list[RankAddress]
     layout: Layout | None
     gap_target_ms: float
