--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -21,7 +21,7 @@
 from ..loops import run_supervised
 from ..metric_set import METRICS_PATH
 from ..sequences import new_incarnation
-from . import peers as peering
+from . import feed, peers as peering
 from .feed import SNAPSHOT_PATH, Feed
 from .forwarder import Forwarder
 from .host import Address, HostSettings
@@ -237,6 +237,7 @@
                 in_flight=dict(state.loads.own_in_flight),
                 waiting=dict(waiting(state)),
                 peers=self._peers_to_advertise(),
+                is_reading=self._feed.is_reading,
                 is_leaving=state.is_stopping,
             )
         )
@@ -269,16 +270,15 @@
             )
         load = PeerLoad(heartbeat.in_flight, heartbeat.waiting, now_ms)
         self.state.loads.on_heartbeat(heartbeat.ip, load)
-        self._feed.on_heartbeat(
-            heartbeat.ip, heartbeat.table_version, heartbeat.directory_revision
-        )
+        self._feed.on_heartbeat(now_ms, heartbeat)
         self._forwarder.slots.admit_waiting()
 
     async def _handle_internal(self, call: Call, exchange: Exchange) -> None:
         """Answer queries for readiness, for metrics, and for the snapshot by a peer."""
-        path = call.target.partition(b"?")[0]
+        path, _, query = call.target.partition(b"?")
         if path == SNAPSHOT_PATH:
-            exchange.respond(200, [], self._feed.snapshot())
+            known = feed.parse_known(query)
+            exchange.respond(200, [], self._feed.snapshot(known))
         elif path == METRICS_PATH:
             exchange.respond(200, [], self.metrics.render(self._gauges()))
         else:
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -1,13 +1,16 @@
 """Keeps the published configuration and list of endpoints up to date.
 
-Both are read from the platform's store, or from a peer that has newer revisions.
+A few entries of each failure domain, the readers, watch the platform's store. The other
+entries fetch what has changed from a peer that has newer revisions.
 """
 
 import asyncio
+import dataclasses
 import logging
 import math
 import random
 import typing as t
+import zlib
 
 import msgpack
 
@@ -19,7 +22,7 @@
 from .directory import EndpointChange
 from .host import Address
 from .metrics import EntryMetrics
-from .peers import Peers
+from .peers import Heartbeat, Peers
 from .revisions import FIRST, Revision
 from .state import EntryState
 from .tables import RoutingTable
@@ -27,30 +30,57 @@
 log = logging.getLogger(__name__)
 
 READER_WAIT_MS: t.Final = 2_000.0
-"""How long a reader's watch request waits for changes.
+"""How long a watch request waits for changes.
 
 A store that has become unresponsive is noticed soon after this time.
 """
-FOLLOWER_WAIT_MS: t.Final = 12_000.0
-"""How long the watch request of any other entry waits for changes."""
 READERS_PER_DOMAIN: t.Final = 2
-"""Number of entries in each failure domain that send short watch requests."""
+"""Number of entries in each failure domain that watch the store."""
+ROLE_CHECK_MS: t.Final = 100.0
+"""Time between two checks of an entry whether it has become a reader."""
 MIN_BACKOFF_MS: t.Final = 150.0
 MAX_BACKOFF_MS: t.Final = 1_000.0
 STALE_AFTER_FAILURE_MS: t.Final = 3_000.0
 """Time after a failed read in which removed endpoints are given a grace period."""
 PULL_DELAY_MS: t.Final = 250.0
-"""Time within which most entries receive a change from the platform itself.
+"""Time within which most changes arrive from the store, or from the own domain.
 
-A snapshot is fetched from a peer only if the change is still missing after it.
+They are fetched from another peer only if they are still missing after it.
 """
-PULL_TIMEOUT_MS: t.Final = 500.0
+DOMAIN_PULL_DELAY_RANGE_MS: t.Final = (25.0, 100.0)
+"""Time after which an entry that isn't a reader fetches changes from its own domain.
+
+Changes often come in bursts, which are fetched together. The time is drawn at random,
+so that some entries can fetch them from others that were earlier.
+"""
+PULL_TIMEOUT_MS: t.Final = 1_000.0
+SNAPSHOT_COMPRESSION_LEVEL: t.Final = 1
 RESTORE_SETTLE_MS: t.Final = 5_000.0
 """Time after which servers have written their records to a restored store again."""
 SNAPSHOT_PATH: t.Final = b"/copy"
 MAX_SNAPSHOT_BYTES: t.Final = 32 * 1024 * 1024
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRecords:
+    """What the entry that fetches a snapshot knows already."""
+
+    table_version: int
+    revision: Revision
+
+
+NOTHING_KNOWN: t.Final = KnownRecords(0, FIRST)
+
+
+def parse_known(query: bytes) -> KnownRecords:
+    """Return what the query of a snapshot's request tells; nothing if it is invalid."""
+    try:
+        version, era, number = map(int, query.split(b","))
+    except ValueError:
+        return NOTHING_KNOWN
+    return KnownRecords(version, Revision(era, number))
+
+
 class Feed:
     """Keeps the routing table and the list of endpoints up to date.
 
@@ -78,6 +108,7 @@
         self._failed_ms: float | None = None
         self._is_disconnected = False
         self._restored_ms: float | None = None
+        self._complete_since: Revision | None = None
         self._pull_task: asyncio.Task[None] | None = None
 
     async def follow(self) -> None:
@@ -87,7 +118,10 @@
         while True:
             try:
                 if is_synced and self._settle_ms() > 0:
-                    await self._watch()
+                    if self._is_reader():
+                        await self._watch()
+                    else:
+                        await asyncio.sleep(ROLE_CHECK_MS / 1000)
                 else:
                     await self._read_all()
                     is_synced = True
@@ -101,27 +135,44 @@
                 await asyncio.sleep(backoff_ms * jitter / 1000)
                 backoff_ms = min(backoff_ms * 2, MAX_BACKOFF_MS)
 
-    def snapshot(self) -> bytes:
-        """Return the configuration and the list of endpoints, encoded for a peer."""
+    @property
+    def is_reading(self) -> bool:
+        """Whether this entry watches the store, and the store answers."""
+        return self._is_reader() and not self._is_disconnected
+
+    def snapshot(self, known: KnownRecords) -> bytes:
+        """Return the configuration and the list of endpoints, encoded for a peer.
+
+        The configuration is left out if the peer knows it, and so are endpoints that
+        haven't changed since the revision that the peer knows.
+        """
+        directory = self._state.directory
+        is_delta = self._can_send_delta(known.revision)
+        since = known.revision if is_delta else FIRST
         items = [
-            item
-            for name, item in self._server_items.items()
-            if name in self._state.directory.endpoints
+            self._server_items[name]
+            for name, revision in directory.revisions.items()
+            if revision > since and name in directory.endpoints
         ]
-        if self._configuration is not None:
-            items.append(self._configuration)
-        revision = self._state.directory.revision
-        return msgpack.packb([revision, published.as_lists(items)])
-
-    def on_heartbeat(
-        self, ip: str, table_version: int, directory_revision: Revision
-    ) -> None:
+        if is_delta:
+            items += self._removals(since)
+        if self._has_newer_table(known):
+            items.append(t.cast(Item, self._configuration))
+        rows = published.as_lists(items)
+        values = [directory.revision, is_delta, self._was_stale(), rows]
+        return zlib.compress(msgpack.packb(values), SNAPSHOT_COMPRESSION_LEVEL)
+
+    def on_heartbeat(self, now_ms: float, heartbeat: Heartbeat) -> None:
         """Fetch a peer's snapshot if the peer has a newer table or list."""
-        if (
-            self._is_behind(table_version, directory_revision)
-            and self._pull_task is None
-        ):
-            pull = self._pull(ip, table_version, directory_revision)
+        if not self._is_behind(heartbeat.table_version, heartbeat.directory_revision):
+            directory = self._state.directory
+            if (
+                heartbeat.is_reading
+                and heartbeat.directory_revision == directory.revision
+            ):
+                directory.updated_ms = now_ms
+        elif self._pull_task is None:
+            pull = self._pull(heartbeat, self._pull_delay_ms(heartbeat))
             self._pull_task = asyncio.get_running_loop().create_task(pull)
 
     def close(self) -> None:
@@ -134,11 +185,11 @@
         records = await published.read_all(self._client)
         self._note_success()
         self._apply(records, is_snapshot=True, was_stale=self._was_stale())
+        self._note_complete()
 
     async def _watch(self) -> None:
         after = self._state.directory.revision
-        wait_ms = READER_WAIT_MS if self._is_reader() else FOLLOWER_WAIT_MS
-        wait_ms = min(wait_ms, self._settle_ms())
+        wait_ms = min(READER_WAIT_MS, self._settle_ms())
         records = await published.read_changes(self._client, after, wait_ms)
         self._note_success()
         self._apply(records, is_snapshot=False, was_stale=self._was_stale())
@@ -153,12 +204,16 @@
         return self._restored_ms + RESTORE_SETTLE_MS - self._clock()
 
     def _is_reader(self) -> bool:
-        """Return whether this entry is one that sends short watch requests."""
+        """Return whether this entry is to watch the store.
+
+        These are the first entries of a domain that are alive and get answers from the
+        store, and any entry that would be among them if it got answers.
+        """
         host = self._state.host
         names = [
             peer.heartbeat.name
             for peer in self._peers.alive()
-            if peer.heartbeat.domain == host.domain
+            if peer.heartbeat.domain == host.domain and peer.heartbeat.is_reading
         ]
         return host.name in sorted([*names, host.name])[:READERS_PER_DOMAIN]
 
@@ -168,26 +223,81 @@
         revision = self._state.directory.revision
         return table_version > version or directory_revision > revision
 
-    async def _pull(self, ip: str, version: int, revision: Revision) -> None:
+    def _pull_delay_ms(self, heartbeat: Heartbeat) -> float:
+        is_near = heartbeat.domain == self._state.host.domain
+        if is_near and not self._is_reader():
+            return random.uniform(*DOMAIN_PULL_DELAY_RANGE_MS)
+        return PULL_DELAY_MS
+
+    async def _pull(self, heartbeat: Heartbeat, delay_ms: float) -> None:
         try:
-            await asyncio.sleep(PULL_DELAY_MS / 1000)
-            if not self._is_behind(version, revision):
+            await asyncio.sleep(delay_ms / 1000)
+            if not self._is_behind(
+                heartbeat.table_version, heartbeat.directory_revision
+            ):
                 return
             async with asyncio.timeout(PULL_TIMEOUT_MS / 1000):
-                address = Address(ip, self._state.host.peer_port)
-                self._apply_snapshot(await _fetch_snapshot(address))
+                address = Address(heartbeat.ip, self._state.host.peer_port)
+                data = await _fetch_snapshot(address, self._known())
+            self._apply_snapshot(data)
         except (UpstreamError, TimeoutError, ValueError, TypeError) as error:
             events.emit(
-                log, events.PLATFORM_READ_FAILED, peer=ip, why=str(error) or "timeout"
+                log,
+                events.PLATFORM_READ_FAILED,
+                peer=heartbeat.ip,
+                why=str(error) or "timeout",
             )
         finally:
             self._pull_task = None
 
     def _apply_snapshot(self, data: bytes) -> None:
-        numbers, rows = msgpack.unpackb(data)
+        values = msgpack.unpackb(_inflate(data))
+        numbers, is_delta, was_stale, rows = values
         revision = Revision(*numbers)
         records = published.from_lists(revision, rows)
-        self._apply(records, is_snapshot=revision > FIRST, was_stale=False)
+        is_snapshot = revision > FIRST and not is_delta
+        self._apply(records, is_snapshot=is_snapshot, was_stale=was_stale)
+        if is_snapshot:
+            self._note_complete()
+
+    def _known(self) -> KnownRecords:
+        table = self._state.table
+        version = 0 if table is None else table.version
+        return KnownRecords(version, self._state.directory.revision)
+
+    def _note_complete(self) -> None:
+        """Record that all changes after the present revision will be known."""
+        if self._complete_since is None:
+            self._complete_since = self._state.directory.revision
+
+    def _has_newer_table(self, known: KnownRecords) -> bool:
+        """Return whether this entry's table may replace the one that a peer knows."""
+        table = self._state.table
+        if table is None:
+            return False
+        if known.revision.era < self._state.directory.revision.era:
+            return table.version >= known.table_version
+        return table.version > known.table_version
+
+    def _can_send_delta(self, since: Revision) -> bool:
+        """Return whether all changes since a revision are known."""
+        if self._complete_since is None or since < self._complete_since:
+            return False
+        return since.era == self._state.directory.revision.era
+
+    def _removals(self, since: Revision) -> list[Item]:
+        """Return the removals since a revision, with those in their grace period."""
+        directory = self._state.directory
+        removed = {
+            name: revision
+            for name, revision in directory.revisions.items()
+            if revision > since and name not in directory.endpoints
+        }
+        missing = dict.fromkeys(directory.missing_since_ms, directory.revision)
+        return [
+            published.removed_item(name, revision)
+            for name, revision in {**removed, **missing}.items()
+        ]
 
     def _apply(
         self, records: published.PublishedRecords, *, is_snapshot: bool, was_stale: bool
@@ -314,12 +424,30 @@
             events.emit(log, events.PLATFORM_READ_FAILED, why=why)
 
 
-async def _fetch_snapshot(address: Address) -> bytes:
+def _inflate(data: bytes) -> bytes:
+    """Return decompressed data.
+
+    :raises ValueError: if the data is invalid or too long.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(data, MAX_SNAPSHOT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"an invalid snapshot: {error}") from error
+    if not inflater.eof:
+        raise ValueError("a snapshot that is truncated or too large")
+    return plain
+
+
+async def _fetch_snapshot(address: Address, known: KnownRecords) -> bytes:
+    revision = known.revision
+    query = b"%d,%d,%d" % (known.table_version, revision.era, revision.number)
     async with temporary_connection(
         address.ip, address.port, PULL_TIMEOUT_MS / 1000
     ) as connection:
         host = (b"host", str(address).encode())
-        connection.send(Request(b"GET", SNAPSHOT_PATH, [host], b""))
+        target = SNAPSHOT_PATH + b"?" + query
+        connection.send(Request(b"GET", target, [host], b""))
         head = await connection.head()
         body = await read_body(connection, MAX_SNAPSHOT_BYTES)
         if head.status != 200:
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -46,6 +46,7 @@
     :param in_flight: number of the sender's calls at each endpoint, by endpoint id.
     :param waiting: number of the sender's calls that wait for a slot, by service.
     :param peers: addresses of other entries.
+    :param is_reading: whether the sender reads changes from the platform's store.
     :param is_leaving: whether the sender is stopping.
     """
 
@@ -59,6 +60,7 @@
     in_flight: dict[str, int]
     waiting: dict[str, int]
     peers: list[str]
+    is_reading: bool
     is_leaving: bool
 
 
--- a/src/dotterelplank/platform/published.py
+++ b/src/dotterelplank/platform/published.py
@@ -76,6 +76,11 @@
     return EndpointChange(records.server_id(item.key), item.revision, None)
 
 
+def removed_item(endpoint_id: str, revision: Revision) -> Item:
+    """Return the item that removes an endpoint from the list."""
+    return Item(records.SERVERS_PREFIX + endpoint_id, revision, None)
+
+
 def as_lists(items: t.Iterable[Item]) -> list[list[t.Any]]:
     """Return items as lists that can be serialized."""
     return [[item.key, item.revision, item.value] for item in items]
--- /dev/null
+++ b/tests/test_gateway_feed.py
@@ -0,0 +1,197 @@
+import asyncio
+import contextlib
+import random
+
+import testtools
+from platform_standin import StoreStandin, configuration, listening
+
+from dotterelplank.gateway import feed
+from dotterelplank.gateway.feed import NOTHING_KNOWN, Feed, KnownRecords, parse_known
+from dotterelplank.gateway.host import Address, Bounds, HostSettings
+from dotterelplank.gateway.metrics import EntryMetrics
+from dotterelplank.gateway.peers import Heartbeat, Peers
+from dotterelplank.gateway.revisions import Revision
+from dotterelplank.gateway.state import EntryState
+
+HEARTBEAT_S = 0.05
+PROPAGATION_S = 0.8
+
+
+def _server(name):
+    return f"servers/{name}", {
+        "service": "drafts",
+        "address": f"127.0.0.{name[1:]}:80",
+        "zone": "a",
+        "slots": 2,
+        "state": "ready",
+        "born": 1,
+    }
+
+
+class _Entry:
+    """The feed of one entry, which hears the heartbeats of the others."""
+
+    def __init__(self, number, port):
+        bounds = Bounds(8_000.0, 2_000.0, 0.2, 10_000.0, 94.0)
+        store = Address("127.0.0.1", port)
+        ip = f"10.0.0.{number}"
+        self.host = HostSettings(
+            f"entry-{number}", ip, "a", None, None, (700, 715), (), None, None, store,
+            bounds, 100.0,
+        )  # fmt: skip
+        self.state = EntryState(self.host, random.Random(number))
+        self.peers = Peers(ip)
+        self.feed = Feed(self.state, self.peers, _now_ms, EntryMetrics(), lambda: None)
+        self.number = number
+        self.sent = 0
+        self.task = None
+
+    def start(self):
+        self.task = asyncio.create_task(self.feed.follow())
+
+    async def stop(self):
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+        self.feed.close()
+
+    def listed(self):
+        return set(self.state.directory.endpoints)
+
+    def heartbeat(self):
+        self.sent += 1
+        table = self.state.table
+        return Heartbeat(
+            self.host.name, self.host.ip, "a", self.number, self.sent,
+            0 if table is None else table.version, self.state.directory.revision,
+            {}, {}, [], self.feed.is_reading, False,
+        )  # fmt: skip
+
+    def hear(self, heartbeat):
+        if self.peers.on_heartbeat(_now_ms(), heartbeat):
+            self.feed.on_heartbeat(_now_ms(), heartbeat)
+
+
+def _now_ms():
+    return asyncio.get_running_loop().time() * 1000
+
+
+class FleetTests(testtools.TestCase):
+    """Five entries of one domain share what few of them read from the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.entries = {}
+        self.fetched = 0
+
+        async def fetch(address, known):
+            self.fetched += 1
+            return self.entries[address.ip].feed.snapshot(known)
+
+        self.patch(feed, "_fetch_snapshot", fetch)
+
+    async def _exchange_heartbeats(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for entry in self.entries.values():
+                heartbeat = entry.heartbeat()
+                for other in self.entries.values():
+                    if other is not entry:
+                        other.hear(heartbeat)
+                entry.peers.expire(_now_ms())
+                entry.state.directory.expire(_now_ms(), 2_000.0)
+
+    def _run(self, script):
+        store = StoreStandin()
+        store.put("op/config", configuration(version=2))
+        store.put(*_server("s1"))
+
+        async def run():
+            async with listening(store) as port:
+                for number in range(1, 6):
+                    entry = _Entry(number, port)
+                    self.entries[entry.host.ip] = entry
+                    entry.start()
+                exchange = asyncio.create_task(self._exchange_heartbeats())
+                try:
+                    await asyncio.sleep(PROPAGATION_S)
+                    await script(store)
+                finally:
+                    exchange.cancel()
+                    for entry in self.entries.values():
+                        await entry.stop()
+
+        asyncio.run(run())
+
+    def _reading(self):
+        return [
+            entry.number for entry in self.entries.values() if entry.feed.is_reading
+        ]
+
+    def test_two_entries_read_the_store_and_all_know_each_change(self):
+        async def script(store):
+            # The watches of the entries that all read at the start end with a change.
+            store.put(*_server("s2"))
+            await asyncio.sleep(PROPAGATION_S)
+            self.assertEqual([1, 2], self._reading())
+            calls = store.calls
+            store.put(*_server("s3"))
+            store.put("op/config", configuration(version=5))
+            store.remove("servers/s1")
+            await asyncio.sleep(PROPAGATION_S)
+            for entry in self.entries.values():
+                self.assertEqual({"s2", "s3"}, entry.listed())
+                self.assertEqual(5, entry.state.table.version)
+            self.assertLessEqual(store.calls - calls, 2 * 4)
+
+        self._run(script)
+
+    def test_another_entry_reads_once_a_reader_is_gone(self):
+        async def script(store):
+            store.put(*_server("s2"))
+            await asyncio.sleep(PROPAGATION_S)
+            for ip in ("10.0.0.1", "10.0.0.2"):
+                await self.entries.pop(ip).stop()
+            await asyncio.sleep(2.5)
+            self.assertEqual([3, 4], self._reading())
+            store.put(*_server("s3"))
+            await asyncio.sleep(PROPAGATION_S)
+            for entry in self.entries.values():
+                self.assertEqual({"s1", "s2", "s3"}, entry.listed())
+
+        self._run(script)
+
+    def test_a_server_that_lapses_after_an_outage_is_removed_everywhere(self):
+        async def script(store):
+            store.fault = "busy"
+            store.changed.set()
+            await asyncio.sleep(PROPAGATION_S)
+            store.fault = ""
+            store.remove("servers/s1")
+            await asyncio.sleep(4.5)
+            for entry in self.entries.values():
+                self.assertEqual(set(), entry.listed())
+
+        self._run(script)
+
+    def test_a_peer_gets_only_what_it_lacks(self):
+        async def script(store):
+            for number in range(2, 20):
+                store.put(*_server(f"s{number}"))
+            await asyncio.sleep(PROPAGATION_S)
+            one = self.entries["10.0.0.1"].feed
+            known = one._known()
+            self.assertLess(
+                len(one.snapshot(known)), len(one.snapshot(NOTHING_KNOWN)) / 5
+            )
+
+        self._run(script)
+
+
+class KnownRecordsTests(testtools.TestCase):
+    def test_what_a_peer_knows_is_decoded(self):
+        self.assertEqual(KnownRecords(7, Revision(2, 40)), parse_known(b"7,2,40"))
+
+    def test_an_invalid_query_asks_for_everything(self):
+        for query in (b"", b"7", b"a,b,c", b"1,2,3,4"):
+            self.assertEqual(NOTHING_KNOWN, parse_known(query))
--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -18,7 +18,7 @@
 
 def _of_entry(incarnation, number):
     return peering.Heartbeat(
-        "e", "ip1", "a", incarnation, number, 0, FIRST, {}, {}, [], False
+        "e", "ip1", "a", incarnation, number, 0, FIRST, {}, {}, [], True, False
     )
 
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -2,6 +2,7 @@
 import contextlib
 import json
 import random
+import zlib
 
 import msgpack
 import testtools
@@ -10,7 +11,7 @@
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway import feed
 from dotterelplank.gateway.directory import Directory, Endpoint, EndpointChange
-from dotterelplank.gateway.feed import Feed
+from dotterelplank.gateway.feed import NOTHING_KNOWN, Feed
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.metrics import EntryMetrics
 from dotterelplank.gateway.peers import Peers
@@ -217,7 +218,7 @@
 
     def test_a_late_snapshot_of_the_lower_era_changes_no_endpoint(self):
         async def script(store, found):
-            late = found.snapshot()
+            late = found.snapshot(NOTHING_KNOWN)
             store.restore(store.copy())
             store.remove("servers/s1")
             await asyncio.sleep(2.0)
@@ -246,7 +247,8 @@
                 "servers/s7", Revision(2, 2), json.dumps(_server("s7")[1]).encode()
             )
             rows = published.as_lists([item])
-            found._apply_snapshot(msgpack.packb([Revision(2, 3), rows]))
+            values = [Revision(2, 3), False, False, rows]
+            found._apply_snapshot(zlib.compress(msgpack.packb(values)))
             self.assertEqual(2, self.state.directory.revision.era)
             self.assertIn("s7", self._listed())
 
