--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -21,12 +21,13 @@
 from ..loops import run_supervised
 from ..metric_set import METRICS_PATH
 from ..sequences import new_incarnation
-from . import feed, peers as peering
-from .feed import SNAPSHOT_PATH, Feed
+from . import peers as peering
+from .feed import Feed
 from .forwarder import Forwarder
 from .host import Address, HostSettings
 from .loads import PeerLoad
 from .metrics import EntryMetrics
+from .snapshots import SNAPSHOT_PATH, parse_known
 from .state import EntryState, waiting
 
 log = logging.getLogger(__name__)
@@ -277,7 +278,7 @@
         """Answer queries for readiness, for metrics, and for the snapshot by a peer."""
         path, _, query = call.target.partition(b"?")
         if path == SNAPSHOT_PATH:
-            known = feed.parse_known(query)
+            known = parse_known(query)
             exchange.respond(200, [], self._feed.snapshot(known))
         elif path == METRICS_PATH:
             exchange.respond(200, [], self.metrics.render(self._gauges()))
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -5,20 +5,16 @@
 """
 
 import asyncio
-import dataclasses
 import logging
 import math
 import random
 import typing as t
-import zlib
-
-import msgpack
 
 from .. import events
 from ..errors import InputError, UpstreamError
-from ..http1.client import Request, read_body, temporary_connection
 from ..platform import published
 from ..platform.store import HistoryGoneError, Item, StoreClient
+from . import snapshots
 from .directory import EndpointChange
 from .host import Address
 from .metrics import EntryMetrics
@@ -53,32 +49,8 @@
 Changes often come in bursts, which are fetched together. The time is drawn at random,
 so that some entries can fetch them from others that were earlier.
 """
-PULL_TIMEOUT_MS: t.Final = 1_000.0
-SNAPSHOT_COMPRESSION_LEVEL: t.Final = 1
 RESTORE_SETTLE_MS: t.Final = 5_000.0
 """Time after which servers have written their records to a restored store again."""
-SNAPSHOT_PATH: t.Final = b"/copy"
-MAX_SNAPSHOT_BYTES: t.Final = 32 * 1024 * 1024
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KnownRecords:
-    """What the entry that fetches a snapshot knows already."""
-
-    table_version: int
-    revision: Revision
-
-
-NOTHING_KNOWN: t.Final = KnownRecords(0, FIRST)
-
-
-def parse_known(query: bytes) -> KnownRecords:
-    """Return what the query of a snapshot's request tells; nothing if it is invalid."""
-    try:
-        version, era, number = map(int, query.split(b","))
-    except ValueError:
-        return NOTHING_KNOWN
-    return KnownRecords(version, Revision(era, number))
 
 
 class Feed:
@@ -140,7 +112,7 @@
         """Whether this entry watches the store, and the store answers."""
         return self._is_reader() and not self._is_disconnected
 
-    def snapshot(self, known: KnownRecords) -> bytes:
+    def snapshot(self, known: snapshots.KnownRecords) -> bytes:
         """Return the configuration and the list of endpoints, encoded for a peer.
 
         The configuration is left out if the peer knows it, and so are endpoints that
@@ -158,19 +130,14 @@
             items += self._removals(since)
         if self._has_newer_table(known):
             items.append(t.cast(Item, self._configuration))
-        rows = published.as_lists(items)
-        values = [directory.revision, is_delta, self._was_stale(), rows]
-        return zlib.compress(msgpack.packb(values), SNAPSHOT_COMPRESSION_LEVEL)
+        return snapshots.encode(
+            directory.revision, items, is_delta=is_delta, was_stale=self._was_stale()
+        )
 
     def on_heartbeat(self, now_ms: float, heartbeat: Heartbeat) -> None:
         """Fetch a peer's snapshot if the peer has a newer table or list."""
         if not self._is_behind(heartbeat.table_version, heartbeat.directory_revision):
-            directory = self._state.directory
-            if (
-                heartbeat.is_reading
-                and heartbeat.directory_revision == directory.revision
-            ):
-                directory.updated_ms = now_ms
+            self._note_up_to_date(now_ms, heartbeat)
         elif self._pull_task is None:
             pull = self._pull(heartbeat, self._pull_delay_ms(heartbeat))
             self._pull_task = asyncio.get_running_loop().create_task(pull)
@@ -180,10 +147,10 @@
         self._client.close()
 
     async def _read_all(self) -> None:
-        if self._settle_ms() <= 0:
-            self._restored_ms = None
         records = await published.read_all(self._client)
         self._note_success()
+        if self._settle_ms() <= 0:
+            self._restored_ms = None
         self._apply(records, is_snapshot=True, was_stale=self._was_stale())
         self._note_complete()
 
@@ -223,6 +190,13 @@
         revision = self._state.directory.revision
         return table_version > version or directory_revision > revision
 
+    def _note_up_to_date(self, now_ms: float, heartbeat: Heartbeat) -> None:
+        """Record that the list of endpoints is as recent as that of a reader."""
+        directory = self._state.directory
+        is_same = heartbeat.directory_revision == directory.revision
+        if heartbeat.is_reading and is_same and directory.updated_ms is not None:
+            directory.updated_ms = now_ms
+
     def _pull_delay_ms(self, heartbeat: Heartbeat) -> float:
         is_near = heartbeat.domain == self._state.host.domain
         if is_near and not self._is_reader():
@@ -236,10 +210,10 @@
                 heartbeat.table_version, heartbeat.directory_revision
             ):
                 return
-            async with asyncio.timeout(PULL_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(snapshots.FETCH_TIMEOUT_MS / 1000):
                 address = Address(heartbeat.ip, self._state.host.peer_port)
-                data = await _fetch_snapshot(address, self._known())
-            self._apply_snapshot(data)
+                data = await snapshots.fetch(address, self._known())
+            self._apply_snapshot(snapshots.decode(data))
         except (UpstreamError, TimeoutError, ValueError, TypeError) as error:
             events.emit(
                 log,
@@ -250,27 +224,24 @@
         finally:
             self._pull_task = None
 
-    def _apply_snapshot(self, data: bytes) -> None:
-        values = msgpack.unpackb(_inflate(data))
-        numbers, is_delta, was_stale, rows = values
-        revision = Revision(*numbers)
-        records = published.from_lists(revision, rows)
-        is_snapshot = revision > FIRST and not is_delta
-        self._apply(records, is_snapshot=is_snapshot, was_stale=was_stale)
-        if is_snapshot:
+    def _apply_snapshot(self, snapshot: snapshots.Snapshot) -> None:
+        records = snapshot.records
+        is_complete = records.revision > FIRST and not snapshot.is_delta
+        self._apply(records, is_snapshot=is_complete, was_stale=snapshot.was_stale)
+        if is_complete:
             self._note_complete()
 
-    def _known(self) -> KnownRecords:
+    def _known(self) -> snapshots.KnownRecords:
         table = self._state.table
         version = 0 if table is None else table.version
-        return KnownRecords(version, self._state.directory.revision)
+        return snapshots.KnownRecords(version, self._state.directory.revision)
 
     def _note_complete(self) -> None:
         """Record that all changes after the present revision will be known."""
         if self._complete_since is None:
             self._complete_since = self._state.directory.revision
 
-    def _has_newer_table(self, known: KnownRecords) -> bool:
+    def _has_newer_table(self, known: snapshots.KnownRecords) -> bool:
         """Return whether this entry's table may replace the one that a peer knows."""
         table = self._state.table
         if table is None:
@@ -422,34 +393,3 @@
         if not self._is_disconnected:
             self._is_disconnected = True
             events.emit(log, events.PLATFORM_READ_FAILED, why=why)
-
-
-def _inflate(data: bytes) -> bytes:
-    """Return decompressed data.
-
-    :raises ValueError: if the data is invalid or too long.
-    """
-    inflater = zlib.decompressobj()
-    try:
-        plain = inflater.decompress(data, MAX_SNAPSHOT_BYTES)
-    except zlib.error as error:
-        raise ValueError(f"an invalid snapshot: {error}") from error
-    if not inflater.eof:
-        raise ValueError("a snapshot that is truncated or too large")
-    return plain
-
-
-async def _fetch_snapshot(address: Address, known: KnownRecords) -> bytes:
-    revision = known.revision
-    query = b"%d,%d,%d" % (known.table_version, revision.era, revision.number)
-    async with temporary_connection(
-        address.ip, address.port, PULL_TIMEOUT_MS / 1000
-    ) as connection:
-        host = (b"host", str(address).encode())
-        target = SNAPSHOT_PATH + b"?" + query
-        connection.send(Request(b"GET", target, [host], b""))
-        head = await connection.head()
-        body = await read_body(connection, MAX_SNAPSHOT_BYTES)
-        if head.status != 200:
-            raise UpstreamError(f"the peer answered {head.status}", sent=True)
-        return body
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -5,12 +5,13 @@
 import testtools
 from platform_standin import StoreStandin, configuration, listening
 
-from dotterelplank.gateway import feed
-from dotterelplank.gateway.feed import NOTHING_KNOWN, Feed, KnownRecords, parse_known
+from dotterelplank.gateway import snapshots
+from dotterelplank.gateway.feed import Feed
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.metrics import EntryMetrics
 from dotterelplank.gateway.peers import Heartbeat, Peers
 from dotterelplank.gateway.revisions import Revision
+from dotterelplank.gateway.snapshots import NOTHING_KNOWN, KnownRecords, parse_known
 from dotterelplank.gateway.state import EntryState
 
 HEARTBEAT_S = 0.05
@@ -88,7 +89,7 @@
             self.fetched += 1
             return self.entries[address.ip].feed.snapshot(known)
 
-        self.patch(feed, "_fetch_snapshot", fetch)
+        self.patch(snapshots, "fetch", fetch)
 
     async def _exchange_heartbeats(self):
         while True:
@@ -188,6 +189,14 @@
         self._run(script)
 
 
+class SnapshotTests(testtools.TestCase):
+    def test_an_invalid_snapshot_is_refused(self):
+        whole = snapshots.encode(Revision(1, 2), [], is_delta=True, was_stale=False)
+        self.assertTrue(snapshots.decode(whole).is_delta)
+        for data in (b"", b"plain", whole[:-3]):
+            self.assertRaises(ValueError, snapshots.decode, data)
+
+
 class KnownRecordsTests(testtools.TestCase):
     def test_what_a_peer_knows_is_decoded(self):
         self.assertEqual(KnownRecords(7, Revision(2, 40)), parse_known(b"7,2,40"))
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -2,22 +2,20 @@
 import contextlib
 import json
 import random
-import zlib
 
-import msgpack
 import testtools
 from platform_standin import StoreStandin, configuration, listening
 
 from dotterelplank.errors import UpstreamError
-from dotterelplank.gateway import feed
+from dotterelplank.gateway import feed, snapshots
 from dotterelplank.gateway.directory import Directory, Endpoint, EndpointChange
-from dotterelplank.gateway.feed import NOTHING_KNOWN, Feed
+from dotterelplank.gateway.feed import Feed
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.metrics import EntryMetrics
 from dotterelplank.gateway.peers import Peers
 from dotterelplank.gateway.revisions import Revision
+from dotterelplank.gateway.snapshots import NOTHING_KNOWN
 from dotterelplank.gateway.state import EntryState
-from dotterelplank.platform import published
 from dotterelplank.platform.store import HistoryGoneError, Item, StoreClient
 
 NOW_MS = 10_000.0
@@ -223,7 +221,7 @@
             store.remove("servers/s1")
             await asyncio.sleep(2.0)
             self.assertEqual(set(), self._listed())
-            found._apply_snapshot(late)
+            found._apply_snapshot(snapshots.decode(late))
             self.assertEqual(set(), self._listed())
             self.assertEqual(2, self.state.directory.revision.era)
 
@@ -246,9 +244,10 @@
             item = Item(
                 "servers/s7", Revision(2, 2), json.dumps(_server("s7")[1]).encode()
             )
-            rows = published.as_lists([item])
-            values = [Revision(2, 3), False, False, rows]
-            found._apply_snapshot(zlib.compress(msgpack.packb(values)))
+            data = snapshots.encode(
+                Revision(2, 3), [item], is_delta=False, was_stale=False
+            )
+            found._apply_snapshot(snapshots.decode(data))
             self.assertEqual(2, self.state.directory.revision.era)
             self.assertIn("s7", self._listed())
 
