--- a/src/dotterelplank/datagram_codec.py
+++ b/src/dotterelplank/datagram_codec.py
@@ -9,6 +9,7 @@
 import msgpack
 import pydantic
 
+from .compression import inflate
 from .errors import ProtocolError
 
 MAX_PLAIN_BYTES: t.Final = 400
@@ -84,14 +85,7 @@
 def _inflated(data: bytes) -> bytes:
     if not data or data[0] != _COMPRESSED:
         return data
-    inflater = zlib.decompressobj()
-    try:
-        plain = inflater.decompress(data, MAX_INFLATED_BYTES)
-    except zlib.error as error:
-        raise ProtocolError(f"invalid compressed data: {error}") from error
-    if not inflater.eof:
-        raise ProtocolError("a message that is truncated or too large")
-    return plain
+    return inflate(data, MAX_INFLATED_BYTES)
 
 
 class DatagramHandler(asyncio.DatagramProtocol):
--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -90,6 +90,7 @@
         was no update yet.
     :param missing_since_ms: since when an endpoint has been missing from the list, by
         id; expire() removes it after a grace period.
+    :param _newest_by_address: cache of _newest_at_addresses(); None: it is outdated.
     """
 
     endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -89,14 +89,13 @@
         is_synced = False
         while True:
             try:
-                if is_synced and self._settle_ms() > 0:
-                    if self._is_reader():
-                        await self._watch()
-                    else:
-                        await asyncio.sleep(ROLE_CHECK_MS / 1000)
-                else:
+                if not is_synced or self._settle_ms() <= 0:
                     await self._read_all()
                     is_synced = True
+                elif self._is_reader():
+                    await self._watch()
+                else:
+                    await asyncio.sleep(ROLE_CHECK_MS / 1000)
                 backoff_ms = MIN_BACKOFF_MS
             except HistoryGoneError as error:
                 self._note_failure(str(error))
@@ -276,10 +275,20 @@
         now_ms = self._clock()
         if records.configuration is not None:
             self._apply_table(now_ms, records.configuration)
+        # A peer that hasn't noticed a restore yet has a list of the lower era.
+        if records.revision.era >= self._state.directory.revision.era:
+            self._apply_servers(now_ms, records, is_snapshot, was_stale)
+        if records.servers or records.configuration is not None:
+            self._on_change()
+
+    def _apply_servers(
+        self,
+        now_ms: float,
+        records: published.PublishedRecords,
+        is_snapshot: bool,
+        was_stale: bool,
+    ) -> None:
         directory = self._state.directory
-        if records.revision.era < directory.revision.era:
-            # A peer hasn't noticed yet that the store was restored.
-            return
         changes = [self._parse_change(item) for item in records.servers]
         if is_snapshot and self._is_restored(records.revision):
             self._note_restored(now_ms, records.revision)
@@ -292,17 +301,19 @@
             directory.revision = max(directory.revision, records.revision)
             directory.updated_ms = now_ms
         if changes:
-            events.emit(
-                log,
-                events.ENDPOINT_LISTED,
-                revision=str(records.revision),
-                changed=len(changes),
-                endpoints=len(directory.endpoints),
-                draining=sum(e.is_draining for e in directory.endpoints.values()),
-                was_cut=was_stale,
-            )
-        if changes or records.configuration is not None:
-            self._on_change()
+            self._log_list(records.revision, len(changes), was_stale)
+
+    def _log_list(self, revision: Revision, changed: int, was_stale: bool) -> None:
+        endpoints = self._state.directory.endpoints
+        events.emit(
+            log,
+            events.ENDPOINT_LISTED,
+            revision=str(revision),
+            changed=changed,
+            endpoints=len(endpoints),
+            draining=sum(one.is_draining for one in endpoints.values()),
+            was_cut=was_stale,
+        )
 
     def _is_restored(self, revision: Revision) -> bool:
         directory = self._state.directory
--- a/src/dotterelplank/gateway/snapshots.py
+++ b/src/dotterelplank/gateway/snapshots.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from ..compression import inflate
 from ..errors import UpstreamError
 from ..http1.client import Request, read_body, temporary_connection
 from ..platform import published
@@ -58,7 +59,9 @@
     :raises ValueError: if it is invalid or too large.
     :raises TypeError: if a value in it has another type.
     """
-    numbers, is_delta, was_stale, rows = msgpack.unpackb(_inflate(data))
+    numbers, is_delta, was_stale, rows = msgpack.unpackb(
+        inflate(data, MAX_SNAPSHOT_BYTES)
+    )
     records = published.from_lists(Revision(*numbers), rows)
     return Snapshot(records, bool(is_delta), bool(was_stale))
 
@@ -90,14 +93,3 @@
         if head.status != 200:
             raise UpstreamError(f"the peer answered {head.status}", sent=True)
         return body
-
-
-def _inflate(data: bytes) -> bytes:
-    inflater = zlib.decompressobj()
-    try:
-        plain = inflater.decompress(data, MAX_SNAPSHOT_BYTES)
-    except zlib.error as error:
-        raise ValueError(f"an invalid snapshot: {error}") from error
-    if not inflater.eof:
-        raise ValueError("a snapshot that is truncated or too large")
-    return plain
--- a/src/dotterelplank/platform/losses.py
+++ b/src/dotterelplank/platform/losses.py
@@ -96,24 +96,21 @@
     don't explain was lost by late ones.
     """
     requests = max(1, sum(window.n for window in report.windows))
-    found = []
-    for window in report.windows:
-        lost = window.n * (1 - window.worth) / requests
-        unserved = window.refused + window.failed
-        served_late = min(lost, max(0.0, lost - unserved / requests))
-        scale = (lost - served_late) / unserved if unserved else 0.0
-        if not unserved:
-            served_late = lost
-        found.append(
-            WindowLoss(
-                float(window.name),
-                window.n,
-                served_late,
-                window.refused * scale,
-                window.failed * scale,
-            )
-        )
-    return found
+    return [_window_loss(window, requests) for window in report.windows]
+
+
+def _window_loss(window: _Window, requests: int) -> WindowLoss:
+    lost = window.n * (1 - window.worth)
+    unserved = window.refused + window.failed
+    lost_unserved = min(lost, unserved)
+    per_unserved = lost_unserved / max(1, unserved)
+    return WindowLoss(
+        float(window.name),
+        window.n,
+        late=(lost - lost_unserved) / requests,
+        refused=window.refused * per_unserved / requests,
+        failed=window.failed * per_unserved / requests,
+    )
 
 
 def causes(lines: t.Iterable[str]) -> dict[float, collections.Counter[str]]:
@@ -172,7 +169,7 @@
     return "\n".join(lines)
 
 
-def main(report: pathlib.Path, log: t.Optional[pathlib.Path] = None) -> None:
+def main(report: pathlib.Path, log: pathlib.Path | None = None) -> None:
     """Print where a day lost worth."""
     parsed = Report.model_validate_json(report.read_bytes())
     lines = log.read_text().splitlines() if log is not None else []
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -261,10 +261,7 @@
 
     def _is_of_group(self, message: messages.Sample | messages.RowsReport) -> bool:
         own = self._group.own
-        return own is not None and (message.group, message.epoch) == (
-            own.group,
-            own.epoch,
-        )
+        return own is not None and message.formation == own.formation
 
     async def _serve_metrics(self, call: Call, exchange: Exchange) -> None:
         """Respond to a request for the metrics."""
--- a/src/dotterelplank/ranks/demand.py
+++ b/src/dotterelplank/ranks/demand.py
@@ -132,13 +132,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Window:
-    """The demand within a span of time.
+    """The demand within a window of time.
 
-    :param span_ms: length of the span.
+    :param length_ms: length of the window.
     """
 
     demand: Demand
-    span_ms: float
+    length_ms: float
 
     @property
     def choices(self) -> float:
--- a/src/dotterelplank/ranks/group.py
+++ b/src/dotterelplank/ranks/group.py
@@ -69,7 +69,7 @@
     def on_view(self, now_ms: float, view: RankView) -> bool:
         """Record the own rank's report; return whether its group formed anew."""
         own = self.own
-        is_new = own is None or (own.group, own.epoch) != (view.group, view.epoch)
+        is_new = own is None or own.formation != view.formation
         if is_new or own.step != view.step or not view.active:
             self.progress_ms = now_ms
         self.own = view
@@ -89,7 +89,7 @@
         """Record an agent's heartbeat, unless it is outdated or of another epoch."""
         own = self.own
         view = heartbeat.view
-        if own is None or (view.group, view.epoch) != (own.group, own.epoch):
+        if own is None or view.formation != own.formation:
             return
         sequence = self.sequences.setdefault(heartbeat.ip, Sequence())
         if not sequence.accept(heartbeat.incarnation, heartbeat.sequence_number):
--- a/src/dotterelplank/ranks/membership.py
+++ b/src/dotterelplank/ranks/membership.py
@@ -103,11 +103,13 @@
             and received.revision < self.members.revision
         ):
             return False
-        if received.revision.era > self.members.revision.era:
-            received.ranks = {**self.members.ranks, **received.ranks}
-            received.layout = received.layout or self.members.layout
-        received.groups = {**self.members.groups, **received.groups}
-        self.members = received
+        known = self.members
+        self.members = dataclasses.replace(
+            received, groups={**known.groups, **received.groups}
+        )
+        if received.revision.era > known.revision.era:
+            self.members.ranks = {**known.ranks, **received.ranks}
+            self.members.layout = received.layout or known.layout
         return True
 
     def may_request(self, now_ms: float, group: str, size: int) -> bool:
--- a/src/dotterelplank/ranks/messages.py
+++ b/src/dotterelplank/ranks/messages.py
@@ -60,6 +60,11 @@
     version: int
     rows: Rows
 
+    @property
+    def formation(self) -> Formation:
+        """The group and epoch that the message is for."""
+        return Formation(self.group, self.epoch)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
@@ -73,6 +78,11 @@
     unit: int
     counts: bytes
 
+    @property
+    def formation(self) -> Formation:
+        """The group and epoch that the message is for."""
+        return Formation(self.group, self.epoch)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class MembersRequest:
@@ -176,6 +186,11 @@
     map: EncodedMap | None
     forward_to: tuple[int, ...]
 
+    @property
+    def formation(self) -> Formation:
+        """The group and epoch that the message is for."""
+        return Formation(self.group, self.epoch)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
 class TaskReply:
--- a/src/dotterelplank/ranks/policy.py
+++ b/src/dotterelplank/ranks/policy.py
@@ -70,7 +70,7 @@
         or candidate.skew_before - candidate.skew_after < min_skew_reduction(timing)
     ):
         return None
-    return Decision(candidate, candidate.copies * layout.copy_ms, window.span_ms)
+    return Decision(candidate, candidate.copies * layout.copy_ms, window.length_ms)
 
 
 def copies_per_rank(layout: ExpertLayout) -> int:
--- a/src/dotterelplank/ranks/task_runner.py
+++ b/src/dotterelplank/ranks/task_runner.py
@@ -10,7 +10,7 @@
 from .metrics import AgentMetrics
 from .participant import execute
 from .tasks import Prepare, QueryState, Task
-from .views import Formation, Rank
+from .views import Rank
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +49,7 @@
         self._busy.add(key)
         self._metrics.count_task(task_request.kind)
         try:
-            view = await execute(self._rank, _formation(task_request), task)
+            view = await execute(self._rank, task_request.formation, task)
         except UpstreamError as error:
             self._on_unreachable(str(error))
             return
@@ -64,7 +64,7 @@
         decoded.
         """
         own = self._group.own
-        if own is None or own.formation != _formation(task_request):
+        if own is None or own.formation != task_request.formation:
             return QueryState()
         task = messages.decode_task(task_request, self._group.maps)
         if task is None:
@@ -76,8 +76,3 @@
         if isinstance(task, Prepare):
             self._group.store_map(task.version, task.map)
         return task
-
-
-def _formation(task_request: messages.TaskRequest) -> Formation:
-    """Return the group and epoch that a task is for."""
-    return Formation(task_request.group, task_request.epoch)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -8,8 +8,10 @@
 import typing as t
 import urllib.parse
 
+from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.http1.messages import header
 from dotterelplank.http1.server import Call, ConnectionLimits, Exchange, Server
+from dotterelplank.platform.store import StoreClient
 
 CONNECTION_LIMITS = ConnectionLimits(16_384, 1_000_000, 5.0, 30.0)
 
@@ -55,6 +57,18 @@
     }
 
 
+def server_record(name):
+    """Return the key and the record of a server, whose address ends as its name."""
+    return f"servers/{name}", {
+        "service": "drafts",
+        "address": f"127.0.0.{name[1:]}:80",
+        "zone": "a",
+        "slots": 2,
+        "state": "ready",
+        "born": 1,
+    }
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreCopy:
     """The content of a store at a revision."""
@@ -267,6 +281,38 @@
         exchange.finish()
 
 
+def entry_host(number: int, ip: str, store_port: int) -> HostSettings:
+    """Return the settings of an entry that reads a store on this host."""
+    return HostSettings(
+        name=f"entry-{number}",
+        ip=ip,
+        domain="a",
+        caller_address=None,
+        health_address=None,
+        peer_ports=(700, 715),
+        seeds=(),
+        endpoint=None,
+        service=None,
+        store=Address("127.0.0.1", store_port),
+        bounds=Bounds(8_000.0, 2_000.0, 0.2, 10_000.0, 94.0),
+        link_mbps=100.0,
+    )
+
+
+def run_with_client(store: StoreStandin, work: t.Callable[..., t.Any]) -> t.Any:
+    """Return the result of ``work(store, client)``, with a client of the store."""
+
+    async def run():
+        async with listening(store) as port:
+            client = StoreClient(Address("127.0.0.1", port))
+            try:
+                return await work(store, client)
+            finally:
+                client.close()
+
+    return asyncio.run(run())
+
+
 @contextlib.asynccontextmanager
 async def listening(standin: t.Any, ip: str = "127.0.0.1") -> t.AsyncIterator[int]:
     """Run a stand-in on a free port and yield the port."""
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -3,11 +3,16 @@
 import random
 
 import testtools
-from platform_standin import StoreStandin, configuration, listening
+from platform_standin import (
+    StoreStandin,
+    configuration,
+    entry_host,
+    listening,
+    server_record,
+)
 
 from dotterelplank.gateway import snapshots
 from dotterelplank.gateway.feed import Feed
-from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.metrics import EntryMetrics
 from dotterelplank.gateway.peers import Heartbeat, Peers
 from dotterelplank.gateway.revisions import Revision
@@ -18,28 +23,12 @@
 PROPAGATION_S = 0.8
 
 
-def _server(name):
-    return f"servers/{name}", {
-        "service": "drafts",
-        "address": f"127.0.0.{name[1:]}:80",
-        "zone": "a",
-        "slots": 2,
-        "state": "ready",
-        "born": 1,
-    }
-
-
 class _Entry:
     """The feed of one entry, which hears the heartbeats of the others."""
 
     def __init__(self, number, port):
-        bounds = Bounds(8_000.0, 2_000.0, 0.2, 10_000.0, 94.0)
-        store = Address("127.0.0.1", port)
         ip = f"10.0.0.{number}"
-        self.host = HostSettings(
-            f"entry-{number}", ip, "a", None, None, (700, 715), (), None, None, store,
-            bounds, 100.0,
-        )  # fmt: skip
+        self.host = entry_host(number, ip, port)
         self.state = EntryState(self.host, random.Random(number))
         self.peers = Peers(ip)
         self.feed = Feed(self.state, self.peers, _now_ms, EntryMetrics(), lambda: None)
@@ -105,7 +94,7 @@
     def _run(self, script):
         store = StoreStandin()
         store.put("op/config", configuration(version=2))
-        store.put(*_server("s1"))
+        store.put(*server_record("s1"))
 
         async def run():
             async with listening(store) as port:
@@ -132,11 +121,11 @@
     def test_two_entries_read_the_store_and_all_know_each_change(self):
         async def script(store):
             # The watches of the entries that all read at the start end with a change.
-            store.put(*_server("s2"))
+            store.put(*server_record("s2"))
             await asyncio.sleep(PROPAGATION_S)
             self.assertEqual([1, 2], self._reading())
             calls = store.calls
-            store.put(*_server("s3"))
+            store.put(*server_record("s3"))
             store.put("op/config", configuration(version=5))
             store.remove("servers/s1")
             await asyncio.sleep(PROPAGATION_S)
@@ -149,13 +138,13 @@
 
     def test_another_entry_reads_once_a_reader_is_gone(self):
         async def script(store):
-            store.put(*_server("s2"))
+            store.put(*server_record("s2"))
             await asyncio.sleep(PROPAGATION_S)
             for ip in ("10.0.0.1", "10.0.0.2"):
                 await self.entries.pop(ip).stop()
             await asyncio.sleep(2.5)
             self.assertEqual([3, 4], self._reading())
-            store.put(*_server("s3"))
+            store.put(*server_record("s3"))
             await asyncio.sleep(PROPAGATION_S)
             for entry in self.entries.values():
                 self.assertEqual({"s1", "s2", "s3"}, entry.listed())
@@ -178,7 +167,7 @@
     def test_a_peer_gets_only_what_it_lacks(self):
         async def script(store):
             for number in range(2, 20):
-                store.put(*_server(f"s{number}"))
+                store.put(*server_record(f"s{number}"))
             await asyncio.sleep(PROPAGATION_S)
             one = self.entries["10.0.0.1"].feed
             known = one._known()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,16 +1,15 @@
-import asyncio
 import json
 import pathlib
 import re
 
 import testtools
-from platform_standin import StoreStandin, configuration, listening, route
+from platform_standin import StoreStandin, configuration, route, run_with_client
 
 from dotterelplank.errors import InputError, RequestError, SettingsError, UpstreamError
 from dotterelplank.gateway.host import Address
 from dotterelplank.gateway.revisions import Revision
 from dotterelplank.platform import headers, members, published, records, settings
-from dotterelplank.platform.store import HistoryGoneError, StoreClient
+from dotterelplank.platform.store import HistoryGoneError
 
 REVISION = Revision(1, 7)
 SOURCES = pathlib.Path(__file__).resolve().parent.parent / "src" / "dotterelplank"
@@ -168,16 +167,7 @@
 
 class StoreTests(testtools.TestCase):
     def _run(self, work, **fields):
-        async def run():
-            store = StoreStandin(**fields)
-            async with listening(store) as port:
-                client = StoreClient(Address("127.0.0.1", port))
-                try:
-                    return await work(store, client)
-                finally:
-                    client.close()
-
-        return asyncio.run(run())
+        return run_with_client(StoreStandin(**fields), work)
 
     def test_a_range_is_read_page_by_page(self):
         async def work(store, client):
--- a/tests/test_ranks_planning.py
+++ b/tests/test_ranks_planning.py
@@ -88,14 +88,14 @@
         demand_history = DemandHistory()
         _add_samples(demand_history, _skewed_demand(1), 0, 2_000)
         window = demand_history.since_shift(1_950, LAYERS, EXPERTS)
-        self.assertGreaterEqual(window.span_ms, 600)
+        self.assertGreaterEqual(window.length_ms, 600)
 
     def test_demand_before_a_shift_is_excluded(self):
         demand_history = DemandHistory()
         counts = _add_samples(demand_history, _skewed_demand(1), 0, 2_000)
         _add_samples(demand_history, _skewed_demand(2), 2_000, 2_300, counts)
         window = demand_history.since_shift(2_280, LAYERS, EXPERTS)
-        self.assertLessEqual(window.span_ms, 300)
+        self.assertLessEqual(window.length_ms, 300)
 
     def _window_after(self, offsets):
         """Return the window after spans whose demand for two experts differs.
@@ -110,7 +110,7 @@
                 number += 1
                 demand_history.add(number * bucket_ms, [50 + offset, 50 - offset])
             window = demand_history.since_shift(number * bucket_ms, 1, 2)
-        return window.span_ms / demand_history.span_ms
+        return window.length_ms / demand_history.span_ms
 
     def test_the_usual_variation_of_demand_isnt_a_shift(self):
         """Each span has a distance of 0.16 from the one before, without a shift."""
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -4,36 +4,30 @@
 import random
 
 import testtools
-from platform_standin import StoreStandin, configuration, listening
+from platform_standin import (
+    StoreStandin,
+    configuration,
+    entry_host,
+    listening,
+    run_with_client,
+    server_record,
+)
 
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway import feed, snapshots
 from dotterelplank.gateway.directory import Directory, Endpoint, EndpointChange
 from dotterelplank.gateway.feed import Feed
-from dotterelplank.gateway.host import Address, Bounds, HostSettings
 from dotterelplank.gateway.metrics import EntryMetrics
 from dotterelplank.gateway.peers import Peers
 from dotterelplank.gateway.revisions import Revision
 from dotterelplank.gateway.snapshots import NOTHING_KNOWN
 from dotterelplank.gateway.state import EntryState
-from dotterelplank.platform.store import HistoryGoneError, Item, StoreClient
+from dotterelplank.platform.store import HistoryGoneError, Item
 
 NOW_MS = 10_000.0
 SETTLE_S = 0.3
 
 
-def _server(name, **fields):
-    record = {
-        "service": "drafts",
-        "address": f"127.0.0.{name[1:]}:80",
-        "zone": "a",
-        "slots": 2,
-        "state": "ready",
-        "born": 1,
-    }
-    return f"servers/{name}", {**record, **fields}
-
-
 def _endpoint(name, is_draining=False, started_ms=1):
     return Endpoint(name, "drafts", name, 80, "a", 2, is_draining, started_ms, None)
 
@@ -105,12 +99,7 @@
         self.patch(feed, "RESTORE_SETTLE_MS", 1_000.0)
 
     def _feed(self, port):
-        bounds = Bounds(8_000.0, 2_000.0, 0.2, 10_000.0, 94.0)
-        store = Address("127.0.0.1", port)
-        host = HostSettings(
-            "entry-1", "127.0.0.1", "a", None, None, (700, 715), (), None, None, store,
-            bounds, 100.0,
-        )  # fmt: skip
+        host = entry_host(1, "127.0.0.1", port)
         self.state = EntryState(host, random.Random(1))
 
         def clock_ms():
@@ -122,7 +111,7 @@
     def _run(self, script):
         store = StoreStandin()
         store.put("op/config", configuration(version=2))
-        store.put(*_server("s1"))
+        store.put(*server_record("s1"))
 
         async def run():
             async with listening(store) as port:
@@ -153,7 +142,7 @@
         async def script(store, _feed):
             copy = store.copy()
             store.put("op/config", configuration(version=5))
-            store.put(*_server("s2"))
+            store.put(*server_record("s2"))
             await asyncio.sleep(SETTLE_S)
             store.restore(copy)
             await asyncio.sleep(SETTLE_S)
@@ -161,8 +150,8 @@
             self.assertEqual(5, self.state.table.version)
             self.assertEqual({"s1", "s2"}, self._listed())
             store.put("op/config", configuration(version=5))
-            store.put(*_server("s2"))
-            store.put(*_server("s3"))
+            store.put(*server_record("s2"))
+            store.put(*server_record("s3"))
             await asyncio.sleep(2.0)
             self.assertEqual({"s1", "s2", "s3"}, self._listed())
             self.assertEqual(5, self.state.table.version)
@@ -172,14 +161,14 @@
     def test_an_entry_notices_a_restore_while_the_store_was_away(self):
         async def script(store, _feed):
             copy = store.copy()
-            store.put(*_server("s2"))
+            store.put(*server_record("s2"))
             store.fault = "busy"
             store.changed.set()
             await asyncio.sleep(SETTLE_S)
             store.restore(copy)
             # The numbers are given out again, beyond those of the lower era.
             for number in range(3, 9):
-                store.put(*_server(f"s{number}"))
+                store.put(*server_record(f"s{number}"))
             store.fault = ""
             await asyncio.sleep(2.5)
             self.assertEqual(2, self.state.directory.revision.era)
@@ -191,11 +180,11 @@
         async def script(store, _feed):
             copy = store.copy()
             for number in (2, 3):
-                store.put(*_server(f"s{number}"))
+                store.put(*server_record(f"s{number}"))
                 await asyncio.sleep(SETTLE_S)
                 store.restore(copy)
                 await asyncio.sleep(SETTLE_S)
-            store.put(*_server("s4"))
+            store.put(*server_record("s4"))
             await asyncio.sleep(2.5)
             self.assertEqual(3, self.state.directory.revision.era)
             self.assertEqual({"s1", "s4"}, self._listed())
@@ -242,7 +231,9 @@
         async def script(store, found):
             store.fault = "silent"
             item = Item(
-                "servers/s7", Revision(2, 2), json.dumps(_server("s7")[1]).encode()
+                "servers/s7",
+                Revision(2, 2),
+                json.dumps(server_record("s7")[1]).encode(),
             )
             data = snapshots.encode(
                 Revision(2, 3), [item], is_delta=False, was_stale=False
@@ -256,24 +247,18 @@
 
 class StoreClientTests(testtools.TestCase):
     def _call(self, work):
-        async def run():
-            store = StoreStandin(page_items=1)
-            store.put(*_server("s1"))
-            store.put(*_server("s2"))
-            async with listening(store) as port:
-                client = StoreClient(Address("127.0.0.1", port))
-                try:
-                    return await work(store, client)
-                finally:
-                    client.close()
+        async def fill_and_work(store, client):
+            store.put(*server_record("s1"))
+            store.put(*server_record("s2"))
+            return await work(store, client)
 
-        return asyncio.run(run())
+        return run_with_client(StoreStandin(page_items=1), fill_and_work)
 
     def test_a_watch_from_the_lower_era_must_read_all_again(self):
         async def work(store, client):
             store.restore(store.copy())
             for number in range(3, 9):
-                store.put(*_server(f"s{number}"))
+                store.put(*server_record(f"s{number}"))
             await client.watch("", Revision(1, 4), 100)
 
         self.assertRaises(HistoryGoneError, self._call, work)
