Order routing tables by version and era in one place

Cause: an entry told its peers the era of its list, not of its table, so one that had the list of the restored store didn't get another table of the same version from a reader. Found by reading; the new test of tests/test_gateway_feed.py fails when the list's era is told (tried). Entries now compare TableOrder everywhere, in place of three special cases.

--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -21,7 +21,6 @@
 from .peers import Heartbeat, Peers
 from .revisions import FIRST, Revision
 from .state import EntryState
-from .tables import RoutingTable
 
 log = logging.getLogger(__name__)
 
@@ -127,8 +126,8 @@
         ]
         if is_delta:
             items += self._removals(since)
-        if self._has_newer_table(known):
-            items.append(t.cast(Item, self._configuration))
+        if self._configuration is not None and self._table_order() > known.table:
+            items.append(self._configuration)
         return snapshots.encode(
             directory.revision, items, is_delta=is_delta, was_stale=self._was_stale()
         )
@@ -231,24 +230,21 @@
             self._note_complete()
 
     def _known(self) -> snapshots.KnownRecords:
-        table = self._state.table
-        version = 0 if table is None else table.version
-        return snapshots.KnownRecords(version, self._state.directory.revision)
+        revision = self._state.directory.revision
+        return snapshots.KnownRecords(self._table_order(), revision)
+
+    def _table_order(self) -> snapshots.TableOrder:
+        """Return the place of the table in force among all tables."""
+        table, item = self._state.table, self._configuration
+        if table is None or item is None:
+            return snapshots.NO_TABLE
+        return snapshots.TableOrder(table.version, item.revision.era)
 
     def _note_complete(self) -> None:
         """Record that all changes after the present revision will be known."""
         if self._complete_since is None:
             self._complete_since = self._state.directory.revision
 
-    def _has_newer_table(self, known: snapshots.KnownRecords) -> bool:
-        """Return whether this entry's table may replace the one that a peer knows."""
-        table = self._state.table
-        if table is None:
-            return False
-        if known.revision.era < self._state.directory.revision.era:
-            return table.version >= known.table_version
-        return table.version > known.table_version
-
     def _can_send_delta(self, since: Revision) -> bool:
         """Return whether all changes since a revision are known."""
         if self._complete_since is None or since < self._complete_since:
@@ -350,7 +346,8 @@
             )
             return
         before = self._state.table
-        if before is not None and not self._is_newer(table, item):
+        order = snapshots.TableOrder(table.version, item.revision.era)
+        if before is not None and order <= self._table_order():
             return
         self._configuration = item
         self._state.table = table
@@ -365,18 +362,6 @@
             keys=len(table.team_by_key),
         )
 
-    def _is_newer(self, table: RoutingTable, item: Item) -> bool:
-        """Return whether a table replaces the one in force.
-
-        Its version must be higher. A restored store may also hold another table of the
-        same version, which the operator published in place of the lost one.
-        """
-        known, before = self._configuration, self._state.table
-        if known is None or before is None or table.version > before.version:
-            return True
-        is_later_era = item.revision.era > known.revision.era
-        return table.version == before.version and is_later_era
-
     def _parse_change(self, item: Item) -> EndpointChange:
         try:
             change = published.change_of(item)
--- a/src/dotterelplank/gateway/snapshots.py
+++ b/src/dotterelplank/gateway/snapshots.py
@@ -21,15 +21,31 @@
 COMPRESSION_LEVEL: t.Final = 1
 
 
+class TableOrder(t.NamedTuple):
+    """The order of routing tables; a later one compares as greater.
+
+    Versions only rise. A restored store may hold another table of the same version,
+    which the operator published in place of the lost one.
+
+    :param era: era of the store at which the table was published.
+    """
+
+    version: int
+    era: int
+
+
+NO_TABLE: t.Final = TableOrder(0, 0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownRecords:
     """What the entry that fetches a snapshot knows already."""
 
-    table_version: int
+    table: TableOrder
     revision: Revision
 
 
-NOTHING_KNOWN: t.Final = KnownRecords(0, FIRST)
+NOTHING_KNOWN: t.Final = KnownRecords(NO_TABLE, FIRST)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,10 +85,10 @@
 def parse_known(query: bytes) -> KnownRecords:
     """Return what the query of a request tells; nothing if it is invalid."""
     try:
-        version, era, number = map(int, query.split(b","))
+        version, table_era, era, number = map(int, query.split(b","))
     except ValueError:
         return NOTHING_KNOWN
-    return KnownRecords(version, Revision(era, number))
+    return KnownRecords(TableOrder(version, table_era), Revision(era, number))
 
 
 async def fetch(address: Address, known: KnownRecords) -> bytes:
@@ -80,8 +96,7 @@
 
     :raises UpstreamError: if the peer can't be reached or refuses.
     """
-    revision = known.revision
-    query = b"%d,%d,%d" % (known.table_version, revision.era, revision.number)
+    query = b"%d,%d,%d,%d" % (*known.table, *known.revision)
     async with temporary_connection(
         address.ip, address.port, FETCH_TIMEOUT_MS / 1000
     ) as connection:
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -16,7 +16,12 @@
 from dotterelplank.gateway.metrics import EntryMetrics
 from dotterelplank.gateway.peers import Heartbeat, Peers
 from dotterelplank.gateway.revisions import Revision
-from dotterelplank.gateway.snapshots import NOTHING_KNOWN, KnownRecords, parse_known
+from dotterelplank.gateway.snapshots import (
+    NOTHING_KNOWN,
+    KnownRecords,
+    TableOrder,
+    parse_known,
+)
 from dotterelplank.gateway.state import EntryState
 
 HEARTBEAT_S = 0.05
@@ -164,6 +169,21 @@
 
         self._run(script)
 
+    def test_a_restored_store_with_another_table_of_the_same_version(self):
+        async def script(store):
+            copy = store.copy()
+            store.put("op/config", configuration(version=5))
+            await asyncio.sleep(PROPAGATION_S)
+            store.restore(copy)
+            await asyncio.sleep(PROPAGATION_S)
+            services = ("drafts", "new")
+            store.put("op/config", configuration(version=5, services=services))
+            await asyncio.sleep(PROPAGATION_S)
+            for entry in self.entries.values():
+                self.assertIn("new", entry.state.table.services, entry.number)
+
+        self._run(script)
+
     def test_a_peer_gets_only_what_it_lacks(self):
         async def script(store):
             for number in range(2, 20):
@@ -188,8 +208,9 @@
 
 class KnownRecordsTests(testtools.TestCase):
     def test_what_a_peer_knows_is_decoded(self):
-        self.assertEqual(KnownRecords(7, Revision(2, 40)), parse_known(b"7,2,40"))
+        known = KnownRecords(TableOrder(7, 1), Revision(2, 40))
+        self.assertEqual(known, parse_known(b"7,1,2,40"))
 
     def test_an_invalid_query_asks_for_everything(self):
-        for query in (b"", b"7", b"a,b,c", b"1,2,3,4"):
+        for query in (b"", b"7", b"a,b,c,d", b"1,2,3", b"1,2,3,4,5"):
             self.assertEqual(NOTHING_KNOWN, parse_known(query))
