Refuse a store's answer without a revision, and pause before all is read again

Found by reading: an answer that told no revision counted as revision 0 without a word, and an entry that knew a higher era than the store told would have read it again and again without a pause. A lost history is now followed by the same pause with jitter as any failed read, so that entries don't all read at once after a restore. Tests in tests/test_store_restored.py.

--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -96,11 +96,10 @@
                 else:
                     await asyncio.sleep(ROLE_CHECK_MS / 1000)
                 backoff_ms = MIN_BACKOFF_MS
-            except HistoryGoneError as error:
-                self._note_failure(str(error))
-                is_synced = False
             except UpstreamError as error:
                 self._note_failure(str(error))
+                if isinstance(error, HistoryGoneError):
+                    is_synced = False
                 jitter = random.uniform(0.5, 1.0)
                 await asyncio.sleep(backoff_ms * jitter / 1000)
                 backoff_ms = min(backoff_ms * 2, MAX_BACKOFF_MS)
--- a/src/dotterelplank/platform/store.py
+++ b/src/dotterelplank/platform/store.py
@@ -58,7 +58,14 @@
 
     @property
     def revision(self) -> Revision:
-        return Revision(self.era, int(self.body.get("current_rev", 0)))
+        """The store's revision at the time of the response.
+
+        :raises UpstreamError: if the response doesn't tell it.
+        """
+        try:
+            return Revision(self.era, int(self.body["current_rev"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise UpstreamError(f"no valid revision: {error}", sent=True) from error
 
 
 class StoreClient:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -227,6 +227,18 @@
 
         self._run(script)
 
+    def test_a_store_of_a_lower_era_than_known_isnt_called_without_a_pause(self):
+        async def script(store, found):
+            data = snapshots.encode(Revision(2, 3), [], is_delta=False, was_stale=False)
+            found._apply_snapshot(snapshots.decode(data))
+            calls = store.calls
+            store.put(*server_record("s2"))
+            await asyncio.sleep(1.0)
+            self.assertLess(store.calls - calls, 30)
+            self.assertEqual(2, self.state.directory.revision.era)
+
+        self._run(script)
+
     def test_a_snapshot_of_a_peer_in_the_higher_era_is_applied(self):
         async def script(store, found):
             store.fault = "silent"
@@ -263,6 +275,15 @@
 
         self.assertRaises(HistoryGoneError, self._call, work)
 
+    def test_an_answer_without_a_revision_is_an_error(self):
+        async def work(store, client):
+            store._answer = lambda exchange, status, body: exchange.respond(
+                status, [(b"Store-Era", b"1")], b'{"items": [], "has_more": false}'
+            )
+            await client.range("")
+
+        self.assertRaises(UpstreamError, self._call, work)
+
     def test_pages_of_two_eras_are_no_result(self):
         async def work(store, client):
             answer, pages = store._range, []
