Read a restored store at once, and wait in its tests as long as the bound says

Change: such an answer ends the growth of the pause. A test with the longest pauses drawn fails before and passes after. The tests of a restore wait until a state is reached, at most for the bound that follows from the pauses and the grace period, where they waited a fixed time that was shorter than the bound.

--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -99,7 +99,8 @@
             except UpstreamError as error:
                 self._note_failure(str(error))
                 if isinstance(error, HistoryGoneError):
-                    is_synced = False
+                    # The store answers again, so earlier failures don't count.
+                    is_synced, backoff_ms = False, MIN_BACKOFF_MS
                 jitter = random.uniform(0.5, 1.0)
                 await asyncio.sleep(backoff_ms * jitter / 1000)
                 backoff_ms = min(backoff_ms * 2, MAX_BACKOFF_MS)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -15,7 +15,12 @@
 
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway import feed, snapshots
-from dotterelplank.gateway.directory import Directory, Endpoint, EndpointChange
+from dotterelplank.gateway.directory import (
+    MISSING_GRACE_MS,
+    Directory,
+    Endpoint,
+    EndpointChange,
+)
 from dotterelplank.gateway.feed import Feed
 from dotterelplank.gateway.metrics import EntryMetrics
 from dotterelplank.gateway.peers import Peers
@@ -26,6 +31,14 @@
 
 NOW_MS = 10_000.0
 SETTLE_S = 0.3
+EXPIRY_S = 0.05
+SLACK_S = 0.5
+REMOVAL_BOUND_S = (
+    (feed.MAX_BACKOFF_MS + feed.MIN_BACKOFF_MS + MISSING_GRACE_MS) / 1000
+    + EXPIRY_S
+    + SLACK_S
+)
+"""Time for a call after an outage, a read of all records, and the grace period."""
 
 
 def _endpoint(name, is_draining=False, started_ms=1):
@@ -131,22 +144,35 @@
     async def _expire(self):
         """Remove endpoints whose grace period has passed, as an entry does."""
         while True:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(EXPIRY_S)
             now_ms = asyncio.get_running_loop().time() * 1000
             self.state.directory.expire(now_ms, self.state.host.bounds.leave_ms)
 
     def _listed(self):
         return set(self.state.directory.endpoints)
 
+    async def _until_era(self, era):
+        await self._until(lambda: self.state.directory.revision.era, era)
+
+    async def _until_listed(self, *names):
+        await self._until(self._listed, set(names))
+
+    async def _until(self, read, expected):
+        """Wait until a value is as expected, which is due within the bound."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + REMOVAL_BOUND_S
+        while read() != expected and loop.time() < deadline_s:
+            await asyncio.sleep(EXPIRY_S)
+        self.assertEqual(expected, read())
+
     def test_an_entry_that_watches_goes_on_with_what_it_knows(self):
         async def script(store, _feed):
             copy = store.copy()
             store.put("op/config", configuration(version=5))
             store.put(*server_record("s2"))
-            await asyncio.sleep(SETTLE_S)
+            await self._until_listed("s1", "s2")
             store.restore(copy)
-            await asyncio.sleep(SETTLE_S)
-            self.assertEqual(2, self.state.directory.revision.era)
+            await self._until_era(2)
             self.assertEqual(5, self.state.table.version)
             self.assertEqual({"s1", "s2"}, self._listed())
             store.put("op/config", configuration(version=5))
@@ -170,9 +196,24 @@
             for number in range(3, 9):
                 store.put(*server_record(f"s{number}"))
             store.fault = ""
-            await asyncio.sleep(2.5)
+            await self._until_listed("s1", *(f"s{n}" for n in range(3, 9)))
+            self.assertEqual(2, self.state.directory.revision.era)
+
+        self._run(script)
+
+    def test_a_restored_store_is_read_without_the_pause_of_one_that_fails(self):
+        self.patch(feed.random, "uniform", lambda _shortest, longest: longest)
+
+        async def script(store, _feed):
+            copy = store.copy()
+            store.put(*server_record("s2"))
+            store.fault = "busy"
+            # Calls after 0, 150, 450, 1050 and 2050 ms; the last one tells of it.
+            await asyncio.sleep(1.3)
+            store.restore(copy)
+            store.fault = ""
+            await asyncio.sleep(1.3)
             self.assertEqual(2, self.state.directory.revision.era)
-            self.assertEqual({"s1", *(f"s{n}" for n in range(3, 9))}, self._listed())
 
         self._run(script)
 
@@ -183,11 +224,10 @@
                 store.put(*server_record(f"s{number}"))
                 await asyncio.sleep(SETTLE_S)
                 store.restore(copy)
-                await asyncio.sleep(SETTLE_S)
+                await self._until_era(number)
             store.put(*server_record("s4"))
-            await asyncio.sleep(2.5)
+            await self._until_listed("s1", "s4")
             self.assertEqual(3, self.state.directory.revision.era)
-            self.assertEqual({"s1", "s4"}, self._listed())
 
         self._run(script)
 
@@ -208,8 +248,7 @@
             late = found.snapshot(NOTHING_KNOWN)
             store.restore(store.copy())
             store.remove("servers/s1")
-            await asyncio.sleep(2.0)
-            self.assertEqual(set(), self._listed())
+            await self._until_listed()
             found._apply_snapshot(snapshots.decode(late))
             self.assertEqual(set(), self._listed())
             self.assertEqual(2, self.state.directory.revision.era)
