Let calls that reach a starting entry wait for its first read of the store

Hypothesis: an entry listens before it has a routing table, and callers of those milliseconds were refused with result 307 though they would have been served. Ruled out: an outage of the store (the table was in force 0 to 20 ms later). Change: such calls wait until the first read has ended, well or badly, at most 500 ms.

--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -227,6 +227,7 @@
         is_complete = records.revision > FIRST and not snapshot.is_delta
         self._apply(records, is_snapshot=is_complete, was_stale=snapshot.was_stale)
         if is_complete:
+            self._state.first_read.set()
             self._note_complete()
 
     def _known(self) -> snapshots.KnownRecords:
@@ -379,6 +380,7 @@
 
     def _note_success(self) -> None:
         self._metrics.platform_calls.inc({"outcome": "answered"})
+        self._state.first_read.set()
         if self._is_disconnected:
             self._is_disconnected = False
             events.emit(log, events.PLATFORM_REGAINED)
@@ -386,6 +388,7 @@
     def _note_failure(self, why: str) -> None:
         self._metrics.platform_calls.inc({"outcome": "failed"})
         self._failed_ms = self._clock()
+        self._state.first_read.set()
         if not self._is_disconnected:
             self._is_disconnected = True
             events.emit(log, events.PLATFORM_READ_FAILED, why=why)
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Handles calls: acquires slots, sends calls, passes responses on, and retries."""
 
 import asyncio
+import contextlib
 import logging
 import typing as t
 
@@ -33,6 +34,8 @@
 
 OTHER_ENTRY_RETRY_MS: t.Final = 100.0
 """Retry time for a caller whose call another entry can serve."""
+MAX_FIRST_READ_WAIT_MS: t.Final = 500.0
+"""How long a call that arrives while the process starts waits for a routing table."""
 
 
 class Forwarder:
@@ -61,6 +64,7 @@
         now_ms = self._clock()
         context: CallContext | None = None
         try:
+            await self._wait_for_first_read()
             context = self._admit_call(now_ms, call, exchange)
             if context is None:
                 return
@@ -74,6 +78,18 @@
             events.emit(log, events.REQUEST_FAILED, request=_request_id(context))
             exchange.abort()
 
+    async def _wait_for_first_read(self) -> None:
+        """Wait until it is known whether there is a routing table.
+
+        An entry listens before it has read one, and mostly has it milliseconds later.
+        """
+        first_read = self._state.first_read
+        if first_read.is_set():
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_FIRST_READ_WAIT_MS / 1000):
+                await first_read.wait()
+
     def _admit_call(
         self, now_ms: float, call: Call, exchange: Exchange
     ) -> CallContext | None:
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -1,5 +1,6 @@
 """The mutable state of one entry, read and written by its event loop only."""
 
+import asyncio
 import dataclasses
 import random
 import typing as t
@@ -21,6 +22,8 @@
     :param table: routing table in force; None before the first one is known.
     :param table_applied_ms: time at which the routing table came into force here.
     :param retry_budgets: retry budgets by service.
+    :param first_read: set once the first read of the platform's store has ended, or a
+        peer has sent its snapshot.
     :param entries: number of entries that are alive, this one included.
     :param is_stopping: whether the process was asked to stop; calls are still served.
     :param is_closed: whether calls are refused, as the process is about to exit.
@@ -40,6 +43,7 @@
         default_factory=dict
     )
     queue_by_service: dict[str, queues.Queue] = dataclasses.field(default_factory=dict)
+    first_read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     entries: int = 1
     is_stopping: bool = False
     is_closed: bool = False
