Open the callers' listener before the rest of the program is loaded

Hypothesis: after a loss of power an entry listens only when all modules are loaded, 0.3 s after its start; callers are refused a connection meanwhile, and they come back once. Ruled out as the cause: the pause before the restart (the platform's), and the groups, which serve again at 42.0 s. Change: the listener opens after the settings file was read, before pydantic and asyncio are loaded; the process takes it over.

--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import signal
+import socket
 import typing as t
 
 from .. import events
@@ -20,6 +21,7 @@
 )
 from ..loops import run_supervised
 from ..metric_set import METRICS_PATH
+from ..platform.listener import LISTEN_BACKLOG
 from ..sequences import new_incarnation
 from . import peers as peering
 from .feed import Feed
@@ -40,7 +42,6 @@
 """Time reserved for sending the last responses, out of the time for a stop."""
 BALANCER_NOTICE_MS: t.Final = 2_500.0
 """Time within which the platform's load balancer notices that an entry isn't ready."""
-LISTEN_BACKLOG: t.Final = 512
 
 
 class Entry:
@@ -49,6 +50,7 @@
     :param reload: reads the settings again and returns them.
     :param metrics_port: port of an additional internal listener, for metrics; None:
         there is none.
+    :param listener: the callers' listener, if it is open already.
     """
 
     def __init__(
@@ -56,9 +58,11 @@
         host: HostSettings,
         reload: t.Callable[[], HostSettings],
         metrics_port: int | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         self._reload = reload
         self._metrics_port = metrics_port
+        self._listener = listener
         self.state = EntryState(host, random.Random())
         self.metrics = EntryMetrics()
         self._incarnation = new_incarnation()
@@ -112,7 +116,6 @@
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         host = self.state.host
         listeners: list[tuple[Server, Address | None]] = [
-            (self._caller_server, host.caller_address),
             (self._internal_server, host.health_address),
             (self._internal_server, Address(host.ip, host.peer_port)),
         ]
@@ -120,14 +123,14 @@
             listeners.append(
                 (self._internal_server, Address(host.ip, self._metrics_port))
             )
-        loop = asyncio.get_running_loop()
+        if self._listener is None:
+            listeners.append((self._caller_server, host.caller_address))
+        else:
+            await _serve(stack, self._caller_server, sock=self._listener)
         for server, address in listeners:
-            if address is None:
-                continue
-            listener = await loop.create_server(
-                server.make_connection, address.ip, address.port, backlog=LISTEN_BACKLOG
-            )
-            stack.callback(listener.close)
+            if address is not None:
+                await _serve(stack, server, host=address.ip, port=address.port)
+        loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
             lambda: DatagramHandler(self._on_datagram),
             local_addr=(host.ip, host.peer_port),
@@ -325,3 +328,17 @@
         if host != self.state.host:
             self.state.host = host
             events.emit(log, events.SETTINGS_RELOADED, seeds=len(host.seeds))
+
+
+async def _serve(
+    stack: contextlib.AsyncExitStack, server: Server, **where: t.Any
+) -> None:
+    """Accept connections for a server, until the stack is closed.
+
+    :param where: ``host`` and ``port`` of a new listener, or an open one as ``sock``.
+    """
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(
+        server.make_connection, backlog=LISTEN_BACKLOG, **where
+    )
+    stack.callback(listener.close)
--- a/src/dotterelplank/platform/settings.py
+++ b/src/dotterelplank/platform/settings.py
@@ -1,14 +1,10 @@
-"""The settings file that the platform writes for each process."""
-
-import os
-import pathlib
+"""Validation of the settings that the platform writes for each process."""
 
 import pydantic
 
 from ..errors import SettingsError
 from ..gateway.host import Address, Bounds, HostSettings
-
-PATH_VARIABLE = "DOTTERELPLANK_NODE_FILE"
+from . import settings_file
 
 
 class _Listen(pydantic.BaseModel):
@@ -88,13 +84,7 @@
 
     :raises SettingsError: if the settings are missing or invalid.
     """
-    name = os.environ.get(PATH_VARIABLE)
-    if name is None:
-        raise SettingsError(PATH_VARIABLE, "no value", "the path of the settings file")
-    try:
-        return parse(pathlib.Path(name).read_bytes())
-    except OSError as error:
-        raise SettingsError(name, str(error), "a readable file") from error
+    return parse(settings_file.read())
 
 
 def address(path: str, text: str) -> Address:
