Part the state of a map change from its phases, and the sending of its tasks from both

The state and the protocol's rules stay there; what each phase waits for is in ranks/phases.py, and what is sent again and by which way in ranks/dispatch.py.

--- a/src/dotterelplank/ranks/driver.py
+++ b/src/dotterelplank/ranks/driver.py
@@ -15,7 +15,7 @@
 from ..gateway.host import Address
 from ..loops import BackgroundTasks
 from ..platform.ranks import RankClient
-from . import change as changes, fanout, messages, policy, tasks, versions
+from . import change as changes, fanout, messages, phases, policy, tasks, versions
 from .group import Group
 from .membership import Membership, RankId
 from .metrics import AgentMetrics
@@ -149,7 +149,7 @@
         if change is None:
             return
         now_ms = boottime_ms()
-        self._dispatch(change, changes.advance(now_ms, change))
+        self._dispatch(change, phases.advance(now_ms, change))
         self._group.last_change_step = max(self._group.last_change_step, change.step)
         self._log_slow_phase(now_ms, change)
         if change.outcome is not None:
--- a/tests/rank_model.py
+++ b/tests/rank_model.py
@@ -11,7 +11,7 @@
 import typing as t
 
 from dotterelplank.errors import UpstreamError
-from dotterelplank.ranks import change as changes, participant, versions
+from dotterelplank.ranks import change as changes, participant, phases, versions
 from dotterelplank.ranks.group import Group
 from dotterelplank.ranks.holds import ORPHANED_HOLD_TIMEOUT_MS
 from dotterelplank.ranks.messages import Heartbeat
@@ -291,7 +291,7 @@
         change = agent.change
         if change is None:
             return
-        for assignment in changes.advance(self.now_ms, change):
+        for assignment in phases.advance(self.now_ms, change):
             proxy = _RankProxy(self, assignment.rank)
             work = participant.execute(proxy, change.formation, assignment.task)
             self.running_tasks.append((agent, change, work))
--- a/tests/test_ranks_change.py
+++ b/tests/test_ranks_change.py
@@ -5,7 +5,14 @@
 from hypothesis import given, settings, strategies as st
 from rank_model import MAP, World, sleep
 
-from dotterelplank.ranks import change as changes, participant, tasks, versions
+from dotterelplank.ranks import (
+    change as changes,
+    dispatch,
+    participant,
+    phases,
+    tasks,
+    versions,
+)
 from dotterelplank.ranks.holds import ORPHANED_HOLD_TIMEOUT_MS
 from dotterelplank.ranks.views import Armed, Formation, RankView
 
@@ -46,20 +53,20 @@
         return World(**fields)
 
     def test_every_rank_is_asked_to_prepare_first(self):
-        assignments = changes.advance(NOW_MS, _begin())
+        assignments = phases.advance(NOW_MS, _begin())
         self.assertEqual([0, 1], [assignment.rank for assignment in assignments])
         self.assertTrue(all(isinstance(e.task, tasks.Prepare) for e in assignments))
 
     def test_nothing_is_armed_before_the_pass_is_held(self):
         change = _begin()
         _record_views(change, _view(0, prepared=5), _view(1, prepared=5))
-        (assignment,) = changes.advance(NOW_MS, change)
+        (assignment,) = phases.advance(NOW_MS, change)
         self.assertEqual((1, tasks.Hold(12)), (assignment.rank, assignment.task))
 
     def test_the_hold_order_is_sent_directly_to_a_rank_of_another_host(self):
         change = _begin()
         _record_views(change, _view(0, prepared=5), _view(1, prepared=5))
-        (assignment,) = changes.advance(NOW_MS, change)
+        (assignment,) = phases.advance(NOW_MS, change)
         self.assertNotEqual(0, assignment.rank)
         self.assertTrue(assignment.is_direct)
 
@@ -72,16 +79,16 @@
     def test_the_pass_is_released_only_once_all_ranks_are_armed(self):
         change = _begin()
         _record_views(change, _view(0, prepared=5), _view(1, prepared=5))
-        changes.advance(NOW_MS, change)
+        phases.advance(NOW_MS, change)
         _record_views(change, _view(1, prepared=5, held=12))
-        (assignment,) = changes.advance(NOW_MS, change)
+        (assignment,) = phases.advance(NOW_MS, change)
         self.assertEqual((1, tasks.Arm(5, 12)), (assignment.rank, assignment.task))
         armed = Armed(5, 12)
         _record_views(change, _view(1, prepared=5, held=12, armed=armed))
-        (assignment,) = changes.advance(NOW_MS, change)
+        (assignment,) = phases.advance(NOW_MS, change)
         self.assertEqual((0, tasks.Arm(5, 12)), (assignment.rank, assignment.task))
         _record_views(change, _view(0, prepared=5, armed=armed))
-        (assignment,) = changes.advance(NOW_MS, change)
+        (assignment,) = phases.advance(NOW_MS, change)
         self.assertEqual((1, tasks.Release(12)), (assignment.rank, assignment.task))
 
     def _take_over(self, *views):
@@ -91,8 +98,8 @@
         """
         change = changes.take_over(NOW_MS, Formation("g", 1), 3, 1, 12, 7)
         _record_views(change, *views)
-        later_ms = NOW_MS + changes.INITIATOR_TIMEOUT_MS + 1
-        return change, changes.advance(later_ms, change)
+        later_ms = NOW_MS + phases.INITIATOR_TIMEOUT_MS + 1
+        return change, phases.advance(later_ms, change)
 
     def test_the_initiator_isnt_awaited_while_another_rank_isnt_armed(self):
         ranks = [_view(rank, size=3, prepared=5) for rank in (1, 2)]
@@ -116,14 +123,16 @@
             _view(1, size=3, prepared=5, armed=Armed(5, 12), held=12),
             _view(2, size=3, prepared=4, armed=Armed(4, 20)),
         )
-        late_ms = NOW_MS + changes.ARM_TIMEOUT_MS + changes.INITIATOR_TIMEOUT_MS + 10
-        changes.advance(late_ms, change)
+        late_ms = NOW_MS + phases.ARM_TIMEOUT_MS + phases.INITIATOR_TIMEOUT_MS + 10
+        phases.advance(late_ms, change)
         self.assertEqual(changes.Phase.VOID, change.phase)
-        later_ms = late_ms + changes.RESEND_INTERVAL_MS + 3 * changes.RESEND_PER_RANK_MS
-        queried = {task.rank for task in changes.advance(later_ms, change)}
+        later_ms = (
+            late_ms + dispatch.RESEND_INTERVAL_MS + 3 * dispatch.RESEND_PER_RANK_MS
+        )
+        queried = {task.rank for task in phases.advance(later_ms, change)}
         self.assertEqual({0, 1, 2}, queried)
         changes.record_view(later_ms, change, _view(2, size=3, step=12))
-        changes.advance(later_ms, change)
+        phases.advance(later_ms, change)
         self.assertEqual(changes.Phase.OVER, change.phase)
 
     def test_an_unresponsive_rank_other_than_the_initiators_is_awaited(self):
@@ -142,16 +151,16 @@
 
     def test_a_version_that_may_still_be_armed_everywhere_is_not_disarmed(self):
         views = [_view(0, prepared=5, armed=Armed(5, 12)), _view(1, prepared=5)]
-        self.assertEqual((), changes.superseded_versions(views))
+        self.assertEqual((), phases.superseded_versions(views))
 
     def test_a_version_that_a_rank_can_never_arm_is_superseded(self):
         views = [_view(0, prepared=5, armed=Armed(5, 12)), _view(1, prepared=6)]
-        self.assertEqual((5,), changes.superseded_versions(views))
+        self.assertEqual((5,), phases.superseded_versions(views))
 
     def test_a_group_that_formed_anew_ends_the_change(self):
         change = _begin()
         _record_views(change, _view(1, epoch=2))
-        changes.advance(NOW_MS, change)
+        phases.advance(NOW_MS, change)
         self.assertEqual(changes.Outcome.REFORMED, change.outcome)
 
     def test_a_report_of_another_group_is_ignored(self):
@@ -164,11 +173,11 @@
     def test_an_unresponsive_agent_is_bypassed_while_the_pass_may_be_held(self):
         change = _begin()
         _record_views(change, _view(0, prepared=5), _view(1, prepared=5))
-        changes.advance(NOW_MS, change)
+        phases.advance(NOW_MS, change)
         _record_views(change, _view(1, prepared=5, held=12))
-        changes.advance(NOW_MS, change)
-        late_ms = NOW_MS + changes.AGENT_TIMEOUT_MS + 1
-        assignments = changes.advance(late_ms, change)
+        phases.advance(NOW_MS, change)
+        late_ms = NOW_MS + dispatch.AGENT_TIMEOUT_MS + 1
+        assignments = phases.advance(late_ms, change)
         self.assertTrue(all(assignment.is_direct for assignment in assignments))
 
     def test_without_faults_all_changes_switch_the_map(self):
@@ -182,16 +191,16 @@
     ):
         change = _begin()
         _record_views(change, _view(0, prepared=5), _view(1, prepared=5))
-        changes.advance(NOW_MS, change)
+        phases.advance(NOW_MS, change)
         _record_views(change, _view(1, prepared=5, held=12))
-        changes.advance(NOW_MS, change)
+        phases.advance(NOW_MS, change)
         other = Armed(9, 12)
         _record_views(
             change,
             _view(0, prepared=9, armed=other),
             _view(1, prepared=9, held=12, armed=other),
         )
-        (assignment,) = changes.advance(NOW_MS, change)
+        (assignment,) = phases.advance(NOW_MS, change)
         self.assertEqual(tasks.Release(12), assignment.task)
 
     def test_a_hold_of_an_agent_that_died_is_resolved(self):
