Start a group's breaker anew when the group has opened again

Ruled out: the list (each entry had it 2 ms later), free slots (none in use). Change: the key of a group's breaker names the epoch and whether the group is open. The test, a group that opens after an outage, is red before and green after.

--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from .concurrency import ConcurrencyLimits, used_share
-from .directory import Directory, Endpoint, GroupKey
+from .directory import Directory, Endpoint, GroupKey, GroupPlace
 from .loads import Loads
 
 MAX_WAIT_RATIO: t.Final = 0.45
@@ -213,5 +213,11 @@
 
 
 def group_breaker_key(endpoint: Endpoint) -> str:
-    """Return the key of the breaker of an endpoint's group."""
-    return f"group {endpoint.group}"
+    """Return the key of the breaker of an endpoint's group.
+
+    A group that has formed anew, or that has opened, starts without failures: those of
+    before say nothing about it.
+    """
+    place = t.cast(GroupPlace, endpoint.place)
+    state = "open" if place.is_open else "closed"
+    return f"group {endpoint.group} {place.epoch} {state}"
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,4 +1,5 @@
 import collections
+import dataclasses
 import random
 
 import testtools
@@ -19,7 +20,12 @@
     EndpointChange,
     GroupPlace,
 )
-from dotterelplank.gateway.loads import PROBE_TIMEOUT_MS, Loads, PeerLoad
+from dotterelplank.gateway.loads import (
+    MAX_OPEN_MS,
+    PROBE_TIMEOUT_MS,
+    Loads,
+    PeerLoad,
+)
 from dotterelplank.gateway.revisions import Revision
 from dotterelplank.gateway.streams import EventCursor
 from dotterelplank.gateway.tables import (
@@ -148,6 +154,32 @@
         )
         self.assertIsInstance(self._choose(found, loads), admission.NoUsableEndpoint)
 
+    def _fail_often(self, loads, key):
+        """Record failures until the breaker is open for its longest time."""
+        now_ms = NOW_MS
+        while (open_ms := loads.record_failure(now_ms, key)) < MAX_OPEN_MS:
+            now_ms += open_ms
+        return now_ms
+
+    def test_a_group_that_opens_again_gets_calls_at_once(self):
+        broken = GroupPlace("g", 1, 0, 2, False)
+        for again in (
+            dataclasses.replace(broken, is_open=True),
+            GroupPlace("g", 2, 0, 2, True),
+        ):
+            loads = Loads()
+            before = endpoint("e1", place=broken)
+            now_ms = self._fail_often(loads, admission.group_breaker_key(before))
+            for place, expected in (
+                (broken, admission.NoUsableEndpoint),
+                (again, admission.Admitted),
+            ):
+                found = directory(endpoint("e1", place=place))
+                decision = admission.choose(
+                    now_ms, slot_request(), found, loads, "a", 0, ConcurrencyLimits()
+                )
+                self.assertIsInstance(decision, expected, place)
+
     def test_only_one_probe_is_sent_to_a_recovering_group(self):
         place = GroupPlace("g", 1, 0, 2, True)
         one, other = endpoint("e1", place=place), endpoint("e2", place=place)
