Let calls wait for a group that is about to open

Ruled out: sending to the ranks meanwhile (they refuse). Change: while all ranks of a group are listed and none says that it is open, calls without a usable endpoint wait, at most for the time in which it should open and half of the time that they have. While a rank is missing they are refused at once as before.

--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from .concurrency import ConcurrencyLimits, used_share
-from .directory import Directory, Endpoint, GroupKey, GroupPlace
+from .directory import Directory, Endpoint, GroupKey, GroupPlace, by_group
 from .loads import Loads
 
 MAX_WAIT_RATIO: t.Final = 0.45
@@ -179,13 +179,9 @@
     listed: t.Iterable[Endpoint], loads: Loads, concurrency_limits: ConcurrencyLimits
 ) -> t.Collection[GroupKey]:
     """Return the groups that have reached their concurrency limit."""
-    by_group: dict[GroupKey, list[Endpoint]] = {}
-    for endpoint in listed:
-        if endpoint.group is not None:
-            by_group.setdefault(endpoint.group, []).append(endpoint)
     return {
         group
-        for group, endpoints in by_group.items()
+        for group, endpoints in by_group(listed).items()
         if (share := concurrency_limits.share(group)) < 1.0
         and used_share(endpoints, loads) >= share
     }
--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -231,3 +231,12 @@
         self.revisions[endpoint_id] = max(
             self.revisions.get(endpoint_id, FIRST), revision
         )
+
+
+def by_group(endpoints: t.Iterable[Endpoint]) -> t.Mapping[GroupKey, list[Endpoint]]:
+    """Return the endpoints that are ranks, by their group."""
+    found: dict[GroupKey, list[Endpoint]] = {}
+    for endpoint in endpoints:
+        if endpoint.group is not None:
+            found.setdefault(endpoint.group, []).append(endpoint)
+    return found
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -206,6 +206,7 @@
             {(endpoint.id, endpoint.started_ms) for endpoint in endpoints}
         )
         self.state.progress.keep_only({endpoint.id for endpoint in endpoints})
+        self.state.openings.update(boottime_ms(), self.state.directory)
         self._on_load_changed()
         self._forwarder.slots.admit_waiting()
 
--- a/src/dotterelplank/gateway/slots.py
+++ b/src/dotterelplank/gateway/slots.py
@@ -8,6 +8,9 @@
 from .directory import Endpoint
 from .state import EntryState
 
+MAX_OPENING_WAIT_RATIO: t.Final = 0.5
+"""The part of its remaining time that a call may wait for a group to open."""
+
 
 class SlotAllocator:
     """Allocates slots to the calls of one entry.
@@ -44,7 +47,7 @@
         )
         context.is_overloaded = not isinstance(decision, admission.NoUsableEndpoint)
         if not context.is_overloaded:
-            return None
+            return await self._wait_for_opening(now_ms, queue, context)
         if isinstance(decision, admission.Admitted) and not calls_ahead:
             self._mark_acquired(now_ms, decision.endpoint)
             return decision.endpoint
@@ -124,6 +127,16 @@
         )
         return admission.retry_after_ms(wait_ms, remaining_ms, draw) / 1000
 
+    async def _wait_for_opening(
+        self, now_ms: float, queue: queues.Queue, context: CallContext
+    ) -> Endpoint | None:
+        """Wait for a group that is about to open, if there is one."""
+        wait_ms = self._state.opening_wait_ms(now_ms, context.service)
+        remaining_ms = context.deadline_ms - now_ms
+        if not 0 < wait_ms <= remaining_ms * MAX_OPENING_WAIT_RATIO:
+            return None
+        return await self._wait_in_queue(queue, context, wait_ms)
+
     async def _wait_in_queue(
         self, queue: queues.Queue, context: CallContext, max_wait_ms: float
     ) -> Endpoint | None:
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -11,6 +11,7 @@
 from .host import HostSettings
 from .inactivity import Progress
 from .loads import Loads
+from .openings import Openings
 from .tables import RoutingTable
 
 
@@ -34,6 +35,7 @@
     table: RoutingTable | None = None
     table_applied_ms: float = 0.0
     directory: Directory = dataclasses.field(default_factory=Directory)
+    openings: Openings = dataclasses.field(default_factory=Openings)
     loads: Loads = dataclasses.field(default_factory=Loads)
     progress: Progress = dataclasses.field(default_factory=Progress)
     concurrency_limits: ConcurrencyLimits = dataclasses.field(
@@ -64,6 +66,13 @@
         """Return the queue of calls that wait for a slot of ``service``."""
         return self.queue_by_service.setdefault(service, queues.Queue())
 
+    def opening_wait_ms(self, now_ms: float, service: str) -> float:
+        """Return within which time a group of ``service`` opens; 0 if none is to."""
+        known = None if self.table is None else self.table.services.get(service)
+        if known is None:
+            return 0.0
+        return self.openings.wait_ms(now_ms, service, known.rebuild_ms)
+
     def is_ready(self) -> bool:
         """Return whether callers should be routed to this entry."""
         is_informed = self.table is not None and self.directory.updated_ms is not None
