Send nothing to a group that is about to open, and wait for it long enough

Ruled out: the list (all ranks were listed as not open), addresses that two records name. Change: the wait allows for twice the rebuild time; calls aren't sent to such a group.

--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -73,10 +73,12 @@
     domain: str,
     waiting: int,
     concurrency_limits: ConcurrencyLimits,
+    opening: t.Collection[GroupKey] = (),
 ) -> Decision:
     """Decide where a call may be sent: to the least loaded endpoint with a free slot.
 
-    Endpoints of a group that has reached its concurrency limit are left out.
+    Endpoints of a group that has reached its concurrency limit are left out, and so are
+    those of a group that is about to open, which would refuse the call.
 
     Among endpoints of equal load, those in the entry's own failure domain are
     preferred. ``call.draw`` breaks the ties that remain, so that entries which choose
@@ -84,13 +86,16 @@
 
     :param domain: failure domain of this entry.
     :param waiting: number of this entry's calls of the service that wait already.
+    :param opening: the groups that are about to open.
     :return: the endpoint, or that no endpoint has a free slot or that none is usable.
     """
     listed = directory.of_service(call.service)
     usable = [
         endpoint
         for endpoint in listed
-        if endpoint.id not in call.tried and not _open_for_ms(now_ms, endpoint, loads)
+        if endpoint.id not in call.tried
+        and endpoint.group not in opening
+        and not _open_for_ms(now_ms, endpoint, loads)
     ]
     if not usable:
         return NoUsableEndpoint()
--- a/src/dotterelplank/gateway/openings.py
+++ b/src/dotterelplank/gateway/openings.py
@@ -12,6 +12,9 @@
 
 LIST_DELAY_MS: t.Final = 250.0
 """Time within which the list of endpoints shows that a group has opened."""
+REBUILD_MARGIN_RATIO: t.Final = 2.0
+"""Multiple of the rebuild time that is allowed for, as ranks may be listed before the
+group counts them as back."""
 
 
 @dataclasses.dataclass
@@ -37,18 +40,21 @@
             if _is_forming(ranks)
         }
 
-    def wait_ms(self, now_ms: float, service: str, rebuild_ms: float) -> float:
-        """Return within which time a group of ``service`` is expected to open.
+    def due_ms(
+        self, now_ms: float, service: str, rebuild_ms: float
+    ) -> t.Mapping[GroupKey, float]:
+        """Return the groups of ``service`` that are about to open, and by when.
+
+        Groups that should have opened by now are left out.
 
         :param rebuild_ms: time that a complete group takes to open.
-        :return: the time; 0 if no group is about to open.
         """
-        due_ms = [
-            since_ms + rebuild_ms + LIST_DELAY_MS
+        allowed_ms = rebuild_ms * REBUILD_MARGIN_RATIO + LIST_DELAY_MS
+        return {
+            group: since_ms + allowed_ms
             for group, since_ms in self.complete_since_ms.items()
-            if group.service == service
-        ]
-        return max(0.0, max(due_ms, default=now_ms) - now_ms)
+            if group.service == service and now_ms < since_ms + allowed_ms
+        }
 
 
 def _is_forming(ranks: t.Sequence[Endpoint]) -> bool:
--- a/src/dotterelplank/gateway/slots.py
+++ b/src/dotterelplank/gateway/slots.py
@@ -38,30 +38,19 @@
             the call, but without a slot that is free in time.
         """
         now_ms = self._clock()
-        remaining_ms = context.deadline_ms - now_ms
-        route = context.route
         queue = self._state.queue_of(context.service)
         calls_ahead = queue.count_ahead(context.priority, context.arrived_ms)
         decision = self.choose(
             now_ms, context.service, frozenset(context.history.tried)
         )
         context.is_overloaded = not isinstance(decision, admission.NoUsableEndpoint)
-        if not context.is_overloaded:
-            return await self._wait_for_opening(now_ms, queue, context)
         if isinstance(decision, admission.Admitted) and not calls_ahead:
             self._mark_acquired(now_ms, decision.endpoint)
             return decision.endpoint
-        ttfb_ms = self._state.loads.ttfb_ms.get(context.service, 0.0)
-        max_wait_ms = admission.max_wait_ms(route.goal_ms, remaining_ms, ttfb_ms)
-        usable = self._state.directory.of_service(context.service)
-        wait_ms = admission.expected_wait_ms(
-            context.service,
-            usable,
-            self._state.loads,
-            calls_ahead,
-            self._state.concurrency_limits,
-        )
-        if wait_ms > max_wait_ms:
+        max_wait_ms = self._max_opening_wait_ms(now_ms, context)
+        if not max_wait_ms and context.is_overloaded:
+            max_wait_ms = self._max_slot_wait_ms(now_ms, context, calls_ahead)
+        if not max_wait_ms:
             return None
         return await self._wait_in_queue(queue, context, max_wait_ms)
 
@@ -109,6 +98,7 @@
             state.host.domain,
             waiting,
             state.concurrency_limits,
+            state.openings_due_ms(now_ms, service),
         )
 
     def retry_after_s(self, context: CallContext) -> float:
@@ -127,15 +117,38 @@
         )
         return admission.retry_after_ms(wait_ms, remaining_ms, draw) / 1000
 
-    async def _wait_for_opening(
-        self, now_ms: float, queue: queues.Queue, context: CallContext
-    ) -> Endpoint | None:
-        """Wait for a group that is about to open, if there is one."""
-        wait_ms = self._state.opening_wait_ms(now_ms, context.service)
+    def _max_opening_wait_ms(self, now_ms: float, context: CallContext) -> float:
+        """Return how long a call may wait for a group that is about to open.
+
+        :return: the time; 0 if no group opens in time for the call.
+        """
+        due_ms = self._state.openings_due_ms(now_ms, context.service)
+        wait_ms = max(due_ms.values(), default=now_ms) - now_ms
         remaining_ms = context.deadline_ms - now_ms
-        if not 0 < wait_ms <= remaining_ms * MAX_OPENING_WAIT_RATIO:
-            return None
-        return await self._wait_in_queue(queue, context, wait_ms)
+        return wait_ms if wait_ms <= remaining_ms * MAX_OPENING_WAIT_RATIO else 0.0
+
+    def _max_slot_wait_ms(
+        self, now_ms: float, context: CallContext, calls_ahead: int
+    ) -> float:
+        """Return how long a call may wait for a slot that becomes free.
+
+        :return: the time; 0 if none is expected to become free in time for the call.
+        """
+        state = self._state
+        service = context.service
+        remaining_ms = context.deadline_ms - now_ms
+        ttfb_ms = state.loads.ttfb_ms.get(service, 0.0)
+        max_wait_ms = admission.max_wait_ms(
+            context.route.goal_ms, remaining_ms, ttfb_ms
+        )
+        wait_ms = admission.expected_wait_ms(
+            service,
+            state.directory.of_service(service),
+            state.loads,
+            calls_ahead,
+            state.concurrency_limits,
+        )
+        return max_wait_ms if wait_ms <= max_wait_ms else 0.0
 
     async def _wait_in_queue(
         self, queue: queues.Queue, context: CallContext, max_wait_ms: float
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -7,7 +7,7 @@
 
 from . import queues, retry_budget
 from .concurrency import ConcurrencyLimits
-from .directory import Directory
+from .directory import Directory, GroupKey
 from .host import HostSettings
 from .inactivity import Progress
 from .loads import Loads
@@ -66,12 +66,14 @@
         """Return the queue of calls that wait for a slot of ``service``."""
         return self.queue_by_service.setdefault(service, queues.Queue())
 
-    def opening_wait_ms(self, now_ms: float, service: str) -> float:
-        """Return within which time a group of ``service`` opens; 0 if none is to."""
+    def openings_due_ms(
+        self, now_ms: float, service: str
+    ) -> t.Mapping[GroupKey, float]:
+        """Return the groups of ``service`` that are about to open, and by when."""
         known = None if self.table is None else self.table.services.get(service)
         if known is None:
-            return 0.0
-        return self.openings.wait_ms(now_ms, service, known.rebuild_ms)
+            return {}
+        return self.openings.due_ms(now_ms, service, known.rebuild_ms)
 
     def is_ready(self) -> bool:
         """Return whether callers should be routed to this entry."""
