Refuse no call on a guess of how long calls hold their slots

The 503 is result 300, overloaded: the third entry counted the two calls of the others, ended 1 ms before, on a server of 2 slots, and took 500 ms for the time that a call holds a slot, as none had ended there yet: 250 ms of wait, of 225 that a call may wait. Ruled out: a missing table (307), the list, the store. Change: until a call has ended, nothing is known about the wait, and a call waits instead of being refused.

--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -23,8 +23,6 @@
 """The part of their remaining time up to which callers observe a Retry-After time."""
 OUTAGE_JITTER_RATIO: t.Final = 0.3
 """The largest part of the retry time in an outage that jitter subtracts."""
-DEFAULT_SLOT_HOLD_MS: t.Final = 500.0
-"""Time for which a call holds its slot, until it is known for the service."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +125,9 @@
 ) -> float:
     """Return how long a call that joins the queue would wait for a slot.
 
+    It is 0 until it is known how long calls of the service hold their slots: no call is
+    refused on a guess.
+
     :param usable: endpoints that the call could be sent to.
     :param waiting: number of this entry's calls that are served before it.
     """
@@ -135,7 +136,7 @@
         for endpoint in usable
     )
     queue_length = waiting + loads.peers_waiting[service] + 1
-    slot_hold_ms = loads.slot_hold_ms.get(service, DEFAULT_SLOT_HOLD_MS)
+    slot_hold_ms = loads.slot_hold_ms.get(service, 0.0)
     return queue_length * slot_hold_ms / max(1, slots)
 
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -141,6 +141,13 @@
         decision = self._choose(directory(endpoint("e1")), loads)
         self.assertIsInstance(decision, admission.AtCapacity)
 
+    def test_the_wait_is_estimated_from_calls_that_have_ended(self):
+        loads, found = Loads(), directory(endpoint("e1"))
+        loads.on_heartbeat("peer", PeerLoad({"e1": 2}, {}, NOW_MS))
+        self.assertEqual(admission.AtCapacity(0.0), self._choose(found, loads))
+        loads.record_slot_hold("drafts", 400.0)
+        self.assertEqual(admission.AtCapacity(200.0), self._choose(found, loads))
+
     def test_a_draining_endpoint_gets_no_calls(self):
         found = directory(endpoint("e1", is_draining=True))
         self.assertIsInstance(self._choose(found, Loads()), admission.NoUsableEndpoint)
