Log the shared parts of a failed call's prompt, and whether it had an event

Event 122 couldn't tell a call that crashes its server from calls that were lost beside it. It now names the call's shared parts and says whether an event had come.

--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -34,6 +34,7 @@
 
 OTHER_ENTRY_RETRY_MS: t.Final = 100.0
 """Retry time for a caller whose call another entry can serve."""
+MAX_LOGGED_PARTS: t.Final = 8
 MAX_FIRST_READ_WAIT_MS: t.Final = 500.0
 """How long a call that arrives while the process starts waits for a routing table."""
 
@@ -298,6 +299,8 @@
             why=attempt_result.reason,
             after_ms=round(now_ms - context.arrived_ms, 1),
             avoided_ms=round(avoided_ms),
+            has_first_event=context.ttfb_ms is not None,
+            parts=context.metadata.shared_parts[:MAX_LOGGED_PARTS],
         )
 
     def _abandon(
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -18,6 +18,7 @@
 _RESUME_AFTER = b"last-event-id"
 _TOKENS = b"x-token-count"
 _LENGTH_HINT = b"x-length-hint"
+_PREFIX = b"x-prefix-hash"
 _FAULTY_ENDPOINT = b"at-server"
 
 _SET_BY_ENTRY: t.Final = (
@@ -29,6 +30,8 @@
     _RESUME_AFTER,
 )
 _MISDIRECTED_STATUS: t.Final = 421
+MAX_SHARED_PARTS: t.Final = 32
+"""Most shared parts of a prompt that are decoded."""
 NOT_RUN_STATUSES: t.Final = frozenset({408, _MISDIRECTED_STATUS, 429, 503})
 """Statuses that tell a caller that its call has not run and will not run."""
 
@@ -44,6 +47,7 @@
         not given.
     :param prompt_tokens: number of tokens in the prompt; 0 if not given.
     :param answer_tokens: maximum number of tokens in the answer; 0 if not given.
+    :param shared_parts: ids of the parts of the prompt that other calls may share.
     """
 
     id: bytes
@@ -52,6 +56,7 @@
     resume_after: int | None
     prompt_tokens: int
     answer_tokens: int
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +95,7 @@
         resume_after=_integer(resume_after),
         prompt_tokens=_integer(prompt.strip()) or 0,
         answer_tokens=_integer(answer.strip()) or 0,
+        shared_parts=_shared_parts(_single(headers, _PREFIX) or b""),
     )
 
 
@@ -150,6 +156,13 @@
     return values[0] if values else None
 
 
+def _shared_parts(text: bytes) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, which is the call's own."""
+    ids = [entry.partition(b":")[0].strip() for entry in text.split(b",")]
+    shared = ids[:-1][:MAX_SHARED_PARTS]
+    return tuple(part.decode("latin-1").lower() for part in shared if part)
+
+
 def _milliseconds(name: bytes, text: bytes | None) -> float | None:
     if text is None:
         return None
