Find out prompt parts that crash servers, and reject calls with them

Cause: a call's content can end its server, and neither retries nor routing took the content into account; no entry sees enough crashes alone. Ruled out: load on a group that has just opened (seconds with as many calls pass); the same call's retry alone (each crash shows another call). Evidence: event 122 showed one common part in the lost call with a head and no event at each of 18 crashes. Now entries share crashes and served parts in heartbeats, try suspects one at a time, and answer guilty ones 422.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -135,6 +135,19 @@
     "An endpoint has sent nothing for a call while its group makes progress; the call "
     "is sent to another endpoint if that is safe.",
 )
+ENDPOINT_CRASHED = _define(
+    124,
+    "endpoint-crashed",
+    logging.WARNING,
+    "An endpoint ended before a call's first event; parts of the prompt that no call "
+    "was served with are suspect.",
+)
+SUSPECT_TRIED = _define(
+    125,
+    "suspect-tried",
+    logging.WARNING,
+    "A call with suspect prompt parts is sent, the only one of its kind at this time.",
+)
 
 # 130: the platform
 PLATFORM_READ_FAILED = _define(
--- a/src/dotterelplank/gateway/call_context.py
+++ b/src/dotterelplank/gateway/call_context.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .. import results
 from ..http1.messages import Headers
 from ..http1.server import Call, Exchange
 from ..platform.headers import CallHeaders
@@ -39,6 +40,7 @@
     :param is_retry_granted: whether the retry budget has already granted another send.
     :param is_overloaded: whether there are endpoints that could serve the call, so that
         a call without a slot is refused as overload.
+    :param refusal: why the call is to be refused although endpoints may have slots.
     :param failed_response: an error response, sent to the caller if no retry succeeds.
     """
 
@@ -58,6 +60,7 @@
     attempt: Attempt | None = None
     is_retry_granted: bool = False
     is_overloaded: bool = False
+    refusal: results.Result | None = None
     failed_response: FailedResponse | None = None
 
     @property
--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -65,6 +65,11 @@
         """The group that the endpoint is a rank of; None: it is in no group."""
         return None if self.place is None else GroupKey(self.service, self.place.group)
 
+    @property
+    def incarnation(self) -> str:
+        """The id and the start of the server, which no other start of it shares."""
+        return f"{self.id}@{self.started_ms}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointChange:
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -31,6 +31,7 @@
 from .metrics import EntryMetrics
 from .snapshots import SNAPSHOT_PATH, parse_known
 from .state import EntryState, waiting
+from .suspects import CrashReport
 
 log = logging.getLogger(__name__)
 
@@ -68,10 +69,15 @@
         self._incarnation = new_incarnation()
         self._heartbeats = 0
         self._heartbeat_ms = 0.0
+        self._reported_ms = 0.0
         self._heartbeat_timer: asyncio.TimerHandle | None = None
         self._peers = peering.Peers(host.ip)
         self._forwarder = Forwarder(
-            self.state, boottime_ms, self.metrics, self._on_load_changed
+            self.state,
+            boottime_ms,
+            self.metrics,
+            self._on_load_changed,
+            self._on_evidence,
         )
         self._feed = Feed(
             self.state,
@@ -194,6 +200,7 @@
                 silent_ms=round(now_ms - peer.last_seen_ms),
             )
         self.state.loads.expire(now_ms)
+        self.state.suspects.expire(now_ms)
         self.state.entries = 1 + len(self._peers.alive())
         leave_ms = self.state.host.bounds.leave_ms
         if self.state.directory.expire(now_ms, leave_ms):
@@ -220,6 +227,18 @@
         loop = asyncio.get_running_loop()
         self._heartbeat_timer = loop.call_later(due_ms / 1000, self._heartbeat)
 
+    def _on_evidence(self) -> None:
+        """Tell the peers at once what is known of suspect prompt parts."""
+        self._reported_ms = -peering.HEARTBEAT_INTERVAL_MS
+        self._heartbeat()
+
+    def _crash_reports(self, now_ms: float) -> list[CrashReport]:
+        """Return the crashes to report in a heartbeat sent now; often none are due."""
+        if now_ms - self._reported_ms < peering.HEARTBEAT_INTERVAL_MS:
+            return []
+        self._reported_ms = now_ms
+        return self.state.suspects.reports(now_ms)
+
     def _heartbeat(self) -> None:
         if self._heartbeat_timer is not None:
             self._heartbeat_timer.cancel()
@@ -244,6 +263,8 @@
                 peers=self._peers_to_advertise(),
                 is_reading=self._feed.is_reading,
                 is_leaving=state.is_stopping,
+                is_trying=state.trials.own is not None,
+                crashes=self._crash_reports(now_ms),
             )
         )
         for ip in self._peers.destinations(now_ms, host.seeds):
@@ -275,9 +296,20 @@
             )
         load = PeerLoad(heartbeat.in_flight, heartbeat.waiting, now_ms)
         self.state.loads.on_heartbeat(heartbeat.ip, load)
+        self._on_peer_evidence(now_ms, heartbeat, is_new=known is None)
         self._feed.on_heartbeat(now_ms, heartbeat)
         self._forwarder.slots.admit_waiting()
 
+    def _on_peer_evidence(
+        self, now_ms: float, heartbeat: peering.Heartbeat, *, is_new: bool
+    ) -> None:
+        """Add what a peer knows of crashes; tell it what it can't know yet."""
+        state = self.state
+        state.trials.on_heartbeat(now_ms, heartbeat.ip, heartbeat.is_trying)
+        has_learned = state.suspects.merge(now_ms, heartbeat.crashes)
+        if has_learned or (is_new and state.suspects.crashes):
+            self._on_evidence()
+
     async def _handle_internal(self, call: Call, exchange: Exchange) -> None:
         """Answer queries for readiness, for metrics, and for the snapshot by a peer."""
         path, _, query = call.target.partition(b"?")
@@ -300,6 +332,7 @@
             "places_share": state.concurrency_limits.min_share(),
             "entries": state.entries,
             "endpoints": len(state.directory.endpoints),
+            "crashes": len(state.suspects.crashes),
             "table_version": state.table.version if state.table else 0,
             "directory_revision": state.directory.revision.number,
             "store_era": state.directory.revision.era,
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -7,6 +7,7 @@
 
 from .. import events, results
 from ..errors import RequestError
+from ..http1.client import is_listening
 from ..http1.messages import header
 from ..http1.server import Call, Exchange
 from ..platform import headers as wire
@@ -24,6 +25,7 @@
 from .call_context import CallContext
 from .directory import Endpoint
 from .metrics import EntryMetrics
+from .quarantine import Quarantine
 from .retry_budget import take_retry
 from .sender import Sender
 from .slots import SlotAllocator
@@ -35,6 +37,8 @@
 OTHER_ENTRY_RETRY_MS: t.Final = 100.0
 """Retry time for a caller whose call another entry can serve."""
 MAX_LOGGED_PARTS: t.Final = 8
+CRASH_CHECK_TIMEOUT_S: t.Final = 0.1
+SERVICE_UNAVAILABLE_STATUS: t.Final = 503
 MAX_FIRST_READ_WAIT_MS: t.Final = 500.0
 """How long a call that arrives while the process starts waits for a routing table."""
 
@@ -44,6 +48,7 @@
 
     :param clock: returns the current time in milliseconds.
     :param on_load_changed: called after the number of calls in progress has changed.
+    :param on_evidence: called when peers are to be told of suspect prompt parts.
     """
 
     def __init__(
@@ -52,12 +57,20 @@
         clock: t.Callable[[], float],
         metrics: EntryMetrics,
         on_load_changed: t.Callable[[], None],
+        on_evidence: t.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
         self._metrics = metrics
         self.slots = SlotAllocator(state, clock, on_load_changed)
-        self.sender = Sender(state, clock, metrics, self.slots.mark_available)
+        self.quarantine = Quarantine(state, clock, metrics, on_evidence)
+        self.sender = Sender(
+            state,
+            clock,
+            metrics,
+            on_success=self.slots.mark_available,
+            on_served=self.quarantine.record_served,
+        )
         self._in_flight: dict[int, CallContext] = {}
 
     async def handle(self, call: Call, exchange: Exchange) -> None:
@@ -133,7 +146,7 @@
         self, exchange: Exchange, call_id: bytes, result: results.Result, why: str
     ) -> None:
         retry_after_s = None
-        if result.outcome is results.Outcome.NOT_RUN and result.http_status == 503:
+        if result.http_status == SERVICE_UNAVAILABLE_STATUS:
             draw = self._state.random.random()
             retry_after_s = OTHER_ENTRY_RETRY_MS * (1 + draw) / 1000
         headers = wire.local_response_headers(call_id, retry_after_s)
@@ -158,15 +171,15 @@
 
     async def _send_until_answered(self, context: CallContext) -> results.Result:
         while True:
-            endpoint = await self.slots.acquire(context)
+            endpoint = await self._acquire(context)
             if endpoint is None:
                 return self._abandon(context, is_past_deadline=False)
             context.endpoint = endpoint.id
             sent_ms = self._clock()
             try:
-                attempt_result = await self._send(context, endpoint, sent_ms)
+                attempt_result = await self._attempt(context, endpoint, sent_ms)
             finally:
-                self.slots.release(endpoint)
+                self.quarantine.end(context)
             now_ms = self._clock()
             if isinstance(attempt_result, Answered):
                 self._state.loads.record_slot_hold(context.service, now_ms - sent_ms)
@@ -178,6 +191,46 @@
             if not self._may_retry(now_ms, context):
                 return self._abandon(context, is_past_deadline=False)
 
+    async def _acquire(self, context: CallContext) -> Endpoint | None:
+        """Acquire a slot, once the parts of the call's prompt allow to send it.
+
+        :return: the endpoint of the slot, or ``None`` if the call is to be refused.
+        """
+        while await self.quarantine.wait_for_turn(context):
+            endpoint = await self.slots.acquire(context)
+            if endpoint is None or self.quarantine.begin(context, endpoint):
+                return endpoint
+            self.slots.release(endpoint)
+        return None
+
+    async def _attempt(
+        self, context: CallContext, endpoint: Endpoint, sent_ms: float
+    ) -> AttemptResult:
+        """Send the call, and note if the endpoint crashed before its first event."""
+        try:
+            attempt_result = await self._send(context, endpoint, sent_ms)
+        finally:
+            self.slots.release(endpoint)
+        if isinstance(attempt_result, MayHaveRun) and not attempt_result.is_failure:
+            if await self._has_crashed(context, endpoint):
+                self.quarantine.record_crash(context, endpoint, sent_ms)
+        return attempt_result
+
+    async def _has_crashed(self, context: CallContext, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint crashed before the call's first event.
+
+        A lost connection alone is no proof: the endpoint must refuse a new one too, and
+        must not have been about to leave.
+        """
+        if context.ttfb_ms is not None or not context.metadata.shared_parts:
+            return False
+        if await is_listening(endpoint.ip, endpoint.port, CRASH_CHECK_TIMEOUT_S):
+            return False
+        listed = self._state.directory.endpoints.get(endpoint.id)
+        if listed is None or listed.is_draining:
+            return False
+        return listed.incarnation == endpoint.incarnation
+
     async def _send(
         self, context: CallContext, endpoint: Endpoint, now_ms: float
     ) -> AttemptResult:
@@ -311,6 +364,8 @@
             is_past_deadline=is_past_deadline,
             is_overloaded=context.is_overloaded,
         )
+        if context.refusal is not None and result.outcome is results.Outcome.NOT_RUN:
+            result = context.refusal
         if context.exchange.has_begun:
             context.exchange.abort()
             return results.STREAM_CUT
@@ -320,7 +375,7 @@
             )
             return results.DONE
         retry_after_s = None
-        if result.outcome is results.Outcome.NOT_RUN:
+        if result.http_status == SERVICE_UNAVAILABLE_STATUS:
             retry_after_s = self.slots.retry_after_s(context)
         headers = wire.local_response_headers(context.metadata.id, retry_after_s)
         context.exchange.respond(result.http_status, headers, b"")
--- a/src/dotterelplank/gateway/inactivity.py
+++ b/src/dotterelplank/gateway/inactivity.py
@@ -45,6 +45,8 @@
     :param is_backpressured: whether nothing is read from the endpoint because the
         caller doesn't read.
     :param is_logged: whether the inactivity of the endpoint has been logged.
+    :param head_ms: time at which the head of a successful response was received; None:
+        not yet.
     """
 
     endpoint: Endpoint
@@ -53,6 +55,7 @@
     last_seen_ms: float | None = None
     is_backpressured: bool = False
     is_logged: bool = False
+    head_ms: float | None = None
 
 
 @dataclasses.dataclass
--- a/src/dotterelplank/gateway/metrics.py
+++ b/src/dotterelplank/gateway/metrics.py
@@ -11,6 +11,9 @@
         super().__init__("state")
         self._results = self.counter("results_total", "Calls by result code.")
         self._failed_sends = self.counter("sends_failed_total", "Failed sends.")
+        self._crashes = self.counter(
+            "crashes_total", "Endpoints that crashed before a call's first event."
+        )
         self._connections = self.counter(
             "connections_total", "Connections opened to endpoints."
         )
@@ -36,6 +39,10 @@
         """Count an attempt that failed."""
         self._failed_sends.inc({"service": service})
 
+    def count_crash(self, service: str) -> None:
+        """Count the crash of an endpoint before the first event of a call."""
+        self._crashes.inc({"service": service})
+
     def count_connection(self, service: str) -> None:
         """Count a connection that is opened to an endpoint."""
         self._connections.inc({"service": service})
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -12,6 +12,7 @@
 from ..datagram_codec import Codec
 from ..sequences import Sequence
 from .revisions import Revision
+from .suspects import CrashReport
 
 HEARTBEAT_INTERVAL_MS: t.Final = 250.0
 MIN_SPACING_MS: t.Final = 8.0
@@ -48,6 +49,9 @@
     :param peers: addresses of other entries.
     :param is_reading: whether the sender reads changes from the platform's store.
     :param is_leaving: whether the sender is stopping.
+    :param is_trying: whether the sender tries a call with suspect prompt parts.
+    :param crashes: crashes that are evidence on prompt parts; left out of heartbeats
+        that follow each other closely.
     """
 
     name: str
@@ -62,9 +66,11 @@
     peers: list[str]
     is_reading: bool
     is_leaving: bool
+    is_trying: bool = False
+    crashes: list[CrashReport] = dataclasses.field(default_factory=list)
 
 
-FORMAT: t.Final = "entry/2"
+FORMAT: t.Final = "entry/3"
 """Entries ignore heartbeats of another format, as those of an older program are."""
 
 CODEC: t.Final = Codec(FORMAT, Heartbeat)
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -47,6 +47,7 @@
 
     :param clock: returns the current time in milliseconds.
     :param on_success: called with each endpoint that begins a successful response.
+    :param on_served: called with each call when the first part of its answer arrives.
     """
 
     def __init__(
@@ -55,11 +56,13 @@
         clock: t.Callable[[], float],
         metrics: EntryMetrics,
         on_success: t.Callable[[Endpoint], None],
+        on_served: t.Callable[[CallContext], None],
     ) -> None:
         self._state = state
         self._clock = clock
         self._metrics = metrics
         self._on_success = on_success
+        self._on_served = on_served
         self._pools: dict[tuple[str, int], Pool] = {}
 
     def close(self) -> None:
@@ -149,6 +152,7 @@
                 "success without a server signature",
             )
         if is_success:
+            t.cast(Attempt, context.attempt).head_ms = self._clock()
             self._on_success(endpoint)
         if context.route.kind is RouteKind.STREAMING and is_success:
             return await self._relay_stream(context, endpoint, head, connection)
@@ -194,6 +198,8 @@
                 )
             return MayHaveRun(False, f"failed with {head.status}", is_failure=True)
         context.ttfb_ms = self._clock() - context.arrived_ms
+        if not is_failure:
+            self._on_served(context)
         context.exchange.respond(head.status, headers, bytes(parts))
         return Answered(head.status)
 
@@ -238,6 +244,7 @@
             now_ms = self._clock()
             if context.ttfb_ms is None:
                 context.ttfb_ms = now_ms - context.arrived_ms
+                self._on_served(context)
                 self._metrics.first_event.observe(context.ttfb_ms)
                 sent_ms = t.cast(Attempt, context.attempt).sent_ms
                 self._state.loads.record_ttfb(context.service, now_ms - sent_ms)
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -12,6 +12,7 @@
 from .inactivity import Progress
 from .loads import Loads
 from .openings import Openings
+from .suspects import Suspects, Trials
 from .tables import RoutingTable
 
 
@@ -37,6 +38,8 @@
     directory: Directory = dataclasses.field(default_factory=Directory)
     openings: Openings = dataclasses.field(default_factory=Openings)
     loads: Loads = dataclasses.field(default_factory=Loads)
+    suspects: Suspects = dataclasses.field(default_factory=Suspects)
+    trials: Trials = dataclasses.field(default_factory=Trials)
     progress: Progress = dataclasses.field(default_factory=Progress)
     concurrency_limits: ConcurrencyLimits = dataclasses.field(
         default_factory=ConcurrencyLimits
--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -288,6 +288,20 @@
     return connection
 
 
+async def is_listening(ip: str, port: int, timeout_s: float) -> bool:
+    """Return whether an address accepts connections.
+
+    Only a refused connection shows that it doesn't; an address that can't be reached
+    in time may still be in use.
+    """
+    try:
+        connection = await connect(ip, port, timeout_s)
+    except UpstreamError as error:
+        return not isinstance(error.__cause__, ConnectionRefusedError)
+    connection.close()
+    return True
+
+
 async def read_body(connection: EndpointConnection, max_bytes: int) -> bytes:
     """Return the body of the response whose head was read last.
 
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -32,6 +32,7 @@
 _MISDIRECTED_STATUS: t.Final = 421
 MAX_SHARED_PARTS: t.Final = 32
 """Most shared parts of a prompt that are decoded."""
+MAX_PART_BYTES: t.Final = 64
 NOT_RUN_STATUSES: t.Final = frozenset({408, _MISDIRECTED_STATUS, 429, 503})
 """Statuses that tell a caller that its call has not run and will not run."""
 
@@ -159,8 +160,8 @@
 def _shared_parts(text: bytes) -> tuple[str, ...]:
     """Return the ids of all parts of a prompt but the last, which is the call's own."""
     ids = [entry.partition(b":")[0].strip() for entry in text.split(b",")]
-    shared = ids[:-1][:MAX_SHARED_PARTS]
-    return tuple(part.decode("latin-1").lower() for part in shared if part)
+    shared = [part[:MAX_PART_BYTES] for part in ids[:-1] if part]
+    return tuple(part.decode("latin-1").lower() for part in shared[:MAX_SHARED_PARTS])
 
 
 def _milliseconds(name: bytes, text: bytes | None) -> float | None:
--- a/src/dotterelplank/results.py
+++ b/src/dotterelplank/results.py
@@ -122,6 +122,13 @@
 UNKNOWN_KEY = _define(
     212, "unknown-key", Outcome.NOT_RUN, 401, "No team holds the key of the call."
 )
+PROMPT_CRASHES_ENDPOINTS = _define(
+    213,
+    "prompt-crashes-endpoints",
+    Outcome.NOT_RUN,
+    422,
+    "A part of its prompt has crashed endpoints; it isn't sent to any more of them.",
+)
 
 OVERLOADED = _define(
     300, "overloaded", Outcome.NOT_RUN, 503, "No room; come back as told."
@@ -182,6 +189,13 @@
     503,
     "The time for the answer passed before any endpoint began; nothing was run.",
 )
+PROMPT_SUSPECT = _define(
+    310,
+    "prompt-suspect",
+    Outcome.NOT_RUN,
+    503,
+    "A part of its prompt may crash endpoints, and is tried first; come back as told.",
+)
 
 ENDPOINT_LOST = _define(
     400,
--- /dev/null
+++ b/tests/test_gateway_crashes.py
@@ -0,0 +1,171 @@
+"""Calls whose prompts crash servers, sent to real entries that are peers."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import testtools
+from entry_process import free_ports, is_ready, running_entry, wait_until
+from platform_standin import (
+    CONNECTION_LIMITS,
+    ServiceStandin,
+    StoreStandin,
+    configuration,
+    listening,
+)
+
+from dotterelplank.http1.messages import header
+from dotterelplank.http1.server import Server
+
+IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+DEADLY_PART = b"dead:40"
+SOUND_PART = b"50d:40"
+MAX_CRASHES = 3
+REJECTED_STATUS = 422
+
+
+@dataclasses.dataclass
+class CrashingServer(ServiceStandin):
+    """A server that ends when it begins to answer a call with the deadly part.
+
+    :param sends_head: whether the head of that answer still leaves.
+    :param crashes: how often it has ended; it is back after ``down_s``.
+    """
+
+    store: StoreStandin | None = None
+    sends_head: bool = True
+    down_s: float = 0.3
+    crashes: int = 0
+    listener: asyncio.Server | None = None
+    server: Server | None = None
+    restarts: list[asyncio.Task] = dataclasses.field(default_factory=list)
+
+    async def start(self):
+        """Listen, and register in the store with a new start time."""
+        self.server = Server(self.handle, lambda: CONNECTION_LIMITS, lambda *_: None)
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            self.server.make_connection, "127.0.0.1", self.port
+        )
+        self.port = self.listener.sockets[0].getsockname()[1]
+        record = self.entry(born=self.crashes + 1, slots=6)
+        self.store.put(f"servers/{self.id}", record)
+
+    async def handle(self, call, exchange):
+        """Answer one call, or crash."""
+        parts = (header(call.headers, b"x-prefix-hash") or b"").split(b",")
+        if DEADLY_PART not in parts:
+            await asyncio.sleep(0.03)
+            await super().handle(call, exchange)
+            return
+        self.crashes += 1
+        if self.sends_head:
+            call_id = header(call.headers, b"x-request-id")
+            proof = [(b"x-request-id", call_id), (b"x-server-signature", b"s")]
+            exchange.begin(200, proof, None)
+            await asyncio.sleep(0.01)
+        self.listener.close()
+        self.server.close_all()
+        self.restarts.append(asyncio.create_task(self._restart()))
+
+    async def _restart(self):
+        await asyncio.sleep(self.down_s)
+        await self.start()
+
+    async def close(self):
+        """Stop for good."""
+        for task in self.restarts:
+            task.cancel()
+        self.listener.close()
+        self.server.close_all()
+        await asyncio.sleep(0)
+
+
+def prefix(*parts):
+    """Return the header that names a prompt's parts."""
+    return [(b"x-prefix-hash", b",".join(parts))]
+
+
+class CrashTests(testtools.TestCase):
+    def _run(self, work, **fields):
+        """Run ``work`` with three entries that are peers, and three servers."""
+
+        async def run():
+            store = StoreStandin()
+            store.put("op/config", configuration())
+            async with contextlib.AsyncExitStack() as stack:
+                servers = [
+                    CrashingServer(f"i-{n}", store=store, **fields) for n in range(3)
+                ]
+                for server in servers:
+                    await server.start()
+                    stack.push_async_callback(server.close)
+                port = await stack.enter_async_context(listening(store))
+                entries = await self._entries(stack, port)
+                return await work(entries, servers)
+
+        return asyncio.run(run())
+
+    async def _entries(self, stack, store_port):
+        (peer_port,) = free_ports(IPS[0], 1)
+        entries = [
+            await stack.enter_async_context(
+                running_entry(store_port, ip, peer_port, IPS[:1])
+            )
+            for ip in IPS
+        ]
+
+        async def are_peers():
+            return all(len(entry.events("peer-found")) == 2 for entry in entries)
+
+        for entry in entries:
+            await wait_until(lambda one=entry: is_ready(one), what="ready")
+        await wait_until(are_peers, what="peers")
+        return entries
+
+    async def _sound_calls(self, entries, name, count):
+        """Make sound calls in turn; return their statuses."""
+        statuses = []
+        for n in range(count):
+            own = b"%s%d:9" % (name, n)
+            response = await entries[n % len(entries)].call(
+                b"/s/x",
+                call_id=b"sound-%s-%d" % (name, n),
+                headers=prefix(SOUND_PART, own),
+            )
+            statuses.append(response.status)
+        return statuses
+
+    async def _deadly_call(self, entry, name):
+        try:
+            response = await entry.call(
+                b"/s/x",
+                call_id=b"deadly-%s" % name,
+                headers=prefix(SOUND_PART, DEADLY_PART, b"%s:9" % name),
+            )
+        except Exception:  # The stream was cut.
+            return None
+        return response.status
+
+    async def _spread_crashes(self, entries, servers):
+        """Send deadly and sound calls by turns to each entry."""
+        await self._sound_calls(entries, b"before", 30)
+        deadly = []
+        for n in range(12):
+            deadly.append(await self._deadly_call(entries[n % 3], b"%d" % n))
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.5)
+        sound = await self._sound_calls(entries, b"after", 12)
+        return sum(server.crashes for server in servers), deadly, sound
+
+    def test_calls_with_a_deadly_part_stop_crashing_servers(self):
+        crashes, deadly, sound = self._run(self._spread_crashes)
+        self.assertLessEqual(crashes, MAX_CRASHES)
+        self.assertEqual([REJECTED_STATUS] * 6, deadly[-6:])
+        self.assertEqual([200] * 12, sound)
+
+    def test_they_stop_too_if_no_head_shows_which_call_was_answered(self):
+        crashes, deadly, sound = self._run(self._spread_crashes, sends_head=False)
+        self.assertLessEqual(crashes, MAX_CRASHES)
+        self.assertEqual([REJECTED_STATUS] * 6, deadly[-6:])
+        self.assertEqual([200] * 12, sound)
