--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -148,6 +148,12 @@
     logging.WARNING,
     "A call with suspect prompt parts is sent, the only one of its kind at this time.",
 )
+ENDPOINT_LIMIT_CHANGED = _define(
+    126,
+    "endpoint-limit-changed",
+    logging.INFO,
+    "A server named another limit on the requests of all entries; -1: it names none.",
+)
 
 # 130: the platform
 PLATFORM_READ_FAILED = _define(
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -201,6 +201,7 @@
             )
         self.state.loads.expire(now_ms)
         self.state.suspects.expire(now_ms)
+        self.state.server_limits.expire(now_ms)
         self.state.entries = 1 + len(self._peers.alive())
         leave_ms = self.state.host.bounds.leave_ms
         if self.state.directory.expire(now_ms, leave_ms):
@@ -213,6 +214,9 @@
             {(endpoint.id, endpoint.started_ms) for endpoint in endpoints}
         )
         self.state.progress.keep_only({endpoint.id for endpoint in endpoints})
+        self.state.server_limits.keep_only(
+            {endpoint.incarnation for endpoint in endpoints}
+        )
         self.state.openings.update(boottime_ms(), self.state.directory)
         self._on_load_changed()
         self._forwarder.slots.admit_waiting()
@@ -332,6 +336,7 @@
             "places_share": state.concurrency_limits.min_share(),
             "entries": state.entries,
             "endpoints": len(state.directory.endpoints),
+            "limited_endpoints": len(state.server_limits.limits),
             "crashes": len(state.suspects.crashes),
             "table_version": state.table.version if state.table else 0,
             "directory_revision": state.directory.revision.number,
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -352,10 +352,15 @@
             why=attempt_result.reason,
             after_ms=round(now_ms - context.arrived_ms, 1),
             avoided_ms=round(avoided_ms),
+            limit_per_s=self._limit_per_s(endpoint),
             has_first_event=context.ttfb_ms is not None,
             parts=context.metadata.shared_parts[:MAX_LOGGED_PARTS],
         )
 
+    def _limit_per_s(self, endpoint: Endpoint) -> float | None:
+        limit = self._state.server_limits.limits.get(endpoint.incarnation)
+        return None if limit is None else limit.per_s
+
     def _abandon(
         self, context: CallContext, *, is_past_deadline: bool
     ) -> results.Result:
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -1,7 +1,9 @@
 """Sends calls to endpoints and passes the responses on to the callers."""
 
+import logging
 import typing as t
 
+from .. import events
 from ..errors import UpstreamError
 from ..http1.client import EndpointConnection, Pool, Request, ResponseHead, connect
 from ..http1.messages import end_to_end
@@ -23,6 +25,8 @@
 from .state import EntryState
 from .tables import RouteKind
 
+log = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_MS: t.Final = 300.0
 MAX_RESPONSE_BYTES: t.Final = 1024 * 1024
 """Largest body of a response that is buffered in full, as all but streams are."""
@@ -129,7 +133,7 @@
     async def _relay(
         self, context: CallContext, endpoint: Endpoint, connection: EndpointConnection
     ) -> AttemptResult:
-        head, metadata = await self._matching_response(context, connection)
+        head, metadata = await self._matching_response(context, endpoint, connection)
         if context.route.kind is not RouteKind.STREAMING:
             # Of a stream, only events count as activity: its head may be sent long
             # before the first event.
@@ -158,14 +162,29 @@
             return await self._relay_stream(context, endpoint, head, connection)
         return await self._relay_buffered(context, head, connection, metadata.has_proof)
 
+    def _record_limit(self, endpoint: Endpoint, per_s: float | None) -> None:
+        """Record the limit that an answer of an endpoint names."""
+        limits, name = self._state.server_limits, endpoint.incarnation
+        if limits.record_answer(self._clock(), name, per_s):
+            events.emit(
+                log,
+                events.ENDPOINT_LIMIT_CHANGED,
+                endpoint=endpoint.id,
+                per_s=limits.limits[name].per_s,
+            )
+
     async def _matching_response(
-        self, context: CallContext, connection: EndpointConnection
+        self,
+        context: CallContext,
+        endpoint: Endpoint,
+        connection: EndpointConnection,
     ) -> tuple[ResponseHead, wire.ResponseHeaders]:
         """Return the head of the call's response, skipping responses to other calls."""
         for _ in range(MAX_STRAY_RESPONSES + 1):
             head = await connection.head()
             metadata = wire.read_response(head.status, head.headers)
             if metadata.id is None or metadata.id == context.metadata.id:
+                self._record_limit(endpoint, metadata.limit_per_s)
                 return head, metadata
             self._metrics.count_stray_response()
             await connection.skip_response()
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -12,6 +12,7 @@
 from .inactivity import Progress
 from .loads import Loads
 from .openings import Openings
+from .server_limits import ServerLimits
 from .suspects import Suspects, Trials
 from .tables import RoutingTable
 
@@ -39,6 +40,7 @@
     openings: Openings = dataclasses.field(default_factory=Openings)
     loads: Loads = dataclasses.field(default_factory=Loads)
     suspects: Suspects = dataclasses.field(default_factory=Suspects)
+    server_limits: ServerLimits = dataclasses.field(default_factory=ServerLimits)
     trials: Trials = dataclasses.field(default_factory=Trials)
     progress: Progress = dataclasses.field(default_factory=Progress)
     concurrency_limits: ConcurrencyLimits = dataclasses.field(
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -20,6 +20,7 @@
 _LENGTH_HINT = b"x-length-hint"
 _PREFIX = b"x-prefix-hash"
 _FAULTY_ENDPOINT = b"at-server"
+_LIMIT = b"server-limit"
 
 _SET_BY_ENTRY: t.Final = (
     _API_KEY,
@@ -69,12 +70,15 @@
     :param not_run: whether the call has not run there and will not run.
     :param faulty_endpoint: id of the endpoint that kept this one from running the call;
         None if there is none.
+    :param limit_per_s: requests a second that the endpoint takes from all entries
+        together; None if it names no limit.
     """
 
     id: bytes | None
     has_proof: bool
     not_run: bool
     faulty_endpoint: str | None
+    limit_per_s: float | None = None
 
 
 def read_call(headers: Headers) -> CallHeaders:
@@ -136,6 +140,7 @@
         faulty_endpoint=(
             None if faulty_endpoint is None else faulty_endpoint.decode("latin-1")
         ),
+        limit_per_s=_limit(header(headers, _LIMIT)),
     )
 
 
@@ -176,5 +181,14 @@
     return value
 
 
+def _limit(text: bytes | None) -> float | None:
+    """Return a limit in requests a second; a malformed one counts as none."""
+    try:
+        value = math.nan if text is None else float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and value >= 0 else None
+
+
 def _integer(text: bytes | None) -> int | None:
     return int(text) if text and text.isdigit() else None
