Keep the limits that servers name, by all entries together

Ruled out: one limit for each entry (the server got as many calls as before); the restart of an entry alone (breaks at 11.9 and 19.7 s, restart at 13 s). Now limits go to the peers at once, a few entries hold each limit by rendezvous hashing and send at an even pace with nothing saved up.

--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -25,6 +25,9 @@
 """The largest part of the retry time in an outage that jitter subtracts."""
 
 
+NO_WAITS: t.Final[t.Mapping[str, float]] = {}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotRequest:
     """A call that needs a slot.
@@ -72,6 +75,7 @@
     waiting: int,
     concurrency_limits: ConcurrencyLimits,
     opening: t.Collection[GroupKey] = (),
+    turn_waits_ms: t.Mapping[str, float] = NO_WAITS,
 ) -> Decision:
     """Decide where a call may be sent: to the least loaded endpoint with a free slot.
 
@@ -85,6 +89,8 @@
     :param domain: failure domain of this entry.
     :param waiting: number of this entry's calls of the service that wait already.
     :param opening: the groups that are about to open.
+    :param turn_waits_ms: time until this entry may send to endpoints that limit their
+        requests, by id; endpoints that it may send to now are left out.
     :return: the endpoint, or that no endpoint has a free slot or that none is usable.
     """
     listed = directory.of_service(call.service)
@@ -103,10 +109,11 @@
         for endpoint in usable
         if loads.in_flight_at(endpoint.id) < endpoint.slots
         and endpoint.group not in saturated
+        and endpoint.id not in turn_waits_ms
     ]
     if not free:
         wait_ms = expected_wait_ms(
-            call.service, usable, loads, waiting, concurrency_limits
+            call.service, usable, loads, waiting, concurrency_limits, turn_waits_ms
         )
         return AtCapacity(wait_ms)
     lowest = min(_load_key(endpoint, loads, domain) for endpoint in free)
@@ -122,6 +129,7 @@
     loads: Loads,
     waiting: int,
     concurrency_limits: ConcurrencyLimits,
+    turn_waits_ms: t.Mapping[str, float] = NO_WAITS,
 ) -> float:
     """Return how long a call that joins the queue would wait for a slot.
 
@@ -130,10 +138,14 @@
 
     :param usable: endpoints that the call could be sent to.
     :param waiting: number of this entry's calls that are served before it.
+    :param turn_waits_ms: as for choose().
     """
+    unlimited = [endpoint for endpoint in usable if endpoint.id not in turn_waits_ms]
+    if usable and not unlimited:
+        return (waiting + 1) * min(turn_waits_ms[endpoint.id] for endpoint in usable)
     slots = sum(
         endpoint.slots * _group_share(endpoint, concurrency_limits)
-        for endpoint in usable
+        for endpoint in unlimited
     )
     queue_length = waiting + loads.peers_waiting[service] + 1
     slot_hold_ms = loads.slot_hold_ms.get(service, 0.0)
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -29,6 +29,7 @@
 from .host import Address, HostSettings
 from .loads import PeerLoad
 from .metrics import EntryMetrics
+from .server_limits import LimitReport
 from .snapshots import SNAPSHOT_PATH, parse_known
 from .state import EntryState, waiting
 from .suspects import CrashReport
@@ -77,7 +78,7 @@
             boottime_ms,
             self.metrics,
             self._on_load_changed,
-            self._on_evidence,
+            self._on_news,
         )
         self._feed = Feed(
             self.state,
@@ -202,7 +203,10 @@
         self.state.loads.expire(now_ms)
         self.state.suspects.expire(now_ms)
         self.state.server_limits.expire(now_ms)
-        self.state.entries = 1 + len(self._peers.alive())
+        alive = self._peers.alive()
+        self.state.entries = 1 + len(alive)
+        own = () if self.state.is_stopping else (self.state.host.name,)
+        self.state.entry_names = (*own, *(peer.heartbeat.name for peer in alive))
         leave_ms = self.state.host.bounds.leave_ms
         if self.state.directory.expire(now_ms, leave_ms):
             self._on_directory_changed()
@@ -214,9 +218,9 @@
             {(endpoint.id, endpoint.started_ms) for endpoint in endpoints}
         )
         self.state.progress.keep_only({endpoint.id for endpoint in endpoints})
-        self.state.server_limits.keep_only(
-            {endpoint.incarnation for endpoint in endpoints}
-        )
+        incarnations = {endpoint.incarnation for endpoint in endpoints}
+        self.state.server_limits.keep_only(incarnations)
+        self.state.turns.keep_only(incarnations)
         self.state.openings.update(boottime_ms(), self.state.directory)
         self._on_load_changed()
         self._forwarder.slots.admit_waiting()
@@ -231,17 +235,18 @@
         loop = asyncio.get_running_loop()
         self._heartbeat_timer = loop.call_later(due_ms / 1000, self._heartbeat)
 
-    def _on_evidence(self) -> None:
-        """Tell the peers at once what is known of suspect prompt parts."""
+    def _on_news(self) -> None:
+        """Tell the peers at once of suspect prompt parts and of servers' limits."""
         self._reported_ms = -peering.HEARTBEAT_INTERVAL_MS
         self._heartbeat()
 
-    def _crash_reports(self, now_ms: float) -> list[CrashReport]:
-        """Return the crashes to report in a heartbeat sent now; often none are due."""
+    def _reports(self, now_ms: float) -> tuple[list[CrashReport], list[LimitReport]]:
+        """Return the crashes and limits for a heartbeat; often none are due."""
         if now_ms - self._reported_ms < peering.HEARTBEAT_INTERVAL_MS:
-            return []
+            return [], []
         self._reported_ms = now_ms
-        return self.state.suspects.reports(now_ms)
+        state = self.state
+        return state.suspects.reports(now_ms), state.server_limits.reports(now_ms)
 
     def _heartbeat(self) -> None:
         if self._heartbeat_timer is not None:
@@ -253,6 +258,7 @@
         self._heartbeat_ms = now_ms
         self._heartbeats += 1
         state, host = self.state, self.state.host
+        crashes, limits = self._reports(now_ms)
         data = peering.CODEC.encode(
             peering.Heartbeat(
                 name=host.name,
@@ -268,7 +274,8 @@
                 is_reading=self._feed.is_reading,
                 is_leaving=state.is_stopping,
                 is_trying=state.trials.own is not None,
-                crashes=self._crash_reports(now_ms),
+                crashes=crashes,
+                limits=limits,
             )
         )
         for ip in self._peers.destinations(now_ms, host.seeds):
@@ -300,19 +307,28 @@
             )
         load = PeerLoad(heartbeat.in_flight, heartbeat.waiting, now_ms)
         self.state.loads.on_heartbeat(heartbeat.ip, load)
-        self._on_peer_evidence(now_ms, heartbeat, is_new=known is None)
+        self._on_peer_news(now_ms, heartbeat, is_new=known is None)
         self._feed.on_heartbeat(now_ms, heartbeat)
         self._forwarder.slots.admit_waiting()
 
-    def _on_peer_evidence(
+    def _on_peer_news(
         self, now_ms: float, heartbeat: peering.Heartbeat, *, is_new: bool
     ) -> None:
-        """Add what a peer knows of crashes; tell it what it can't know yet."""
+        """Add what a peer knows of crashes and limits; tell it what it lacks."""
         state = self.state
+        for incarnation in state.server_limits.merge(now_ms, heartbeat.limits):
+            events.emit(
+                log,
+                events.ENDPOINT_LIMIT_CHANGED,
+                endpoint=incarnation.partition("@")[0],
+                per_s=state.server_limits.limits[incarnation].per_s,
+                peer=heartbeat.name,
+            )
         state.trials.on_heartbeat(now_ms, heartbeat.ip, heartbeat.is_trying)
         has_learned = state.suspects.merge(now_ms, heartbeat.crashes)
-        if has_learned or (is_new and state.suspects.crashes):
-            self._on_evidence()
+        has_news = bool(state.suspects.crashes or state.server_limits.limits)
+        if has_learned or (is_new and has_news):
+            self._on_news()
 
     async def _handle_internal(self, call: Call, exchange: Exchange) -> None:
         """Answer queries for readiness, for metrics, and for the snapshot by a peer."""
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -48,7 +48,8 @@
 
     :param clock: returns the current time in milliseconds.
     :param on_load_changed: called after the number of calls in progress has changed.
-    :param on_evidence: called when peers are to be told of suspect prompt parts.
+    :param on_news: called when peers are to be told of suspect prompt parts, or of a
+        server's limit.
     """
 
     def __init__(
@@ -57,19 +58,20 @@
         clock: t.Callable[[], float],
         metrics: EntryMetrics,
         on_load_changed: t.Callable[[], None],
-        on_evidence: t.Callable[[], None],
+        on_news: t.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
         self._metrics = metrics
         self.slots = SlotAllocator(state, clock, on_load_changed)
-        self.quarantine = Quarantine(state, clock, metrics, on_evidence)
+        self.quarantine = Quarantine(state, clock, metrics, on_news)
         self.sender = Sender(
             state,
             clock,
             metrics,
             on_success=self.slots.mark_available,
             on_served=self.quarantine.record_served,
+            on_limit_changed=on_news,
         )
         self._in_flight: dict[int, CallContext] = {}
 
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -12,6 +12,7 @@
 from ..datagram_codec import Codec
 from ..sequences import Sequence
 from .revisions import Revision
+from .server_limits import LimitReport
 from .suspects import CrashReport
 
 HEARTBEAT_INTERVAL_MS: t.Final = 250.0
@@ -50,8 +51,9 @@
     :param is_reading: whether the sender reads changes from the platform's store.
     :param is_leaving: whether the sender is stopping.
     :param is_trying: whether the sender tries a call with suspect prompt parts.
-    :param crashes: crashes that are evidence on prompt parts; left out of heartbeats
-        that follow each other closely.
+    :param crashes: crashes that are evidence on prompt parts. These and the limits are
+        left out of heartbeats that follow each other closely.
+    :param limits: limits that servers have named, or that have ended.
     """
 
     name: str
@@ -68,9 +70,10 @@
     is_leaving: bool
     is_trying: bool = False
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
+    limits: list[LimitReport] = dataclasses.field(default_factory=list)
 
 
-FORMAT: t.Final = "entry/3"
+FORMAT: t.Final = "entry/4"
 """Entries ignore heartbeats of another format, as those of an older program are."""
 
 CODEC: t.Final = Codec(FORMAT, Heartbeat)
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -51,6 +51,7 @@
 
     :param clock: returns the current time in milliseconds.
     :param on_success: called with each endpoint that begins a successful response.
+    :param on_limit_changed: called when an endpoint has named another limit.
     :param on_served: called with each call when the first part of its answer arrives.
     """
 
@@ -61,12 +62,14 @@
         metrics: EntryMetrics,
         on_success: t.Callable[[Endpoint], None],
         on_served: t.Callable[[CallContext], None],
+        on_limit_changed: t.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
         self._metrics = metrics
         self._on_success = on_success
         self._on_served = on_served
+        self._on_limit_changed = on_limit_changed
         self._pools: dict[tuple[str, int], Pool] = {}
 
     def close(self) -> None:
@@ -162,10 +165,18 @@
             return await self._relay_stream(context, endpoint, head, connection)
         return await self._relay_buffered(context, head, connection, metadata.has_proof)
 
-    def _record_limit(self, endpoint: Endpoint, per_s: float | None) -> None:
-        """Record the limit that an answer of an endpoint names."""
+    def _record_limit(self, endpoint: Endpoint, metadata: wire.ResponseHeaders) -> None:
+        """Record the limit that an answer of an endpoint names.
+
+        Only an answer with a signature shows that there is none any more: others may
+        come from another server at this address.
+        """
+        per_s = metadata.limit_per_s
+        if per_s is None and not metadata.has_proof:
+            return
         limits, name = self._state.server_limits, endpoint.incarnation
         if limits.record_answer(self._clock(), name, per_s):
+            self._on_limit_changed()
             events.emit(
                 log,
                 events.ENDPOINT_LIMIT_CHANGED,
@@ -184,7 +195,7 @@
             head = await connection.head()
             metadata = wire.read_response(head.status, head.headers)
             if metadata.id is None or metadata.id == context.metadata.id:
-                self._record_limit(endpoint, metadata.limit_per_s)
+                self._record_limit(endpoint, metadata)
                 return head, metadata
             self._metrics.count_stray_response()
             await connection.skip_response()
--- a/src/dotterelplank/gateway/server_limits.py
+++ b/src/dotterelplank/gateway/server_limits.py
@@ -67,13 +67,15 @@
             return False
         return self._set(incarnation, NO_LIMIT if per_s is None else per_s, now_ms)
 
-    def merge(self, now_ms: float, reports: t.Iterable[LimitReport]) -> bool:
-        """Add what a peer has reported; return whether any limit has changed."""
-        changes = [
-            self._set(report.incarnation, report.per_s, now_ms - report.answered_age_ms)
+    def merge(self, now_ms: float, reports: t.Iterable[LimitReport]) -> t.Sequence[str]:
+        """Add what a peer has reported; return the servers whose limit has changed."""
+        return [
+            report.incarnation
             for report in reports
+            if self._set(
+                report.incarnation, report.per_s, now_ms - report.answered_age_ms
+            )
         ]
-        return any(changes)
 
     def reports(self, now_ms: float) -> list[LimitReport]:
         """Return the limits to be reported to the peers, the latest first."""
--- a/src/dotterelplank/gateway/slots.py
+++ b/src/dotterelplank/gateway/slots.py
@@ -99,6 +99,7 @@
             waiting,
             state.concurrency_limits,
             state.openings_due_ms(now_ms, service),
+            state.turn_waits_ms(now_ms, service),
         )
 
     def retry_after_s(self, context: CallContext) -> float:
@@ -113,7 +114,12 @@
         usable = state.directory.of_service(context.service)
         calls_ahead = len(state.queue_of(context.service).waiting)
         wait_ms = admission.expected_wait_ms(
-            context.service, usable, state.loads, calls_ahead, state.concurrency_limits
+            context.service,
+            usable,
+            state.loads,
+            calls_ahead,
+            state.concurrency_limits,
+            state.turn_waits_ms(now_ms, context.service),
         )
         return admission.retry_after_ms(wait_ms, remaining_ms, draw) / 1000
 
@@ -147,6 +153,7 @@
             state.loads,
             calls_ahead,
             state.concurrency_limits,
+            state.turn_waits_ms(now_ms, service),
         )
         return max_wait_ms if wait_ms <= max_wait_ms else 0.0
 
@@ -190,6 +197,7 @@
     def _mark_acquired(self, now_ms: float, endpoint: Endpoint) -> None:
         loads = self._state.loads
         loads.begin(endpoint.id)
+        self._state.turns.record_send(now_ms, endpoint.incarnation)
         for key in admission.breaker_keys(endpoint):
             loads.begin_probe(now_ms, key)
         self._on_load_changed()
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -15,6 +15,7 @@
 from .server_limits import ServerLimits
 from .suspects import Suspects, Trials
 from .tables import RoutingTable
+from .turns import Turns
 
 
 @dataclasses.dataclass
@@ -28,6 +29,7 @@
     :param first_read: set once the first read of the platform's store has ended, or a
         peer has sent its snapshot.
     :param entries: number of entries that are alive, this one included.
+    :param entry_names: names of the entries that are alive and aren't stopping.
     :param is_stopping: whether the process was asked to stop; calls are still served.
     :param is_closed: whether calls are refused, as the process is about to exit.
     """
@@ -41,6 +43,7 @@
     loads: Loads = dataclasses.field(default_factory=Loads)
     suspects: Suspects = dataclasses.field(default_factory=Suspects)
     server_limits: ServerLimits = dataclasses.field(default_factory=ServerLimits)
+    turns: Turns = dataclasses.field(default_factory=Turns)
     trials: Trials = dataclasses.field(default_factory=Trials)
     progress: Progress = dataclasses.field(default_factory=Progress)
     concurrency_limits: ConcurrencyLimits = dataclasses.field(
@@ -52,6 +55,7 @@
     queue_by_service: dict[str, queues.Queue] = dataclasses.field(default_factory=dict)
     first_read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     entries: int = 1
+    entry_names: tuple[str, ...] = ()
     is_stopping: bool = False
     is_closed: bool = False
 
@@ -80,6 +84,23 @@
             return {}
         return self.openings.due_ms(now_ms, service, known.rebuild_ms)
 
+    def turn_waits_ms(self, now_ms: float, service: str) -> t.Mapping[str, float]:
+        """Return the times until this entry may send to limited endpoints, by id.
+
+        Endpoints that it may send to now are left out.
+        """
+        if not self.server_limits.limits:
+            return {}
+        own_name = self.host.name
+        names = self.entry_names or (own_name,)
+        waits_ms = {
+            endpoint.id: self.turns.wait_ms(
+                now_ms, endpoint.incarnation, self.server_limits, own_name, names
+            )
+            for endpoint in self.directory.of_service(service)
+        }
+        return {name: wait_ms for name, wait_ms in waits_ms.items() if wait_ms > 0}
+
     def is_ready(self) -> bool:
         """Return whether callers should be routed to this entry."""
         is_informed = self.table is not None and self.directory.updated_ms is not None
