Refuse odd records of servers instead of ending the reading of the list

It can happen here: a port of other digits or of 5,000 ones raised a bare ValueError in settings.address, which the feed and the agents don't catch, so each read of the store failed; hosts that are no IP address made connect raise UnicodeError; numbers over 64 bits passed and failed later in msgpack; ids that fit no header failed each call sent there. Deep nesting was an input error already.

--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -280,7 +280,8 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(EndpointConnection, ip, port)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # A host or port that is malformed raises the last two.
         error_type = type(error).__name__
         raise UpstreamError(
             f"{ip}:{port}: {error_type}: {error}", sent=False
--- a/src/dotterelplank/platform/ranks.py
+++ b/src/dotterelplank/platform/ranks.py
@@ -20,8 +20,8 @@
     RankRows,
     RankView,
     ReleaseStep,
-    Rows,
 )
+from . import fields
 
 CALL_TIMEOUT_MS: t.Final = 60.0
 """A rank on the same host answers within a few milliseconds or not at all."""
@@ -37,48 +37,81 @@
 
 
 class _Group(pydantic.BaseModel):
-    name: str
-    epoch: int
-    rank: int
+    name: fields.Name
+    epoch: fields.Int64
+    rank: fields.Rank
     state: str
 
 
 class _Armed(pydantic.BaseModel):
-    version: int
-    step: int
+    version: fields.Int64
+    step: fields.Int64
 
 
 class _Report(pydantic.BaseModel):
     group: _Group
     # Number of ranks in the whole group.
-    size: int
+    size: fields.GroupSize
     # The last pass that was started, not the next one.
-    step: int
+    step: fields.Int64
     # The version of the map in use.
-    map: int
-    prepared: int | None = None
+    map: fields.Int64
+    prepared: fields.Int64 | None = None
     armed: _Armed | None = None
     # The pass that this rank holds.
-    held: int | None = None
-    active: int = 0
+    held: fields.Int64 | None = None
+    active: fields.Int64 = 0
 
 
 class _Picked(pydantic.BaseModel):
-    step: int
-    epoch: int
-    counts: list[int]
+    step: fields.Int64
+    epoch: fields.Int64
+    counts: list[fields.Int64]
 
 
 class _OwnMap(pydantic.BaseModel):
-    version: int
-    experts: Rows
+    version: fields.Int64
+    experts: list[list[fields.Count]]
 
 
 class _Lists(pydantic.BaseModel):
-    epoch: int
+    epoch: fields.Int64
     map: _OwnMap
 
 
+_Kind = t.TypeVar("_Kind", bound=pydantic.BaseModel)
+
+
+def parse_report(body: bytes) -> RankView:
+    """Return the state of a rank that its report tells.
+
+    :raises UpstreamError: if the report is invalid, as that of a rank without a group
+        is.
+    """
+    report = _parse(_Report, body)
+    armed = report.armed
+    return RankView(
+        group=report.group.name,
+        epoch=report.group.epoch,
+        rank=report.group.rank,
+        size=report.size,
+        is_open=report.group.state == "open",
+        step=report.step,
+        map_version=report.map,
+        prepared=report.prepared,
+        armed=None if armed is None else Armed(armed.version, armed.step),
+        held=report.held,
+        active=report.active,
+    )
+
+
+def _parse(kind: type[_Kind], body: bytes) -> _Kind:
+    try:
+        return kind.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        raise UpstreamError(f"unreadable: {error}", sent=True) from error
+
+
 class RankClient:
     """A client of one rank with a persistent connection and one call at a time.
 
@@ -104,28 +137,14 @@
         :raises UpstreamError: if the rank doesn't answer or its answer is invalid, as
             that of a rank without a group is.
         """
-        response = await self._read(_REPORT_PATH, _Report)
-        armed = response.armed
-        return RankView(
-            group=response.group.name,
-            epoch=response.group.epoch,
-            rank=response.group.rank,
-            size=response.size,
-            is_open=response.group.state == "open",
-            step=response.step,
-            map_version=response.map,
-            prepared=response.prepared,
-            armed=None if armed is None else Armed(armed.version, armed.step),
-            held=response.held,
-            active=response.active,
-        )
+        return parse_report(await self._read(_REPORT_PATH))
 
     async def counts(self) -> Counts:
         """Return how often the rank's calls chose each expert.
 
         :raises UpstreamError: if the rank doesn't answer or its answer is invalid.
         """
-        response = await self._read(_COUNTS_PATH, _Picked)
+        response = _parse(_Picked, await self._read(_COUNTS_PATH))
         return Counts(response.epoch, response.step, response.counts)
 
     async def rows(self) -> RankRows:
@@ -133,7 +152,7 @@
 
         :raises UpstreamError: if the rank doesn't answer or its answer is invalid.
         """
-        response = await self._read(_ROWS_PATH, _Lists)
+        response = _parse(_Lists, await self._read(_ROWS_PATH))
         return RankRows(response.epoch, response.map.version, response.map.experts)
 
     async def send_order(self, order: Order) -> bool:
@@ -157,16 +176,11 @@
             self._connection.close()
             self._connection = None
 
-    _Kind = t.TypeVar("_Kind", bound=pydantic.BaseModel)
-
-    async def _read(self, path: bytes, kind: type[_Kind]) -> _Kind:
+    async def _read(self, path: bytes) -> bytes:
         status, body = await self._call(b"GET", path, b"", self._timeout_ms)
         if status != 200:
             raise UpstreamError(f"status {status}", sent=True)
-        try:
-            return kind.model_validate_json(body)
-        except pydantic.ValidationError as error:
-            raise UpstreamError(f"unreadable: {error}", sent=True) from error
+        return body
 
     async def _call(
         self, method: bytes, path: bytes, body: bytes, timeout_ms: float
--- a/src/dotterelplank/platform/records.py
+++ b/src/dotterelplank/platform/records.py
@@ -1,6 +1,7 @@
 """Parsing of the configuration and the server records in the platform's store."""
 
 import enum
+import re
 import typing as t
 
 import pydantic
@@ -18,6 +19,7 @@
     Target,
     Team,
 )
+from . import fields
 from .settings import address
 
 CONFIGURATION_KEY = "op/config"
@@ -25,6 +27,12 @@
 ALL_KEYS_PREFIX = ""
 
 _BITS_PER_MB = 8.0
+# An id is sent in a header of each call.
+_ID = re.compile("[!-~]+")
+
+
+_STRICT = pydantic.ConfigDict(strict=True)
+_FINITE = pydantic.ConfigDict(allow_inf_nan=False)
 
 
 class _Type(enum.Enum):
@@ -34,11 +42,15 @@
 
 
 class _Split(pydantic.BaseModel):
+    model_config = _FINITE
+
     service: str
     weight: float = pydantic.Field(ge=0)
 
 
 class _Route(pydantic.BaseModel):
+    model_config = _FINITE
+
     name: str
     host: str
     prefix: str = pydantic.Field(pattern="^/(.*/)?$")
@@ -56,13 +68,15 @@
 
 
 class _Engine(pydantic.BaseModel):
+    model_config = _FINITE
+
     # Number of sets of layers. The layers of a set share a placement.
-    sets: int = 0
-    experts: int = 0
+    sets: fields.Count = 0
+    experts: fields.Count = 0
     # Maximum number of experts of a set on one rank.
-    placements: int = 0
+    placements: fields.Count = 0
     # Maximum number of experts of a set that may be new on a rank at once.
-    spare: int = 0
+    spare: fields.Count = 0
     expert_mb: float = 0.0
     bandwidth_mbps: float = pydantic.Field(1.0, gt=0)
     form_ms: float = 0.0
@@ -75,6 +89,8 @@
 
 
 class _Limits(pydantic.BaseModel):
+    model_config = _FINITE
+
     max_header_bytes: int = pydantic.Field(gt=0)
     max_body_bytes: int = pydantic.Field(ge=0)
     header_timeout_ms: float = pydantic.Field(gt=0)
@@ -88,7 +104,7 @@
 
 
 class _Config(pydantic.BaseModel):
-    version: int = pydantic.Field(ge=0)
+    version: fields.Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -97,25 +113,27 @@
 
 
 class _Group(pydantic.BaseModel):
-    name: str
-    epoch: int
-    rank: int = pydantic.Field(ge=0)
+    model_config = _STRICT
+
+    name: fields.Name
+    epoch: fields.Int64
+    rank: fields.Rank
     state: t.Literal["open", "broken"]
 
 
 class _Server(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(strict=True)
+    model_config = _STRICT
 
-    service: str
+    service: fields.Name
     address: str
-    zone: str
-    slots: int = pydantic.Field(ge=1)
+    zone: fields.Name
+    slots: fields.Slots
     state: t.Literal["ready", "draining"]
     # Start time of the process, in milliseconds since the Unix epoch.
-    born: int = 0
+    born: fields.Count = 0
     group: _Group | None = None
     # Number of ranks in the whole group.
-    size: int = pydantic.Field(1, ge=1)
+    size: fields.GroupSize = 1
 
 
 def parse_configuration(text: bytes) -> RoutingTable:
@@ -161,6 +179,8 @@
     except SettingsError as error:
         raise InputError(error.path, error.actual, error.expected) from error
     name = server_id(key)
+    if not _ID.fullmatch(name):
+        raise InputError("key", repr(key)[:80], "an id of printable ASCII characters")
     endpoint = Endpoint(
         id=name,
         service=parsed.service,
@@ -218,6 +238,8 @@
     group = parsed.group
     if group is None:
         return None
+    if group.rank >= parsed.size:
+        raise InputError("group.rank", str(group.rank), f"less than {parsed.size}")
     is_open = group.state == "open"
     return GroupPlace(group.name, group.epoch, group.rank, parsed.size, is_open)
 
--- a/src/dotterelplank/platform/settings.py
+++ b/src/dotterelplank/platform/settings.py
@@ -1,11 +1,17 @@
 """Validation of the settings that the platform writes for each process."""
 
+import ipaddress
+import typing as t
+
 import pydantic
 
 from ..errors import SettingsError
 from ..gateway.host import Address, Bounds, HostSettings
 from . import settings_file
 
+MAX_PORT: t.Final = 65_535
+_MAX_PORT_DIGITS = len(str(MAX_PORT))
+
 
 class _Listen(pydantic.BaseModel):
     frontend: str | None = None
@@ -64,7 +70,7 @@
         caller_address=_optional("listen.frontend", parsed.listen.frontend),
         health_address=_optional("listen.ready", parsed.listen.ready),
         peer_ports=parsed.port_range,
-        seeds=tuple(seed.rpartition(":")[0] for seed in parsed.seed_nodes),
+        seeds=tuple(address("seed_nodes", seed).ip for seed in parsed.seed_nodes),
         endpoint=_optional("app", parsed.app),
         service=parsed.service,
         store=address("platform.address", parsed.platform.address),
@@ -94,10 +100,25 @@
     :raises SettingsError: if ``text`` is not of this form.
     """
     ip, _, port = text.rpartition(":")
-    if not ip or not port.isdigit() or not 0 < int(port) < 65536:
+    if not _is_ip(ip) or not _is_port(port):
         raise SettingsError(path, repr(text)[:80], "IP:PORT")
     return Address(ip, int(port))
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_port(text: str) -> bool:
+    # Digits of other scripts, and numbers of thousands of digits, fail in int().
+    if not (text.isascii() and text.isdigit()) or len(text) > _MAX_PORT_DIGITS:
+        return False
+    return 0 < int(text) <= MAX_PORT
+
+
 def _optional(path: str, text: str | None) -> Address | None:
     return None if text is None else address(path, text)
