Take no answer without an id, nor a refusal met again, for the call's own

Now an answer without an id ends a connection that has carried other requests, the call's outcome is unknown, and a call that was refused on a connection isn't sent on it again. Ruled out: a refusal with another call's id (skipped), and one written during the skipped body (the connection ends).

--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -41,6 +41,8 @@
 """
 MAX_STRAY_RESPONSES: t.Final = 4
 """Most responses to other calls that are skipped before an attempt fails."""
+MAX_REFUSED_IDS: t.Final = 64
+"""Most refused calls of one connection that are remembered until it is closed."""
 MAX_EVENT_BYTES: t.Final = 256 * 1024
 """Largest event of a stream."""
 _UNAVAILABLE_STATUS: t.Final = 503
@@ -92,6 +94,10 @@
         is_run_once = not context.route.is_idempotent
         max_idle_ms = MAX_REUSE_IDLE_RUN_ONCE_MS if is_run_once else MAX_REUSE_IDLE_MS
         connection = pool.acquire(self._clock(), max_idle_ms)
+        if connection is not None and context.metadata.id in connection.refused_ids:
+            # The refusal of before couldn't be told from the one of this attempt.
+            connection.close()
+            connection = None
         try:
             if connection is None:
                 self._metrics.count_connection(endpoint.service)
@@ -112,7 +118,10 @@
         except BaseException:
             connection.close()
             raise
-        if isinstance(attempt_result, MayHaveRun) and not attempt_result.is_failure:
+        is_in_doubt = isinstance(attempt_result, MayHaveRun)
+        if is_in_doubt and not attempt_result.is_failure:
+            connection.close()
+        elif len(connection.refused_ids) > MAX_REFUSED_IDS:
             connection.close()
         else:
             pool.release(self._clock(), connection)
@@ -142,6 +151,7 @@
             # before the first event.
             self._record_activity(context)
         if metadata.not_run and head.status >= 400:
+            connection.refused_ids.add(context.metadata.id)
             # The head proves that the call has not run. If the body is too long to be
             # skipped, the connection is closed.
             await connection.skip_body()
@@ -194,6 +204,9 @@
         for _ in range(MAX_STRAY_RESPONSES + 1):
             head = await connection.head()
             metadata = wire.read_response(head.status, head.headers)
+            if metadata.id is None and connection.requests_sent > 1:
+                # It may belong to an earlier call on this connection.
+                raise UpstreamError(f"status {head.status} without an id", sent=True)
             if metadata.id is None or metadata.id == context.metadata.id:
                 self._record_limit(endpoint, metadata)
                 return head, metadata
--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -54,7 +54,12 @@
 
 
 class EndpointConnection(asyncio.Protocol):
-    """One connection to an endpoint, with at most one request in progress."""
+    """One connection to an endpoint, with at most one request in progress.
+
+    ``requests_sent`` counts its requests. ``refused_ids`` are the ids of those that the
+    endpoint has refused, kept by the user of the connection: a faulty endpoint may
+    write a refusal once more.
+    """
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -66,6 +71,8 @@
         self._request: Request | None = None
         self._is_idle = True
         self._has_to_close = False
+        self.requests_sent = 0
+        self.refused_ids: set[bytes] = set()
         self.idle_since_ms = 0.0
         self.keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
 
@@ -121,6 +128,7 @@
             self._h11.start_next_cycle()
         self._is_idle = False
         self._request = request
+        self.requests_sent += 1
         self._transport.write(self._encode(request))
 
     async def head(self) -> ResponseHead:
