Pass nothing but the next events on after a stream that broke off

An error's text can't get in here, nor a complete end after a break, in all framings and ends tried (length, chunks, neither; close, reset; inside an event and between two). Three other things could: a resumed answer that began at another event was passed on, with events twice or missing; a success that is no event stream was read for events after the stream; and as a first answer it was cut instead of passed on whole.

--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -6,7 +6,7 @@
 from .. import events
 from ..errors import UpstreamError
 from ..http1.client import EndpointConnection, Pool, Request, ResponseHead, connect
-from ..http1.messages import end_to_end
+from ..http1.messages import end_to_end, is_event_stream
 from ..platform import headers as wire
 from .attempts import (
     MIN_FAILURE_STATUS,
@@ -171,7 +171,8 @@
         if is_success:
             t.cast(Attempt, context.attempt).head_ms = self._clock()
             self._on_success(endpoint)
-        if context.route.kind is RouteKind.STREAMING and is_success:
+        is_stream = context.route.kind is RouteKind.STREAMING
+        if is_stream and is_success and is_event_stream(head.headers):
             return await self._relay_stream(context, endpoint, head, connection)
         return await self._relay_buffered(context, head, connection, metadata.has_proof)
 
@@ -273,7 +274,7 @@
         connection: EndpointConnection,
     ) -> AttemptResult:
         exchange = context.exchange
-        context.cursor.partial = b""
+        context.cursor.resume(context.metadata.resume_after)
         event_ms: float | None = None
         if not exchange.has_begun:
             exchange.begin(head.status, end_to_end(head.headers), None)
--- a/src/dotterelplank/http1/messages.py
+++ b/src/dotterelplank/http1/messages.py
@@ -42,6 +42,12 @@
     return without(headers, _HOP_BY_HOP | _FRAMING)
 
 
+def is_event_stream(headers: Headers) -> bool:
+    """Return whether a body is an event stream, as it is if no type is given."""
+    media_type = (header(headers, b"content-type") or b"").partition(b";")[0]
+    return media_type.strip().lower() in (b"", b"text/event-stream")
+
+
 def keep_alive_ms(headers: Headers) -> float | None:
     """Return the timeout of the ``keep-alive`` header, or ``None`` if it has none."""
     value = header(headers, b"keep-alive") or b""
