Count numbers of too many digits in headers as none

The same cause as with odd records: int() refuses over 4,300 digits, so an X-Token-Count or a Keep-Alive with more ended the call with an unhandled error. tests/test_odd_entries.py: the added test failed before.

--- a/src/dotterelplank/http1/messages.py
+++ b/src/dotterelplank/http1/messages.py
@@ -2,6 +2,8 @@
 
 import typing as t
 
+MAX_NUMBER_DIGITS: t.Final = 18
+
 Headers = list[tuple[bytes, bytes]]
 
 _HOP_BY_HOP: t.Final = frozenset(
@@ -32,6 +34,11 @@
     return None
 
 
+def is_number(text: bytes) -> bool:
+    """Return whether a header's value is a whole number that fits 64 bits."""
+    return text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+
+
 def without(headers: Headers, names: t.Collection[bytes]) -> Headers:
     """Return ``headers`` without those whose name is in ``names``."""
     return [pair for pair in headers if pair[0] not in names]
@@ -53,6 +60,6 @@
     value = header(headers, b"keep-alive") or b""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
+        if name.lower() == b"timeout" and is_number(number):
             return int(number) * 1000.0
     return None
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from ..errors import RequestError
-from ..http1.messages import Headers, header, without
+from ..http1.messages import Headers, header, is_number, without
 
 _ID = b"x-request-id"
 _API_KEY = b"x-api-key"
@@ -191,4 +191,4 @@
 
 
 def _integer(text: bytes | None) -> int | None:
-    return int(text) if text and text.isdigit() else None
+    return int(text) if text and is_number(text) else None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -30,7 +30,8 @@
 from dotterelplank.gateway.snapshots import NOTHING_KNOWN
 from dotterelplank.gateway.state import EntryState
 from dotterelplank.http1.client import connect
-from dotterelplank.platform import members, ranks, records, settings
+from dotterelplank.http1.messages import keep_alive_ms
+from dotterelplank.platform import headers, members, ranks, records, settings
 
 REVISION = Revision(1, 7)
 GROUP = {"name": "g", "epoch": 1, "rank": 1, "state": "open"}
@@ -113,6 +114,16 @@
                 codec.decode(data)
 
 
+class HeaderTests(testtools.TestCase):
+    def test_a_number_of_too_many_digits_counts_as_none(self):
+        number = b"9" * 5_000
+        call = headers.read_call(
+            [(b"x-request-id", b"a"), (b"x-token-count", number + b"," + number)]
+        )
+        self.assertEqual((0, 0), (call.prompt_tokens, call.answer_tokens))
+        self.assertIsNone(keep_alive_ms([(b"keep-alive", b"timeout=" + number)]))
+
+
 class FollowTests(testtools.TestCase):
     def test_an_entry_follows_the_list_beside_odd_entries(self):
         store = store_with_a_server()
