Name probes, poison parts and limit shares by the field's terms, and part modules

No decision changed but one: a peer's report of a crash is passed on at once only by entries that have served one of its parts, as the others have nothing to add. A restarted entry counts as new, so that peers tell it at once.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -142,11 +142,11 @@
     "An endpoint ended before a call's first event; parts of the prompt that no call "
     "was served with are suspect.",
 )
-SUSPECT_TRIED = _define(
+SUSPECT_PROBED = _define(
     125,
-    "suspect-tried",
+    "suspect-probed",
     logging.WARNING,
-    "A call with suspect prompt parts is sent, the only one of its kind at this time.",
+    "A call with suspect prompt parts is sent as a probe, the only one at this time.",
 )
 ENDPOINT_LIMIT_CHANGED = _define(
     126,
--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -75,7 +75,7 @@
     waiting: int,
     concurrency_limits: ConcurrencyLimits,
     opening: t.Collection[GroupKey] = (),
-    turn_waits_ms: t.Mapping[str, float] = NO_WAITS,
+    limit_waits_ms: t.Mapping[str, float] = NO_WAITS,
 ) -> Decision:
     """Decide where a call may be sent: to the least loaded endpoint with a free slot.
 
@@ -89,7 +89,7 @@
     :param domain: failure domain of this entry.
     :param waiting: number of this entry's calls of the service that wait already.
     :param opening: the groups that are about to open.
-    :param turn_waits_ms: time until this entry may send to endpoints that limit their
+    :param limit_waits_ms: time until this entry may send to endpoints that limit their
         requests, by id; endpoints that it may send to now are left out.
     :return: the endpoint, or that no endpoint has a free slot or that none is usable.
     """
@@ -109,11 +109,11 @@
         for endpoint in usable
         if loads.in_flight_at(endpoint.id) < endpoint.slots
         and endpoint.group not in saturated
-        and endpoint.id not in turn_waits_ms
+        and endpoint.id not in limit_waits_ms
     ]
     if not free:
         wait_ms = expected_wait_ms(
-            call.service, usable, loads, waiting, concurrency_limits, turn_waits_ms
+            call.service, usable, loads, waiting, concurrency_limits, limit_waits_ms
         )
         return AtCapacity(wait_ms)
     lowest = min(_load_key(endpoint, loads, domain) for endpoint in free)
@@ -129,7 +129,7 @@
     loads: Loads,
     waiting: int,
     concurrency_limits: ConcurrencyLimits,
-    turn_waits_ms: t.Mapping[str, float] = NO_WAITS,
+    limit_waits_ms: t.Mapping[str, float] = NO_WAITS,
 ) -> float:
     """Return how long a call that joins the queue would wait for a slot.
 
@@ -138,11 +138,11 @@
 
     :param usable: endpoints that the call could be sent to.
     :param waiting: number of this entry's calls that are served before it.
-    :param turn_waits_ms: as for choose().
+    :param limit_waits_ms: as for choose().
     """
-    unlimited = [endpoint for endpoint in usable if endpoint.id not in turn_waits_ms]
+    unlimited = [endpoint for endpoint in usable if endpoint.id not in limit_waits_ms]
     if usable and not unlimited:
-        return (waiting + 1) * min(turn_waits_ms[endpoint.id] for endpoint in usable)
+        return (waiting + 1) * min(limit_waits_ms[endpoint.id] for endpoint in usable)
     slots = sum(
         endpoint.slots * _group_share(endpoint, concurrency_limits)
         for endpoint in unlimited
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -220,7 +220,7 @@
         self.state.progress.keep_only({endpoint.id for endpoint in endpoints})
         incarnations = {endpoint.incarnation for endpoint in endpoints}
         self.state.server_limits.keep_only(incarnations)
-        self.state.turns.keep_only(incarnations)
+        self.state.limit_shares.keep_only(incarnations)
         self.state.openings.update(boottime_ms(), self.state.directory)
         self._on_load_changed()
         self._forwarder.slots.admit_waiting()
@@ -273,7 +273,7 @@
                 peers=self._peers_to_advertise(),
                 is_reading=self._feed.is_reading,
                 is_leaving=state.is_stopping,
-                is_trying=state.trials.own is not None,
+                is_probing=state.probes.own is not None,
                 crashes=crashes,
                 limits=limits,
             )
@@ -307,7 +307,8 @@
             )
         load = PeerLoad(heartbeat.in_flight, heartbeat.waiting, now_ms)
         self.state.loads.on_heartbeat(heartbeat.ip, load)
-        self._on_peer_news(now_ms, heartbeat, is_new=known is None)
+        is_new = known is None or known.heartbeat.incarnation != heartbeat.incarnation
+        self._on_peer_news(now_ms, heartbeat, is_new=is_new)
         self._feed.on_heartbeat(now_ms, heartbeat)
         self._forwarder.slots.admit_waiting()
 
@@ -324,10 +325,11 @@
                 per_s=state.server_limits.limits[incarnation].per_s,
                 peer=heartbeat.name,
             )
-        state.trials.on_heartbeat(now_ms, heartbeat.ip, heartbeat.is_trying)
-        has_learned = state.suspects.merge(now_ms, heartbeat.crashes)
-        has_news = bool(state.suspects.crashes or state.server_limits.limits)
-        if has_learned or (is_new and has_news):
+        state.probes.on_heartbeat(now_ms, heartbeat.ip, heartbeat.is_probing)
+        has_news = state.suspects.merge(now_ms, heartbeat.crashes)
+        if is_new and (state.suspects.crashes or state.server_limits.limits):
+            has_news = True
+        if has_news:
             self._on_news()
 
     async def _handle_internal(self, call: Call, exchange: Exchange) -> None:
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -7,7 +7,6 @@
 
 from .. import events, results
 from ..errors import RequestError
-from ..http1.client import is_listening
 from ..http1.messages import header
 from ..http1.server import Call, Exchange
 from ..platform import headers as wire
@@ -37,7 +36,6 @@
 OTHER_ENTRY_RETRY_MS: t.Final = 100.0
 """Retry time for a caller whose call another entry can serve."""
 MAX_LOGGED_PARTS: t.Final = 8
-CRASH_CHECK_TIMEOUT_S: t.Final = 0.1
 SERVICE_UNAVAILABLE_STATUS: t.Final = 503
 MAX_FIRST_READ_WAIT_MS: t.Final = 500.0
 """How long a call that arrives while the process starts waits for a routing table."""
@@ -198,7 +196,7 @@
 
         :return: the endpoint of the slot, or ``None`` if the call is to be refused.
         """
-        while await self.quarantine.wait_for_turn(context):
+        while await self.quarantine.admit(context):
             endpoint = await self.slots.acquire(context)
             if endpoint is None or self.quarantine.begin(context, endpoint):
                 return endpoint
@@ -208,31 +206,15 @@
     async def _attempt(
         self, context: CallContext, endpoint: Endpoint, sent_ms: float
     ) -> AttemptResult:
-        """Send the call, and note if the endpoint crashed before its first event."""
+        """Send the call in the slot acquired for it, and check for a crash."""
         try:
             attempt_result = await self._send(context, endpoint, sent_ms)
         finally:
             self.slots.release(endpoint)
         if isinstance(attempt_result, MayHaveRun) and not attempt_result.is_failure:
-            if await self._has_crashed(context, endpoint):
-                self.quarantine.record_crash(context, endpoint, sent_ms)
+            await self.quarantine.check_crash(context, endpoint)
         return attempt_result
 
-    async def _has_crashed(self, context: CallContext, endpoint: Endpoint) -> bool:
-        """Return whether the endpoint crashed before the call's first event.
-
-        A lost connection alone is no proof: the endpoint must refuse a new one too, and
-        must not have been about to leave.
-        """
-        if context.ttfb_ms is not None or not context.metadata.shared_parts:
-            return False
-        if await is_listening(endpoint.ip, endpoint.port, CRASH_CHECK_TIMEOUT_S):
-            return False
-        listed = self._state.directory.endpoints.get(endpoint.id)
-        if listed is None or listed.is_draining:
-            return False
-        return listed.incarnation == endpoint.incarnation
-
     async def _send(
         self, context: CallContext, endpoint: Endpoint, now_ms: float
     ) -> AttemptResult:
--- a/src/dotterelplank/gateway/turns.py
+++ b/src/dotterelplank/gateway/limit_shares.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import hashlib
+import math
 import typing as t
 
 from .server_limits import NO_LIMIT, ServerLimit, ServerLimits
@@ -24,23 +25,15 @@
 """
 
 
-@dataclasses.dataclass(slots=True)
-class Turn:
-    """The share of one entry in a server's limit.
+@dataclasses.dataclass
+class LimitShares:
+    """The shares of one entry in the limits of servers.
 
-    :param share_per_s: requests a second that the entry may send.
-    :param last_ms: time of its last request, or of the begin of its share.
+    :param last_ms: for each server that the entry has a share in, by its incarnation,
+        the time of the last request, or of the begin of the share.
     """
 
-    share_per_s: float
-    last_ms: float
-
-
-@dataclasses.dataclass
-class Turns:
-    """The shares of one entry in the limits of servers, by the server's incarnation."""
-
-    by_incarnation: dict[str, Turn] = dataclasses.field(default_factory=dict)
+    last_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def wait_ms(
         self,
@@ -58,26 +51,24 @@
         """
         limit = limits.limits.get(incarnation)
         if limit is None or limit.per_s == NO_LIMIT:
-            self.by_incarnation.pop(incarnation, None)
+            self.last_ms.pop(incarnation, None)
             return 0.0
-        share_per_s = share_of_limit(now_ms, incarnation, limit, own_name, entries)
-        if not share_per_s:
-            self.by_incarnation.pop(incarnation, None)
-            return float("inf")
-        turn = self.by_incarnation.setdefault(incarnation, Turn(share_per_s, now_ms))
-        turn.share_per_s = share_per_s
-        return max(0.0, turn.last_ms + 1000.0 / share_per_s - now_ms)
+        per_s = share_of_limit(now_ms, incarnation, limit, own_name, entries)
+        if not per_s:
+            self.last_ms.pop(incarnation, None)
+            return math.inf
+        last_ms = self.last_ms.setdefault(incarnation, now_ms)
+        return max(0.0, last_ms + 1000.0 / per_s - now_ms)
 
     def record_send(self, now_ms: float, incarnation: str) -> None:
         """Record a request that is about to be sent to a server."""
-        turn = self.by_incarnation.get(incarnation)
-        if turn is not None:
-            turn.last_ms = now_ms
+        if incarnation in self.last_ms:
+            self.last_ms[incarnation] = now_ms
 
     def keep_only(self, present: t.Collection[str]) -> None:
         """Forget the shares at servers that aren't listed any more."""
-        for incarnation in self.by_incarnation.keys() - set(present):
-            del self.by_incarnation[incarnation]
+        for incarnation in self.last_ms.keys() - set(present):
+            del self.last_ms[incarnation]
 
 
 def share_of_limit(
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -50,7 +50,8 @@
     :param peers: addresses of other entries.
     :param is_reading: whether the sender reads changes from the platform's store.
     :param is_leaving: whether the sender is stopping.
-    :param is_trying: whether the sender tries a call with suspect prompt parts.
+    :param is_probing: whether the sender has a probe with suspect prompt parts in
+        progress.
     :param crashes: crashes that are evidence on prompt parts. These and the limits are
         left out of heartbeats that follow each other closely.
     :param limits: limits that servers have named, or that have ended.
@@ -68,7 +69,7 @@
     peers: list[str]
     is_reading: bool
     is_leaving: bool
-    is_trying: bool = False
+    is_probing: bool = False
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
     limits: list[LimitReport] = dataclasses.field(default_factory=list)
 
--- a/src/dotterelplank/gateway/quarantine.py
+++ b/src/dotterelplank/gateway/quarantine.py
@@ -1,8 +1,8 @@
-"""Holds back calls with suspect prompt parts, and tries one of them at a time.
+"""Holds back calls with suspect prompt parts, and sends one of them at a time.
 
-A call with a part that may crash endpoints isn't sent while another one is tried, by
-any entry, or while a group recovers from a crash. So a trial that crashes its endpoint
-costs one crash, and never a second group while the first is down.
+A call with a part that may crash endpoints is sent as a probe. There is one at a time
+among all entries, and none while a group recovers from a crash. So a probe costs one
+crash at most, and never a second group while the first is down.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 import typing as t
 
 from .. import events, results
+from ..http1.client import is_listening
 from .call_context import CallContext
 from .directory import Endpoint, by_group
 from .inactivity import Attempt
@@ -20,19 +21,20 @@
 log = logging.getLogger(__name__)
 
 MAX_HOLD_RATIO: t.Final = 0.5
-"""The part of its remaining time that a call may wait for its trial."""
+"""The part of its remaining time that a call may wait to be a probe."""
+CRASH_CHECK_TIMEOUT_S: t.Final = 0.1
 CHECK_INTERVAL_MS: t.Final = 20.0
-TRIAL_JITTER_MS: t.Final = 150.0
-"""Longest random delay before a trial, so that entries don't begin one at once."""
+PROBE_JITTER_MS: t.Final = 150.0
+"""Longest random delay before a probe, so that entries don't send theirs at once."""
 MAX_RECOVERY_MS: t.Final = 10_000.0
-"""Time after a crash from which a trial doesn't wait for a recovery any more."""
+"""Time after a crash from which a probe doesn't wait for a recovery any more."""
 
 
 class Quarantine:
     """Decides when the calls of one entry with suspect parts may be sent.
 
     :param clock: returns the current time in milliseconds.
-    :param on_news: called when peers are to be told of the evidence or of a trial.
+    :param on_news: called when peers are to be told of crashes or of a probe.
     """
 
     def __init__(
@@ -47,55 +49,39 @@
         self._metrics = metrics
         self._on_news = on_news
 
-    async def wait_for_turn(self, context: CallContext) -> bool:
+    async def admit(self, context: CallContext) -> bool:
         """Wait until the call may be sent.
 
         :return: whether it may; if not, ``context.refusal`` says why.
         """
         held_since_ms = self._clock()
-        until_ms = held_since_ms + MAX_HOLD_RATIO * (
-            context.deadline_ms - held_since_ms
-        )
-        while (verdict := self._judge(context)) is Verdict.SUSPECT:
-            if self._may_try(context.service):
-                jitter = self._state.random.random()
-                await asyncio.sleep(TRIAL_JITTER_MS * jitter / 1000)
-                if self._judge(context) is not Verdict.SUSPECT:
-                    continue
-                if self._may_try(context.service):
-                    break
-            if self._clock() >= until_ms:
-                context.refusal = results.PROMPT_SUSPECT
-                break
-            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+        context.refusal = await self._hold(context)
         context.waited_ms += self._clock() - held_since_ms
-        if verdict is Verdict.GUILTY:
-            context.refusal = results.PROMPT_CRASHES_ENDPOINTS
         return context.refusal is None
 
     def begin(self, context: CallContext, endpoint: Endpoint) -> bool:
-        """Begin the call's trial if its parts are suspect.
+        """Make the call the probe if its parts are suspect.
 
         :return: whether the call may be sent now.
         """
         verdict = self._judge(context)
-        if verdict is Verdict.INNOCENT:
+        if verdict is Verdict.CLEAR:
             return True
-        if verdict is Verdict.GUILTY or not self._may_try(context.service):
+        if verdict is Verdict.POISON or not self._may_probe(context.service):
             return False
-        self._state.trials.own = context.metadata.id
-        self._emit(events.SUSPECT_TRIED, context, endpoint)
+        self._state.probes.own = context.metadata.id
+        self._emit(events.SUSPECT_PROBED, context, endpoint)
         self._on_news()
         return True
 
     def end(self, context: CallContext) -> None:
-        """End the call's trial, if there is one."""
-        if self._state.trials.own == context.metadata.id:
-            self._state.trials.own = None
+        """Note that the call isn't the probe any more, if it was."""
+        if self._state.probes.own == context.metadata.id:
+            self._state.probes.own = None
             self._on_news()
 
     def record_served(self, context: CallContext) -> None:
-        """Record the first event of a call's answer, and end the call's trial."""
+        """Record the first event of a call's answer, which clears its parts."""
         now_ms = self._clock()
         attempt = t.cast(Attempt, context.attempt)
         if attempt.head_ms is not None:
@@ -110,26 +96,65 @@
         if is_news:
             self._on_news()
 
-    def record_crash(
-        self, context: CallContext, endpoint: Endpoint, sent_ms: float
-    ) -> None:
-        """Record that an endpoint crashed before the first event of a call."""
+    async def check_crash(self, context: CallContext, endpoint: Endpoint) -> None:
+        """Record a crash if the endpoint of a lost call ended before its first event.
+
+        A lost connection alone is no proof: the endpoint must refuse a new one too, and
+        must not have been about to leave.
+        """
+        if context.ttfb_ms is not None or not context.metadata.shared_parts:
+            return
+        if await is_listening(endpoint.ip, endpoint.port, CRASH_CHECK_TIMEOUT_S):
+            return
+        listed = self._state.directory.endpoints.get(endpoint.id)
+        if listed is None or listed.is_draining:
+            return
+        if listed.incarnation == endpoint.incarnation:
+            self._record_crash(context, endpoint)
+
+    def _record_crash(self, context: CallContext, endpoint: Endpoint) -> None:
         now_ms = self._clock()
         parts = context.metadata.shared_parts
         attempt = t.cast(Attempt, context.attempt)
         has_head = attempt.head_ms is not None
-        self._state.suspects.record_crash(now_ms, endpoint, sent_ms, parts, has_head)
+        self._state.suspects.record_crash(
+            now_ms, endpoint, attempt.sent_ms, parts, has_head
+        )
         self._metrics.count_crash(endpoint.service)
         self._emit(events.ENDPOINT_CRASHED, context, endpoint, has_head=has_head)
         self._on_news()
 
+    async def _hold(self, context: CallContext) -> results.Result | None:
+        """Hold a call back while it is suspect and can't be a probe.
+
+        :return: why the call is to be refused; None if it may be sent.
+        """
+        now_ms = self._clock()
+        until_ms = now_ms + MAX_HOLD_RATIO * (context.deadline_ms - now_ms)
+        while (verdict := self._judge(context)) is Verdict.SUSPECT:
+            if await self._is_probe_due(context.service):
+                return None
+            if self._clock() >= until_ms:
+                return results.PROMPT_SUSPECT
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+        if verdict is Verdict.POISON:
+            return results.PROMPT_CRASHES_ENDPOINTS
+        return None
+
+    async def _is_probe_due(self, service: str) -> bool:
+        """Return whether a probe may be sent, and still may after a random delay."""
+        if not self._may_probe(service):
+            return False
+        await asyncio.sleep(PROBE_JITTER_MS * self._state.random.random() / 1000)
+        return self._may_probe(service)
+
     def _judge(self, context: CallContext) -> Verdict:
         parts = context.metadata.shared_parts
         return self._state.suspects.judge(self._clock(), parts)
 
-    def _may_try(self, service: str) -> bool:
+    def _may_probe(self, service: str) -> bool:
         now_ms = self._clock()
-        if self._state.trials.is_one_in_progress(now_ms):
+        if self._state.probes.is_one_in_progress(now_ms):
             return False
         crash = self._state.suspects.last_crash()
         if crash is None or now_ms - crash.ended_ms > MAX_RECOVERY_MS:
--- a/src/dotterelplank/gateway/slots.py
+++ b/src/dotterelplank/gateway/slots.py
@@ -99,7 +99,7 @@
             waiting,
             state.concurrency_limits,
             state.openings_due_ms(now_ms, service),
-            state.turn_waits_ms(now_ms, service),
+            state.limit_waits_ms(now_ms, service),
         )
 
     def retry_after_s(self, context: CallContext) -> float:
@@ -119,7 +119,7 @@
             state.loads,
             calls_ahead,
             state.concurrency_limits,
-            state.turn_waits_ms(now_ms, context.service),
+            state.limit_waits_ms(now_ms, context.service),
         )
         return admission.retry_after_ms(wait_ms, remaining_ms, draw) / 1000
 
@@ -153,7 +153,7 @@
             state.loads,
             calls_ahead,
             state.concurrency_limits,
-            state.turn_waits_ms(now_ms, service),
+            state.limit_waits_ms(now_ms, service),
         )
         return max_wait_ms if wait_ms <= max_wait_ms else 0.0
 
@@ -197,7 +197,7 @@
     def _mark_acquired(self, now_ms: float, endpoint: Endpoint) -> None:
         loads = self._state.loads
         loads.begin(endpoint.id)
-        self._state.turns.record_send(now_ms, endpoint.incarnation)
+        self._state.limit_shares.record_send(now_ms, endpoint.incarnation)
         for key in admission.breaker_keys(endpoint):
             loads.begin_probe(now_ms, key)
         self._on_load_changed()
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -10,12 +10,13 @@
 from .directory import Directory, GroupKey
 from .host import HostSettings
 from .inactivity import Progress
+from .limit_shares import LimitShares
 from .loads import Loads
 from .openings import Openings
+from .probes import Probes
 from .server_limits import ServerLimits
-from .suspects import Suspects, Trials
+from .suspects import Suspects
 from .tables import RoutingTable
-from .turns import Turns
 
 
 @dataclasses.dataclass
@@ -43,8 +44,8 @@
     loads: Loads = dataclasses.field(default_factory=Loads)
     suspects: Suspects = dataclasses.field(default_factory=Suspects)
     server_limits: ServerLimits = dataclasses.field(default_factory=ServerLimits)
-    turns: Turns = dataclasses.field(default_factory=Turns)
-    trials: Trials = dataclasses.field(default_factory=Trials)
+    limit_shares: LimitShares = dataclasses.field(default_factory=LimitShares)
+    probes: Probes = dataclasses.field(default_factory=Probes)
     progress: Progress = dataclasses.field(default_factory=Progress)
     concurrency_limits: ConcurrencyLimits = dataclasses.field(
         default_factory=ConcurrencyLimits
@@ -84,7 +85,7 @@
             return {}
         return self.openings.due_ms(now_ms, service, known.rebuild_ms)
 
-    def turn_waits_ms(self, now_ms: float, service: str) -> t.Mapping[str, float]:
+    def limit_waits_ms(self, now_ms: float, service: str) -> t.Mapping[str, float]:
         """Return the times until this entry may send to limited endpoints, by id.
 
         Endpoints that it may send to now are left out.
@@ -94,7 +95,7 @@
         own_name = self.host.name
         names = self.entry_names or (own_name,)
         waits_ms = {
-            endpoint.id: self.turns.wait_ms(
+            endpoint.id: self.limit_shares.wait_ms(
                 now_ms, endpoint.incarnation, self.server_limits, own_name, names
             )
             for endpoint in self.directory.of_service(service)
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -4,8 +4,8 @@
 part arrive at any entry, so entries tell each other of the crashes that they see, and
 which parts of the lost calls have been served since.
 
-An endpoint that crashes also takes innocent calls along. A part is innocent if a call
-with it has got the first event of its answer shortly before the crash or after it.
+An endpoint that crashes takes other calls along. A part is cleared if a call with it
+has got the first event of its answer shortly before the crash or after it.
 """
 
 import collections
@@ -17,17 +17,12 @@
 
 from ..datagram_codec import name_fields
 from .directory import Endpoint
-from .loads import PEER_TIMEOUT_MS
+from .head_gaps import HeadGaps
 
 CRASHES_TO_REJECT: t.Final = 2
 """Crashes, one after the other, after which calls with a part are rejected."""
-MAX_HEAD_GAP_RATIO: t.Final = 0.1
-"""Largest share of the time to the first event that passes after the head, at servers
-that send the head as they begin to write the answer."""
-MIN_HEAD_GAPS: t.Final = 5
-HEAD_GAP_SMOOTHING_RATIO: t.Final = 0.1
 SERVED_VALIDITY_MS: t.Final = 30_000.0
-"""Time before a crash in which a first event shows that a part is innocent."""
+"""Time before a crash in which a first event clears a part."""
 FORGET_MS: t.Final = 600_000.0
 """Time without a crash or a call after which the evidence on parts is forgotten."""
 MAX_CRASHES: t.Final = 64
@@ -39,9 +34,9 @@
 class Verdict(enum.Enum):
     """What is known of the parts of a call."""
 
-    INNOCENT = "innocent"
+    CLEAR = "clear"
     SUSPECT = "suspect"
-    GUILTY = "guilty"
+    POISON = "poison"
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,7 +46,7 @@
     :param incarnation: id and start of the endpoint.
     :param was_answering: whether the endpoint had begun to answer this very call, which
         makes it the cause of the crash.
-    :param parts: the call's shared parts that weren't known as innocent.
+    :param parts: the call's shared parts that weren't cleared.
     :param sent_ms: time at which the call was sent there.
     :param ended_ms: time at which its connection ended.
     :param called_ms: time of the last call, at any entry, with one of the parts.
@@ -91,62 +86,6 @@
         return name_fields(cls, values)
 
 
-@dataclasses.dataclass
-class Trials:
-    """The calls with suspect parts that this entry and its peers try now.
-
-    :param own: id of the call that this entry tries; None: there is none.
-    :param peers: for each peer that tries one, the time of its last heartbeat.
-    """
-
-    own: bytes | None = None
-    peers: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def on_heartbeat(self, now_ms: float, peer: str, is_trying: bool) -> None:
-        """Record whether a peer tries a call."""
-        if is_trying:
-            self.peers[peer] = now_ms
-        else:
-            self.peers.pop(peer, None)
-
-    def is_one_in_progress(self, now_ms: float) -> bool:
-        """Return whether any entry that is alive tries a call."""
-        return self.own is not None or any(
-            now_ms - seen_ms < PEER_TIMEOUT_MS for seen_ms in self.peers.values()
-        )
-
-
-@dataclasses.dataclass
-class HeadGaps:
-    """How long the first event of an answer comes after its head, by service.
-
-    Servers that send the head as they begin to write show by it which of their calls
-    they were answering when they crashed. Others send it as soon as a call arrives.
-
-    :param ratios: moving average of the share of the time to the first event that
-        passes after the head.
-    :param counts: number of answers seen.
-    """
-
-    ratios: dict[str, float] = dataclasses.field(default_factory=dict)
-    counts: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-
-    def record(self, service: str, head_ms: float, first_event_ms: float) -> None:
-        """Record the times from the send of a call to the head and the first event."""
-        ratio = 1.0 - head_ms / first_event_ms if first_event_ms > 0 else 0.0
-        before = self.ratios.get(service, ratio)
-        self.ratios[service] = before + HEAD_GAP_SMOOTHING_RATIO * (ratio - before)
-        self.counts[service] += 1
-
-    def are_short(self, service: str) -> bool:
-        """Return whether the service is known to send heads with the first events."""
-        if self.counts[service] < MIN_HEAD_GAPS:
-            return False
-        return self.ratios[service] < MAX_HEAD_GAP_RATIO
-
-
 @dataclasses.dataclass
 class Suspects:
     """The crashes that are known here, and the parts that have been served.
@@ -182,10 +121,10 @@
         """Record the crash of an endpoint with a call that had no event yet.
 
         :param has_head: whether the head of the answer had come.
-        :return: the crash; None if all parts of the call are known as innocent.
+        :return: the crash; None if all parts of the call are cleared.
         """
         suspect_parts = frozenset(
-            part for part in parts if not self._is_innocent(part, now_ms)
+            part for part in parts if not self._was_served(part, now_ms)
         )
         if not suspect_parts:
             return None
@@ -197,8 +136,11 @@
         return crash
 
     def judge(self, now_ms: float, parts: t.Iterable[str]) -> Verdict:
-        """Return the verdict on a call, and note that it was made."""
-        verdict = Verdict.INNOCENT
+        """Return the verdict on a call with these parts.
+
+        The crashes that concern it are remembered for longer.
+        """
+        verdict = Verdict.CLEAR
         crashes = []
         for crash in self._open_crashes():
             suspect_parts = self._suspect_parts(crash)
@@ -208,10 +150,10 @@
             crash.called_ms = max(crash.called_ms, now_ms)
             if suspect_parts.issubset(parts):
                 crashes.append(crash)
-        return Verdict.GUILTY if _count(crashes) >= CRASHES_TO_REJECT else verdict
+        return Verdict.POISON if _count(crashes) >= CRASHES_TO_REJECT else verdict
 
     def last_crash(self) -> Crash | None:
-        """Return the latest crash that isn't explained as innocent; None without any"""
+        """Return the latest crash that makes a part suspect; None without any."""
         return max(self._open_crashes(), key=lambda crash: crash.ended_ms, default=None)
 
     def reports(self, now_ms: float) -> list[CrashReport]:
@@ -222,17 +164,18 @@
     def merge(self, now_ms: float, reports: t.Iterable[CrashReport]) -> bool:
         """Add what a peer has reported.
 
-        :return: whether any of it is new and may change a verdict.
+        :return: whether parts of a crash that is new here have been served here, which
+            the peers should know.
         """
-        is_news = False
+        has_news = False
         for report in reports:
+            is_new = self._merge_crash(now_ms, report)
+            if is_new and not self.served_ms.keys().isdisjoint(report.parts):
+                has_news = True
             for part, age_ms in zip(report.parts, report.served_age_ms):
-                served_ms = now_ms - age_ms
-                if age_ms >= 0 and served_ms > self.served_ms.get(part, -1.0):
-                    is_news = is_news or part not in self.served_ms
-                    self._note_served(part, served_ms)
-            is_news = self._merge_crash(now_ms, report) or is_news
-        return is_news
+                if age_ms >= 0:
+                    self._note_served(part, now_ms - age_ms)
+        return has_news
 
     def expire(self, now_ms: float) -> None:
         """Forget the crashes whose parts haven't been in any call for long."""
@@ -286,13 +229,13 @@
         if len(self.served_ms) > MAX_SERVED_PARTS:
             self.served_ms.popitem(last=False)
 
-    def _is_innocent(self, part: str, crashed_ms: float) -> bool:
+    def _was_served(self, part: str, crashed_ms: float) -> bool:
         served_ms = self.served_ms.get(part)
         return served_ms is not None and served_ms > crashed_ms - SERVED_VALIDITY_MS
 
     def _suspect_parts(self, crash: Crash) -> frozenset[str]:
         return frozenset(
-            part for part in crash.parts if not self._is_innocent(part, crash.ended_ms)
+            part for part in crash.parts if not self._was_served(part, crash.ended_ms)
         )
 
     def _open_crashes(self) -> t.Iterator[Crash]:
--- a/src/dotterelplank/results.py
+++ b/src/dotterelplank/results.py
@@ -194,7 +194,8 @@
     "prompt-suspect",
     Outcome.NOT_RUN,
     503,
-    "A part of its prompt may crash endpoints, and is tried first; come back as told.",
+    "A part of its prompt may crash endpoints, which a probe will show; come back as "
+    "told.",
 )
 
 ENDPOINT_LOST = _define(
