--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 
+import gateway_breaks
 import request_breaks
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -333,7 +334,7 @@
     ),
 )
 
-MUTATIONS = MAP_CHANGE + request_breaks.table(Mutation)
+MUTATIONS = MAP_CHANGE + request_breaks.table(Mutation) + gateway_breaks.table(Mutation)
 
 
 def _apply(copy: pathlib.Path, mutation: Mutation) -> None:
--- /dev/null
+++ b/tests/gateway_breaks.py
@@ -0,0 +1,99 @@
+"""Mutations of the gateway's decisions on poison parts, limits, and odd answers.
+
+``breaks.py`` runs them.
+"""
+
+VERDICTS = "tests/test_gateway_suspects.py::VerdictTests"
+SHARED = "tests/test_gateway_suspects.py::ShareTests"
+SHARES = "tests/test_gateway_limits.py::ShareTests"
+LIMITS = "tests/test_gateway_limits.py::KnowledgeTests"
+CHOICE = "tests/test_gateway_limits.py::ChooseTests"
+STRAY = "tests/test_gateway_stray_answers.py::RepeatedRefusalTests"
+STREAMS = "tests/test_gateway_broken_streams.py::BrokenStreamTests"
+CRASHES = "tests/test_gateway_crashes.py::CrashTests"
+
+
+def table(make):
+    """Return the mutations, each created by ``make``."""
+    return (
+        make(
+            "endpoints that crash together count each",
+            "gateway/suspects",
+            "if crash.sent_ms >= last_ms:",
+            "if True:",
+            f"{VERDICTS}::test_endpoints_that_crash_together_count_once",
+        ),
+        make(
+            "a part that a peer has served stays suspect",
+            "gateway/suspects",
+            "self._note_served(part, now_ms - age_ms)",
+            "pass",
+            f"{SHARED}::test_a_peer_that_has_served_a_part_clears_it",
+        ),
+        make(
+            "a call with one of several suspect parts is rejected",
+            "gateway/suspects",
+            "if suspect_parts.issubset(parts):",
+            "if True:",
+            f"{VERDICTS}::test_only_calls_with_all_parts_in_question_are_rejected",
+        ),
+        make(
+            "an early head counts as an answer",
+            "gateway/suspects",
+            "was_answering = has_head and self.head_gaps.are_short(endpoint.service)",
+            "was_answering = has_head",
+            f"{VERDICTS}::"
+            "test_a_head_shows_nothing_if_heads_come_long_before_events",
+        ),
+        make(
+            "calls with poison parts are sent",
+            "gateway/suspects",
+            "return Verdict.POISON "
+            "if _count(crashes) >= CRASHES_TO_REJECT else verdict",
+            "return verdict if verdict is Verdict.CLEAR else Verdict.SUSPECT",
+            f"{CRASHES}::test_calls_with_a_deadly_part_stop_crashing_servers",
+        ),
+        make(
+            "each entry keeps the whole limit",
+            "gateway/limit_shares",
+            "return per_s / holders if own_name in ranked[:holders] else 0.0",
+            "return per_s",
+            f"{SHARES}::test_all_entries_together_keep_the_limit",
+        ),
+        make(
+            "an entry that takes over sends at once",
+            "gateway/limit_shares",
+            "last_ms = self.last_ms.setdefault(incarnation, now_ms)",
+            "last_ms = self.last_ms.setdefault(incarnation, 0.0)",
+            f"{SHARES}::test_every_entry_takes_a_share_if_the_holders_send_nothing",
+        ),
+        make(
+            "an older answer ends a limit",
+            "gateway/server_limits",
+            "if known is not None and known.answered_ms >= answered_ms:",
+            "if False:",
+            f"{LIMITS}::test_an_older_answer_does_not_end_a_limit",
+        ),
+        make(
+            "an endpoint gets calls before its limit allows them",
+            "gateway/admission",
+            "and endpoint.id not in limit_waits_ms",
+            "and True",
+            f"{CHOICE}::test_calls_go_elsewhere_while_it_is_not_an_entrys_turn",
+        ),
+        make(
+            "an answer without an id counts as the call's own",
+            "gateway/sender",
+            "if metadata.id is None and connection.requests_sent > 1:",
+            "if False:",
+            f"{STRAY}::"
+            "test_a_refusal_without_an_id_is_no_proof_on_a_kept_connection",
+        ),
+        make(
+            "a stream goes on at any event",
+            "gateway/streams",
+            "if step <= 0 or is_gap:",
+            "if False:",
+            f"{STREAMS}::test_nothing_but_events_follows_a_stream_that_broke_off",
+        ),
+    )
