--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -137,6 +137,32 @@
             await reading
 
 
+@contextlib.asynccontextmanager
+async def running_peers(store_port, ips):
+    """Run an entry at each address until the ``with`` block ends, and yield them.
+
+    They are ready, and know each other.
+    """
+    (peer_port,) = free_ports(ips[0], 1)
+    async with contextlib.AsyncExitStack() as stack:
+        entries = [
+            await stack.enter_async_context(
+                running_entry(store_port, ip, peer_port, ips[:1])
+            )
+            for ip in ips
+        ]
+
+        async def are_peers():
+            return all(
+                len(entry.events("peer-found")) == len(ips) - 1 for entry in entries
+            )
+
+        for entry in entries:
+            await wait_until(lambda one=entry: is_ready(one), what="ready")
+        await wait_until(are_peers, what="peers")
+        yield entries
+
+
 @contextlib.asynccontextmanager
 async def running_agent(store_port, ip, peer_port, service, port):
     """Run the agent of the server at ``port``, and yield its process."""
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 import testtools
-from entry_process import free_ports, is_ready, running_entry, wait_until
+from entry_process import running_peers
 from platform_standin import (
     CONNECTION_LIMITS,
     ServiceStandin,
@@ -101,28 +101,11 @@
                     await server.start()
                     stack.push_async_callback(server.close)
                 port = await stack.enter_async_context(listening(store))
-                entries = await self._entries(stack, port)
+                entries = await stack.enter_async_context(running_peers(port, IPS))
                 return await work(entries, servers)
 
         return asyncio.run(run())
 
-    async def _entries(self, stack, store_port):
-        (peer_port,) = free_ports(IPS[0], 1)
-        entries = [
-            await stack.enter_async_context(
-                running_entry(store_port, ip, peer_port, IPS[:1])
-            )
-            for ip in IPS
-        ]
-
-        async def are_peers():
-            return all(len(entry.events("peer-found")) == 2 for entry in entries)
-
-        for entry in entries:
-            await wait_until(lambda one=entry: is_ready(one), what="ready")
-        await wait_until(are_peers, what="peers")
-        return entries
-
     async def _sound_calls(self, entries, name, count):
         """Make sound calls in turn; return their statuses."""
         statuses = []
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -5,7 +5,7 @@
 import random
 
 import testtools
-from entry_process import free_ports, is_ready, running_entry, wait_until
+from entry_process import running_peers
 from platform_standin import ServiceStandin, StoreStandin, configuration, listening
 from test_gateway_decisions import directory, endpoint
 
@@ -20,6 +20,7 @@
 )
 from dotterelplank.platform.headers import read_response
 
+IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 SERVER = "s1@1"
 WINDOW_MS = 4_000.0
 NAMES = tuple(f"entry-{number}" for number in range(9))
@@ -182,7 +183,9 @@
                     server.port = await stack.enter_async_context(listening(server))
                     store.put(f"servers/{server.id}", server.entry(slots=20))
                 store_port = await stack.enter_async_context(listening(store))
-                entries = await self._entries(stack, store_port)
+                entries = await stack.enter_async_context(
+                    running_peers(store_port, IPS)
+                )
                 statuses = await self._call_often(entries)
             return limited.arrivals_ms, statuses
 
@@ -194,23 +197,6 @@
         self.assertLessEqual(most_in_window(late_ms), allowed(limit_per_s))
         self.assertGreater(len(late_ms), 0)
 
-    async def _entries(self, stack, store_port):
-        (peer_port,) = free_ports("127.0.0.1", 1)
-        entries = [
-            await stack.enter_async_context(
-                running_entry(store_port, ip, peer_port, ["127.0.0.1"])
-            )
-            for ip in ("127.0.0.1", "127.0.0.2", "127.0.0.3")
-        ]
-
-        async def are_peers():
-            return all(len(entry.events("peer-found")) == 2 for entry in entries)
-
-        for entry in entries:
-            await wait_until(lambda one=entry: is_ready(one), what="ready")
-        await wait_until(are_peers, what="peers")
-        return entries
-
     async def _call_often(self, entries):
         """Make calls at each entry for some seconds; return their statuses."""
         statuses = []
