--- a/review/1/case.py
+++ b/review/1/case.py
@@ -134,10 +134,13 @@
         one for one in late if one.answered_s is None or one.answered_s > TIMEOUT_S + SLACK_S
     ]
     never = [one for one in silent if one.answered_s is None]
+    # GONE: what began at a server over half a second after the client had left.
+    gone = [one for one in outcomes if runs.get(one.id, 0.0) > one.left_at + SLACK_S]
     text = (
         f"{len(outcomes)} requests, {len(passed_on)} bookings passed on; {len(late)} of"
         f" these unanswered at timeout_ms, {len(silent)} of them half a second later"
-        f" ({len(never)} had no answer when the client left)"
+        f" ({len(never)} had no answer when the client left); {len(gone)} began at a server over half"
+        f" a second after their client had left"
     )
     record.note(text)
     print(text)
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -246,8 +246,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running_entries(record, ips, store_address):
-    """Run an entry at each address with the deploy file's command, and yield them."""
+async def running_entries(record, ips, store_address, zones=("zone-a",)):
+    """Run an entry at each address with the deploy file's command, and yield them.
+
+    :param store_address: returns the store's address for the entry of a number.
+    :param zones: the entries are in these zones by turns.
+    """
     role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
     peer_port = free_port(ips[0])
     entries = []
@@ -255,7 +259,8 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             for number, ip in enumerate(ips):
-                name = f"edge-zone-a-{number + 1}"
+                zone = zones[number % len(zones)]
+                name = f"edge-{zone}-{number // len(zones) + 1}"
                 port, ready_port, control = (free_port(ip) for _ in range(3))
                 settings = {
                     "node_name": name,
@@ -263,9 +268,9 @@
                     "machine_class": "edge",
                     "serves": ["edge", "control"],
                     "ip": ip,
-                    "zone": "zone-a",
+                    "zone": zone,
                     "region": "region",
-                    "zones": {"zone-a": "region"},
+                    "zones": {one: "region" for one in zones},
                     "listen": {
                         "frontend": f"{ip}:{port}",
                         "ready": f"{ip}:{ready_port}",
@@ -344,7 +349,8 @@
 
     :param status: status of the answer; None: no answer.
     :param answered_s: seconds from the send until the whole answer; None: it never came.
-    :param events: ids of the events of a stream.
+    :param begun_s: seconds from the send until the head of the answer.
+    :param left_at: when the client closed its channel.
     """
 
     id: str
@@ -352,6 +358,7 @@
     status: int | None = None
     begun_s: float | None = None
     answered_s: float | None = None
+    left_at: float = 0.0
     body: bytes = b""
     is_complete: bool = False
 
@@ -389,6 +396,7 @@
     finally:
         if writer is not None:
             writer.close()
+        outcome.left_at = record.now()
     took = None if outcome.answered_s is None else round(outcome.answered_s, 3)
     record.note(
         f"client {call_id} {target} at {entry.name}: sent {outcome.sent_at:.3f},"
