--- a/review/1/case.py
+++ b/review/1/case.py
@@ -75,7 +75,14 @@
     net = loopback_net()
     store = StoreStandin()
     routes = [
-        route("draft", "/draft/", "streaming", "draft-llm", timeout_ms=8000, resumable=True),
+        route(
+            "draft",
+            "/draft/",
+            "streaming",
+            "draft-llm",
+            timeout_ms=8000,
+            resumable=True,
+        ),
         route("book", "/book/", "unsafe", "field-ops", max_attempts=1),
     ]
     store.put("op/config", configuration(7, routes))
@@ -84,9 +91,13 @@
         port = await stack.enter_async_context(listening(store.handle, f"{net}.1"))
         for number in range(4):
             kind, service = (
-                (DraftServer, "draft-llm") if number < 2 else (BookingServer, "field-ops")
+                (DraftServer, "draft-llm")
+                if number < 2
+                else (BookingServer, "field-ops")
+            )
+            server = kind(
+                record, store, service, f"i-{number}", f"{net}.{10 + number}", 60
             )
-            server = kind(record, store, service, f"i-{number}", f"{net}.{10 + number}", 60)
             server.faulty, server.runs = faulty, runs
             await server.start()
             stack.callback(server.close)
@@ -99,7 +110,9 @@
             number = len(tasks)
             if number == 60:
                 tasks.append(asyncio.create_task(draft(record, entries[0], FAULTY_ID)))
-            tasks.append(asyncio.create_task(book(record, entries[0], f"book-{number}")))
+            tasks.append(
+                asyncio.create_task(book(record, entries[0], f"book-{number}"))
+            )
             await asyncio.sleep(GAP_S)
         outcomes = await asyncio.gather(*tasks)
     return judge(record, outcomes, runs, faulty)
@@ -131,7 +144,9 @@
         one for one in passed_on if one.answered_s is None or one.answered_s > TIMEOUT_S
     ]
     silent = [
-        one for one in late if one.answered_s is None or one.answered_s > TIMEOUT_S + SLACK_S
+        one
+        for one in late
+        if one.answered_s is None or one.answered_s > TIMEOUT_S + SLACK_S
     ]
     never = [one for one in silent if one.answered_s is None]
     # GONE: what began at a server over half a second after the client had left.
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -71,14 +71,23 @@
     net = loopback_net()
     store = StoreStandin()
     routes = [
-        route("draft", "/draft/", "streaming", "draft-llm", timeout_ms=8000, resumable=True)
+        route(
+            "draft",
+            "/draft/",
+            "streaming",
+            "draft-llm",
+            timeout_ms=8000,
+            resumable=True,
+        )
     ]
     store.put("op/config", configuration(7, routes))
     arrivals, crashes, restarts = [], [], []
     async with contextlib.AsyncExitStack() as stack:
         port = await stack.enter_async_context(listening(store.handle, f"{net}.1"))
         for number in range(SERVERS):
-            server = ModelServer(record, store, "draft-llm", f"i-{number}", f"{net}.{10 + number}")
+            server = ModelServer(
+                record, store, "draft-llm", f"i-{number}", f"{net}.{10 + number}"
+            )
             server.deadly_arrivals, server.crashes = arrivals, crashes
             server.restarts = restarts
             await server.start()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -51,7 +51,9 @@
     store = StoreStandin()
     before = [route("book", "/book/", "unsafe", "field-ops", max_attempts=1)]
     after = [route("book", "/book/", "unsafe", "field-ops-2", max_attempts=1)]
-    services = [{"name": name, "max_conns": 258} for name in ("field-ops", "field-ops-2")]
+    services = [
+        {"name": name, "max_conns": 258} for name in ("field-ops", "field-ops-2")
+    ]
     store.put("op/config", configuration(7, before, services=services))
     runs = {}
     async with contextlib.AsyncExitStack() as stack:
@@ -61,7 +63,9 @@
         new_port = await stack.enter_async_context(listening(store.handle, f"{net}.2"))
         for number in range(4):
             service = "field-ops" if number < 2 else "field-ops-2"
-            server = AppServer(record, store, service, f"i-{number}", f"{net}.{10 + number}")
+            server = AppServer(
+                record, store, service, f"i-{number}", f"{net}.{10 + number}"
+            )
             server.runs = runs
             await server.start()
             stack.callback(server.close)
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -300,7 +300,11 @@
                 }
                 path = pathlib.Path(folder) / f"settings-{number}.json"
                 environment = {
-                    **{k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ},
+                    **{
+                        k: os.environ[k]
+                        for k in ("PATH", "HOME", "LANG")
+                        if k in os.environ
+                    },
                     **role.get("env", {}),
                     "PYTHONPATH": str(ROOT / "target/deps"),
                     "DOTTERELPLANK_NODE_FILE": str(path),
@@ -372,7 +376,16 @@
 
 
 async def request(
-    record, entry, call_id, target, *, method="POST", body=b"", wait_s, deadline_ms, headers=()
+    record,
+    entry,
+    call_id,
+    target,
+    *,
+    method="POST",
+    body=b"",
+    wait_s,
+    deadline_ms,
+    headers=(),
 ):
     """Send a request on a new channel and wait for its answer, ``wait_s`` at most."""
     outcome = Outcome(call_id, record.now())
