--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,6 +28,8 @@
 """A server that crashed "is back after some seconds"."""
 EVENTS = 12
 GAP_S = 0.03
+CRASH_S = 0.005
+"""Time from the first event of an answer on the deadly part to the crash: one step."""
 SOUND_GAP_S = 0.1
 DEADLY_GAP_S = 0.4
 CALM_S = 12.0
@@ -53,7 +55,7 @@
         exchange.begin(200, [*proof(call), stream], None)
         for number in range(first, EVENTS + 1):
             exchange.send(b"id: %d\ndata: e%d\n\n" % (number, number))
-            await asyncio.sleep(GAP_S)
+            await asyncio.sleep(CRASH_S if is_deadly and TROUBLE else GAP_S)
             if is_deadly and TROUBLE:
                 if self.is_up:
                     self.crashes.append(self.record.now())
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,6 @@
 # The store gives no response to a third of the entries while a server drains.
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
-PYTHONPATH="$root/target/deps:$root/tests:$root/review/lib" exec python3 "$here/case.py"
+export PYTHONPATH="$root/target/deps:$root/tests:$root/review/lib"
+python3 -c "import harness" || exit 2
+exec python3 "$here/case.py"
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from dotterelplank.http1.messages import header
 from dotterelplank.http1.server import ConnectionLimits, Server
@@ -444,7 +445,8 @@
     record = Record(folder)
     try:
         result = asyncio.run(case(record))
-    except (CaseError, OSError) as error:
+    except Exception as error:
+        traceback.print_exc()
         record.note(f"the case couldn't run: {error!r}")
         print(f"could not run: {error!r}")
         result = NOT_RUN
