Read responses and calls in short turns of the event loop

Cause: work that grew faster than the bytes (an event's end was searched again from its beginning with each part), and loops that didn't yield while buffered input lasted (all chunks of one read were parsed at once, for responses and for callers' bodies). Why it works: a connection parses on demand, 64 events at most in one turn; an event is searched once; a stream without an event, and a body in too many parts, end at a bound; the bodies that are read from one server share one. Ruled out: h11's own search in heads (it goes on where it stopped).

--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -5,7 +5,15 @@
 
 from .. import events
 from ..errors import UpstreamError
-from ..http1.client import EndpointConnection, Pool, Request, ResponseHead, connect
+from ..http1.client import (
+    EndpointConnection,
+    Pool,
+    Request,
+    ResponseHead,
+    connect,
+    is_fragmented,
+    read_body,
+)
 from ..http1.messages import end_to_end, is_event_stream
 from ..platform import headers as wire
 from .attempts import (
@@ -23,6 +31,7 @@
 from .metrics import EntryMetrics
 from .retry_budget import count_first_send
 from .state import EntryState
+from .streams import EventCursor
 from .tables import RouteKind
 
 log = logging.getLogger(__name__)
@@ -44,7 +53,7 @@
 MAX_REFUSED_IDS: t.Final = 64
 """Most refused calls of one connection that are remembered until it is closed."""
 MAX_EVENT_BYTES: t.Final = 256 * 1024
-"""Largest event of a stream."""
+"""Largest event of a stream, with the comments before it."""
 _UNAVAILABLE_STATUS: t.Final = 503
 
 
@@ -174,7 +183,9 @@
         is_stream = context.route.kind is RouteKind.STREAMING
         if is_stream and is_success and is_event_stream(head.headers):
             return await self._relay_stream(context, endpoint, head, connection)
-        return await self._relay_buffered(context, head, connection, metadata.has_proof)
+        return await self._relay_buffered(
+            context, endpoint, head, connection, metadata.has_proof
+        )
 
     def _record_limit(self, endpoint: Endpoint, metadata: wire.ResponseHeaders) -> None:
         """Record the limit that an answer of an endpoint names.
@@ -218,15 +229,13 @@
     async def _relay_buffered(
         self,
         context: CallContext,
+        endpoint: Endpoint,
         head: ResponseHead,
         connection: EndpointConnection,
         has_proof: bool,
     ) -> AttemptResult:
-        parts = bytearray()
-        while (part := await connection.body_part()) is not None:
-            parts += part
-            if len(parts) > MAX_RESPONSE_BYTES:
-                return MayHaveRun(False, "the response exceeds the size limit")
+        budget = self._pool(endpoint).budget
+        body = await read_body(connection, MAX_RESPONSE_BYTES, budget)
         is_failure = head.status >= MIN_FAILURE_STATUS
         if context.exchange.has_begun:
             return MayHaveRun(
@@ -237,14 +246,12 @@
         headers = end_to_end(head.headers)
         if is_failure and context.route.is_idempotent and self._may_retry(context):
             if has_proof:
-                context.failed_response = FailedResponse(
-                    head.status, headers, bytes(parts)
-                )
+                context.failed_response = FailedResponse(head.status, headers, body)
             return MayHaveRun(False, f"failed with {head.status}", is_failure=True)
         context.ttfb_ms = self._clock() - context.arrived_ms
         if not is_failure:
             self._on_served(context)
-        context.exchange.respond(head.status, headers, bytes(parts))
+        context.exchange.respond(head.status, headers, body)
         return Answered(head.status)
 
     def _may_retry(self, context: CallContext) -> bool:
@@ -280,20 +287,13 @@
             exchange.begin(head.status, end_to_end(head.headers), None)
         while (part := await connection.body_part()) is not None:
             complete = context.cursor.feed(part)
-            if len(context.cursor.partial) > MAX_EVENT_BYTES:
+            if _is_event_too_large(context.cursor):
                 return MayHaveRun(True, "an event exceeds the size limit")
             if not complete:
                 continue
-            self._state.progress.record_event(self._record_activity(context), endpoint)
             now_ms = self._clock()
-            if context.ttfb_ms is None:
-                context.ttfb_ms = now_ms - context.arrived_ms
-                self._on_served(context)
-                self._metrics.first_event.observe(context.ttfb_ms)
-                sent_ms = t.cast(Attempt, context.attempt).sent_ms
-                self._state.loads.record_ttfb(context.service, now_ms - sent_ms)
-            elif event_ms is not None:
-                self._record_event_gap(now_ms, context, endpoint, now_ms - event_ms)
+            if context.cursor.is_at_event:
+                self._record_event(now_ms, context, endpoint, event_ms)
             exchange.send(complete)
             await self._wait_for_caller(context)
             is_backpressured = self._clock() - now_ms > BACKPRESSURE_MS
@@ -303,6 +303,29 @@
         exchange.finish()
         return Answered(head.status)
 
+    def _record_event(
+        self,
+        now_ms: float,
+        context: CallContext,
+        endpoint: Endpoint,
+        last_event_ms: float | None,
+    ) -> None:
+        """Record that an event of a stream has arrived.
+
+        :param last_event_ms: time of the event before; None: there is none, or the
+            caller has delayed this one.
+        """
+        self._state.progress.record_event(self._record_activity(context), endpoint)
+        if context.ttfb_ms is None:
+            context.ttfb_ms = now_ms - context.arrived_ms
+            self._on_served(context)
+            self._metrics.first_event.observe(context.ttfb_ms)
+            sent_ms = t.cast(Attempt, context.attempt).sent_ms
+            self._state.loads.record_ttfb(context.service, now_ms - sent_ms)
+        elif last_event_ms is not None:
+            gap_ms = now_ms - last_event_ms
+            self._record_event_gap(now_ms, context, endpoint, gap_ms)
+
     def _record_event_gap(
         self, now_ms: float, context: CallContext, endpoint: Endpoint, gap_ms: float
     ) -> None:
@@ -326,3 +349,9 @@
         if pool is None:
             pool = self._pools[key] = Pool(endpoint.ip, endpoint.port)
         return pool
+
+
+def _is_event_too_large(cursor: EventCursor) -> bool:
+    """Return whether an event without an end shows that a stream is no answer."""
+    size_bytes, parts = cursor.unfinished_bytes, cursor.unfinished_parts
+    return size_bytes > MAX_EVENT_BYTES or is_fragmented(parts, size_bytes)
--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 import socket
@@ -14,9 +13,16 @@
 
 from ..errors import UpstreamError
 from .messages import Headers, header, keep_alive_ms
-
-MAX_HEAD_BYTES: t.Final = 64 * 1024
-MAX_BUFFERED_BYTES: t.Final = 256 * 1024
+from .responses import Request, ResponseEvent, ResponseParser
+
+MAX_UNREAD_BYTES: t.Final = 64 * 1024
+"""Received data that isn't parsed yet, from which reading is paused."""
+MAX_EVENTS_PER_TURN: t.Final = 64
+"""The most parsed events (chunks of a body, above all) in one turn of the loop."""
+MAX_BODIES_BYTES: t.Final = 16 * 1024 * 1024
+"""Largest bodies, together, that are read from one server at once."""
+MIN_PARTS_LIMIT: t.Final = 1_024
+MIN_MEAN_PART_BYTES: t.Final = 128
 MAX_SKIPPED_BYTES: t.Final = 64 * 1024
 """The most that is read of a body that is skipped."""
 MAX_INTERIM_RESPONSES: t.Final = 8
@@ -31,20 +37,6 @@
 """The part of an endpoint's idle timeout up to which a connection is reused."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A request to send.
-
-    :param target: path and query.
-    :param headers: end-to-end headers, including ``host``.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
     """The status and headers of a response."""
@@ -56,6 +48,9 @@
 class EndpointConnection(asyncio.Protocol):
     """One connection to an endpoint, with at most one request in progress.
 
+    Responses are parsed as they are read, a bounded number of events in one turn of the
+    event loop, so that an endpoint can't keep the loop busy.
+
     ``requests_sent`` counts its requests. ``refused_ids`` are the ids of those that the
     endpoint has refused, kept by the user of the connection: a faulty endpoint may
     write a refusal once more.
@@ -63,9 +58,9 @@
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._events: collections.deque[t.Any] = collections.deque()
-        self._buffered_bytes = 0
+        self._parser = ResponseParser()
+        self._unread_event: ResponseEvent | None = None
+        self._events_in_turn = 0
         self._waiter: asyncio.Future[None] | None = None
         self._failure: str | None = None
         self._request: Request | None = None
@@ -95,20 +90,19 @@
             _enable_keepalive(sock)
 
     def data_received(self, data: bytes) -> None:
-        """Process received data; close the connection if no request is in progress."""
+        """Keep received data; close the connection if no request is in progress."""
         if self._is_idle:
             self._fail("received data without a request")
             self.close()
             return
-        if self._failure is None:
-            self._h11.receive_data(data)
-            self._process_input()
+        self._parser.receive(data)
+        if self._parser.unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+        self._wake()
 
     def eof_received(self) -> bool:
-        """Process the end of the endpoint's data."""
-        if not self._is_idle and self._failure is None:
-            self._h11.receive_data(b"")
-            self._process_input()
+        """Note the end of the endpoint's data."""
+        self._parser.end()
         self._fail("the endpoint closed the connection")
         return False
 
@@ -124,12 +118,10 @@
         """
         if not self.is_usable:
             raise UpstreamError(self._failure or "the connection has ended", sent=False)
-        if self._h11.our_state is h11.DONE:
-            self._h11.start_next_cycle()
         self._is_idle = False
         self._request = request
         self.requests_sent += 1
-        self._transport.write(self._encode(request))
+        self._transport.write(self._parser.encode(request))
 
     async def head(self) -> ResponseHead:
         """Return the head of the response.
@@ -146,14 +138,22 @@
     async def body_part(self) -> bytes | None:
         """Return the next part of the body, or ``None`` at its end.
 
+        Chunks that have arrived already are joined, up to MAX_EVENTS_PER_TURN.
+
         :raises UpstreamError: if the body was cut short.
         """
         event = await self._next_event()
-        if isinstance(event, h11.Data):
-            self._note_consumed(event)
-            return bytes(event.data)
-        self._end_response()
-        return None
+        if not isinstance(event, h11.Data):
+            self._end_response()
+            return None
+        part = bytearray(event.data)
+        while self._events_in_turn < MAX_EVENTS_PER_TURN:
+            event = self._take_event()
+            if not isinstance(event, h11.Data):
+                self._unread_event = event
+                break
+            part += event.data
+        return bytes(part)
 
     async def skip_body(self) -> bool:
         """Skip the body, up to MAX_SKIPPED_BYTES.
@@ -176,16 +176,11 @@
                 "a response to another request exceeds the size limit", True
             )
         self._has_to_close = True
-        trailing, is_closed = self._h11.trailing_data
-        if self._h11.their_state is not h11.DONE or is_closed:
+        if not self._parser.is_end_marked:
             raise UpstreamError(
                 "a response to another request has no marked end", sent=True
             )
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._encode(t.cast(Request, self._request))
-        if trailing:
-            self._h11.receive_data(trailing)
-        self._process_input()
+        self._parser = self._parser.next_response(t.cast(Request, self._request))
 
     def _head(self, response: h11.Response) -> ResponseHead:
         headers = list(response.headers)
@@ -200,74 +195,53 @@
         """Skip a body; return whether its end came within MAX_SKIPPED_BYTES."""
         skipped_bytes = 0
         while isinstance(event := await self._next_event(), h11.Data):
-            self._note_consumed(event)
             skipped_bytes += len(event.data)
             if skipped_bytes > MAX_SKIPPED_BYTES:
                 return False
         return True
 
-    def _note_consumed(self, event: h11.Data) -> None:
-        """Record that a part of a body isn't buffered any more."""
-        self._buffered_bytes -= len(event.data)
-        if self._buffered_bytes < MAX_BUFFERED_BYTES and self._transport is not None:
-            self._transport.resume_reading()
-
     def close(self) -> None:
         """Close the connection at once, even with a request in progress."""
         self._has_to_close = True
         if self._transport is not None:
             self._transport.abort()
 
-    def _encode(self, request: Request) -> bytes:
-        headers = list(request.headers)
-        if request.body or request.method not in (b"GET", b"HEAD"):
-            headers.append((b"content-length", str(len(request.body)).encode()))
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        sent = self._h11.send(head)
-        if request.body:
-            sent += self._h11.send(h11.Data(data=request.body))
-        return sent + self._h11.send(h11.EndOfMessage())
-
-    def _process_input(self) -> None:
-        while self._failure is None:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as error:
-                self._fail(f"invalid response: {error}")
-                return
-            if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(
-                event, h11.ConnectionClosed
-            ):
-                break
-            self._enqueue(event)
-        self._wake()
-
-    def _enqueue(self, event: t.Any) -> None:
-        if isinstance(event, h11.Data):
-            self._buffered_bytes += len(event.data)
-            if (
-                self._buffered_bytes > MAX_BUFFERED_BYTES
-                and self._transport is not None
-            ):
-                self._transport.pause_reading()
-        self._events.append(event)
-
     def _end_response(self) -> None:
         self._is_idle = True
         self._request = None
-        trailing, _ = self._h11.trailing_data
-        if trailing or self._h11.their_state is not h11.DONE:
+        if not self._parser.is_reusable:
             self._has_to_close = True
 
-    async def _next_event(self) -> t.Any:
-        while not self._events:
+    async def _next_event(self) -> ResponseEvent:
+        """Return the next event, after a turn of the event loop if many were read."""
+        if self._events_in_turn >= MAX_EVENTS_PER_TURN:
+            await asyncio.sleep(0)
+            self._events_in_turn = 0
+        while (event := self._take_event()) is None:
             if self._failure is not None:
                 raise UpstreamError(self._failure, sent=True)
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-        return self._events.popleft()
+            self._events_in_turn = 0
+        return event
+
+    def _take_event(self) -> ResponseEvent | None:
+        """Return the next event that can be parsed now; None if there is none."""
+        event, self._unread_event = self._unread_event, None
+        if event is not None:
+            return event
+        self._events_in_turn += 1
+        try:
+            event = self._parser.next_event()
+        except UpstreamError as error:
+            self._failure = str(error)
+            return None
+        if (
+            self._parser.unread_bytes <= MAX_UNREAD_BYTES
+            and self._transport is not None
+        ):
+            self._transport.resume_reading()
+        return event
 
     def _fail(self, why: str) -> None:
         if self._failure is None:
@@ -311,25 +285,66 @@
     return True
 
 
-async def read_body(connection: EndpointConnection, max_bytes: int) -> bytes:
+@dataclasses.dataclass
+class ByteBudget:
+    """The bytes of bodies that may be held at once, over several connections."""
+
+    limit_bytes: int
+    used_bytes: int = 0
+
+    def take(self, count: int) -> None:
+        """Count bytes that are held from now on.
+
+        :raises UpstreamError: if there are more than the limit.
+        """
+        self.used_bytes += count
+        if self.used_bytes > self.limit_bytes:
+            raise UpstreamError("responses exceed the memory limit", sent=True)
+
+    def release(self, count: int) -> None:
+        """Count bytes that aren't held any more."""
+        self.used_bytes -= count
+
+
+async def read_body(
+    connection: EndpointConnection, max_bytes: int, budget: ByteBudget | None = None
+) -> bytes:
     """Return the body of the response whose head was read last.
 
-    :raises UpstreamError: if the body was cut short, or if it exceeds ``max_bytes``.
+    :param budget: what the connections to one server may hold while bodies are read.
+    :raises UpstreamError: if the body was cut short, if it exceeds ``max_bytes`` or the
+        budget, or if it comes in too many parts.
     """
-    parts = bytearray()
-    while (part := await connection.body_part()) is not None:
-        parts += part
-        if len(parts) > max_bytes:
-            raise UpstreamError("the response exceeds the size limit", sent=True)
-    return bytes(parts)
+    budget = budget or ByteBudget(max_bytes)
+    body = bytearray()
+    parts = 0
+    try:
+        while (part := await connection.body_part()) is not None:
+            body += part
+            parts += 1
+            budget.take(len(part))
+            if len(body) > max_bytes or is_fragmented(parts, len(body)):
+                raise UpstreamError("the response exceeds the size limit", sent=True)
+    finally:
+        budget.release(len(body))
+    return bytes(body)
+
+
+def is_fragmented(parts: int, total_bytes: int) -> bool:
+    """Return whether data comes in so many parts that reading on isn't worth it."""
+    return parts > MIN_PARTS_LIMIT + total_bytes / MIN_MEAN_PART_BYTES
 
 
 class Pool:
-    """Idle connections to one server, kept for further requests."""
+    """Idle connections to one server, kept for further requests.
+
+    ``budget`` bounds the bodies that are read on all connections to the server.
+    """
 
     def __init__(self, ip: str, port: int) -> None:
         self.ip = ip
         self.port = port
+        self.budget = ByteBudget(MAX_BODIES_BYTES)
         self._idle: list[EndpointConnection] = []
 
     def acquire(self, now_ms: float, max_idle_ms: float) -> EndpointConnection | None:
--- a/src/dotterelplank/http1/server.py
+++ b/src/dotterelplank/http1/server.py
@@ -14,6 +14,8 @@
 
 MAX_PIPELINED_BYTES: t.Final = 64 * 1024
 """Data of further calls above which reading is paused until a call is answered."""
+MAX_EVENTS_PER_TURN: t.Final = 64
+"""The most parsed events (chunks of a body, above all) in one turn of the loop."""
 CLOSE_LINGER_S: t.Final = 1.0
 """Time after a refusal in which a caller may read it before the connection closes."""
 
@@ -269,17 +271,33 @@
             self._transport.close()
 
     def _process_input(self) -> None:
-        while self._task is None and self._transport is not None:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as error:
-                self._refuse(error.error_status_hint, str(error))
-                return
-            if event is h11.NEED_DATA:
-                self._send_continue()
+        """Parse what was received, a bounded part in one turn of the loop."""
+        if self._task is not None:
+            return
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self._transport is None or self._is_refused:
                 return
-            if not self._handle_event(event):
+            if not self._process_next_event():
+                self._resume_reading()
                 return
+        self._transport.pause_reading()
+        self._loop.call_soon(self._process_input)
+
+    def _process_next_event(self) -> bool:
+        """Parse and process one event; return whether to read the next one."""
+        try:
+            event = self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint, str(error))
+            return False
+        if event is h11.NEED_DATA:
+            self._send_continue()
+            return False
+        return self._handle_event(event)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
 
     def _send_continue(self) -> None:
         if self._request is not None and self._h11.they_are_waiting_for_100_continue:
@@ -332,6 +350,7 @@
 
     def _refuse(self, status: int, why: str) -> None:
         self._cancel_timer()
+        self._resume_reading()
         self._server.on_refused(status, why)
         self._is_refused = True
         self._request = None
