Take crashes at any stage of an answer as evidence on prompt parts

Cause: a first event cleared all parts of its call, before and after a crash, and a lost call with an event was no evidence (Quarantine.check_crash, Suspects.record_served). Why it works: what clears a part is an answer that came to its marked end, or twice as far as the lost one. Late stages are common among lost calls, so one crash there isn't enough.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -139,8 +139,8 @@
     124,
     "endpoint-crashed",
     logging.WARNING,
-    "An endpoint ended before a call's first event; parts of the prompt that no call "
-    "was served with are suspect.",
+    "An endpoint ended with a call in progress; parts of its prompt are suspect unless "
+    "the answers to other calls with them went on past that stage.",
 )
 SUSPECT_PROBED = _define(
     125,
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -68,7 +68,8 @@
             clock,
             metrics,
             on_success=self.slots.mark_available,
-            on_served=self.quarantine.record_served,
+            on_event=self.quarantine.record_event,
+            on_complete=self.quarantine.record_complete,
             on_limit_changed=on_news,
         )
         self._in_flight: dict[int, CallContext] = {}
--- a/src/dotterelplank/gateway/inactivity.py
+++ b/src/dotterelplank/gateway/inactivity.py
@@ -47,6 +47,7 @@
     :param is_logged: whether the inactivity of the endpoint has been logged.
     :param head_ms: time at which the head of a successful response was received; None:
         not yet.
+    :param events: parts of the response with at least one whole event.
     """
 
     endpoint: Endpoint
@@ -56,6 +57,7 @@
     is_backpressured: bool = False
     is_logged: bool = False
     head_ms: float | None = None
+    events: int = 0
 
 
 @dataclasses.dataclass
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -50,6 +50,8 @@
     :param peers: addresses of other entries.
     :param is_reading: whether the sender reads changes from the platform's store.
     :param is_leaving: whether the sender is stopping.
+    :param store_age_ms: age of what the sender knows of the store, from its own reads or
+        from others; -1: it knows nothing.
     :param is_probing: whether the sender has a probe with suspect prompt parts in
         progress.
     :param crashes: crashes that are evidence on prompt parts. These and the limits are
@@ -69,12 +71,13 @@
     peers: list[str]
     is_reading: bool
     is_leaving: bool
+    store_age_ms: int = -1
     is_probing: bool = False
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
     limits: list[LimitReport] = dataclasses.field(default_factory=list)
 
 
-FORMAT: t.Final = "entry/4"
+FORMAT: t.Final = "entry/5"
 """Entries ignore heartbeats of another format, as those of an older program are."""
 
 CODEC: t.Final = Codec(FORMAT, Heartbeat)
--- a/src/dotterelplank/gateway/quarantine.py
+++ b/src/dotterelplank/gateway/quarantine.py
@@ -16,7 +16,7 @@
 from .inactivity import Attempt
 from .metrics import EntryMetrics
 from .state import EntryState
-from .suspects import Verdict
+from .suspects import COMPLETE_EVENTS, Verdict
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +26,8 @@
 CHECK_INTERVAL_MS: t.Final = 20.0
 PROBE_JITTER_MS: t.Final = 150.0
 """Longest random delay before a probe, so that entries don't send theirs at once."""
+MAX_RECORDED_EVENTS: t.Final = 8
+"""First events of an answer that are recorded one by one; of later ones, some are."""
 MAX_RECOVERY_MS: t.Final = 10_000.0
 """Time after a crash from which a probe doesn't wait for a recovery any more."""
 
@@ -80,29 +82,39 @@
             self._state.probes.own = None
             self._on_news()
 
-    def record_served(self, context: CallContext) -> None:
-        """Record the first event of a call's answer, which clears its parts."""
+    def record_event(self, context: CallContext) -> None:
+        """Record an event of a call's answer, which may clear its parts."""
         now_ms = self._clock()
         attempt = t.cast(Attempt, context.attempt)
-        if attempt.head_ms is not None:
+        attempt.events += 1
+        if attempt.events == 1 and attempt.head_ms is not None:
             self._state.suspects.head_gaps.record(
                 context.service,
                 attempt.head_ms - attempt.sent_ms,
                 now_ms - attempt.sent_ms,
             )
+        if _is_checkpoint(attempt.events):
+            self._record_served(now_ms, context, attempt.events)
+
+    def record_complete(self, context: CallContext) -> None:
+        """Record the end of a call's answer, which clears its parts."""
+        self._record_served(self._clock(), context, COMPLETE_EVENTS)
+
+    def _record_served(self, now_ms: float, context: CallContext, events: int) -> None:
         parts = context.metadata.shared_parts
-        is_news = self._state.suspects.record_served(now_ms, parts)
-        self.end(context)
+        is_news = self._state.suspects.record_served(now_ms, parts, events)
+        if self._judge(context) is Verdict.CLEAR:
+            self.end(context)
         if is_news:
             self._on_news()
 
     async def check_crash(self, context: CallContext, endpoint: Endpoint) -> None:
-        """Record a crash if the endpoint of a lost call ended before its first event.
+        """Record a crash if the endpoint of a lost call has ended.
 
         A lost connection alone is no proof: the endpoint must refuse a new one too, and
         must not have been about to leave.
         """
-        if context.ttfb_ms is not None or not context.metadata.shared_parts:
+        if not context.metadata.shared_parts:
             return
         if await is_listening(endpoint.ip, endpoint.port, CRASH_CHECK_TIMEOUT_S):
             return
@@ -118,10 +130,16 @@
         attempt = t.cast(Attempt, context.attempt)
         has_head = attempt.head_ms is not None
         self._state.suspects.record_crash(
-            now_ms, endpoint, attempt.sent_ms, parts, has_head
+            now_ms, endpoint, attempt.sent_ms, parts, has_head, attempt.events
         )
         self._metrics.count_crash(endpoint.service)
-        self._emit(events.ENDPOINT_CRASHED, context, endpoint, has_head=has_head)
+        self._emit(
+            events.ENDPOINT_CRASHED,
+            context,
+            endpoint,
+            has_head=has_head,
+            events=attempt.events,
+        )
         self._on_news()
 
     async def _hold(self, context: CallContext) -> results.Result | None:
@@ -194,3 +212,8 @@
             crashes=len(self._state.suspects.crashes),
             last_crash_ms=None if crash is None else round(now_ms - crash.ended_ms),
         )
+
+
+def _is_checkpoint(count: int) -> bool:
+    """Return whether the progress of an answer is recorded at this event."""
+    return count <= MAX_RECORDED_EVENTS or count % MAX_RECORDED_EVENTS == 0
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -63,7 +63,8 @@
     :param clock: returns the current time in milliseconds.
     :param on_success: called with each endpoint that begins a successful response.
     :param on_limit_changed: called when an endpoint has named another limit.
-    :param on_served: called with each call when the first part of its answer arrives.
+    :param on_event: called with a call for each event of its answer.
+    :param on_complete: called with a call when its answer came to its end.
     """
 
     def __init__(
@@ -72,14 +73,16 @@
         clock: t.Callable[[], float],
         metrics: EntryMetrics,
         on_success: t.Callable[[Endpoint], None],
-        on_served: t.Callable[[CallContext], None],
+        on_event: t.Callable[[CallContext], None],
+        on_complete: t.Callable[[CallContext], None],
         on_limit_changed: t.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
         self._metrics = metrics
         self._on_success = on_success
-        self._on_served = on_served
+        self._on_event = on_event
+        self._on_complete = on_complete
         self._on_limit_changed = on_limit_changed
         self._pools: dict[tuple[str, int], Pool] = {}
 
@@ -250,7 +253,7 @@
             return MayHaveRun(False, f"failed with {head.status}", is_failure=True)
         context.ttfb_ms = self._clock() - context.arrived_ms
         if not is_failure:
-            self._on_served(context)
+            self._on_complete(context)
         context.exchange.respond(head.status, headers, body)
         return Answered(head.status)
 
@@ -300,6 +303,8 @@
             event_ms = None if is_backpressured else now_ms
         if context.cursor.partial:
             return MayHaveRun(True, "the stream ended inside an event")
+        if connection.has_marked_end:
+            self._on_complete(context)
         exchange.finish()
         return Answered(head.status)
 
@@ -316,9 +321,9 @@
             caller has delayed this one.
         """
         self._state.progress.record_event(self._record_activity(context), endpoint)
+        self._on_event(context)
         if context.ttfb_ms is None:
             context.ttfb_ms = now_ms - context.arrived_ms
-            self._on_served(context)
             self._metrics.first_event.observe(context.ttfb_ms)
             sent_ms = t.cast(Attempt, context.attempt).sent_ms
             self._state.loads.record_ttfb(context.service, now_ms - sent_ms)
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -4,8 +4,9 @@
 part arrive at any entry, so entries tell each other of the crashes that they see, and
 which parts of the lost calls have been served since.
 
-An endpoint that crashes takes other calls along. A part is cleared if a call with it
-has got the first event of its answer shortly before the crash or after it.
+An endpoint that crashes takes other calls along, and may crash at any stage of the
+answer. A part is cleared if an answer to a call with it, shortly before the crash or
+after it, came to its end or went on well past the stage of the crash.
 """
 
 import collections
@@ -22,13 +23,18 @@
 CRASHES_TO_REJECT: t.Final = 2
 """Crashes, one after the other, after which calls with a part are rejected."""
 SERVED_VALIDITY_MS: t.Final = 30_000.0
-"""Time before a crash in which a first event clears a part."""
+"""Time before a crash in which an answer clears a part."""
+EARLY_EVENTS: t.Final = 2
+"""Events of a lost answer up to which one crash makes the parts of its call suspect."""
+COMPLETE_EVENTS: t.Final = 2**31 - 1
+"""Stands for the events of an answer that came to its end."""
 FORGET_MS: t.Final = 600_000.0
 """Time without a crash or a call after which the evidence on parts is forgotten."""
-MAX_CRASHES: t.Final = 64
-MAX_SERVED_PARTS: t.Final = 8_192
-MAX_REPORTS: t.Final = 16
-"""Most crashes that one heartbeat reports."""
+MAX_CRASHES: t.Final = 256
+"""Most lost calls that are remembered; one crash may lose several."""
+MAX_SERVED_PARTS: t.Final = 16_384
+MAX_REPORTS: t.Final = 24
+"""Most lost calls that one heartbeat reports."""
 
 
 class Verdict(enum.Enum):
@@ -41,9 +47,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Crash:
-    """The crash of an endpoint with a call that had no event yet.
+    """The crash of an endpoint with a call that it was answering, or was to answer.
 
     :param incarnation: id and start of the endpoint.
+    :param events: events of the answer that had come.
     :param was_answering: whether the endpoint had begun to answer this very call, which
         makes it the cause of the crash.
     :param parts: the call's shared parts that weren't cleared.
@@ -54,11 +61,34 @@
 
     incarnation: str
     was_answering: bool
+    events: int
     parts: frozenset[str]
     sent_ms: float
     ended_ms: float
     called_ms: float
 
+    @property
+    def is_early(self) -> bool:
+        """Whether the answer had only just begun, if at all."""
+        return self.events <= EARLY_EVENTS
+
+    @property
+    def clearing_events(self) -> int:
+        """The events of another answer that show that a part wasn't the cause."""
+        return 2 * self.events + 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """How far the answer to a call with a part has come.
+
+    :param served_ms: time of its last event.
+    :param events: number of its events; COMPLETE_EVENTS: it came to its end.
+    """
+
+    served_ms: float
+    events: int
+
 
 CrashKey = tuple[str, frozenset[str]]
 
@@ -67,18 +97,22 @@
 class CrashReport:
     """A crash, as an entry reports it to its peers.
 
+    :param events: events of the answer that had come.
     :param parts: the parts of the call.
-    :param served_age_ms: for each part, the time since a call with it had its first
-        event at any entry; -1: none is known.
+    :param served_age_ms: for each part, the time since the answer to a call with it had
+        its last event at any entry; -1: none is known.
+    :param served_events: for each part, the events of that answer.
     """
 
     incarnation: str
     was_answering: bool
+    events: int
     sent_age_ms: int
     ended_age_ms: int
     called_age_ms: int
     parts: list[str]
     served_age_ms: list[int]
+    served_events: list[int]
 
     @pydantic.model_validator(mode="before")
     @classmethod
@@ -90,25 +124,28 @@
 class Suspects:
     """The crashes that are known here, and the parts that have been served.
 
-    :param served_ms: time of the last first event of a call with a part, by part;
+    :param served: the answer to a call with a part that came furthest of late, by part;
         least recent first.
     """
 
     crashes: dict[CrashKey, Crash] = dataclasses.field(default_factory=dict)
     head_gaps: HeadGaps = dataclasses.field(default_factory=HeadGaps)
-    served_ms: collections.OrderedDict[str, float] = dataclasses.field(
+    served: collections.OrderedDict[str, Served] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
-    def record_served(self, now_ms: float, parts: t.Iterable[str]) -> bool:
-        """Record the first event of a call.
+    def record_served(
+        self, now_ms: float, parts: t.Sequence[str], events: int = COMPLETE_EVENTS
+    ) -> bool:
+        """Record how far the answer to a call has come.
 
+        :param events: number of its events; COMPLETE_EVENTS: it came to its end.
         :return: whether this clears a suspect part.
         """
-        is_news = any(crash.parts.intersection(parts) for crash in self._open_crashes())
+        suspect_before = self._suspects_among(parts)
         for part in parts:
-            self._note_served(part, now_ms)
-        return is_news
+            self._note_served(part, Served(now_ms, events))
+        return bool(suspect_before) and suspect_before != self._suspects_among(parts)
 
     def record_crash(
         self,
@@ -117,21 +154,27 @@
         sent_ms: float,
         parts: t.Iterable[str],
         has_head: bool,
+        events: int = 0,
     ) -> Crash | None:
-        """Record the crash of an endpoint with a call that had no event yet.
+        """Record the crash of an endpoint with a call that it had got.
 
         :param has_head: whether the head of the answer had come.
+        :param events: events of the answer that had come.
         :return: the crash; None if all parts of the call are cleared.
         """
-        suspect_parts = frozenset(
-            part for part in parts if not self._was_served(part, now_ms)
-        )
-        if not suspect_parts:
-            return None
-        was_answering = has_head and self.head_gaps.are_short(endpoint.service)
+        is_between = has_head and not events
         crash = Crash(
-            endpoint.incarnation, was_answering, suspect_parts, sent_ms, now_ms, now_ms
+            incarnation=endpoint.incarnation,
+            was_answering=is_between and self.head_gaps.are_short(endpoint.service),
+            events=events,
+            parts=frozenset(parts),
+            sent_ms=sent_ms,
+            ended_ms=now_ms,
+            called_ms=now_ms,
         )
+        crash.parts = self._suspect_parts(crash)
+        if not crash.parts:
+            return None
         self._add(crash)
         return crash
 
@@ -140,17 +183,18 @@
 
         The crashes that concern it are remembered for longer.
         """
-        verdict = Verdict.CLEAR
-        crashes = []
+        related, matching = [], []
         for crash in self._open_crashes():
             suspect_parts = self._suspect_parts(crash)
             if suspect_parts.isdisjoint(parts):
                 continue
-            verdict = Verdict.SUSPECT
             crash.called_ms = max(crash.called_ms, now_ms)
+            related.append(crash)
             if suspect_parts.issubset(parts):
-                crashes.append(crash)
-        return Verdict.POISON if _count(crashes) >= CRASHES_TO_REJECT else verdict
+                matching.append(crash)
+        if _weight(matching) >= CRASHES_TO_REJECT:
+            return Verdict.POISON
+        return Verdict.SUSPECT if _weight(related) else Verdict.CLEAR
 
     def last_crash(self) -> Crash | None:
         """Return the latest crash that makes a part suspect; None without any."""
@@ -170,11 +214,12 @@
         has_news = False
         for report in reports:
             is_new = self._merge_crash(now_ms, report)
-            if is_new and not self.served_ms.keys().isdisjoint(report.parts):
+            if is_new and not self.served.keys().isdisjoint(report.parts):
                 has_news = True
-            for part, age_ms in zip(report.parts, report.served_age_ms):
+            answers = zip(report.parts, report.served_age_ms, report.served_events)
+            for part, age_ms, events in answers:
                 if age_ms >= 0:
-                    self._note_served(part, now_ms - age_ms)
+                    self._note_served(part, Served(now_ms - age_ms, events))
         return has_news
 
     def expire(self, now_ms: float) -> None:
@@ -187,6 +232,7 @@
         crash = Crash(
             report.incarnation,
             report.was_answering,
+            report.events,
             frozenset(report.parts),
             now_ms - report.sent_age_ms,
             now_ms - report.ended_age_ms,
@@ -209,33 +255,44 @@
 
     def _report(self, now_ms: float, crash: Crash) -> CrashReport:
         parts = sorted(crash.parts)
+        answers = [self.served.get(part) for part in parts]
         return CrashReport(
             crash.incarnation,
             crash.was_answering,
+            crash.events,
             round(now_ms - crash.sent_ms),
             round(now_ms - crash.ended_ms),
             round(now_ms - crash.called_ms),
             parts,
-            [self._served_age_ms(now_ms, part) for part in parts],
+            [-1 if one is None else round(now_ms - one.served_ms) for one in answers],
+            [0 if one is None else one.events for one in answers],
         )
 
-    def _served_age_ms(self, now_ms: float, part: str) -> int:
-        served_ms = self.served_ms.get(part)
-        return -1 if served_ms is None else round(now_ms - served_ms)
+    def _note_served(self, part: str, answer: Served) -> None:
+        known = self.served.get(part)
+        self.served[part] = answer if known is None else _further(known, answer)
+        self.served.move_to_end(part)
+        if len(self.served) > MAX_SERVED_PARTS:
+            self.served.popitem(last=False)
 
-    def _note_served(self, part: str, served_ms: float) -> None:
-        self.served_ms[part] = max(served_ms, self.served_ms.get(part, served_ms))
-        self.served_ms.move_to_end(part)
-        if len(self.served_ms) > MAX_SERVED_PARTS:
-            self.served_ms.popitem(last=False)
-
-    def _was_served(self, part: str, crashed_ms: float) -> bool:
-        served_ms = self.served_ms.get(part)
-        return served_ms is not None and served_ms > crashed_ms - SERVED_VALIDITY_MS
+    def _was_cleared(self, part: str, crash: Crash) -> bool:
+        answer = self.served.get(part)
+        if answer is None or answer.events < crash.clearing_events:
+            return False
+        return answer.served_ms > crash.ended_ms - SERVED_VALIDITY_MS
 
     def _suspect_parts(self, crash: Crash) -> frozenset[str]:
         return frozenset(
-            part for part in crash.parts if not self._was_served(part, crash.ended_ms)
+            part for part in crash.parts if not self._was_cleared(part, crash)
+        )
+
+    def _suspects_among(self, parts: t.Sequence[str]) -> frozenset[str]:
+        """Return those of ``parts`` that a crash makes suspect."""
+        return frozenset().union(
+            *(
+                self._suspect_parts(crash).intersection(parts)
+                for crash in self._open_crashes()
+            )
         )
 
     def _open_crashes(self) -> t.Iterator[Crash]:
@@ -253,12 +310,22 @@
         )
 
 
-def _count(crashes: t.Sequence[Crash]) -> int:
-    """Return how many crashes came one after the other.
+def _further(one: Served, other: Served) -> Served:
+    """Return the answer that came further, or the later one if they are far apart."""
+    earlier, later = sorted((one, other), key=lambda answer: answer.served_ms)
+    if later.served_ms - earlier.served_ms > SERVED_VALIDITY_MS:
+        return later
+    return earlier if earlier.events > later.events else later
+
+
+def _weight(crashes: t.Sequence[Crash]) -> int:
+    """Return how strongly crashes point to the parts that their calls share.
 
-    A crash whose endpoint was answering the very call counts as CRASHES_TO_REJECT.
-    Several endpoints that crash at once, as those of one failure domain do, count as
-    one: a call counts only if it was sent after the crash before.
+    It is the number of crashes that came one after the other: several endpoints that
+    crash at once, as those of one failure domain do, count as one, so a call counts
+    only if it was sent after the crash before. A crash whose endpoint was answering the
+    very call counts as CRASHES_TO_REJECT. If all answers had gone on for some events,
+    one crash is no evidence.
     """
     if any(crash.was_answering for crash in crashes):
         return CRASHES_TO_REJECT
@@ -268,4 +335,5 @@
         if crash.sent_ms >= last_ms:
             found += 1
             last_ms = crash.ended_ms
-    return found
+    has_early = any(crash.is_early for crash in crashes)
+    return found if has_early else max(0, found - 1)
--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -71,6 +71,11 @@
         self.idle_since_ms = 0.0
         self.keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
 
+    @property
+    def has_marked_end(self) -> bool:
+        """Whether the response has ended, and not merely with its connection."""
+        return self._parser.is_end_marked
+
     @property
     def is_usable(self) -> bool:
         """Whether another request may be sent on this connection."""
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -29,11 +29,13 @@
     """A server that ends when it begins to answer a call with the deadly part.
 
     :param sends_head: whether the head of that answer still leaves.
+    :param sends_event: whether its first event leaves too.
     :param crashes: how often it has ended; it is back after ``down_s``.
     """
 
     store: StoreStandin | None = None
     sends_head: bool = True
+    sends_event: bool = False
     down_s: float = 0.3
     crashes: int = 0
     listener: asyncio.Server | None = None
@@ -63,6 +65,9 @@
             call_id = header(call.headers, b"x-request-id")
             proof = [(b"x-request-id", call_id), (b"x-server-signature", b"s")]
             exchange.begin(200, proof, None)
+            if self.sends_event:
+                first = int(header(call.headers, b"last-event-id") or b"0") + 1
+                exchange.send(b"id: %d\ndata: e\n\n" % first)
             await asyncio.sleep(0.01)
         self.listener.close()
         self.server.close_all()
@@ -147,6 +152,13 @@
         self.assertEqual([REJECTED_STATUS] * 6, deadly[-6:])
         self.assertEqual([200] * 12, sound)
 
+    def test_they_stop_too_if_servers_crash_after_the_first_event(self):
+        # Review case 2: a crash in the middle of an answer is evidence as well.
+        crashes, deadly, sound = self._run(self._spread_crashes, sends_event=True)
+        self.assertLessEqual(crashes, MAX_CRASHES)
+        self.assertEqual([REJECTED_STATUS] * 6, deadly[-6:])
+        self.assertEqual([200] * 12, sound)
+
     def test_they_stop_too_if_no_head_shows_which_call_was_answered(self):
         crashes, deadly, sound = self._run(self._spread_crashes, sends_head=False)
         self.assertLessEqual(crashes, MAX_CRASHES)
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -16,9 +16,13 @@
 NOW_MS = 100_000.0
 
 
-def crashed(suspects, parts, *, at_ms=NOW_MS, name="e1", sent_ms=None, has_head=False):
+def crashed(
+    suspects, parts, *, at_ms=NOW_MS, name="e1", sent_ms=None, has_head=False, events=0
+):
     sent_ms = at_ms - 100.0 if sent_ms is None else sent_ms
-    return suspects.record_crash(at_ms, endpoint(name), sent_ms, parts, has_head)
+    return suspects.record_crash(
+        at_ms, endpoint(name), sent_ms, parts, has_head, events
+    )
 
 
 class VerdictTests(testtools.TestCase):
@@ -43,7 +47,35 @@
             crashed(self.suspects, ["rare"], name=f"e{number}", at_ms=NOW_MS + number)
         self.assertIs(Verdict.SUSPECT, self._verdict("rare"))
 
-    def test_a_first_event_clears_the_parts_of_its_call(self):
+    def test_a_part_that_crashes_servers_after_some_events_is_found(self):
+        # Review case 2: a first event doesn't show that a part is sound.
+        for number in range(2):
+            at_ms = NOW_MS + 500.0 * number
+            self.suspects.record_served(at_ms - 5.0, ["bad"], 1)
+            crashed(self.suspects, ["bad"], at_ms=at_ms, name=f"e{number}", events=1)
+        self.assertIs(Verdict.POISON, self._verdict("bad"))
+
+    def test_an_answer_well_past_the_stage_of_a_crash_clears_the_parts(self):
+        crashed(self.suspects, ["rare"], events=1)
+        self.assertFalse(self.suspects.record_served(NOW_MS + 8.0, ["rare"], 4))
+        self.assertIs(Verdict.SUSPECT, self._verdict("rare"))
+        self.assertTrue(self.suspects.record_served(NOW_MS + 9.0, ["rare"], 5))
+        self.assertIs(Verdict.CLEAR, self._verdict("rare"))
+
+    def test_an_answer_that_got_far_is_no_evidence_alone(self):
+        for number, verdict in enumerate(
+            (Verdict.CLEAR, Verdict.SUSPECT, Verdict.POISON)
+        ):
+            at_ms = NOW_MS + 500.0 * number
+            crashed(self.suspects, ["rare"], at_ms=at_ms, name=f"e{number}", events=9)
+            self.assertIs(verdict, self._verdict("rare"))
+
+    def test_a_short_answer_later_doesn_t_hide_that_one_came_to_its_end(self):
+        self.suspects.record_served(NOW_MS - 9.0, ["rare"])
+        self.suspects.record_served(NOW_MS - 1.0, ["rare"], 1)
+        self.assertIsNone(crashed(self.suspects, ["rare"], events=9))
+
+    def test_the_end_of_an_answer_clears_the_parts_of_its_call(self):
         crashed(self.suspects, ["rare"])
         self.assertTrue(self.suspects.record_served(NOW_MS + 9.0, ["rare"]))
         self.assertIs(Verdict.CLEAR, self._verdict("rare"))
@@ -78,7 +110,7 @@
             self.suspects.record_served(NOW_MS, [f"served-{number}"])
         for number in range(MAX_CRASHES + 5):
             crashed(self.suspects, [f"bad-{number}"], name=f"e{number}")
-        self.assertEqual(MAX_SERVED_PARTS, len(self.suspects.served_ms))
+        self.assertEqual(MAX_SERVED_PARTS, len(self.suspects.served))
         self.assertEqual(MAX_CRASHES, len(self.suspects.crashes))
 
     def test_a_poison_part_stays_so_while_calls_with_it_come(self):
