Ask the store once what an entry knows is too old

Cause: a reader without answers was noticed only when its watch timed out, after 3 s; no entry knew the age of its own knowledge. Ruled out: shorter watches alone, as those that take over may get no answers either.

--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -273,6 +273,7 @@
                 peers=self._peers_to_advertise(),
                 is_reading=self._feed.is_reading,
                 is_leaving=state.is_stopping,
+                store_age_ms=self._feed.age_ms(now_ms),
                 is_probing=state.probes.own is not None,
                 crashes=crashes,
                 limits=limits,
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -1,7 +1,8 @@
 """Keeps the published configuration and list of endpoints up to date.
 
 A few entries of each failure domain, the readers, watch the platform's store. The other
-entries fetch what has changed from a peer that has newer revisions.
+entries fetch what has changed from a peer that has newer revisions. An entry whose
+knowledge gets old, as the readers get no answers, asks the store itself.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from ..platform.store import HistoryGoneError, Item, StoreClient
 from . import snapshots
 from .directory import EndpointChange
+from .freshness import Freshness, read_times
 from .host import Address
 from .metrics import EntryMetrics
 from .peers import Heartbeat, Peers
@@ -24,15 +26,14 @@
 
 log = logging.getLogger(__name__)
 
-READER_WAIT_MS: t.Final = 2_000.0
-"""How long a watch request waits for changes.
-
-A store that has become unresponsive is noticed soon after this time.
-"""
+CHECK_WAIT_MS: t.Final = 1.0
+"""How long the store waits for changes if an entry asks once for what is new."""
+CHECK_JITTER_MS: t.Final = 100.0
+"""Longest random delay before an entry asks, as a peer may tell it meanwhile."""
 READERS_PER_DOMAIN: t.Final = 2
 """Number of entries in each failure domain that watch the store."""
 ROLE_CHECK_MS: t.Final = 100.0
-"""Time between two checks of an entry whether it has become a reader."""
+"""Time between two checks of an entry whether it is to read the store."""
 MIN_BACKOFF_MS: t.Final = 150.0
 MAX_BACKOFF_MS: t.Final = 1_000.0
 STALE_AFTER_FAILURE_MS: t.Final = 3_000.0
@@ -76,6 +77,7 @@
         self._client = StoreClient(state.host.store)
         self._server_items: dict[str, Item] = {}
         self._configuration: Item | None = None
+        self._freshness = Freshness()
         self._failed_ms: float | None = None
         self._is_disconnected = False
         self._restored_ms: float | None = None
@@ -92,7 +94,9 @@
                     await self._read_all()
                     is_synced = True
                 elif self._is_reader():
-                    await self._watch()
+                    await self._watch(read_times(self._state.host.bounds).watch_ms)
+                elif self._is_stale():
+                    await self._check()
                 else:
                     await asyncio.sleep(ROLE_CHECK_MS / 1000)
                 backoff_ms = MIN_BACKOFF_MS
@@ -108,7 +112,14 @@
     @property
     def is_reading(self) -> bool:
         """Whether this entry watches the store, and the store answers."""
-        return self._is_reader() and not self._is_disconnected
+        if self._is_disconnected or not self._is_reader():
+            return False
+        return self._freshness.silent_ms(self._clock()) < self._max_age_ms()
+
+    def age_ms(self, now_ms: float) -> int:
+        """Return the age of what is known of the store; -1 if nothing is."""
+        age_ms = self._freshness.age_ms(now_ms)
+        return -1 if math.isinf(age_ms) else round(age_ms)
 
     def snapshot(self, known: snapshots.KnownRecords) -> bytes:
         """Return the configuration and the list of endpoints, encoded for a peer.
@@ -137,7 +148,7 @@
         if not self._is_behind(heartbeat.table_version, heartbeat.directory_revision):
             self._note_up_to_date(now_ms, heartbeat)
         elif self._pull_task is None:
-            pull = self._pull(heartbeat, self._pull_delay_ms(heartbeat))
+            pull = self._pull(now_ms, heartbeat, self._pull_delay_ms(heartbeat))
             self._pull_task = asyncio.get_running_loop().create_task(pull)
 
     def close(self) -> None:
@@ -145,20 +156,38 @@
         self._client.close()
 
     async def _read_all(self) -> None:
+        began_ms = self._clock()
+        self._freshness.record_request(began_ms)
         records = await published.read_all(self._client)
-        self._note_success()
+        self._note_success(began_ms)
         if self._settle_ms() <= 0:
             self._restored_ms = None
         self._apply(records, is_snapshot=True, was_stale=self._was_stale())
         self._note_complete()
 
-    async def _watch(self) -> None:
+    async def _watch(self, wait_ms: float) -> None:
         after = self._state.directory.revision
-        wait_ms = min(READER_WAIT_MS, self._settle_ms())
+        wait_ms = min(wait_ms, self._settle_ms())
+        self._freshness.record_request(self._clock())
         records = await published.read_changes(self._client, after, wait_ms)
-        self._note_success()
+        self._note_success(self._clock())
         self._apply(records, is_snapshot=False, was_stale=self._was_stale())
 
+    async def _check(self) -> None:
+        """Ask the store once for changes, unless a peer tells of them meanwhile."""
+        await asyncio.sleep(random.uniform(0, CHECK_JITTER_MS) / 1000)
+        if self._is_stale():
+            # A connection that wasn't used for long may have become unresponsive.
+            self._client.close()
+            await self._watch(CHECK_WAIT_MS)
+
+    def _is_stale(self) -> bool:
+        """Return whether what is known here of the store is too old."""
+        return self._freshness.age_ms(self._clock()) >= self._max_age_ms()
+
+    def _max_age_ms(self) -> float:
+        return read_times(self._state.host.bounds).max_age_ms
+
     def _settle_ms(self) -> float:
         """Return the time until all records of a restored store are to be read again.
 
@@ -189,11 +218,17 @@
         return table_version > version or directory_revision > revision
 
     def _note_up_to_date(self, now_ms: float, heartbeat: Heartbeat) -> None:
-        """Record that the list of endpoints is as recent as that of a reader."""
+        """Record that this entry knows all that a peer knew when it sent a heartbeat.
+
+        :param now_ms: time at which the heartbeat was received.
+        """
+        if heartbeat.store_age_ms < 0:
+            return
+        known_ms = now_ms - heartbeat.store_age_ms
+        self._freshness.record_known(known_ms)
         directory = self._state.directory
-        is_same = heartbeat.directory_revision == directory.revision
-        if heartbeat.is_reading and is_same and directory.updated_ms is not None:
-            directory.updated_ms = now_ms
+        if directory.updated_ms is not None:
+            directory.updated_ms = max(directory.updated_ms, known_ms)
 
     def _pull_delay_ms(self, heartbeat: Heartbeat) -> float:
         is_near = heartbeat.domain == self._state.host.domain
@@ -201,7 +236,9 @@
             return random.uniform(*DOMAIN_PULL_DELAY_RANGE_MS)
         return PULL_DELAY_MS
 
-    async def _pull(self, heartbeat: Heartbeat, delay_ms: float) -> None:
+    async def _pull(
+        self, received_ms: float, heartbeat: Heartbeat, delay_ms: float
+    ) -> None:
         try:
             await asyncio.sleep(delay_ms / 1000)
             if not self._is_behind(
@@ -212,6 +249,10 @@
                 address = Address(heartbeat.ip, self._state.host.peer_port)
                 data = await snapshots.fetch(address, self._known())
             self._apply_snapshot(snapshots.decode(data))
+            if not self._is_behind(
+                heartbeat.table_version, heartbeat.directory_revision
+            ):
+                self._note_up_to_date(received_ms, heartbeat)
         except (UpstreamError, TimeoutError, ValueError, TypeError) as error:
             events.emit(
                 log,
@@ -378,7 +419,9 @@
             failed_ms is not None and self._clock() - failed_ms < STALE_AFTER_FAILURE_MS
         )
 
-    def _note_success(self) -> None:
+    def _note_success(self, known_ms: float) -> None:
+        """Record an answer of the store with all that was published before a time."""
+        self._freshness.record_answer(known_ms)
         self._metrics.platform_calls.inc({"outcome": "answered"})
         self._state.first_read.set()
         if self._is_disconnected:
--- a/src/dotterelplank/gateway/host.py
+++ b/src/dotterelplank/gateway/host.py
@@ -1,6 +1,7 @@
 """Settings of a process and its host: addresses, limits and the users' bounds."""
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +24,7 @@
     :param retry_ratio: retries per first send, summed over all hosts.
     :param retry_window_ms: length of the window in which sends are counted.
     :param retry_burst: retries beyond the ratio, summed over all hosts.
+    :param sync_ms: time after which a published configuration must be in force.
     """
 
     stop_ms: float
@@ -30,6 +32,7 @@
     retry_ratio: float
     retry_window_ms: float
     retry_burst: float
+    sync_ms: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -50,7 +50,7 @@
     :param peers: addresses of other entries.
     :param is_reading: whether the sender reads changes from the platform's store.
     :param is_leaving: whether the sender is stopping.
-    :param store_age_ms: age of what the sender knows of the store, from its own reads or
+    :param store_age_ms: age of what the sender knows of the store, by its own reads or
         from others; -1: it knows nothing.
     :param is_probing: whether the sender has a probe with suspect prompt parts in
         progress.
--- a/src/dotterelplank/platform/settings.py
+++ b/src/dotterelplank/platform/settings.py
@@ -1,6 +1,7 @@
 """Validation of the settings that the platform writes for each process."""
 
 import ipaddress
+import math
 import typing as t
 
 import pydantic
@@ -25,6 +26,7 @@
     retry_ratio: float = pydantic.Field(ge=0)
     retry_window_s: float = pydantic.Field(gt=0)
     retry_burst: float = pydantic.Field(ge=0)
+    config_sync_ms: float = pydantic.Field(math.inf, gt=0)
 
 
 class _Store(pydantic.BaseModel):
@@ -80,6 +82,7 @@
             retry_ratio=parsed.bounds.retry_ratio,
             retry_window_ms=parsed.bounds.retry_window_s * 1000,
             retry_burst=parsed.bounds.retry_burst,
+            sync_ms=parsed.bounds.config_sync_ms,
         ),
         link_mbps=parsed.limits.bandwidth_mbps,
     )
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -26,6 +26,8 @@
 
 HEARTBEAT_S = 0.05
 PROPAGATION_S = 0.8
+LEAVE_S = 2.0
+"""The bound of the hosts of these tests on servers that leave (``drain_ms``)."""
 
 
 class _Entry:
@@ -59,7 +61,7 @@
         return Heartbeat(
             self.host.name, self.host.ip, "a", self.number, self.sent,
             0 if table is None else table.version, self.state.directory.revision,
-            {}, {}, [], self.feed.is_reading, False,
+            {}, {}, [], self.feed.is_reading, False, self.feed.age_ms(_now_ms()),
         )  # fmt: skip
 
     def hear(self, heartbeat):
@@ -67,6 +69,29 @@
             self.feed.on_heartbeat(_now_ms(), heartbeat)
 
 
+class _Gate:
+    """The store as one entry reaches it."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_silent = False
+
+    async def handle(self, call, exchange):
+        if self.is_silent:
+            await asyncio.sleep(3_600)
+        await self.store.handle(call, _GatedExchange(self, exchange))
+
+
+class _GatedExchange:
+    def __init__(self, gate, exchange):
+        self.gate = gate
+        self.exchange = exchange
+
+    def respond(self, status, headers, body):
+        if not self.gate.is_silent:
+            self.exchange.respond(status, headers, body)
+
+
 def _now_ms():
     return asyncio.get_running_loop().time() * 1000
 
@@ -77,6 +102,7 @@
     def setUp(self):
         super().setUp()
         self.entries = {}
+        self.gates = {}
         self.fetched = 0
 
         async def fetch(address, known):
@@ -100,8 +126,10 @@
         store = store_with_a_server()
 
         async def run():
-            async with listening(store) as port:
+            async with contextlib.AsyncExitStack() as stack:
                 for number in range(1, 6):
+                    gate = self.gates[number] = _Gate(store)
+                    port = await stack.enter_async_context(listening(gate))
                     entry = _Entry(number, port)
                     self.entries[entry.host.ip] = entry
                     entry.start()
@@ -154,6 +182,41 @@
 
         self._run(script)
 
+    def _known_after_s(self, silent):
+        """Return how long entries in touch take to know that a server drains.
+
+        :param silent: the entries that get no answer from the store since shortly
+            before.
+        """
+
+        async def is_known():
+            return all(
+                entry.state.directory.endpoints["s2"].is_draining
+                for entry in self.entries.values()
+                if entry.number not in silent
+            )
+
+        async def script(store):
+            key, record = server_record("s2")
+            store.put(key, record)
+            await asyncio.sleep(0.1)
+            for number in silent:
+                self.gates[number].is_silent = True
+            await asyncio.sleep(0.1)
+            store.put(key, {**record, "state": "draining"})
+            began_ms = _now_ms()
+            while not await is_known():
+                await asyncio.sleep(0.01)
+            self.took_s = (_now_ms() - began_ms) / 1000
+
+        self._run(script)
+        return self.took_s
+
+    def test_a_drain_is_known_in_time_if_the_readers_get_no_answers(self):
+        # Review case 3: entries in touch relied on readers that the store left alone.
+        for silent in ((1, 2), (1, 2, 3, 4), (2, 5)):
+            self.assertLess(self._known_after_s(silent), LEAVE_S, silent)
+
     def test_a_server_that_lapses_after_an_outage_is_removed_everywhere(self):
         async def script(store):
             store.fault = "busy"
