Read all shared parts of a prompt

Cause: only the first 32 shared parts were decoded, and ids of over 64 bytes were cut. Why it works: the header's size bounds the parts of one call; the bounds on memory and heartbeats are over all lost calls, and sound calls clear the common parts.

--- a/src/dotterelplank/gateway/call_context.py
+++ b/src/dotterelplank/gateway/call_context.py
@@ -1,6 +1,7 @@
 """The state of one call while an entry handles it."""
 
 import dataclasses
+import typing as t
 
 from .. import results
 from ..http1.messages import Headers
@@ -11,6 +12,8 @@
 from .streams import EventCursor
 from .tables import Route, Team
 
+MAX_LOGGED_PARTS: t.Final = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailedResponse:
@@ -63,6 +66,11 @@
     refusal: results.Result | None = None
     failed_response: FailedResponse | None = None
 
+    @property
+    def logged_parts(self) -> tuple[str, ...]:
+        """The first shared parts of the call's prompt, for the log."""
+        return self.metadata.shared_parts[:MAX_LOGGED_PARTS]
+
     @property
     def priority(self) -> tuple[int, ...]:
         """The priorities of the team (by default the route's) and of the route."""
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -35,7 +35,6 @@
 
 OTHER_ENTRY_RETRY_MS: t.Final = 100.0
 """Retry time for a caller whose call another entry can serve."""
-MAX_LOGGED_PARTS: t.Final = 8
 SERVICE_UNAVAILABLE_STATUS: t.Final = 503
 MAX_FIRST_READ_WAIT_MS: t.Final = 500.0
 """How long a call that arrives while the process starts waits for a routing table."""
@@ -339,7 +338,7 @@
             avoided_ms=round(avoided_ms),
             limit_per_s=self._limit_per_s(endpoint),
             has_first_event=context.ttfb_ms is not None,
-            parts=context.metadata.shared_parts[:MAX_LOGGED_PARTS],
+            parts=context.logged_parts,
         )
 
     def _limit_per_s(self, endpoint: Endpoint) -> float | None:
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -33,8 +33,12 @@
 MAX_CRASHES: t.Final = 256
 """Most lost calls that are remembered; one crash may lose several."""
 MAX_SERVED_PARTS: t.Final = 16_384
+MAX_SUSPECT_PARTS: t.Final = 8_192
+"""Most parts of lost calls that are remembered, over all of them."""
 MAX_REPORTS: t.Final = 24
 """Most lost calls that one heartbeat reports."""
+MAX_REPORTED_PARTS: t.Final = 512
+"""Most parts of lost calls that one heartbeat reports, over all of them."""
 
 
 class Verdict(enum.Enum):
@@ -183,14 +187,15 @@
 
         The crashes that concern it are remembered for longer.
         """
+        called_parts = frozenset(parts)
         related, matching = [], []
         for crash in self._open_crashes():
             suspect_parts = self._suspect_parts(crash)
-            if suspect_parts.isdisjoint(parts):
+            if suspect_parts.isdisjoint(called_parts):
                 continue
             crash.called_ms = max(crash.called_ms, now_ms)
             related.append(crash)
-            if suspect_parts.issubset(parts):
+            if suspect_parts.issubset(called_parts):
                 matching.append(crash)
         if _weight(matching) >= CRASHES_TO_REJECT:
             return Verdict.POISON
@@ -203,7 +208,13 @@
     def reports(self, now_ms: float) -> list[CrashReport]:
         """Return the latest crashes, to be reported to the peers."""
         latest = sorted(self.crashes.values(), key=lambda crash: -crash.called_ms)
-        return [self._report(now_ms, crash) for crash in latest[:MAX_REPORTS]]
+        reports: list[CrashReport] = []
+        parts_left = MAX_REPORTED_PARTS
+        for crash in latest[:MAX_REPORTS]:
+            if len(crash.parts) <= parts_left:
+                reports.append(self._report(now_ms, crash))
+                parts_left -= len(crash.parts)
+        return reports
 
     def merge(self, now_ms: float, reports: t.Iterable[CrashReport]) -> bool:
         """Add what a peer has reported.
@@ -249,10 +260,15 @@
 
     def _add(self, crash: Crash) -> None:
         self.crashes.setdefault((crash.incarnation, crash.parts), crash)
-        if len(self.crashes) > MAX_CRASHES:
+        while len(self.crashes) > 1 and self._is_full():
             oldest = min(self.crashes, key=lambda key: self.crashes[key].called_ms)
             del self.crashes[oldest]
 
+    def _is_full(self) -> bool:
+        if len(self.crashes) > MAX_CRASHES:
+            return True
+        return sum(len(one.parts) for one in self.crashes.values()) > MAX_SUSPECT_PARTS
+
     def _report(self, now_ms: float, crash: Crash) -> CrashReport:
         parts = sorted(crash.parts)
         answers = [self.served.get(part) for part in parts]
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -1,6 +1,7 @@
 """The platform's own headers of calls and responses."""
 
 import dataclasses
+import hashlib
 import math
 import typing as t
 
@@ -31,9 +32,8 @@
     _RESUME_AFTER,
 )
 _MISDIRECTED_STATUS: t.Final = 421
-MAX_SHARED_PARTS: t.Final = 32
-"""Most shared parts of a prompt that are decoded."""
 MAX_PART_BYTES: t.Final = 64
+"""Longest id of a part that is kept as it is; of longer ones, a digest is kept."""
 NOT_RUN_STATUSES: t.Final = frozenset({408, _MISDIRECTED_STATUS, 429, 503})
 """Statuses that tell a caller that its call has not run and will not run."""
 
@@ -163,10 +163,18 @@
 
 
 def _shared_parts(text: bytes) -> tuple[str, ...]:
-    """Return the ids of all parts of a prompt but the last, which is the call's own."""
-    ids = [entry.partition(b":")[0].strip() for entry in text.split(b",")]
-    shared = [part[:MAX_PART_BYTES] for part in ids[:-1] if part]
-    return tuple(part.decode("latin-1").lower() for part in shared[:MAX_SHARED_PARTS])
+    """Return the ids of all parts of a prompt but the last, which is the call's own.
+
+    Their number is bounded by the size of the header.
+    """
+    ids = [entry.partition(b":")[0].strip().lower() for entry in text.split(b",")]
+    return tuple(_short_id(part) for part in ids[:-1] if part)
+
+
+def _short_id(part: bytes) -> str:
+    if len(part) <= MAX_PART_BYTES:
+        return part.decode("latin-1")
+    return hashlib.blake2b(part, digest_size=MAX_PART_BYTES // 4).hexdigest()
 
 
 def _milliseconds(name: bytes, text: bytes | None) -> float | None:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -20,6 +20,7 @@
 IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 DEADLY_PART = b"dead:40"
 SOUND_PART = b"50d:40"
+MANY_SOUND_PARTS = tuple(b"50d%02x:40" % number for number in range(200))
 MAX_CRASHES = 3
 REJECTED_STATUS = 422
 
@@ -92,6 +93,8 @@
 
 
 class CrashTests(testtools.TestCase):
+    sound_parts = (SOUND_PART,)
+
     def _run(self, work, **fields):
         """Run ``work`` with three entries that are peers, and three servers."""
 
@@ -119,7 +122,7 @@
             response = await entries[n % len(entries)].call(
                 b"/s/x",
                 call_id=b"sound-%s-%d" % (name, n),
-                headers=prefix(SOUND_PART, own),
+                headers=prefix(*self.sound_parts, own),
             )
             statuses.append(response.status)
         return statuses
@@ -129,7 +132,7 @@
             response = await entry.call(
                 b"/s/x",
                 call_id=b"deadly-%s" % name,
-                headers=prefix(SOUND_PART, DEADLY_PART, b"%s:9" % name),
+                headers=prefix(*self.sound_parts, DEADLY_PART, b"%s:9" % name),
             )
         except Exception:  # The stream was cut.
             return None
@@ -159,6 +162,14 @@
         self.assertEqual([REJECTED_STATUS] * 6, deadly[-6:])
         self.assertEqual([200] * 12, sound)
 
+    def test_they_stop_too_if_many_parts_stand_before_the_deadly_one(self):
+        # Review case 5: parts beyond the 32nd weren't read.
+        self.sound_parts = MANY_SOUND_PARTS
+        crashes, deadly, sound = self._run(self._spread_crashes)
+        self.assertLessEqual(crashes, MAX_CRASHES)
+        self.assertEqual([REJECTED_STATUS] * 6, deadly[-6:])
+        self.assertEqual([200] * 12, sound)
+
     def test_they_stop_too_if_no_head_shows_which_call_was_answered(self):
         crashes, deadly, sound = self._run(self._spread_crashes, sends_head=False)
         self.assertLessEqual(crashes, MAX_CRASHES)
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -7,7 +7,9 @@
 from dotterelplank.gateway.probes import Probes
 from dotterelplank.gateway.suspects import (
     MAX_CRASHES,
+    MAX_REPORTED_PARTS,
     MAX_SERVED_PARTS,
+    MAX_SUSPECT_PARTS,
     SERVED_VALIDITY_MS,
     Suspects,
     Verdict,
@@ -113,6 +115,12 @@
         self.assertEqual(MAX_SERVED_PARTS, len(self.suspects.served))
         self.assertEqual(MAX_CRASHES, len(self.suspects.crashes))
 
+    def test_the_number_of_parts_is_bounded(self):
+        for number in range(3):
+            parts = [f"{number}-{part}" for part in range(MAX_SUSPECT_PARTS // 2)]
+            crashed(self.suspects, parts, name=f"e{number}", at_ms=NOW_MS + number)
+        self.assertEqual(2, len(self.suspects.crashes))
+
     def test_a_poison_part_stays_so_while_calls_with_it_come(self):
         crashed(self.suspects, ["bad"])
         crashed(self.suspects, ["bad"], at_ms=NOW_MS + 500.0, name="e2")
@@ -141,6 +149,13 @@
         crashed(self.there, ["bad"], at_ms=NOW_MS + 500.0, name="e2")
         self.assertIs(Verdict.POISON, self.there.judge(NOW_MS + 501.0, ["bad"]))
 
+    def test_a_crash_with_many_parts_leaves_room_for_the_others(self):
+        many = [str(part) for part in range(MAX_REPORTED_PARTS + 1)]
+        crashed(self.here, many, at_ms=NOW_MS + 2.0)
+        crashed(self.here, ["bad"], name="e2")
+        self._report(from_here=True)
+        self.assertIs(Verdict.SUSPECT, self.there.judge(NOW_MS + 9.0, ["bad"]))
+
     def test_a_peer_that_has_served_a_part_clears_it(self):
         self.there.record_served(NOW_MS - 1_000.0, ["rare"])
         crashed(self.here, ["rare"])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -136,6 +136,17 @@
         )
         self.assertEqual((1460, 80), (found.prompt_tokens, found.answer_tokens))
 
+    def test_all_shared_parts_of_a_prompt_are_decoded(self):
+        def shared(*ids):
+            prefix = b",".join(part + b":9" for part in (*ids, b"own"))
+            call = [(b"x-request-id", b"c1"), (b"x-prefix-hash", prefix)]
+            return headers.read_call(call).shared_parts
+
+        ids = [b"%x" % number for number in range(1_000)]
+        self.assertEqual(tuple(part.decode() for part in ids), shared(*ids))
+        long_id = b"a" * headers.MAX_PART_BYTES
+        self.assertEqual(3, len(set(shared(long_id, long_id + b"b", long_id + b"c"))))
+
     def test_a_repeated_or_missing_id_is_refused(self):
         self.assertRaises(RequestError, headers.read_call, [])
         doubled = [*self.CALL, (b"x-request-id", b"9d")]
