Try prompt parts again that are refused for crashing servers

Cause: a rejected part was never sent again, so nothing could clear it, and each call renewed the evidence. Why it works: one call at one server, among all entries, is a trial, 10 s, 40 s and then 10 minutes after the last crash; an answer clears the part, a crash makes the next wait longer. Event 124 names the call's own part, team, route and sizes, and event 120 the parts, to tell what crashing calls have in common.

--- a/src/dotterelplank/gateway/call_context.py
+++ b/src/dotterelplank/gateway/call_context.py
@@ -44,6 +44,7 @@
     :param is_overloaded: whether there are endpoints that could serve the call, so that
         a call without a slot is refused as overload.
     :param refusal: why the call is to be refused although endpoints may have slots.
+    :param refusal_retry_ms: time after which it may be sent; None: it isn't known.
     :param failed_response: an error response, sent to the caller if no retry succeeds.
     """
 
@@ -64,6 +65,7 @@
     is_retry_granted: bool = False
     is_overloaded: bool = False
     refusal: results.Result | None = None
+    refusal_retry_ms: float | None = None
     failed_response: FailedResponse | None = None
 
     @property
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -24,6 +24,7 @@
 from ..platform.listener import LISTEN_BACKLOG
 from ..sequences import new_incarnation
 from . import peers as peering
+from .crashes import CrashReport
 from .feed import Feed
 from .forwarder import Forwarder
 from .host import Address, HostSettings
@@ -32,7 +33,6 @@
 from .server_limits import LimitReport
 from .snapshots import SNAPSHOT_PATH, parse_known
 from .state import EntryState, waiting
-from .suspects import CrashReport
 
 log = logging.getLogger(__name__)
 
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -365,11 +365,17 @@
             return results.DONE
         retry_after_s = None
         if result.http_status == SERVICE_UNAVAILABLE_STATUS:
-            retry_after_s = self.slots.retry_after_s(context)
+            retry_after_s = self._retry_after_s(context)
         headers = wire.local_response_headers(context.metadata.id, retry_after_s)
         context.exchange.respond(result.http_status, headers, b"")
         return result
 
+    def _retry_after_s(self, context: CallContext) -> float:
+        """Return the seconds after which the caller of a refused call should retry."""
+        if context.refusal is not None and context.refusal_retry_ms is not None:
+            return context.refusal_retry_ms / 1000
+        return self.slots.retry_after_s(context)
+
     def _record_result(self, context: CallContext, result: results.Result) -> None:
         now_ms = self._clock()
         total_ms = now_ms - context.arrived_ms
@@ -382,6 +388,8 @@
             request=context.metadata.id.decode("latin-1"),
             route=context.route.name,
             team=None if context.team is None else context.team.name,
+            parts=context.logged_parts,
+            own_part=context.metadata.own_part,
             result=result.number,
             outcome=result.name,
             endpoint=context.endpoint,
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -11,9 +11,9 @@
 
 from ..datagram_codec import Codec
 from ..sequences import Sequence
+from .crashes import CrashReport
 from .revisions import Revision
 from .server_limits import LimitReport
-from .suspects import CrashReport
 
 HEARTBEAT_INTERVAL_MS: t.Final = 250.0
 MIN_SPACING_MS: t.Final = 8.0
--- a/src/dotterelplank/gateway/quarantine.py
+++ b/src/dotterelplank/gateway/quarantine.py
@@ -12,11 +12,12 @@
 from .. import events, results
 from ..http1.client import is_listening
 from .call_context import CallContext
+from .crashes import COMPLETE_EVENTS
 from .directory import Endpoint, by_group
 from .inactivity import Attempt
 from .metrics import EntryMetrics
 from .state import EntryState
-from .suspects import COMPLETE_EVENTS, Verdict
+from .suspects import Judgement, Verdict
 
 log = logging.getLogger(__name__)
 
@@ -66,10 +67,10 @@
 
         :return: whether the call may be sent now.
         """
-        verdict = self._judge(context)
+        verdict = self._judge(context).verdict
         if verdict is Verdict.CLEAR:
             return True
-        if verdict is Verdict.POISON or not self._may_probe(context.service):
+        if verdict is not Verdict.SUSPECT or not self._may_probe(context.service):
             return False
         self._state.probes.own = context.metadata.id
         self._emit(events.SUSPECT_PROBED, context, endpoint)
@@ -103,7 +104,7 @@
     def _record_served(self, now_ms: float, context: CallContext, events: int) -> None:
         parts = context.metadata.shared_parts
         is_news = self._state.suspects.record_served(now_ms, parts, events)
-        if self._judge(context) is Verdict.CLEAR:
+        if self._judge(context).verdict is Verdict.CLEAR:
             self.end(context)
         if is_news:
             self._on_news()
@@ -149,15 +150,18 @@
         """
         now_ms = self._clock()
         until_ms = now_ms + MAX_HOLD_RATIO * (context.deadline_ms - now_ms)
-        while (verdict := self._judge(context)) is Verdict.SUSPECT:
+        while (judgement := self._judge(context)).verdict is Verdict.SUSPECT:
             if await self._is_probe_due(context.service):
                 return None
             if self._clock() >= until_ms:
                 return results.PROMPT_SUSPECT
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
-        if verdict is Verdict.POISON:
+        if judgement.verdict is Verdict.CLEAR:
+            return None
+        context.refusal_retry_ms = judgement.retry_ms
+        if judgement.verdict is Verdict.PROVEN:
             return results.PROMPT_CRASHES_ENDPOINTS
-        return None
+        return results.PROMPT_SUSPECT
 
     async def _is_probe_due(self, service: str) -> bool:
         """Return whether a probe may be sent, and still may after a random delay."""
@@ -166,7 +170,7 @@
         await asyncio.sleep(PROBE_JITTER_MS * self._state.random.random() / 1000)
         return self._may_probe(service)
 
-    def _judge(self, context: CallContext) -> Verdict:
+    def _judge(self, context: CallContext) -> Judgement:
         parts = context.metadata.shared_parts
         return self._state.suspects.judge(self._clock(), parts)
 
@@ -208,7 +212,13 @@
             endpoint=endpoint.id,
             parts=context.logged_parts,
             part_count=len(context.metadata.shared_parts),
-            verdict=self._judge(context).value,
+            own_part=context.metadata.own_part,
+            route=context.route.name,
+            team=None if context.team is None else context.team.name,
+            prompt_tokens=context.metadata.prompt_tokens,
+            answer_tokens=context.metadata.answer_tokens,
+            body_bytes=len(context.call.body),
+            verdict=self._judge(context).verdict.value,
             **fields,
             crashes=len(self._state.suspects.crashes),
             last_crash_ms=None if crash is None else round(now_ms - crash.ended_ms),
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -14,20 +14,29 @@
 import enum
 import typing as t
 
-import pydantic
-
-from ..datagram_codec import name_fields
+from .crashes import (
+    COMPLETE_EVENTS,
+    SERVED_VALIDITY_MS,
+    Crash,
+    CrashKey,
+    CrashReport,
+    Served,
+    further,
+    weight,
+)
 from .directory import Endpoint
 from .head_gaps import HeadGaps
 
-CRASHES_TO_REJECT: t.Final = 2
-"""Crashes, one after the other, after which calls with a part are rejected."""
-SERVED_VALIDITY_MS: t.Final = 30_000.0
-"""Time before a crash in which an answer clears a part."""
-EARLY_EVENTS: t.Final = 2
-"""Events of a lost answer up to which one crash makes the parts of its call suspect."""
-COMPLETE_EVENTS: t.Final = 2**31 - 1
-"""Stands for the events of an answer that came to its end."""
+LIKELY_WEIGHT: t.Final = 2
+"""Weight of the crashes from which calls with a part are refused until a trial."""
+PROVEN_WEIGHT: t.Final = 4
+"""Weight from which callers needn't come back."""
+TRIAL_WAITS_MS: t.Final = {2: 10_000.0, 3: 40_000.0}
+"""Time from a crash until one call with its parts is tried again, by the weight.
+
+Each trial may cost a crash. The users allow five crashes in all before they count.
+"""
+MAX_TRIAL_WAIT_MS: t.Final = 600_000.0
 FORGET_MS: t.Final = 600_000.0
 """Time without a crash or a call after which the evidence on parts is forgotten."""
 MAX_CRASHES: t.Final = 256
@@ -42,86 +51,27 @@
 
 
 class Verdict(enum.Enum):
-    """What is known of the parts of a call."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    POISON = "poison"
+    """What is known of the parts of a call.
 
-
-@dataclasses.dataclass(slots=True)
-class Crash:
-    """The crash of an endpoint with a call that it was answering, or was to answer.
-
-    :param incarnation: id and start of the endpoint.
-    :param events: events of the answer that had come.
-    :param was_answering: whether the endpoint had begun to answer this very call, which
-        makes it the cause of the crash.
-    :param parts: the call's shared parts that weren't cleared.
-    :param sent_ms: time at which the call was sent there.
-    :param ended_ms: time at which its connection ended.
-    :param called_ms: time of the last call, at any entry, with one of the parts.
+    Calls with SUSPECT parts are sent one at a time. Calls whose parts are LIKELY to
+    crash endpoints, or PROVEN to, aren't sent until a trial is due.
     """
 
-    incarnation: str
-    was_answering: bool
-    events: int
-    parts: frozenset[str]
-    sent_ms: float
-    ended_ms: float
-    called_ms: float
-
-    @property
-    def is_early(self) -> bool:
-        """Whether the answer had only just begun, if at all."""
-        return self.events <= EARLY_EVENTS
-
-    @property
-    def clearing_events(self) -> int:
-        """The events of another answer that show that a part wasn't the cause."""
-        return 2 * self.events + 3
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    LIKELY = "likely"
+    PROVEN = "proven"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Served:
-    """How far the answer to a call with a part has come.
+class Judgement:
+    """The verdict on a call's parts.
 
-    :param served_ms: time of its last event.
-    :param events: number of its events; COMPLETE_EVENTS: it came to its end.
+    :param retry_ms: time until a call with these parts may be tried; 0: now.
     """
 
-    served_ms: float
-    events: int
-
-
-CrashKey = tuple[str, frozenset[str]]
-
-
-@pydantic.dataclasses.dataclass(frozen=True, slots=True)
-class CrashReport:
-    """A crash, as an entry reports it to its peers.
-
-    :param events: events of the answer that had come.
-    :param parts: the parts of the call.
-    :param served_age_ms: for each part, the time since the answer to a call with it had
-        its last event at any entry; -1: none is known.
-    :param served_events: for each part, the events of that answer.
-    """
-
-    incarnation: str
-    was_answering: bool
-    events: int
-    sent_age_ms: int
-    ended_age_ms: int
-    called_age_ms: int
-    parts: list[str]
-    served_age_ms: list[int]
-    served_events: list[int]
-
-    @pydantic.model_validator(mode="before")
-    @classmethod
-    def _by_position(cls, values: t.Any) -> t.Any:
-        return name_fields(cls, values)
+    verdict: Verdict
+    retry_ms: float = 0.0
 
 
 @dataclasses.dataclass
@@ -182,7 +132,7 @@
         self._add(crash)
         return crash
 
-    def judge(self, now_ms: float, parts: t.Iterable[str]) -> Verdict:
+    def judge(self, now_ms: float, parts: t.Iterable[str]) -> Judgement:
         """Return the verdict on a call with these parts.
 
         The crashes that concern it are remembered for longer.
@@ -197,9 +147,11 @@
             related.append(crash)
             if suspect_parts.issubset(called_parts):
                 matching.append(crash)
-        if _weight(matching) >= CRASHES_TO_REJECT:
-            return Verdict.POISON
-        return Verdict.SUSPECT if _weight(related) else Verdict.CLEAR
+        if (retry_ms := _trial_due_ms(matching) - now_ms) > 0:
+            is_proven = weight(matching) >= PROVEN_WEIGHT
+            verdict = Verdict.PROVEN if is_proven else Verdict.LIKELY
+            return Judgement(verdict, retry_ms)
+        return Judgement(Verdict.SUSPECT if weight(related) else Verdict.CLEAR)
 
     def last_crash(self) -> Crash | None:
         """Return the latest crash that makes a part suspect; None without any."""
@@ -286,7 +238,7 @@
 
     def _note_served(self, part: str, answer: Served) -> None:
         known = self.served.get(part)
-        self.served[part] = answer if known is None else _further(known, answer)
+        self.served[part] = answer if known is None else further(known, answer)
         self.served.move_to_end(part)
         if len(self.served) > MAX_SERVED_PARTS:
             self.served.popitem(last=False)
@@ -326,30 +278,10 @@
         )
 
 
-def _further(one: Served, other: Served) -> Served:
-    """Return the answer that came further, or the later one if they are far apart."""
-    earlier, later = sorted((one, other), key=lambda answer: answer.served_ms)
-    if later.served_ms - earlier.served_ms > SERVED_VALIDITY_MS:
-        return later
-    return earlier if earlier.events > later.events else later
-
-
-def _weight(crashes: t.Sequence[Crash]) -> int:
-    """Return how strongly crashes point to the parts that their calls share.
-
-    It is the number of crashes that came one after the other: several endpoints that
-    crash at once, as those of one failure domain do, count as one, so a call counts
-    only if it was sent after the crash before. A crash whose endpoint was answering the
-    very call counts as CRASHES_TO_REJECT. If all answers had gone on for some events,
-    one crash is no evidence.
-    """
-    if any(crash.was_answering for crash in crashes):
-        return CRASHES_TO_REJECT
-    found = 0
-    last_ms = float("-inf")
-    for crash in sorted(crashes, key=lambda crash: crash.ended_ms):
-        if crash.sent_ms >= last_ms:
-            found += 1
-            last_ms = crash.ended_ms
-    has_early = any(crash.is_early for crash in crashes)
-    return found if has_early else max(0, found - 1)
+def _trial_due_ms(crashes: t.Sequence[Crash]) -> float:
+    """Return when a call with the parts of all these crashes may be tried again."""
+    found = weight(crashes)
+    if found < LIKELY_WEIGHT:
+        return 0.0
+    last_ms = max(crash.ended_ms for crash in crashes)
+    return last_ms + TRIAL_WAITS_MS.get(found, MAX_TRIAL_WAIT_MS)
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -50,6 +50,8 @@
     :param prompt_tokens: number of tokens in the prompt; 0 if not given.
     :param answer_tokens: maximum number of tokens in the answer; 0 if not given.
     :param shared_parts: ids of the parts of the prompt that other calls may share.
+    :param own_part: id of the last part, which belongs to the call or to its session;
+        None if no parts are given.
     """
 
     id: bytes
@@ -59,6 +61,7 @@
     prompt_tokens: int
     answer_tokens: int
     shared_parts: tuple[str, ...] = ()
+    own_part: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +96,7 @@
     tokens = _single(headers, _TOKENS) or b"0,0"
     prompt, _, answer = tokens.partition(b",")
     resume_after = _single(headers, _RESUME_AFTER)
+    *shared_parts, own_part = _parts(_single(headers, _PREFIX) or b"")
     return CallHeaders(
         id=call_id,
         key=None if key is None else key.decode("latin-1"),
@@ -100,7 +104,8 @@
         resume_after=_integer(resume_after),
         prompt_tokens=_integer(prompt.strip()) or 0,
         answer_tokens=_integer(answer.strip()) or 0,
-        shared_parts=_shared_parts(_single(headers, _PREFIX) or b""),
+        shared_parts=tuple(part for part in shared_parts if part),
+        own_part=own_part or None,
     )
 
 
@@ -162,13 +167,13 @@
     return values[0] if values else None
 
 
-def _shared_parts(text: bytes) -> tuple[str, ...]:
-    """Return the ids of all parts of a prompt but the last, which is the call's own.
+def _parts(text: bytes) -> list[str]:
+    """Return the ids of the parts of a prompt; an empty text has one empty id.
 
     Their number is bounded by the size of the header.
     """
     ids = [entry.partition(b":")[0].strip().lower() for entry in text.split(b",")]
-    return tuple(_short_id(part) for part in ids[:-1] if part)
+    return [_short_id(part) for part in ids]
 
 
 def _short_id(part: bytes) -> str:
