Refuse repeats of a prompt that crashes servers

Cause: the crashing calls were repeats of one prompt, whose last part wasn't evidence; all its shared parts were cleared by sound calls. Ruled out: a whole team or route at fault (five other teams had the first part and were served), sizes (sound calls of the same sizes).

--- a/src/dotterelplank/gateway/call_context.py
+++ b/src/dotterelplank/gateway/call_context.py
@@ -8,6 +8,7 @@
 from ..http1.server import Call, Exchange
 from ..platform.headers import CallHeaders
 from .attempts import History
+from .crashes import Prompt
 from .inactivity import Attempt
 from .streams import EventCursor
 from .tables import Route, Team
@@ -68,10 +69,15 @@
     refusal_retry_ms: float | None = None
     failed_response: FailedResponse | None = None
 
+    @property
+    def prompt(self) -> Prompt:
+        """The parts of the call's prompt."""
+        return self.metadata.prompt
+
     @property
     def logged_parts(self) -> tuple[str, ...]:
         """The first shared parts of the call's prompt, for the log."""
-        return self.metadata.shared_parts[:MAX_LOGGED_PARTS]
+        return self.prompt.shared[:MAX_LOGGED_PARTS]
 
     @property
     def priority(self) -> tuple[int, ...]:
--- a/src/dotterelplank/gateway/crashes.py
+++ b/src/dotterelplank/gateway/crashes.py
@@ -17,6 +17,19 @@
 """Weight of a crash whose endpoint was answering the very call."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """The parts of a call's prompt, by their ids.
+
+    :param shared: parts that other calls may share.
+    :param own: the last part; calls with the same one are repeats of each other, or of
+        one session. None: no parts are known.
+    """
+
+    shared: tuple[str, ...] = ()
+    own: str | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Crash:
     """The crash of an endpoint with a call that it was answering, or was to answer.
@@ -26,6 +39,7 @@
     :param was_answering: whether the endpoint had begun to answer this very call, which
         makes it the cause of the crash.
     :param parts: the call's shared parts that weren't cleared.
+    :param own_part: the call's own part.
     :param sent_ms: time at which the call was sent there.
     :param ended_ms: time at which its connection ended.
     :param called_ms: time of the last call, at any entry, with one of the parts.
@@ -35,10 +49,16 @@
     was_answering: bool
     events: int
     parts: frozenset[str]
+    own_part: str | None
     sent_ms: float
     ended_ms: float
     called_ms: float
 
+    @property
+    def key(self) -> "CrashKey":
+        """What tells this crash from others, and its call from others lost in it."""
+        return self.incarnation, self.parts, self.own_part
+
     @property
     def is_early(self) -> bool:
         """Whether the answer had only just begun, if at all."""
@@ -62,7 +82,7 @@
     events: int
 
 
-CrashKey = tuple[str, frozenset[str]]
+CrashKey = tuple[str, frozenset[str], str | None]
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True)
@@ -70,10 +90,11 @@
     """A crash, as an entry reports it to its peers.
 
     :param events: events of the answer that had come.
-    :param parts: the parts of the call.
-    :param served_age_ms: for each part, the time since the answer to a call with it had
-        its last event at any entry; -1: none is known.
-    :param served_events: for each part, the events of that answer.
+    :param parts: the shared parts of the call that weren't cleared.
+    :param own_part: the call's own part.
+    :param served_age_ms: for each of ``parts`` and the own part, the time since the
+        answer to a call with it had its last event at any entry; -1: none is known.
+    :param served_events: for each of these, the events of that answer.
     """
 
     incarnation: str
@@ -83,6 +104,7 @@
     ended_age_ms: int
     called_age_ms: int
     parts: list[str]
+    own_part: str | None
     served_age_ms: list[int]
     served_events: list[int]
 
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -389,7 +389,7 @@
             route=context.route.name,
             team=None if context.team is None else context.team.name,
             parts=context.logged_parts,
-            own_part=context.metadata.own_part,
+            own_part=context.prompt.own,
             result=result.number,
             outcome=result.name,
             endpoint=context.endpoint,
--- a/src/dotterelplank/gateway/quarantine.py
+++ b/src/dotterelplank/gateway/quarantine.py
@@ -102,8 +102,8 @@
         self._record_served(self._clock(), context, COMPLETE_EVENTS)
 
     def _record_served(self, now_ms: float, context: CallContext, events: int) -> None:
-        parts = context.metadata.shared_parts
-        is_news = self._state.suspects.record_served(now_ms, parts, events)
+        prompt = context.prompt
+        is_news = self._state.suspects.record_served(now_ms, prompt, events)
         if self._judge(context).verdict is Verdict.CLEAR:
             self.end(context)
         if is_news:
@@ -115,7 +115,7 @@
         A lost connection alone is no proof: the endpoint must refuse a new one too, and
         must not have been about to leave.
         """
-        if not context.metadata.shared_parts:
+        if context.prompt.own is None:
             return
         if await is_listening(endpoint.ip, endpoint.port, CRASH_CHECK_TIMEOUT_S):
             return
@@ -127,11 +127,10 @@
 
     def _record_crash(self, context: CallContext, endpoint: Endpoint) -> None:
         now_ms = self._clock()
-        parts = context.metadata.shared_parts
         attempt = t.cast(Attempt, context.attempt)
         has_head = attempt.head_ms is not None
         self._state.suspects.record_crash(
-            now_ms, endpoint, attempt.sent_ms, parts, has_head, attempt.events
+            now_ms, endpoint, attempt.sent_ms, context.prompt, has_head, attempt.events
         )
         self._metrics.count_crash(endpoint.service)
         self._emit(
@@ -171,8 +170,7 @@
         return self._may_probe(service)
 
     def _judge(self, context: CallContext) -> Judgement:
-        parts = context.metadata.shared_parts
-        return self._state.suspects.judge(self._clock(), parts)
+        return self._state.suspects.judge(self._clock(), context.prompt)
 
     def _may_probe(self, service: str) -> bool:
         now_ms = self._clock()
@@ -211,8 +209,8 @@
             request=context.metadata.id.decode("latin-1"),
             endpoint=endpoint.id,
             parts=context.logged_parts,
-            part_count=len(context.metadata.shared_parts),
-            own_part=context.metadata.own_part,
+            part_count=len(context.prompt.shared),
+            own_part=context.prompt.own,
             route=context.route.name,
             team=None if context.team is None else context.team.name,
             prompt_tokens=context.metadata.prompt_tokens,
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -1,8 +1,9 @@
-"""Evidence on prompt parts that crash endpoints, and the verdict on a call's parts.
+"""Evidence on prompts that crash endpoints, and the verdict on a call's prompt.
 
-A part of a prompt may crash each endpoint that begins to answer it. Calls with such a
-part arrive at any entry, so entries tell each other of the crashes that they see, and
-which parts of the lost calls have been served since.
+A part of a prompt, or one prompt as a whole, may crash each endpoint that begins to
+answer it. Calls with such a part, and repeats of such a prompt, arrive at any entry, so
+entries tell each other of the crashes that they see, and which parts of the lost calls
+have been served since.
 
 An endpoint that crashes takes other calls along, and may crash at any stage of the
 answer. A part is cleared if an answer to a call with it, shortly before the crash or
@@ -20,6 +21,7 @@
     Crash,
     CrashKey,
     CrashReport,
+    Prompt,
     Served,
     further,
     weight,
@@ -46,6 +48,8 @@
 """Most parts of lost calls that are remembered, over all of them."""
 MAX_REPORTS: t.Final = 24
 """Most lost calls that one heartbeat reports."""
+REPEAT_REPORT_MS: t.Final = 10_000.0
+"""Time for which a crash is reported that is weak evidence, and on one prompt only."""
 MAX_REPORTED_PARTS: t.Final = 512
 """Most parts of lost calls that one heartbeat reports, over all of them."""
 
@@ -89,24 +93,27 @@
     )
 
     def record_served(
-        self, now_ms: float, parts: t.Sequence[str], events: int = COMPLETE_EVENTS
+        self, now_ms: float, prompt: Prompt, events: int = COMPLETE_EVENTS
     ) -> bool:
         """Record how far the answer to a call has come.
 
         :param events: number of its events; COMPLETE_EVENTS: it came to its end.
         :return: whether this clears a suspect part.
         """
-        suspect_before = self._suspects_among(parts)
-        for part in parts:
+        suspect_before = self._suspects_among(prompt)
+        for part in prompt.shared:
             self._note_served(part, Served(now_ms, events))
-        return bool(suspect_before) and suspect_before != self._suspects_among(parts)
+        own_parts = {crash.own_part for crash in self.crashes.values()}
+        if prompt.own is not None and prompt.own in own_parts:
+            self._note_served(prompt.own, Served(now_ms, events))
+        return bool(suspect_before) and suspect_before != self._suspects_among(prompt)
 
     def record_crash(
         self,
         now_ms: float,
         endpoint: Endpoint,
         sent_ms: float,
-        parts: t.Iterable[str],
+        prompt: Prompt,
         has_head: bool,
         events: int = 0,
     ) -> Crash | None:
@@ -121,37 +128,44 @@
             incarnation=endpoint.incarnation,
             was_answering=is_between and self.head_gaps.are_short(endpoint.service),
             events=events,
-            parts=frozenset(parts),
+            parts=frozenset(prompt.shared),
+            own_part=prompt.own,
             sent_ms=sent_ms,
             ended_ms=now_ms,
             called_ms=now_ms,
         )
         crash.parts = self._suspect_parts(crash)
-        if not crash.parts:
+        if not self._is_open(crash):
             return None
         self._add(crash)
         return crash
 
-    def judge(self, now_ms: float, parts: t.Iterable[str]) -> Judgement:
-        """Return the verdict on a call with these parts.
+    def judge(self, now_ms: float, prompt: Prompt) -> Judgement:
+        """Return the verdict on a call with this prompt.
 
         The crashes that concern it are remembered for longer.
         """
-        called_parts = frozenset(parts)
-        related, matching = [], []
+        shared_parts = frozenset(prompt.shared)
+        related, matching, repeats = [], [], []
         for crash in self._open_crashes():
             suspect_parts = self._suspect_parts(crash)
-            if suspect_parts.isdisjoint(called_parts):
-                continue
-            crash.called_ms = max(crash.called_ms, now_ms)
-            related.append(crash)
-            if suspect_parts.issubset(called_parts):
-                matching.append(crash)
-        if (retry_ms := _trial_due_ms(matching) - now_ms) > 0:
-            is_proven = weight(matching) >= PROVEN_WEIGHT
-            verdict = Verdict.PROVEN if is_proven else Verdict.LIKELY
-            return Judgement(verdict, retry_ms)
-        return Judgement(Verdict.SUSPECT if weight(related) else Verdict.CLEAR)
+            is_related = not suspect_parts.isdisjoint(shared_parts)
+            if is_related:
+                related.append(crash)
+                if suspect_parts.issubset(shared_parts):
+                    matching.append(crash)
+            is_repeat = prompt.own is not None and crash.own_part == prompt.own
+            if is_repeat and not self._was_cleared(prompt.own, crash):
+                repeats.append(crash)
+            if is_related or is_repeat:
+                crash.called_ms = max(crash.called_ms, now_ms)
+        for crashes in (matching, repeats):
+            if (retry_ms := _trial_due_ms(crashes) - now_ms) > 0:
+                is_proven = weight(crashes) >= PROVEN_WEIGHT
+                verdict = Verdict.PROVEN if is_proven else Verdict.LIKELY
+                return Judgement(verdict, retry_ms)
+        is_suspect = weight(related) or weight(repeats) >= LIKELY_WEIGHT
+        return Judgement(Verdict.SUSPECT if is_suspect else Verdict.CLEAR)
 
     def last_crash(self) -> Crash | None:
         """Return the latest crash that makes a part suspect; None without any."""
@@ -162,7 +176,8 @@
         latest = sorted(self.crashes.values(), key=lambda crash: -crash.called_ms)
         reports: list[CrashReport] = []
         parts_left = MAX_REPORTED_PARTS
-        for crash in latest[:MAX_REPORTS]:
+        due = [crash for crash in latest if self._is_report_due(now_ms, crash)]
+        for crash in due[:MAX_REPORTS]:
             if len(crash.parts) <= parts_left:
                 reports.append(self._report(now_ms, crash))
                 parts_left -= len(crash.parts)
@@ -177,11 +192,12 @@
         has_news = False
         for report in reports:
             is_new = self._merge_crash(now_ms, report)
-            if is_new and not self.served.keys().isdisjoint(report.parts):
+            parts = [*report.parts, report.own_part]
+            if is_new and not self.served.keys().isdisjoint(parts):
                 has_news = True
-            answers = zip(report.parts, report.served_age_ms, report.served_events)
+            answers = zip(parts, report.served_age_ms, report.served_events)
             for part, age_ms, events in answers:
-                if age_ms >= 0:
+                if part is not None and age_ms >= 0:
                     self._note_served(part, Served(now_ms - age_ms, events))
         return has_news
 
@@ -197,21 +213,22 @@
             report.was_answering,
             report.events,
             frozenset(report.parts),
+            report.own_part,
             now_ms - report.sent_age_ms,
             now_ms - report.ended_age_ms,
             now_ms - report.called_age_ms,
         )
-        known = self.crashes.get((crash.incarnation, crash.parts))
+        known = self.crashes.get(crash.key)
         if known is not None:
             known.called_ms = max(known.called_ms, crash.called_ms)
             return False
-        if not crash.parts or now_ms - crash.called_ms > FORGET_MS:
+        if now_ms - crash.called_ms > FORGET_MS:
             return False
         self._add(crash)
         return True
 
     def _add(self, crash: Crash) -> None:
-        self.crashes.setdefault((crash.incarnation, crash.parts), crash)
+        self.crashes.setdefault(crash.key, crash)
         while len(self.crashes) > 1 and self._is_full():
             oldest = min(self.crashes, key=lambda key: self.crashes[key].called_ms)
             del self.crashes[oldest]
@@ -223,7 +240,7 @@
 
     def _report(self, now_ms: float, crash: Crash) -> CrashReport:
         parts = sorted(crash.parts)
-        answers = [self.served.get(part) for part in parts]
+        answers = [self.served.get(part) for part in (*parts, crash.own_part)]
         return CrashReport(
             crash.incarnation,
             crash.was_answering,
@@ -232,6 +249,7 @@
             round(now_ms - crash.ended_ms),
             round(now_ms - crash.called_ms),
             parts,
+            crash.own_part,
             [-1 if one is None else round(now_ms - one.served_ms) for one in answers],
             [0 if one is None else one.events for one in answers],
         )
@@ -254,14 +272,28 @@
             part for part in crash.parts if not self._was_cleared(part, crash)
         )
 
-    def _suspects_among(self, parts: t.Sequence[str]) -> frozenset[str]:
-        """Return those of ``parts`` that a crash makes suspect."""
-        return frozenset().union(
-            *(
-                self._suspect_parts(crash).intersection(parts)
-                for crash in self._open_crashes()
-            )
-        )
+    def _is_open(self, crash: Crash) -> bool:
+        """Return whether a crash makes anything in the prompt of its call suspect."""
+        if self._suspect_parts(crash):
+            return True
+        own_part = crash.own_part
+        return own_part is not None and not self._was_cleared(own_part, crash)
+
+    def _is_report_due(self, now_ms: float, crash: Crash) -> bool:
+        if crash.was_answering or self._suspect_parts(crash):
+            return True
+        return now_ms - crash.ended_ms < REPEAT_REPORT_MS
+
+    def _suspects_among(self, prompt: Prompt) -> t.Collection[str]:
+        """Return those parts of a prompt that a crash makes suspect."""
+        found = set()
+        for crash in self._open_crashes():
+            found |= self._suspect_parts(crash).intersection(prompt.shared)
+            own_part = crash.own_part
+            if own_part == prompt.own and own_part is not None:
+                if not self._was_cleared(own_part, crash):
+                    found.add(own_part)
+        return found
 
     def _open_crashes(self) -> t.Iterator[Crash]:
         """Yield the crashes that still make a part suspect.
@@ -269,7 +301,7 @@
         If an endpoint was answering one of the calls that it took along, the others
         aren't the cause.
         """
-        suspect = [one for one in self.crashes.values() if self._suspect_parts(one)]
+        suspect = [one for one in self.crashes.values() if self._is_open(one)]
         explained = {one.incarnation for one in suspect if one.was_answering}
         return (
             crash
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from ..errors import RequestError
+from ..gateway.crashes import Prompt
 from ..http1.messages import Headers, header, is_number, without
 
 _ID = b"x-request-id"
@@ -49,9 +50,7 @@
         not given.
     :param prompt_tokens: number of tokens in the prompt; 0 if not given.
     :param answer_tokens: maximum number of tokens in the answer; 0 if not given.
-    :param shared_parts: ids of the parts of the prompt that other calls may share.
-    :param own_part: id of the last part, which belongs to the call or to its session;
-        None if no parts are given.
+    :param prompt: the parts of the prompt.
     """
 
     id: bytes
@@ -60,8 +59,7 @@
     resume_after: int | None
     prompt_tokens: int
     answer_tokens: int
-    shared_parts: tuple[str, ...] = ()
-    own_part: str | None = None
+    prompt: Prompt = Prompt()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,8 +102,7 @@
         resume_after=_integer(resume_after),
         prompt_tokens=_integer(prompt.strip()) or 0,
         answer_tokens=_integer(answer.strip()) or 0,
-        shared_parts=tuple(part for part in shared_parts if part),
-        own_part=own_part or None,
+        prompt=Prompt(tuple(part for part in shared_parts if part), own_part or None),
     )
 
 
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -101,6 +101,7 @@
 
 class CrashTests(testtools.TestCase):
     sound_parts = (SOUND_PART,)
+    is_own_part_deadly = False
 
     def _run(self, work, **fields):
         """Run ``work`` with three entries that are peers, and three servers."""
@@ -136,11 +137,14 @@
         return statuses
 
     async def _deadly_call(self, entry, name):
+        parts = [*self.sound_parts, DEADLY_PART]
+        if not self.is_own_part_deadly:
+            parts.append(b"%s:9" % name)
         try:
             response = await entry.call(
                 b"/s/x",
                 call_id=b"deadly-%s" % name,
-                headers=prefix(*self.sound_parts, DEADLY_PART, b"%s:9" % name),
+                headers=prefix(*parts),
             )
         except Exception:  # The stream was cut.
             return None
@@ -201,6 +205,17 @@
         self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
         self.assertEqual([200] * 12, sound)
 
+    def test_repeats_of_a_deadly_prompt_stop_crashing_servers(self):
+        # The users' deadly day: all shared parts are sound, one prompt comes often.
+        self.is_own_part_deadly = True
+        for sends_head in (True, False):
+            crashes, deadly, sound = self._run(
+                self._spread_crashes, sends_head=sends_head
+            )
+            self.assertLessEqual(crashes, MAX_CRASHES)
+            self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
+            self.assertEqual([200] * 12, sound)
+
     def test_they_stop_too_if_no_head_shows_which_call_was_answered(self):
         crashes, deadly, sound = self._run(self._spread_crashes, sends_head=False)
         self.assertLessEqual(crashes, MAX_CRASHES)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -140,7 +140,7 @@
         def shared(*ids):
             prefix = b",".join(part + b":9" for part in (*ids, b"own"))
             call = [(b"x-request-id", b"c1"), (b"x-prefix-hash", prefix)]
-            return headers.read_call(call).shared_parts
+            return headers.read_call(call).prompt.shared
 
         ids = [b"%x" % number for number in range(1_000)]
         self.assertEqual(tuple(part.decode() for part in ids), shared(*ids))
