Refuse calls that may not end before a stop, and answer what still runs

Callers saw: calls that came late in the grace of a planned stop were passed on and cut at its end without an answer, unsafe ones among them. Why it works: a call that may run only once is refused if its deadline is past the end; others by the longest time of late. The rest gets 502 (result 411) or 503 as is true. Ruled out: closing earlier for all, which refuses calls of milliseconds as well.

--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -148,16 +148,15 @@
     async def _drain(self) -> None:
         """Answer the calls in progress, within the time for a stop."""
         began_ms = boottime_ms()
-        self.state.is_stopping = True
+        bound_ms = self.state.host.bounds.stop_ms - STOP_MARGIN_MS
+        self.state.stop_due_ms = began_ms + bound_ms
         self._caller_server.stop()
         self._heartbeat()
         events.emit(
             log, events.PROCESS_STOPPING, in_progress=self._caller_server.in_progress()
         )
-        bound_ms = self.state.host.bounds.stop_ms - STOP_MARGIN_MS
         while (spent_ms := boottime_ms() - began_ms) < bound_ms:
             if spent_ms >= min(BALANCER_NOTICE_MS, bound_ms / 2):
-                # A call that begins now might not end within the time for a stop.
                 self.state.is_closed = True
                 self._caller_server.close_idle()
                 if not self._caller_server.in_progress():
@@ -167,6 +166,8 @@
             events.emit(
                 log, events.STOP_BOUND_REACHED, cut=self._caller_server.in_progress()
             )
+            self._forwarder.end_calls()
+            await asyncio.sleep(TICK_MS / 1000)
         self._caller_server.close_all()
         await asyncio.sleep(TICK_MS / 1000)
 
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -29,13 +29,15 @@
 from .sender import Sender
 from .slots import SlotAllocator
 from .state import EntryState, directory_age_ms
-from .tables import pick_target
+from .tables import Route, pick_target
 
 log = logging.getLogger(__name__)
 
 OTHER_ENTRY_RETRY_MS: t.Final = 100.0
 """Retry time for a caller whose call another entry can serve."""
 SERVICE_UNAVAILABLE_STATUS: t.Final = 503
+HOLD_MARGIN_RATIO: t.Final = 1.5
+"""Factor on the longest time that calls took of late, as some take longer."""
 MAX_FIRST_READ_WAIT_MS: t.Final = 500.0
 """How long a call that arrives while the process starts waits for a routing table."""
 
@@ -72,6 +74,7 @@
             on_limit_changed=on_news,
         )
         self._in_flight: dict[int, CallContext] = {}
+        self._timeouts: dict[int, tuple[CallContext, asyncio.Timeout]] = {}
 
     async def handle(self, call: Call, exchange: Exchange) -> None:
         """Answer one call; the task is cancelled when the caller disconnects."""
@@ -131,6 +134,10 @@
         timeout_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             timeout_ms = min(timeout_ms, metadata.deadline_ms)
+        deadline_ms = now_ms + timeout_ms
+        if not self._may_end_in_time(now_ms, deadline_ms, route):
+            self._refuse_early(exchange, metadata.id, results.STOPPING, "")
+            return None
         return CallContext(
             call=call,
             exchange=exchange,
@@ -139,9 +146,26 @@
             service=pick_target(route, self._state.random.random()),
             team=team,
             arrived_ms=now_ms,
-            deadline_ms=now_ms + timeout_ms,
+            deadline_ms=deadline_ms,
         )
 
+    def _may_end_in_time(self, now_ms: float, deadline_ms: float, route: Route) -> bool:
+        """Return whether a call can be expected to end before a stop of the process.
+
+        A call that may run only once must be sure to: it can't be sent again elsewhere.
+        """
+        due_ms = self._state.stop_due_ms
+        if due_ms is None or deadline_ms <= due_ms:
+            return True
+        if not route.is_idempotent:
+            return False
+        services = [target.service for target in route.targets]
+        longest_ms = self._state.loads.longest_hold_ms
+        if any(service not in longest_ms for service in services):
+            return False
+        expected_ms = max(longest_ms[service] for service in services)
+        return now_ms + expected_ms * HOLD_MARGIN_RATIO <= due_ms
+
     def _refuse_early(
         self, exchange: Exchange, call_id: bytes, result: results.Result, why: str
     ) -> None:
@@ -163,11 +187,23 @@
         )
 
     async def _forward(self, context: CallContext) -> results.Result:
+        remaining_ms = context.deadline_ms - self._clock()
         try:
-            async with asyncio.timeout((context.deadline_ms - self._clock()) / 1000):
+            async with asyncio.timeout(remaining_ms / 1000) as timeout:
+                self._timeouts[id(context)] = context, timeout
                 return await self._send_until_answered(context)
         except TimeoutError:
-            return self._abandon(context, is_past_deadline=True)
+            is_past_deadline = context.refusal is not results.STOPPING
+            return self._abandon(context, is_past_deadline=is_past_deadline)
+        finally:
+            del self._timeouts[id(context)]
+
+    def end_calls(self) -> None:
+        """Answer the calls in progress with what is known of them."""
+        now_s = asyncio.get_running_loop().time()
+        for context, timeout in self._timeouts.values():
+            context.refusal = results.STOPPING
+            timeout.reschedule(now_s)
 
     async def _send_until_answered(self, context: CallContext) -> results.Result:
         while True:
@@ -353,8 +389,11 @@
             is_past_deadline=is_past_deadline,
             is_overloaded=context.is_overloaded,
         )
-        if context.refusal is not None and result.outcome is results.Outcome.NOT_RUN:
+        is_not_run = result.outcome is results.Outcome.NOT_RUN
+        if context.refusal is not None and is_not_run:
             result = context.refusal
+        elif context.refusal is results.STOPPING:
+            result = results.STOPPED_AFTER_START
         if context.exchange.has_begun:
             context.exchange.abort()
             return results.STREAM_CUT
--- a/src/dotterelplank/gateway/loads.py
+++ b/src/dotterelplank/gateway/loads.py
@@ -23,6 +23,8 @@
 """Error responses in a row that open an endpoint's breaker."""
 FULL_OPEN_MS: t.Final = 40.0
 """How long the breaker of an endpoint that reported itself full is open."""
+LONGEST_DECAY_RATIO: t.Final = 0.99
+"""The part of the longest time that remains with each further call."""
 SMOOTHING_RATIO: t.Final = 0.1
 """Weight of a new value in a moving average."""
 
@@ -74,6 +76,7 @@
     :param consecutive_errors: error responses in a row, by endpoint id.
     :param slot_hold_ms: moving average of the time that a call holds its slot, by
         service.
+    :param longest_hold_ms: longest time that a call held its slot of late, by service.
     :param ttfb_ms: moving average of the time from the send of a call to the first part
         of its response, by service.
     """
@@ -93,6 +96,7 @@
         default_factory=collections.Counter
     )
     slot_hold_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    longest_hold_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     ttfb_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def in_flight_at(self, endpoint_id: str) -> int:
@@ -126,8 +130,10 @@
             del self.own_in_flight[endpoint_id]
 
     def record_slot_hold(self, service: str, duration_ms: float) -> None:
-        """Add the time that a call held its slot to the moving average."""
+        """Record the time that a call held its slot."""
         _update_average(self.slot_hold_ms, service, duration_ms)
+        longest_ms = self.longest_hold_ms.get(service, 0.0) * LONGEST_DECAY_RATIO
+        self.longest_hold_ms[service] = max(duration_ms, longest_ms)
 
     def record_ttfb(self, service: str, duration_ms: float) -> None:
         """Add the time until the first part of a response to the moving average."""
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -31,7 +31,8 @@
         peer has sent its snapshot.
     :param entries: number of entries that are alive, this one included.
     :param entry_names: names of the entries that are alive and aren't stopping.
-    :param is_stopping: whether the process was asked to stop; calls are still served.
+    :param stop_due_ms: time by which a stopping process has to have answered all calls;
+        None: it isn't stopping.
     :param is_closed: whether calls are refused, as the process is about to exit.
     """
 
@@ -57,9 +58,14 @@
     first_read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     entries: int = 1
     entry_names: tuple[str, ...] = ()
-    is_stopping: bool = False
+    stop_due_ms: float | None = None
     is_closed: bool = False
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process was asked to stop; some calls are still served."""
+        return self.stop_due_ms is not None
+
     @property
     def retry_policy(self) -> retry_budget.RetryPolicy:
         """The limit on retries for all entries together."""
--- a/src/dotterelplank/results.py
+++ b/src/dotterelplank/results.py
@@ -276,3 +276,10 @@
     499,
     "The caller left before its answer was whole; no answer was sent.",
 )
+STOPPED_AFTER_START = _define(
+    411,
+    "stopped-after-start",
+    Outcome.UNKNOWN,
+    502,
+    "This host had to stop before the endpoint answered the request.",
+)
