Keep calls from servers that say they leave, or want a pause

Leaving binds at once, for that start of the server, and peers are told in heartbeats; an answer with 421 comes from another server and says nothing. A pause holds for this entry alone, by its own clock; if all endpoints want one, callers are refused at once with the least.

--- a/src/dotterelplank/events.py
+++ b/src/dotterelplank/events.py
@@ -155,6 +155,19 @@
     "A server named another limit on the requests of all entries; -1: it names none.",
 )
 
+ENDPOINT_LEAVING = _define(
+    127,
+    "endpoint-leaving",
+    logging.INFO,
+    "A server said in an answer that it leaves; it gets no more calls.",
+)
+ENDPOINT_PAUSED = _define(
+    128,
+    "endpoint-paused",
+    logging.INFO,
+    "A server that refused a call wants none from this entry for a time.",
+)
+
 # 130: the platform
 PLATFORM_READ_FAILED = _define(
     130,
--- a/src/dotterelplank/gateway/admission.py
+++ b/src/dotterelplank/gateway/admission.py
@@ -21,6 +21,8 @@
 MAX_RETRY_AFTER_MS: t.Final = 2_500.0
 MAX_RETRY_AFTER_RATIO: t.Final = 0.32
 """The part of their remaining time up to which callers observe a Retry-After time."""
+PAUSE_JITTER_RATIO: t.Final = 0.1
+"""The largest part that jitter adds to the time until a pause of an endpoint ends."""
 OUTAGE_JITTER_RATIO: t.Final = 0.3
 """The largest part of the retry time in an outage that jitter subtracts."""
 
@@ -60,7 +62,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoUsableEndpoint:
-    """No endpoint can take the call, which is refused at once."""
+    """No endpoint can take the call, which is refused at once.
+
+    :param pause_ms: the least time for which an endpoint wants no calls, if that is why
+        none can take this one; None: there are other reasons.
+    """
+
+    pause_ms: float | None = None
 
 
 Decision = Admitted | AtCapacity | NoUsableEndpoint
@@ -76,6 +84,7 @@
     concurrency_limits: ConcurrencyLimits,
     opening: t.Collection[GroupKey] = (),
     limit_waits_ms: t.Mapping[str, float] = NO_WAITS,
+    pauses_ms: t.Mapping[str, float] = NO_WAITS,
 ) -> Decision:
     """Decide where a call may be sent: to the least loaded endpoint with a free slot.
 
@@ -91,18 +100,23 @@
     :param opening: the groups that are about to open.
     :param limit_waits_ms: time until this entry may send to endpoints that limit their
         requests, by id; endpoints that it may send to now are left out.
+    :param pauses_ms: time for which endpoints still want no calls from this entry, by
+        id; others are left out.
     :return: the endpoint, or that no endpoint has a free slot or that none is usable.
     """
     listed = directory.of_service(call.service)
-    usable = [
+    candidates = [
         endpoint
         for endpoint in listed
-        if endpoint.id not in call.tried
-        and endpoint.group not in opening
-        and not _open_for_ms(now_ms, endpoint, loads)
+        if endpoint.id not in call.tried and endpoint.group not in opening
+    ]
+    usable = [
+        endpoint
+        for endpoint in candidates
+        if endpoint.id not in pauses_ms and not _open_for_ms(now_ms, endpoint, loads)
     ]
     if not usable:
-        return NoUsableEndpoint()
+        return NoUsableEndpoint(_least_pause_ms(candidates, pauses_ms))
     saturated = _saturated_groups(listed, loads, concurrency_limits)
     free = [
         endpoint
@@ -117,10 +131,10 @@
         )
         return AtCapacity(wait_ms)
     lowest = min(_load_key(endpoint, loads, domain) for endpoint in free)
-    candidates = [
+    least_loaded = [
         endpoint for endpoint in free if _load_key(endpoint, loads, domain) == lowest
     ]
-    return Admitted(candidates[int(call.draw * len(candidates))])
+    return Admitted(least_loaded[int(call.draw * len(least_loaded))])
 
 
 def expected_wait_ms(
@@ -193,6 +207,25 @@
     )
 
 
+def _least_pause_ms(
+    candidates: t.Sequence[Endpoint], pauses_ms: t.Mapping[str, float]
+) -> float | None:
+    """Return the least of the endpoints' pauses; None unless all want one."""
+    waits_ms = [pauses_ms.get(endpoint.id) for endpoint in candidates]
+    known_ms = [wait_ms for wait_ms in waits_ms if wait_ms is not None]
+    is_all = len(known_ms) == len(candidates)
+    return min(known_ms, default=None) if is_all else None
+
+
+def pause_retry_after_ms(pause_ms: float, draw: float) -> float:
+    """Return the time after which to retry a service whose endpoints want a pause.
+
+    :param pause_ms: the least time for which one of them wants no calls.
+    :param draw: random number, uniform in [0, 1).
+    """
+    return pause_ms * (1 + PAUSE_JITTER_RATIO * draw)
+
+
 def _saturated_groups(
     listed: t.Iterable[Endpoint], loads: Loads, concurrency_limits: ConcurrencyLimits
 ) -> t.Collection[GroupKey]:
--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -7,6 +7,8 @@
 
 MISSING_GRACE_MS: t.Final = 2_000.0
 """How long an endpoint is still used that went missing during a store outage."""
+MAX_LEAVING: t.Final = 4_096
+"""Most starts of servers that are remembered as leaving."""
 LEAVE_MARGIN_MS: t.Final = 250.0
 """Time reserved for calls on their way to a server that leaves."""
 
@@ -95,6 +97,8 @@
         was no update yet.
     :param missing_since_ms: since when an endpoint has been missing from the list, by
         id; expire() removes it after a grace period.
+    :param leaving: starts of servers that have said in an answer that they leave, the
+        oldest first. Only a new start of a server undoes that.
     :param _newest_by_address: cache of _newest_at_addresses(); None: it is outdated.
     """
 
@@ -103,8 +107,30 @@
     revision: Revision = FIRST
     updated_ms: float | None = None
     missing_since_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    leaving: dict[str, None] = dataclasses.field(default_factory=dict)
     _newest_by_address: dict[tuple[str, int], str] | None = None
 
+    def note_leaving(self, incarnation: str) -> bool:
+        """Record that a server has said that it leaves; return whether that is new."""
+        if incarnation in self.leaving:
+            return False
+        self.leaving[incarnation] = None
+        if len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        return True
+
+    def takes_calls(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint takes new calls, as far as is known."""
+        return not endpoint.is_draining and endpoint.incarnation not in self.leaving
+
+    def leaving_listed(self) -> list[str]:
+        """Return the starts of servers that leave while the list doesn't say so."""
+        return [
+            endpoint.incarnation
+            for endpoint in self.endpoints.values()
+            if not endpoint.is_draining and endpoint.incarnation in self.leaving
+        ]
+
     def apply(self, now_ms: float, change: EndpointChange) -> bool:
         """Apply one change, unless a newer one was applied.
 
@@ -204,7 +230,7 @@
             endpoint
             for endpoint in self.endpoints.values()
             if endpoint.service == service
-            and not endpoint.is_draining
+            and self.takes_calls(endpoint)
             and newest[endpoint.ip, endpoint.port] == endpoint.id
         ]
 
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import random
 import signal
@@ -46,6 +47,15 @@
 """Time within which the platform's load balancer notices that an entry isn't ready."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reports:
+    """What one heartbeat tells of servers."""
+
+    crashes: list[CrashReport]
+    limits: list[LimitReport]
+    leaving: list[str]
+
+
 class Entry:
     """An entry on its event loop.
 
@@ -204,6 +214,7 @@
         self.state.loads.expire(now_ms)
         self.state.suspects.expire(now_ms)
         self.state.server_limits.expire(now_ms)
+        self.state.pauses.expire(now_ms)
         alive = self._peers.alive()
         self.state.entries = 1 + len(alive)
         own = () if self.state.is_stopping else (self.state.host.name,)
@@ -237,17 +248,21 @@
         self._heartbeat_timer = loop.call_later(due_ms / 1000, self._heartbeat)
 
     def _on_news(self) -> None:
-        """Tell the peers at once of suspect prompt parts and of servers' limits."""
+        """Tell the peers at once of prompts, or of what servers have said."""
         self._reported_ms = -peering.HEARTBEAT_INTERVAL_MS
         self._heartbeat()
 
-    def _reports(self, now_ms: float) -> tuple[list[CrashReport], list[LimitReport]]:
-        """Return the crashes and limits for a heartbeat; often none are due."""
+    def _reports(self, now_ms: float) -> _Reports:
+        """Return what a heartbeat tells of servers; often nothing is due."""
         if now_ms - self._reported_ms < peering.HEARTBEAT_INTERVAL_MS:
-            return [], []
+            return _Reports([], [], [])
         self._reported_ms = now_ms
         state = self.state
-        return state.suspects.reports(now_ms), state.server_limits.reports(now_ms)
+        return _Reports(
+            state.suspects.reports(now_ms),
+            state.server_limits.reports(now_ms),
+            state.directory.leaving_listed(),
+        )
 
     def _heartbeat(self) -> None:
         if self._heartbeat_timer is not None:
@@ -259,7 +274,7 @@
         self._heartbeat_ms = now_ms
         self._heartbeats += 1
         state, host = self.state, self.state.host
-        crashes, limits = self._reports(now_ms)
+        reports = self._reports(now_ms)
         data = peering.CODEC.encode(
             peering.Heartbeat(
                 name=host.name,
@@ -276,8 +291,9 @@
                 is_leaving=state.is_stopping,
                 store_age_ms=self._feed.age_ms(now_ms),
                 is_probing=state.probes.own is not None,
-                crashes=crashes,
-                limits=limits,
+                crashes=reports.crashes,
+                limits=reports.limits,
+                leaving=reports.leaving,
             )
         )
         for ip in self._peers.destinations(now_ms, host.seeds):
@@ -317,7 +333,7 @@
     def _on_peer_news(
         self, now_ms: float, heartbeat: peering.Heartbeat, *, is_new: bool
     ) -> None:
-        """Add what a peer knows of crashes and limits; tell it what it lacks."""
+        """Add what a peer knows of servers; tell it what it lacks."""
         state = self.state
         for incarnation in state.server_limits.merge(now_ms, heartbeat.limits):
             events.emit(
@@ -327,6 +343,14 @@
                 per_s=state.server_limits.limits[incarnation].per_s,
                 peer=heartbeat.name,
             )
+        for incarnation in heartbeat.leaving:
+            if state.directory.note_leaving(incarnation):
+                events.emit(
+                    log,
+                    events.ENDPOINT_LEAVING,
+                    endpoint=incarnation.partition("@")[0],
+                    peer=heartbeat.name,
+                )
         state.probes.on_heartbeat(now_ms, heartbeat.ip, heartbeat.is_probing)
         has_news = state.suspects.merge(now_ms, heartbeat.crashes)
         if is_new and (state.suspects.crashes or state.server_limits.limits):
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -47,8 +47,8 @@
 
     :param clock: returns the current time in milliseconds.
     :param on_load_changed: called after the number of calls in progress has changed.
-    :param on_news: called when peers are to be told of suspect prompt parts, or of a
-        server's limit.
+    :param on_news: called when peers are to be told of suspect prompt parts, of a
+        server's limit, or that a server leaves.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
             on_success=self.slots.mark_available,
             on_event=self.quarantine.record_event,
             on_complete=self.quarantine.record_complete,
-            on_limit_changed=on_news,
+            on_endpoint_news=on_news,
         )
         self._in_flight: dict[int, CallContext] = {}
         self._timeouts: dict[int, tuple[CallContext, asyncio.Timeout]] = {}
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -54,9 +54,10 @@
         from others; -1: it knows nothing.
     :param is_probing: whether the sender has a probe with suspect prompt parts in
         progress.
-    :param crashes: crashes that are evidence on prompt parts. These and the limits are
-        left out of heartbeats that follow each other closely.
+    :param crashes: crashes that are evidence on prompt parts. These, and the following,
+        are left out of heartbeats that follow each other closely.
     :param limits: limits that servers have named, or that have ended.
+    :param leaving: starts of servers that have said in an answer that they leave.
     """
 
     name: str
@@ -75,6 +76,7 @@
     is_probing: bool = False
     crashes: list[CrashReport] = dataclasses.field(default_factory=list)
     limits: list[LimitReport] = dataclasses.field(default_factory=list)
+    leaving: list[str] = dataclasses.field(default_factory=list)
 
 
 FORMAT: t.Final = "entry/5"
--- a/src/dotterelplank/gateway/quarantine.py
+++ b/src/dotterelplank/gateway/quarantine.py
@@ -120,7 +120,7 @@
         if await is_listening(endpoint.ip, endpoint.port, CRASH_CHECK_TIMEOUT_S):
             return
         listed = self._state.directory.endpoints.get(endpoint.id)
-        if listed is None or listed.is_draining:
+        if listed is None or not self._state.directory.takes_calls(listed):
             return
         if listed.incarnation == endpoint.incarnation:
             self._record_crash(context, endpoint)
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -62,7 +62,8 @@
 
     :param clock: returns the current time in milliseconds.
     :param on_success: called with each endpoint that begins a successful response.
-    :param on_limit_changed: called when an endpoint has named another limit.
+    :param on_endpoint_news: called when an endpoint has named another limit, or has
+        said that it leaves.
     :param on_event: called with a call for each event of its answer.
     :param on_complete: called with a call when its answer came to its end.
     """
@@ -75,7 +76,7 @@
         on_success: t.Callable[[Endpoint], None],
         on_event: t.Callable[[CallContext], None],
         on_complete: t.Callable[[CallContext], None],
-        on_limit_changed: t.Callable[[], None],
+        on_endpoint_news: t.Callable[[], None],
     ) -> None:
         self._state = state
         self._clock = clock
@@ -83,7 +84,7 @@
         self._on_success = on_success
         self._on_event = on_event
         self._on_complete = on_complete
-        self._on_limit_changed = on_limit_changed
+        self._on_endpoint_news = on_endpoint_news
         self._pools: dict[tuple[str, int], Pool] = {}
 
     def close(self) -> None:
@@ -201,7 +202,7 @@
             return
         limits, name = self._state.server_limits, endpoint.incarnation
         if limits.record_answer(self._clock(), name, per_s):
-            self._on_limit_changed()
+            self._on_endpoint_news()
             events.emit(
                 log,
                 events.ENDPOINT_LIMIT_CHANGED,
@@ -209,6 +210,24 @@
                 per_s=limits.limits[name].per_s,
             )
 
+    def _record_notices(
+        self, endpoint: Endpoint, metadata: wire.ResponseHeaders
+    ) -> None:
+        """Record that an endpoint leaves, or that it wants a pause."""
+        name = endpoint.incarnation
+        if metadata.is_leaving and self._state.directory.note_leaving(name):
+            self._on_endpoint_news()
+            events.emit(log, events.ENDPOINT_LEAVING, endpoint=endpoint.id)
+        pause_ms = metadata.pause_ms
+        if pause_ms is not None:
+            if self._state.pauses.record(self._clock(), name, pause_ms):
+                events.emit(
+                    log,
+                    events.ENDPOINT_PAUSED,
+                    endpoint=endpoint.id,
+                    pause_ms=round(pause_ms),
+                )
+
     async def _matching_response(
         self,
         context: CallContext,
@@ -224,6 +243,7 @@
                 raise UpstreamError(f"status {head.status} without an id", sent=True)
             if metadata.id is None or metadata.id == context.metadata.id:
                 self._record_limit(endpoint, metadata)
+                self._record_notices(endpoint, metadata)
                 return head, metadata
             self._metrics.count_stray_response()
             await connection.skip_response()
--- a/src/dotterelplank/gateway/slots.py
+++ b/src/dotterelplank/gateway/slots.py
@@ -100,6 +100,7 @@
             state.concurrency_limits,
             state.openings_due_ms(now_ms, service),
             state.limit_waits_ms(now_ms, service),
+            state.pauses_ms(now_ms, service),
         )
 
     def retry_after_s(self, context: CallContext) -> float:
@@ -110,6 +111,8 @@
         decision = self.choose(now_ms, context.service, frozenset())
         draw = state.random.random()
         if isinstance(decision, admission.NoUsableEndpoint):
+            if decision.pause_ms is not None:
+                return admission.pause_retry_after_ms(decision.pause_ms, draw) / 1000
             return admission.outage_retry_after_ms(remaining_ms, draw) / 1000
         usable = state.directory.of_service(context.service)
         calls_ahead = len(state.queue_of(context.service).waiting)
--- a/src/dotterelplank/gateway/state.py
+++ b/src/dotterelplank/gateway/state.py
@@ -13,6 +13,7 @@
 from .limit_shares import LimitShares
 from .loads import Loads
 from .openings import Openings
+from .pauses import Pauses
 from .probes import Probes
 from .server_limits import ServerLimits
 from .suspects import Suspects
@@ -46,6 +47,7 @@
     suspects: Suspects = dataclasses.field(default_factory=Suspects)
     server_limits: ServerLimits = dataclasses.field(default_factory=ServerLimits)
     limit_shares: LimitShares = dataclasses.field(default_factory=LimitShares)
+    pauses: Pauses = dataclasses.field(default_factory=Pauses)
     probes: Probes = dataclasses.field(default_factory=Probes)
     progress: Progress = dataclasses.field(default_factory=Progress)
     concurrency_limits: ConcurrencyLimits = dataclasses.field(
@@ -108,6 +110,19 @@
         }
         return {name: wait_ms for name, wait_ms in waits_ms.items() if wait_ms > 0}
 
+    def pauses_ms(self, now_ms: float, service: str) -> t.Mapping[str, float]:
+        """Return the times for which endpoints still want no calls, by id.
+
+        Endpoints that want calls are left out.
+        """
+        if not self.pauses.until_ms:
+            return {}
+        pauses_ms = {
+            endpoint.id: self.pauses.remaining_ms(now_ms, endpoint.incarnation)
+            for endpoint in self.directory.of_service(service)
+        }
+        return {name: pause_ms for name, pause_ms in pauses_ms.items() if pause_ms > 0}
+
     def is_ready(self) -> bool:
         """Return whether callers should be routed to this entry."""
         is_informed = self.table is not None and self.directory.updated_ms is not None
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -23,6 +23,9 @@
 _PREFIX = b"x-prefix-hash"
 _FAULTY_ENDPOINT = b"at-server"
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_LEAVING_VALUE = b"1"
+_RETRY_AFTER = b"retry-after"
 
 _SET_BY_ENTRY: t.Final = (
     _API_KEY,
@@ -33,6 +36,7 @@
     _RESUME_AFTER,
 )
 _MISDIRECTED_STATUS: t.Final = 421
+_UNAVAILABLE_STATUS: t.Final = 503
 MAX_PART_BYTES: t.Final = 64
 """Longest id of a part that is kept as it is; of longer ones, a digest is kept."""
 NOT_RUN_STATUSES: t.Final = frozenset({408, _MISDIRECTED_STATUS, 429, 503})
@@ -73,6 +77,9 @@
         None if there is none.
     :param limit_per_s: requests a second that the endpoint takes from all entries
         together; None if it names no limit.
+    :param is_leaving: whether the endpoint is about to leave.
+    :param pause_ms: time for which the endpoint wants no calls from this entry; None if
+        it names none.
     """
 
     id: bytes | None
@@ -80,6 +87,8 @@
     not_run: bool
     faulty_endpoint: str | None
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_ms: float | None = None
 
 
 def read_call(headers: Headers) -> CallHeaders:
@@ -135,6 +144,11 @@
 def read_response(status: int, headers: Headers) -> ResponseHeaders:
     """Decode the headers of an endpoint's response."""
     faulty_endpoint = header(headers, _FAULTY_ENDPOINT)
+    # Another server at the address of the expected one answers with 421.
+    is_expected = status != _MISDIRECTED_STATUS
+    pause_s = None
+    if status == _UNAVAILABLE_STATUS:
+        pause_s = _positive(header(headers, _RETRY_AFTER))
     return ResponseHeaders(
         id=header(headers, _ID),
         has_proof=bool(header(headers, _SIGNATURE)),
@@ -142,7 +156,9 @@
         faulty_endpoint=(
             None if faulty_endpoint is None else faulty_endpoint.decode("latin-1")
         ),
-        limit_per_s=_limit(header(headers, _LIMIT)),
+        limit_per_s=_positive(header(headers, _LIMIT)),
+        is_leaving=is_expected and header(headers, _LEAVING) == _LEAVING_VALUE,
+        pause_ms=None if pause_s is None else pause_s * 1000,
     )
 
 
@@ -153,7 +169,7 @@
     """
     found = [(_ID, call_id)]
     if retry_after_s is not None:
-        found.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+        found.append((_RETRY_AFTER, f"{retry_after_s:.3f}".encode()))
     return found
 
 
@@ -191,8 +207,8 @@
     return value
 
 
-def _limit(text: bytes | None) -> float | None:
-    """Return a limit in requests a second; a malformed one counts as none."""
+def _positive(text: bytes | None) -> float | None:
+    """Return a number that isn't negative; a malformed one counts as none."""
     try:
         value = math.nan if text is None else float(text)
     except ValueError:
