Follow the store to the address that changed settings name

Cause: the store's client kept the address of the start, at entries and at agents. Why it works: the client asks for the address with each call, and connects anew if it has changed. Agents read their settings again before they look for members. group_world.py's stand-in for the client takes the address as the client does now.

--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -74,7 +74,7 @@
         self._clock = clock
         self._metrics = metrics
         self._on_change = on_change
-        self._client = StoreClient(state.host.store)
+        self._client = StoreClient(lambda: state.host.store)
         self._server_items: dict[str, Item] = {}
         self._configuration: Item | None = None
         self._freshness = Freshness()
--- a/src/dotterelplank/platform/process.py
+++ b/src/dotterelplank/platform/process.py
@@ -36,7 +36,7 @@
     if listener is not None:
         # Agents serve no callers.
         listener.close()
-    await Agent(host, port).run()
+    await Agent(host, port, settings.load).run()
 
 
 _ROLES: t.Final = {"agent": _run_agent, "entry": _run_entry}
--- a/src/dotterelplank/platform/store.py
+++ b/src/dotterelplank/platform/store.py
@@ -69,11 +69,15 @@
 
 
 class StoreClient:
-    """A client of the store with a persistent connection and one call at a time."""
+    """A client of the store with a persistent connection and one call at a time.
 
-    def __init__(self, address: Address) -> None:
+    :param address: returns the store's address, which may change between calls.
+    """
+
+    def __init__(self, address: t.Callable[[], Address]) -> None:
         self._address = address
         self._connection: EndpointConnection | None = None
+        self._connected_to: Address | None = None
         self.calls = 0
 
     async def item(self, key: str) -> ReadResult:
@@ -166,15 +170,15 @@
         return _Response(status, era, result)
 
     async def _call(self, target: bytes) -> tuple[int, Headers, bytes]:
-        connection = self._connection
-        if connection is None or not connection.is_usable:
+        connection, address = self._connection, self._address()
+        is_moved = address != self._connected_to
+        if connection is None or is_moved or not connection.is_usable:
             self.close()
-            store_address = self._address
             connection = await connect(
-                store_address.ip, store_address.port, CONNECT_TIMEOUT_MS / 1000
+                address.ip, address.port, CONNECT_TIMEOUT_MS / 1000
             )
-            self._connection = connection
-        host = (b"host", str(self._address).encode())
+            self._connection, self._connected_to = connection, address
+        host = (b"host", str(address).encode())
         connection.send(Request(b"GET", target, [host], b""))
         head = await connection.head()
         body = await read_body(connection, MAX_RESPONSE_BYTES)
--- a/src/dotterelplank/ranks/agent.py
+++ b/src/dotterelplank/ranks/agent.py
@@ -50,7 +50,12 @@
     :param metrics_port: port at which metrics are served; ``None`` to serve none.
     """
 
-    def __init__(self, host: HostSettings, metrics_port: int | None = None) -> None:
+    def __init__(
+        self,
+        host: HostSettings,
+        metrics_port: int | None = None,
+        reload: t.Callable[[], HostSettings] | None = None,
+    ) -> None:
         self._host = host
         self._metrics_port = metrics_port
         self.metrics = AgentMetrics()
@@ -66,7 +71,9 @@
         self._is_lost = False
         self._planned_ms = 0.0
         self._membership = Membership(host.link_mbps)
-        self._lookup = Lookup(host, self._group, self._membership, self._send)
+        self._lookup = Lookup(
+            host, self._group, self._membership, self._send, reload or (lambda: host)
+        )
         self._reporter = Reporter(
             host,
             self._incarnation,
--- a/src/dotterelplank/ranks/lookup.py
+++ b/src/dotterelplank/ranks/lookup.py
@@ -1,13 +1,14 @@
 """The lookup of a service's members, from the platform's store or from other agents."""
 
 import asyncio
+import dataclasses
 import logging
 import random
 import typing as t
 
 from .. import events
 from ..clocks import boottime_ms
-from ..errors import UpstreamError
+from ..errors import SettingsError, UpstreamError
 from ..gateway.host import HostSettings
 from ..platform.members import read_members
 from ..platform.store import StoreClient
@@ -37,6 +38,7 @@
 class Lookup:
     """Keeps an agent's knowledge of the members of its service up to date.
 
+    :param reload: reads the settings again and returns them.
     :param send: sends a message to the agent at an address and returns the message's
         size in bytes.
     """
@@ -47,12 +49,14 @@
         group: Group,
         membership: Membership,
         send: t.Callable[[str, t.Any], int],
+        reload: t.Callable[[], HostSettings],
     ) -> None:
         self._host = host
         self._group = group
         self._membership = membership
         self._send = send
-        self._store = StoreClient(host.store)
+        self._reload = reload
+        self._store = StoreClient(lambda: self._host.store)
         self._random = random.Random()
         self._interval_ms = INTERVAL_MS
 
@@ -115,7 +119,17 @@
             return INCOMPLETE_INTERVAL_MS
         return min(self._interval_ms * BACKOFF_FACTOR, MAX_INTERVAL_MS)
 
+    def _reload_settings(self) -> None:
+        """Take over the address of the store, which may have changed."""
+        try:
+            store = self._reload().store
+        except SettingsError as error:
+            events.emit(log, events.SETTINGS_REFUSED, why=str(error))
+            return
+        self._host = dataclasses.replace(self._host, store=store)
+
     async def _read(self) -> None:
+        self._reload_settings()
         timeout_ms = self._random.uniform(*TIMEOUT_RANGE_MS)
         try:
             async with asyncio.timeout(timeout_ms / 1000):
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -156,7 +156,7 @@
     """A replacement for one host's client of the platform's store."""
 
     def __init__(self, address: Address) -> None:
-        self.rank = address.port
+        self.rank = address().port
 
     def close(self) -> None:
         pass
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -312,7 +312,7 @@
 
     async def run():
         async with listening(store) as port:
-            client = StoreClient(Address("127.0.0.1", port))
+            client = StoreClient(lambda: Address("127.0.0.1", port))
             try:
                 return await work(store, client)
             finally:
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -84,6 +84,10 @@
                 self.fail(f"a response that was reset is whole after {end} bytes")
 
 
+def _store_client(address):
+    return StoreClient(lambda: address)
+
+
 class PlatformTests(testtools.TestCase):
     """The clients of the store and of ranks read with the same client."""
 
@@ -123,7 +127,7 @@
         async def read(client):
             return await client.range("op/")
 
-        self._assert_only_whole(self._read_cut(body, StoreClient, read))
+        self._assert_only_whole(self._read_cut(body, _store_client, read))
 
     def test_a_rank(self):
         body = b'{"step": 7, "epoch": 1, "counts": [1, 2, 3, 4]}'
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -2,14 +2,25 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import json
 import signal
 
 import testtools
 from entry_process import free_ports, is_ready, running_entry, wait_until
-from platform_standin import ServiceStandin, StoreStandin, configuration, listening
+from platform_standin import (
+    ServiceStandin,
+    StoreStandin,
+    configuration,
+    listening,
+    route,
+)
 
 from dotterelplank.http1.messages import header
 
+SYNC_S = 2.0
+"""``config_sync_ms`` of the deployments."""
+
 
 class PathTests(testtools.TestCase):
     def _run(self, work, *faults):
@@ -196,6 +207,26 @@
 
         self.assertEqual((200, True), self._run(work, ""))
 
+    def test_changed_settings_move_the_stores_client(self):
+        # Review case 4: entries went on calling the old address for good.
+        async def work(entry, store, server):
+            moved = dataclasses.replace(
+                store, values=dict(store.values), log=list(store.log)
+            )
+            kept = route("safe", "/q/", "safe")
+            async with listening(moved) as port:
+                settings = json.loads(entry.path.read_text())
+                settings["platform"]["address"] = f"127.0.0.1:{port}"
+                entry.path.write_text(json.dumps(settings))
+                entry.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.2)
+                store.fault = "busy"
+                moved.put("op/config", configuration(version=9, routes=[kept]))
+                await asyncio.sleep(SYNC_S)
+                return (await entry.call(b"/u/x")).status
+
+        self.assertEqual(404, self._run(work, ""))
+
     def test_an_entry_without_the_platform_gets_a_snapshot_from_a_peer(self):
         async def run():
             store, disconnected = StoreStandin(), StoreStandin(fault="busy")
