--- a/src/dotterelplank/gateway/call_context.py
+++ b/src/dotterelplank/gateway/call_context.py
@@ -1,5 +1,6 @@
 """The state of one call while an entry handles it."""
 
+import asyncio
 import dataclasses
 import typing as t
 
@@ -41,6 +42,8 @@
     :param cursor: the position in the call's event stream.
     :param endpoint: id of the endpoint that the call was sent to last.
     :param attempt: the last attempt; None: the call hasn't been sent yet.
+    :param timeout: ends the call at its deadline, or when it is rescheduled; None: the
+        call hasn't been forwarded yet.
     :param is_retry_granted: whether the retry budget has already granted another send.
     :param is_overloaded: whether there are endpoints that could serve the call, so that
         a call without a slot is refused as overload.
@@ -63,6 +66,7 @@
     cursor: EventCursor = dataclasses.field(default_factory=EventCursor)
     endpoint: str = ""
     attempt: Attempt | None = None
+    timeout: asyncio.Timeout | None = None
     is_retry_granted: bool = False
     is_overloaded: bool = False
     refusal: results.Result | None = None
--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -74,7 +74,7 @@
             on_endpoint_news=on_news,
         )
         self._in_flight: dict[int, CallContext] = {}
-        self._timeouts: dict[int, tuple[CallContext, asyncio.Timeout]] = {}
+        self._active: dict[int, CallContext] = {}
 
     async def handle(self, call: Call, exchange: Exchange) -> None:
         """Answer one call; the task is cancelled when the caller disconnects."""
@@ -150,9 +150,10 @@
         )
 
     def _may_end_in_time(self, now_ms: float, deadline_ms: float, route: Route) -> bool:
-        """Return whether a call can be expected to end before a stop of the process.
+        """Return whether a call will end before the process stops, if it is stopping.
 
-        A call that may run only once must be sure to: it can't be sent again elsewhere.
+        A call that may run only once must be sure to end, as it can't be sent elsewhere
+        then; others are expected to if calls of the service did of late.
         """
         due_ms = self._state.stop_due_ms
         if due_ms is None or deadline_ms <= due_ms:
@@ -189,21 +190,21 @@
     async def _forward(self, context: CallContext) -> results.Result:
         remaining_ms = context.deadline_ms - self._clock()
         try:
-            async with asyncio.timeout(remaining_ms / 1000) as timeout:
-                self._timeouts[id(context)] = context, timeout
+            async with asyncio.timeout(remaining_ms / 1000) as context.timeout:
+                self._active[id(context)] = context
                 return await self._send_until_answered(context)
         except TimeoutError:
             is_past_deadline = context.refusal is not results.STOPPING
             return self._abandon(context, is_past_deadline=is_past_deadline)
         finally:
-            del self._timeouts[id(context)]
+            self._active.pop(id(context), None)
 
     def end_calls(self) -> None:
         """Answer the calls in progress with what is known of them."""
         now_s = asyncio.get_running_loop().time()
-        for context, timeout in self._timeouts.values():
+        for context in self._active.values():
             context.refusal = results.STOPPING
-            timeout.reschedule(now_s)
+            t.cast(asyncio.Timeout, context.timeout).reschedule(now_s)
 
     async def _send_until_answered(self, context: CallContext) -> results.Result:
         while True:
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -145,27 +145,36 @@
 
         The crashes that concern it are remembered for longer.
         """
+        related, matching, repeats = self._crashes_of(prompt)
+        for crash in (*related, *repeats):
+            crash.called_ms = max(crash.called_ms, now_ms)
+        for crashes in (matching, repeats):
+            if (retry_ms := _trial_due_ms(crashes) - now_ms) > 0:
+                is_proven = weight(crashes) >= PROVEN_WEIGHT
+                verdict = Verdict.PROVEN if is_proven else Verdict.LIKELY
+                return Judgement(verdict, retry_ms)
+        is_suspect = weight(related) or weight(repeats) >= LIKELY_WEIGHT
+        return Judgement(Verdict.SUSPECT if is_suspect else Verdict.CLEAR)
+
+    def _crashes_of(
+        self, prompt: Prompt
+    ) -> tuple[list[Crash], list[Crash], list[Crash]]:
+        """Return the crashes that concern a prompt.
+
+        :return: those with a suspect part that the prompt has too, those of them whose
+            suspect parts it all has, and those with the same own part.
+        """
         shared_parts = frozenset(prompt.shared)
         related, matching, repeats = [], [], []
         for crash in self._open_crashes():
             suspect_parts = self._suspect_parts(crash)
-            is_related = not suspect_parts.isdisjoint(shared_parts)
-            if is_related:
+            if not suspect_parts.isdisjoint(shared_parts):
                 related.append(crash)
                 if suspect_parts.issubset(shared_parts):
                     matching.append(crash)
-            is_repeat = prompt.own is not None and crash.own_part == prompt.own
-            if is_repeat and not self._was_cleared(prompt.own, crash):
+            if crash.own_part == prompt.own and self._is_own_part_suspect(crash):
                 repeats.append(crash)
-            if is_related or is_repeat:
-                crash.called_ms = max(crash.called_ms, now_ms)
-        for crashes in (matching, repeats):
-            if (retry_ms := _trial_due_ms(crashes) - now_ms) > 0:
-                is_proven = weight(crashes) >= PROVEN_WEIGHT
-                verdict = Verdict.PROVEN if is_proven else Verdict.LIKELY
-                return Judgement(verdict, retry_ms)
-        is_suspect = weight(related) or weight(repeats) >= LIKELY_WEIGHT
-        return Judgement(Verdict.SUSPECT if is_suspect else Verdict.CLEAR)
+        return related, matching, repeats
 
     def last_crash(self) -> Crash | None:
         """Return the latest crash that makes a part suspect; None without any."""
@@ -240,7 +249,7 @@
 
     def _report(self, now_ms: float, crash: Crash) -> CrashReport:
         parts = sorted(crash.parts)
-        answers = [self.served.get(part) for part in (*parts, crash.own_part)]
+        answers = [self.served.get(part) for part in (*parts, crash.own_part or "")]
         return CrashReport(
             crash.incarnation,
             crash.was_answering,
@@ -274,8 +283,9 @@
 
     def _is_open(self, crash: Crash) -> bool:
         """Return whether a crash makes anything in the prompt of its call suspect."""
-        if self._suspect_parts(crash):
-            return True
+        return bool(self._suspect_parts(crash)) or self._is_own_part_suspect(crash)
+
+    def _is_own_part_suspect(self, crash: Crash) -> bool:
         own_part = crash.own_part
         return own_part is not None and not self._was_cleared(own_part, crash)
 
@@ -286,13 +296,11 @@
 
     def _suspects_among(self, prompt: Prompt) -> t.Collection[str]:
         """Return those parts of a prompt that a crash makes suspect."""
-        found = set()
+        found: set[str] = set()
         for crash in self._open_crashes():
             found |= self._suspect_parts(crash).intersection(prompt.shared)
-            own_part = crash.own_part
-            if own_part == prompt.own and own_part is not None:
-                if not self._was_cleared(own_part, crash):
-                    found.add(own_part)
+            if crash.own_part == prompt.own and self._is_own_part_suspect(crash):
+                found.add(t.cast(str, crash.own_part))
         return found
 
     def _open_crashes(self) -> t.Iterator[Crash]:
--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -153,11 +153,11 @@
             return None
         part = bytearray(event.data)
         while self._events_in_turn < MAX_EVENTS_PER_TURN:
-            event = self._take_event()
-            if not isinstance(event, h11.Data):
-                self._unread_event = event
+            following = self._take_event()
+            if not isinstance(following, h11.Data):
+                self._unread_event = following
                 break
-            part += event.data
+            part += following.data
         return bytes(part)
 
     async def skip_body(self) -> bool:
--- a/src/dotterelplank/http1/responses.py
+++ b/src/dotterelplank/http1/responses.py
@@ -97,9 +97,7 @@
                 raise UpstreamError(f"invalid response: {error}", sent=True) from error
             if event is h11.NEED_DATA and self._feed():
                 continue
-            if event in (h11.NEED_DATA, h11.PAUSED):
-                return None
-            return None if isinstance(event, h11.ConnectionClosed) else event
+            return event if isinstance(event, ResponseEvent) else None
 
     def next_response(self, request: Request) -> "ResponseParser":
         """Return a parser of the data after this response, for the same request."""
--- a/src/dotterelplank/http1/server.py
+++ b/src/dotterelplank/http1/server.py
@@ -280,8 +280,9 @@
             if not self._process_next_event():
                 self._resume_reading()
                 return
-        self._transport.pause_reading()
-        self._loop.call_soon(self._process_input)
+        if self._transport is not None:
+            self._transport.pause_reading()
+            self._loop.call_soon(self._process_input)
 
     def _process_next_event(self) -> bool:
         """Parse and process one event; return whether to read the next one."""
--- a/tests/gateway_breaks.py
+++ b/tests/gateway_breaks.py
@@ -1,4 +1,4 @@
-"""Mutations of the gateway's decisions on poison parts, limits, and odd answers.
+"""Mutations of the gateway's decisions on prompts, notices, limits, and odd answers.
 
 ``breaks.py`` runs them.
 """
@@ -10,6 +10,9 @@
 CHOICE = "tests/test_gateway_limits.py::ChooseTests"
 STRAY = "tests/test_gateway_stray_answers.py::RepeatedRefusalTests"
 STREAMS = "tests/test_gateway_broken_streams.py::BrokenStreamTests"
+REPEATS = "tests/test_gateway_suspects.py::RepeatTests"
+LEAVING = "tests/test_gateway_notices.py::DirectoryTests"
+PAUSES = "tests/test_gateway_notices.py::PauseTests"
 CRASHES = "tests/test_gateway_crashes.py::CrashTests"
 
 
@@ -18,7 +21,7 @@
     return (
         make(
             "endpoints that crash together count each",
-            "gateway/suspects",
+            "gateway/crashes",
             "if crash.sent_ms >= last_ms:",
             "if True:",
             f"{VERDICTS}::test_endpoints_that_crash_together_count_once",
@@ -26,14 +29,14 @@
         make(
             "a part that a peer has served stays suspect",
             "gateway/suspects",
-            "self._note_served(part, now_ms - age_ms)",
+            "self._note_served(part, Served(now_ms - age_ms, events))",
             "pass",
             f"{SHARED}::test_a_peer_that_has_served_a_part_clears_it",
         ),
         make(
             "a call with one of several suspect parts is rejected",
             "gateway/suspects",
-            "if suspect_parts.issubset(called_parts):",
+            "if suspect_parts.issubset(shared_parts):",
             "if True:",
             f"{VERDICTS}::test_only_calls_with_all_parts_in_question_are_rejected",
         ),
@@ -48,10 +51,42 @@
         make(
             "calls with parts that are likely to crash endpoints are sent",
             "gateway/suspects",
-            "if (retry_ms := _trial_due_ms(matching) - now_ms) > 0:",
+            "if (retry_ms := _trial_due_ms(crashes) - now_ms) > 0:",
             "if (retry_ms := 0.0):",
             f"{CRASHES}::test_calls_with_a_deadly_part_stop_crashing_servers",
         ),
+        make(
+            "a first event clears a part",
+            "gateway/crashes",
+            "return 2 * self.events + 3",
+            "return 1",
+            f"{VERDICTS}::"
+            "test_a_part_that_crashes_servers_after_some_events_is_found",
+        ),
+        make(
+            "repeats of a prompt are no evidence",
+            "gateway/suspects",
+            "return own_part is not None and not self._was_cleared(own_part, crash)",
+            "return False",
+            f"{REPEATS}::"
+            "test_repeats_are_refused_after_two_crashes_and_no_other_call_is",
+        ),
+        make(
+            "a server that leaves gets calls while its record comes again",
+            "gateway/directory",
+            "return not endpoint.is_draining and "
+            "endpoint.incarnation not in self.leaving",
+            "return not endpoint.is_draining",
+            f"{LEAVING}::"
+            "test_a_server_that_leaves_stays_so_when_its_record_comes_again",
+        ),
+        make(
+            "a shorter pause ends a longer one",
+            "gateway/pauses",
+            "if now_ms + pause_ms <= self.until_ms.get(incarnation, now_ms):",
+            "if False:",
+            f"{PAUSES}::test_a_pause_counts_down_and_a_shorter_one_doesn_t_end_it",
+        ),
         make(
             "each entry keeps the whole limit",
             "gateway/limit_shares",
