--- a/src/dotterelplank/gateway/crashes.py
+++ b/src/dotterelplank/gateway/crashes.py
@@ -59,6 +59,12 @@
         """What tells this crash from others, and its call from others lost in it."""
         return self.incarnation, self.parts, self.own_part
 
+    def concerns(self, prompt: Prompt) -> bool:
+        """Return whether the lost call's prompt has a part in common with another."""
+        if self.own_part is not None and self.own_part == prompt.own:
+            return True
+        return not self.parts.isdisjoint(prompt.shared)
+
     @property
     def is_early(self) -> bool:
         """Whether the answer had only just begun, if at all."""
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -164,8 +164,12 @@
         :return: those with a suspect part that the prompt has too, those of them whose
             suspect parts it all has, and those with the same own part.
         """
+        related: list[Crash] = []
+        matching: list[Crash] = []
+        repeats: list[Crash] = []
+        if not self._is_concerned(prompt):
+            return related, matching, repeats
         shared_parts = frozenset(prompt.shared)
-        related, matching, repeats = [], [], []
         for crash in self._open_crashes():
             suspect_parts = self._suspect_parts(crash)
             if not suspect_parts.isdisjoint(shared_parts):
@@ -281,6 +285,10 @@
             part for part in crash.parts if not self._was_cleared(part, crash)
         )
 
+    def _is_concerned(self, prompt: Prompt) -> bool:
+        """Return whether any crash may concern a prompt; mostly none does."""
+        return any(crash.concerns(prompt) for crash in self.crashes.values())
+
     def _is_open(self, crash: Crash) -> bool:
         """Return whether a crash makes anything in the prompt of its call suspect."""
         return bool(self._suspect_parts(crash)) or self._is_own_part_suspect(crash)
@@ -297,6 +305,8 @@
     def _suspects_among(self, prompt: Prompt) -> t.Collection[str]:
         """Return those parts of a prompt that a crash makes suspect."""
         found: set[str] = set()
+        if not self._is_concerned(prompt):
+            return found
         for crash in self._open_crashes():
             found |= self._suspect_parts(crash).intersection(prompt.shared)
             if crash.own_part == prompt.own and self._is_own_part_suspect(crash):
