--- a/tests/gateway_breaks.py
+++ b/tests/gateway_breaks.py
@@ -43,8 +43,8 @@
         make(
             "an early head counts as an answer",
             "gateway/suspects",
-            "was_answering=is_between and self.head_gaps.are_short(endpoint.service)",
-            "was_answering=is_between",
+            "was_answering=is_between and self.head_gaps.are_short(endpoint.service),",
+            "was_answering=is_between,",
             f"{VERDICTS}::"
             "test_a_head_shows_nothing_if_heads_come_long_before_events",
         ),
