--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -164,6 +164,13 @@
         sound = await self._sound_calls(entries, b"after", 12)
         return sum(server.crashes for server in servers), deadly, sound
 
+    def _assert_calls_are_refused(self, found):
+        """Check what _spread_crashes() returned: deadly calls end up refused."""
+        crashes, deadly, sound = found
+        self.assertLessEqual(crashes, MAX_CRASHES)
+        self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
+        self.assertEqual([200] * 12, sound)
+
     def test_a_part_is_served_again_once_the_servers_are_sound(self):
         # Two servers crashed with the only calls of a rare part in hand: calls with it
         # were rejected for good.
@@ -185,39 +192,27 @@
         self.assertEqual(set(), {*statuses} - known)
 
     def test_calls_with_a_deadly_part_stop_crashing_servers(self):
-        crashes, deadly, sound = self._run(self._spread_crashes)
-        self.assertLessEqual(crashes, MAX_CRASHES)
-        self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
-        self.assertEqual([200] * 12, sound)
+        self._assert_calls_are_refused(self._run(self._spread_crashes))
 
     def test_they_stop_too_if_servers_crash_after_the_first_event(self):
         # Review case 2: a crash in the middle of an answer is evidence as well.
-        crashes, deadly, sound = self._run(self._spread_crashes, sends_event=True)
-        self.assertLessEqual(crashes, MAX_CRASHES)
-        self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
-        self.assertEqual([200] * 12, sound)
+        self._assert_calls_are_refused(
+            self._run(self._spread_crashes, sends_event=True)
+        )
 
     def test_they_stop_too_if_many_parts_stand_before_the_deadly_one(self):
         # Review case 5: parts beyond the 32nd weren't read.
         self.sound_parts = MANY_SOUND_PARTS
-        crashes, deadly, sound = self._run(self._spread_crashes)
-        self.assertLessEqual(crashes, MAX_CRASHES)
-        self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
-        self.assertEqual([200] * 12, sound)
+        self._assert_calls_are_refused(self._run(self._spread_crashes))
 
     def test_repeats_of_a_deadly_prompt_stop_crashing_servers(self):
         # The users' deadly day: all shared parts are sound, one prompt comes often.
         self.is_own_part_deadly = True
         for sends_head in (True, False):
-            crashes, deadly, sound = self._run(
-                self._spread_crashes, sends_head=sends_head
-            )
-            self.assertLessEqual(crashes, MAX_CRASHES)
-            self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
-            self.assertEqual([200] * 12, sound)
+            found = self._run(self._spread_crashes, sends_head=sends_head)
+            self._assert_calls_are_refused(found)
 
     def test_they_stop_too_if_no_head_shows_which_call_was_answered(self):
-        crashes, deadly, sound = self._run(self._spread_crashes, sends_head=False)
-        self.assertLessEqual(crashes, MAX_CRASHES)
-        self.assertEqual([REFUSED_STATUS] * 6, deadly[-6:])
-        self.assertEqual([200] * 12, sound)
+        self._assert_calls_are_refused(
+            self._run(self._spread_crashes, sends_head=False)
+        )
