Say once how many events a turn parses, and name what verdicts rest on

Read as a newcomer: the bound on a turn stood in client and server; reading bodies was a second concern of the client (now http1/bodies.py); a verdict's evidence was three bare lists; _positive took zero; one constant was both a count and a stride, so its name says checkpoint.

--- a/src/dotterelplank/gateway/quarantine.py
+++ b/src/dotterelplank/gateway/quarantine.py
@@ -27,8 +27,9 @@
 CHECK_INTERVAL_MS: t.Final = 20.0
 PROBE_JITTER_MS: t.Final = 150.0
 """Longest random delay before a probe, so that entries don't send theirs at once."""
-MAX_RECORDED_EVENTS: t.Final = 8
-"""First events of an answer that are recorded one by one; of later ones, some are."""
+CHECKPOINT_EVENTS: t.Final = 8
+"""The first events of an answer are recorded one by one up to this number, and then at
+each multiple of it."""
 MAX_RECOVERY_MS: t.Final = 10_000.0
 """Time after a crash from which a probe doesn't wait for a recovery any more."""
 
@@ -225,4 +226,4 @@
 
 def _is_checkpoint(count: int) -> bool:
     """Return whether the progress of an answer is recorded at this event."""
-    return count <= MAX_RECORDED_EVENTS or count % MAX_RECORDED_EVENTS == 0
+    return count <= CHECKPOINT_EVENTS or count % CHECKPOINT_EVENTS == 0
--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -5,16 +5,10 @@
 
 from .. import events
 from ..errors import UpstreamError
-from ..http1.client import (
-    EndpointConnection,
-    Pool,
-    Request,
-    ResponseHead,
-    connect,
-    is_fragmented,
-    read_body,
-)
+from ..http1.bodies import is_fragmented, read_body
+from ..http1.client import EndpointConnection, Pool, ResponseHead, connect
 from ..http1.messages import end_to_end, is_event_stream
+from ..http1.responses import Request
 from ..platform import headers as wire
 from .attempts import (
     MIN_FAILURE_STATUS,
--- a/src/dotterelplank/gateway/snapshots.py
+++ b/src/dotterelplank/gateway/snapshots.py
@@ -8,7 +8,9 @@
 
 from ..compression import inflate
 from ..errors import UpstreamError
-from ..http1.client import Request, read_body, temporary_connection
+from ..http1.bodies import read_body
+from ..http1.client import temporary_connection
+from ..http1.responses import Request
 from ..platform import published
 from ..platform.store import Item
 from .host import Address
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -78,6 +78,20 @@
     retry_ms: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Evidence:
+    """The crashes that concern a prompt.
+
+    :param related: those with a suspect part that the prompt has too.
+    :param matching: those of them whose suspect parts the prompt has all.
+    :param repeats: those whose lost call had the same own part.
+    """
+
+    related: list[Crash] = dataclasses.field(default_factory=list)
+    matching: list[Crash] = dataclasses.field(default_factory=list)
+    repeats: list[Crash] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass
 class Suspects:
     """The crashes that are known here, and the parts that have been served.
@@ -145,40 +159,32 @@
 
         The crashes that concern it are remembered for longer.
         """
-        related, matching, repeats = self._crashes_of(prompt)
-        for crash in (*related, *repeats):
+        evidence = self._evidence_on(prompt)
+        for crash in (*evidence.related, *evidence.repeats):
             crash.called_ms = max(crash.called_ms, now_ms)
-        for crashes in (matching, repeats):
+        for crashes in (evidence.matching, evidence.repeats):
             if (retry_ms := _trial_due_ms(crashes) - now_ms) > 0:
                 is_proven = weight(crashes) >= PROVEN_WEIGHT
                 verdict = Verdict.PROVEN if is_proven else Verdict.LIKELY
                 return Judgement(verdict, retry_ms)
-        is_suspect = weight(related) or weight(repeats) >= LIKELY_WEIGHT
-        return Judgement(Verdict.SUSPECT if is_suspect else Verdict.CLEAR)
-
-    def _crashes_of(
-        self, prompt: Prompt
-    ) -> tuple[list[Crash], list[Crash], list[Crash]]:
-        """Return the crashes that concern a prompt.
+        if weight(evidence.related) or weight(evidence.repeats) >= LIKELY_WEIGHT:
+            return Judgement(Verdict.SUSPECT)
+        return Judgement(Verdict.CLEAR)
 
-        :return: those with a suspect part that the prompt has too, those of them whose
-            suspect parts it all has, and those with the same own part.
-        """
-        related: list[Crash] = []
-        matching: list[Crash] = []
-        repeats: list[Crash] = []
+    def _evidence_on(self, prompt: Prompt) -> _Evidence:
+        evidence = _Evidence()
         if not self._is_concerned(prompt):
-            return related, matching, repeats
+            return evidence
         shared_parts = frozenset(prompt.shared)
         for crash in self._open_crashes():
             suspect_parts = self._suspect_parts(crash)
             if not suspect_parts.isdisjoint(shared_parts):
-                related.append(crash)
+                evidence.related.append(crash)
                 if suspect_parts.issubset(shared_parts):
-                    matching.append(crash)
+                    evidence.matching.append(crash)
             if crash.own_part == prompt.own and self._is_own_part_suspect(crash):
-                repeats.append(crash)
-        return related, matching, repeats
+                evidence.repeats.append(crash)
+        return evidence
 
     def last_crash(self) -> Crash | None:
         """Return the latest crash that makes a part suspect; None without any."""
--- a/src/dotterelplank/http1/client.py
+++ b/src/dotterelplank/http1/client.py
@@ -12,17 +12,14 @@
 import h11
 
 from ..errors import UpstreamError
-from .messages import Headers, header, keep_alive_ms
+from .bodies import ByteBudget
+from .messages import MAX_EVENTS_PER_TURN, Headers, header, keep_alive_ms
 from .responses import Request, ResponseEvent, ResponseParser
 
 MAX_UNREAD_BYTES: t.Final = 64 * 1024
 """Received data that isn't parsed yet, from which reading is paused."""
-MAX_EVENTS_PER_TURN: t.Final = 64
-"""The most parsed events (chunks of a body, above all) in one turn of the loop."""
 MAX_BODIES_BYTES: t.Final = 16 * 1024 * 1024
 """Largest bodies, together, that are read from one server at once."""
-MIN_PARTS_LIMIT: t.Final = 1_024
-MIN_MEAN_PART_BYTES: t.Final = 128
 MAX_SKIPPED_BYTES: t.Final = 64 * 1024
 """The most that is read of a body that is skipped."""
 MAX_INTERIM_RESPONSES: t.Final = 8
@@ -290,56 +287,6 @@
     return True
 
 
-@dataclasses.dataclass
-class ByteBudget:
-    """The bytes of bodies that may be held at once, over several connections."""
-
-    limit_bytes: int
-    used_bytes: int = 0
-
-    def take(self, count: int) -> None:
-        """Count bytes that are held from now on.
-
-        :raises UpstreamError: if there are more than the limit.
-        """
-        self.used_bytes += count
-        if self.used_bytes > self.limit_bytes:
-            raise UpstreamError("responses exceed the memory limit", sent=True)
-
-    def release(self, count: int) -> None:
-        """Count bytes that aren't held any more."""
-        self.used_bytes -= count
-
-
-async def read_body(
-    connection: EndpointConnection, max_bytes: int, budget: ByteBudget | None = None
-) -> bytes:
-    """Return the body of the response whose head was read last.
-
-    :param budget: what the connections to one server may hold while bodies are read.
-    :raises UpstreamError: if the body was cut short, if it exceeds ``max_bytes`` or the
-        budget, or if it comes in too many parts.
-    """
-    budget = budget or ByteBudget(max_bytes)
-    body = bytearray()
-    parts = 0
-    try:
-        while (part := await connection.body_part()) is not None:
-            body += part
-            parts += 1
-            budget.take(len(part))
-            if len(body) > max_bytes or is_fragmented(parts, len(body)):
-                raise UpstreamError("the response exceeds the size limit", sent=True)
-    finally:
-        budget.release(len(body))
-    return bytes(body)
-
-
-def is_fragmented(parts: int, total_bytes: int) -> bool:
-    """Return whether data comes in so many parts that reading on isn't worth it."""
-    return parts > MIN_PARTS_LIMIT + total_bytes / MIN_MEAN_PART_BYTES
-
-
 class Pool:
     """Idle connections to one server, kept for further requests.
 
--- a/src/dotterelplank/http1/messages.py
+++ b/src/dotterelplank/http1/messages.py
@@ -3,6 +3,8 @@
 import typing as t
 
 MAX_NUMBER_DIGITS: t.Final = 18
+MAX_EVENTS_PER_TURN: t.Final = 64
+"""The most parsed events (chunks of a body, above all) in one turn of the loop."""
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/src/dotterelplank/http1/server.py
+++ b/src/dotterelplank/http1/server.py
@@ -10,12 +10,10 @@
 
 import h11
 
-from .messages import Headers, header
+from .messages import MAX_EVENTS_PER_TURN, Headers, header
 
 MAX_PIPELINED_BYTES: t.Final = 64 * 1024
 """Data of further calls above which reading is paused until a call is answered."""
-MAX_EVENTS_PER_TURN: t.Final = 64
-"""The most parsed events (chunks of a body, above all) in one turn of the loop."""
 CLOSE_LINGER_S: t.Final = 1.0
 """Time after a refusal in which a caller may read it before the connection closes."""
 
--- a/src/dotterelplank/platform/headers.py
+++ b/src/dotterelplank/platform/headers.py
@@ -148,7 +148,7 @@
     is_expected = status != _MISDIRECTED_STATUS
     pause_s = None
     if status == _UNAVAILABLE_STATUS:
-        pause_s = _positive(header(headers, _RETRY_AFTER))
+        pause_s = _non_negative(header(headers, _RETRY_AFTER))
     return ResponseHeaders(
         id=header(headers, _ID),
         has_proof=bool(header(headers, _SIGNATURE)),
@@ -156,7 +156,7 @@
         faulty_endpoint=(
             None if faulty_endpoint is None else faulty_endpoint.decode("latin-1")
         ),
-        limit_per_s=_positive(header(headers, _LIMIT)),
+        limit_per_s=_non_negative(header(headers, _LIMIT)),
         is_leaving=is_expected and header(headers, _LEAVING) == _LEAVING_VALUE,
         pause_ms=None if pause_s is None else pause_s * 1000,
     )
@@ -207,7 +207,7 @@
     return value
 
 
-def _positive(text: bytes | None) -> float | None:
+def _non_negative(text: bytes | None) -> float | None:
     """Return a number that isn't negative; a malformed one counts as none."""
     try:
         value = math.nan if text is None else float(text)
--- a/src/dotterelplank/platform/ranks.py
+++ b/src/dotterelplank/platform/ranks.py
@@ -8,7 +8,9 @@
 
 from ..errors import UpstreamError
 from ..gateway.host import Address
-from ..http1.client import EndpointConnection, Request, connect, read_body
+from ..http1.bodies import read_body
+from ..http1.client import EndpointConnection, connect
+from ..http1.responses import Request
 from ..ranks.views import (
     Armed,
     ArmMap,
--- a/src/dotterelplank/platform/store.py
+++ b/src/dotterelplank/platform/store.py
@@ -11,8 +11,10 @@
 from ..errors import UpstreamError
 from ..gateway.host import Address
 from ..gateway.revisions import Revision
-from ..http1.client import EndpointConnection, Request, connect, read_body
+from ..http1.bodies import read_body
+from ..http1.client import EndpointConnection, connect
 from ..http1.messages import Headers, header
+from ..http1.responses import Request
 
 CONNECT_TIMEOUT_MS: t.Final = 1_000.0
 CALL_TIMEOUT_MS: t.Final = 2_000.0
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -11,7 +11,9 @@
 import tempfile
 
 from dotterelplank.errors import UpstreamError
-from dotterelplank.http1.client import Request, connect, read_body
+from dotterelplank.http1.bodies import read_body
+from dotterelplank.http1.client import connect
+from dotterelplank.http1.responses import Request
 
 SOURCES = pathlib.Path(__file__).resolve().parent.parent / "src"
 DEADLINE_S = 10.0
--- a/tests/path_soak.py
+++ b/tests/path_soak.py
@@ -24,8 +24,9 @@
 from soak_proxy import Mode, proxied
 
 from dotterelplank.errors import UpstreamError
-from dotterelplank.http1.client import Request, connect
+from dotterelplank.http1.client import connect
 from dotterelplank.http1.messages import header
+from dotterelplank.http1.responses import Request
 
 IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 SERVERS = 4
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -12,7 +12,9 @@
 
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.host import Address
-from dotterelplank.http1.client import EndpointConnection, Request, read_body
+from dotterelplank.http1.bodies import read_body
+from dotterelplank.http1.client import EndpointConnection
+from dotterelplank.http1.responses import Request
 from dotterelplank.platform.ranks import RankClient
 from dotterelplank.platform.store import StoreClient
 
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -11,7 +11,8 @@
 
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.streams import EventCursor
-from dotterelplank.http1.client import Request, connect
+from dotterelplank.http1.client import connect
+from dotterelplank.http1.responses import Request
 
 EVENTS = [b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 7)]
 WHOLE = b"".join(EVENTS)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -16,8 +16,10 @@
 )
 
 from dotterelplank.errors import UpstreamError
-from dotterelplank.http1.client import Request, connect, read_body
+from dotterelplank.http1.bodies import read_body
+from dotterelplank.http1.client import connect
 from dotterelplank.http1.messages import header
+from dotterelplank.http1.responses import Request
 
 ROUTE_TIMEOUT_MS = 10_000
 DEADLINE_MS = b"8000"
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -6,7 +6,9 @@
 from hypothesis import given, settings, strategies as st
 
 from dotterelplank.errors import UpstreamError
-from dotterelplank.http1.client import Pool, Request, connect, read_body
+from dotterelplank.http1.bodies import read_body
+from dotterelplank.http1.client import Pool, connect
+from dotterelplank.http1.responses import Request
 
 REQUEST = Request(b"GET", b"/a", [(b"host", b"h")], b"")
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
--- a/tests/test_loop_turns.py
+++ b/tests/test_loop_turns.py
@@ -14,12 +14,9 @@
 from raw_server import answer, raw_server
 
 from dotterelplank.errors import UpstreamError
-from dotterelplank.http1.client import (
-    ByteBudget,
-    Request,
-    read_body,
-    temporary_connection,
-)
+from dotterelplank.http1.bodies import ByteBudget, read_body
+from dotterelplank.http1.client import temporary_connection
+from dotterelplank.http1.responses import Request
 from dotterelplank.http1.server import ConnectionLimits, Server
 
 MAX_TURN_S = 0.12
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -11,7 +11,9 @@
 
 from dotterelplank.errors import UpstreamError
 from dotterelplank.gateway.host import Address, Bounds, HostSettings
-from dotterelplank.http1.client import Request, read_body, temporary_connection
+from dotterelplank.http1.bodies import read_body
+from dotterelplank.http1.client import temporary_connection
+from dotterelplank.http1.responses import Request
 from dotterelplank.platform.ranks import RankClient
 from dotterelplank.ranks import policy
 from dotterelplank.ranks.agent import Agent
