--- a/src/dotterelplank/gateway/forwarder.py
+++ b/src/dotterelplank/gateway/forwarder.py
@@ -6,11 +6,9 @@
 import typing as t
 
 from .. import events, results
-from ..errors import RequestError
-from ..http1.messages import header
 from ..http1.server import Call, Exchange
 from ..platform import headers as wire
-from . import admission, inactivity
+from . import admission, inactivity, intake
 from .attempts import (
     MIN_FAILURE_STATUS,
     MIN_REMAINING_MS,
@@ -29,15 +27,12 @@
 from .sender import Sender
 from .slots import SlotAllocator
 from .state import EntryState, directory_age_ms
-from .tables import Route, pick_target
 
 log = logging.getLogger(__name__)
 
 OTHER_ENTRY_RETRY_MS: t.Final = 100.0
 """Retry time for a caller whose call another entry can serve."""
 SERVICE_UNAVAILABLE_STATUS: t.Final = 503
-HOLD_MARGIN_RATIO: t.Final = 1.5
-"""Factor on the longest time that calls took of late, as some take longer."""
 MAX_FIRST_READ_WAIT_MS: t.Final = 500.0
 """How long a call that arrives while the process starts waits for a routing table."""
 
@@ -82,9 +77,22 @@
         context: CallContext | None = None
         try:
             await self._wait_for_first_read()
-            context = self._admit_call(now_ms, call, exchange)
-            if context is None:
+            decision = intake.decide(
+                now_ms, call, self._state, self._state.random.random()
+            )
+            if isinstance(decision, intake.Refused):
+                self._refuse_early(exchange, decision)
                 return
+            context = CallContext(
+                call=call,
+                exchange=exchange,
+                metadata=decision.metadata,
+                route=decision.route,
+                service=decision.service,
+                team=decision.team,
+                arrived_ms=now_ms,
+                deadline_ms=decision.deadline_ms,
+            )
             result = await self._forward(context)
             self._record_result(context, result)
         except asyncio.CancelledError:
@@ -107,83 +115,23 @@
             async with asyncio.timeout(MAX_FIRST_READ_WAIT_MS / 1000):
                 await first_read.wait()
 
-    def _admit_call(
-        self, now_ms: float, call: Call, exchange: Exchange
-    ) -> CallContext | None:
-        """Return the context of a call, or refuse the call and return ``None``."""
-        try:
-            metadata = wire.read_call(call.headers)
-        except RequestError as error:
-            self._refuse_early(exchange, b"", results.MALFORMED_REQUEST, str(error))
-            return None
-        table = self._state.table
-        if table is None or self._state.is_closed:
-            result = results.NO_CONFIGURATION if table is None else results.STOPPING
-            self._refuse_early(exchange, metadata.id, result, "")
-            return None
-        host = (header(call.headers, b"host") or b"").decode("latin-1")
-        path = call.target.partition(b"?")[0].decode("latin-1")
-        route = table.match(host.partition(":")[0], path)
-        if route is None:
-            self._refuse_early(exchange, metadata.id, results.NO_ROUTE, path[:80])
-            return None
-        team = table.team(metadata.key)
-        if team is None and table.needs_key and not route.is_public:
-            self._refuse_early(exchange, metadata.id, results.UNKNOWN_KEY, route.name)
-            return None
-        timeout_ms = route.timeout_ms
-        if metadata.deadline_ms is not None:
-            timeout_ms = min(timeout_ms, metadata.deadline_ms)
-        deadline_ms = now_ms + timeout_ms
-        if not self._may_end_in_time(now_ms, deadline_ms, route):
-            self._refuse_early(exchange, metadata.id, results.STOPPING, "")
-            return None
-        return CallContext(
-            call=call,
-            exchange=exchange,
-            metadata=metadata,
-            route=route,
-            service=pick_target(route, self._state.random.random()),
-            team=team,
-            arrived_ms=now_ms,
-            deadline_ms=deadline_ms,
-        )
-
-    def _may_end_in_time(self, now_ms: float, deadline_ms: float, route: Route) -> bool:
-        """Return whether a call will end before the process stops, if it is stopping.
-
-        A call that may run only once must be sure to end, as it can't be sent elsewhere
-        then; others are expected to if calls of the service did of late.
-        """
-        due_ms = self._state.stop_due_ms
-        if due_ms is None or deadline_ms <= due_ms:
-            return True
-        if not route.is_idempotent:
-            return False
-        services = [target.service for target in route.targets]
-        longest_ms = self._state.loads.longest_hold_ms
-        if any(service not in longest_ms for service in services):
-            return False
-        expected_ms = max(longest_ms[service] for service in services)
-        return now_ms + expected_ms * HOLD_MARGIN_RATIO <= due_ms
-
-    def _refuse_early(
-        self, exchange: Exchange, call_id: bytes, result: results.Result, why: str
-    ) -> None:
+    def _refuse_early(self, exchange: Exchange, refused: intake.Refused) -> None:
+        """Refuse a call for which no endpoint has been chosen."""
+        result = refused.result
         retry_after_s = None
         if result.http_status == SERVICE_UNAVAILABLE_STATUS:
             draw = self._state.random.random()
             retry_after_s = OTHER_ENTRY_RETRY_MS * (1 + draw) / 1000
-        headers = wire.local_response_headers(call_id, retry_after_s)
+        headers = wire.local_response_headers(refused.call_id, retry_after_s)
         exchange.respond(result.http_status, headers, b"")
         self._metrics.count_result(result)
         events.emit(
             log,
             events.REQUEST_ENDED,
-            request=call_id.decode("latin-1"),
+            request=refused.call_id.decode("latin-1"),
             result=result.number,
             status=result.http_status,
-            why=why,
+            why=refused.why,
             table_version=self._state.table.version if self._state.table else None,
         )
 
