--- a/src/dotterelplank/gateway/crashes.py
+++ b/src/dotterelplank/gateway/crashes.py
@@ -3,10 +3,6 @@
 import dataclasses
 import typing as t
 
-import pydantic
-
-from ..datagram_codec import name_fields
-
 SERVED_VALIDITY_MS: t.Final = 30_000.0
 """Time before a crash in which an answer clears a part."""
 EARLY_EVENTS: t.Final = 2
@@ -91,35 +87,6 @@
 CrashKey = tuple[str, frozenset[str], str | None]
 
 
-@pydantic.dataclasses.dataclass(frozen=True, slots=True)
-class CrashReport:
-    """A crash, as an entry reports it to its peers.
-
-    :param events: events of the answer that had come.
-    :param parts: the shared parts of the call that weren't cleared.
-    :param own_part: the call's own part.
-    :param served_age_ms: for each of ``parts`` and the own part, the time since the
-        answer to a call with it had its last event at any entry; -1: none is known.
-    :param served_events: for each of these, the events of that answer.
-    """
-
-    incarnation: str
-    was_answering: bool
-    events: int
-    sent_age_ms: int
-    ended_age_ms: int
-    called_age_ms: int
-    parts: list[str]
-    own_part: str | None
-    served_age_ms: list[int]
-    served_events: list[int]
-
-    @pydantic.model_validator(mode="before")
-    @classmethod
-    def _by_position(cls, values: t.Any) -> t.Any:
-        return name_fields(cls, values)
-
-
 def further(one: Served, other: Served) -> Served:
     """Return the answer that came further, or the later one if they are far apart."""
     earlier, later = sorted((one, other), key=lambda answer: answer.served_ms)
--- a/src/dotterelplank/gateway/entry.py
+++ b/src/dotterelplank/gateway/entry.py
@@ -24,8 +24,7 @@
 from ..metric_set import METRICS_PATH
 from ..platform.listener import LISTEN_BACKLOG
 from ..sequences import new_incarnation
-from . import peers as peering
-from .crashes import CrashReport
+from . import crash_reports, peers as peering
 from .feed import Feed
 from .forwarder import Forwarder
 from .host import Address, HostSettings
@@ -51,7 +50,7 @@
 class _Reports:
     """What one heartbeat tells of servers."""
 
-    crashes: list[CrashReport]
+    crashes: list[crash_reports.CrashReport]
     limits: list[LimitReport]
     leaving: list[str]
 
@@ -259,7 +258,7 @@
         self._reported_ms = now_ms
         state = self.state
         return _Reports(
-            state.suspects.reports(now_ms),
+            crash_reports.make_reports(now_ms, state.suspects),
             state.server_limits.reports(now_ms),
             state.directory.leaving_listed(),
         )
@@ -352,7 +351,7 @@
                     peer=heartbeat.name,
                 )
         state.probes.on_heartbeat(now_ms, heartbeat.ip, heartbeat.is_probing)
-        has_news = state.suspects.merge(now_ms, heartbeat.crashes)
+        has_news = crash_reports.merge(now_ms, state.suspects, heartbeat.crashes)
         if is_new and (state.suspects.crashes or state.server_limits.limits):
             has_news = True
         if has_news:
--- a/src/dotterelplank/gateway/peers.py
+++ b/src/dotterelplank/gateway/peers.py
@@ -11,7 +11,7 @@
 
 from ..datagram_codec import Codec
 from ..sequences import Sequence
-from .crashes import CrashReport
+from .crash_reports import CrashReport
 from .revisions import Revision
 from .server_limits import LimitReport
 
--- a/src/dotterelplank/gateway/suspects.py
+++ b/src/dotterelplank/gateway/suspects.py
@@ -20,7 +20,6 @@
     SERVED_VALIDITY_MS,
     Crash,
     CrashKey,
-    CrashReport,
     Prompt,
     Served,
     further,
@@ -46,12 +45,6 @@
 MAX_SERVED_PARTS: t.Final = 16_384
 MAX_SUSPECT_PARTS: t.Final = 8_192
 """Most parts of lost calls that are remembered, over all of them."""
-MAX_REPORTS: t.Final = 24
-"""Most lost calls that one heartbeat reports."""
-REPEAT_REPORT_MS: t.Final = 10_000.0
-"""Time for which a crash is reported that is weak evidence, and on one prompt only."""
-MAX_REPORTED_PARTS: t.Final = 512
-"""Most parts of lost calls that one heartbeat reports, over all of them."""
 
 
 class Verdict(enum.Enum):
@@ -116,10 +109,10 @@
         """
         suspect_before = self._suspects_among(prompt)
         for part in prompt.shared:
-            self._note_served(part, Served(now_ms, events))
+            self.note_served(part, Served(now_ms, events))
         own_parts = {crash.own_part for crash in self.crashes.values()}
         if prompt.own is not None and prompt.own in own_parts:
-            self._note_served(prompt.own, Served(now_ms, events))
+            self.note_served(prompt.own, Served(now_ms, events))
         return bool(suspect_before) and suspect_before != self._suspects_among(prompt)
 
     def record_crash(
@@ -148,10 +141,10 @@
             ended_ms=now_ms,
             called_ms=now_ms,
         )
-        crash.parts = self._suspect_parts(crash)
+        crash.parts = self.suspect_parts(crash)
         if not self._is_open(crash):
             return None
-        self._add(crash)
+        self.add(crash)
         return crash
 
     def judge(self, now_ms: float, prompt: Prompt) -> Judgement:
@@ -177,7 +170,7 @@
             return evidence
         shared_parts = frozenset(prompt.shared)
         for crash in self._open_crashes():
-            suspect_parts = self._suspect_parts(crash)
+            suspect_parts = self.suspect_parts(crash)
             if not suspect_parts.isdisjoint(shared_parts):
                 evidence.related.append(crash)
                 if suspect_parts.issubset(shared_parts):
@@ -190,63 +183,14 @@
         """Return the latest crash that makes a part suspect; None without any."""
         return max(self._open_crashes(), key=lambda crash: crash.ended_ms, default=None)
 
-    def reports(self, now_ms: float) -> list[CrashReport]:
-        """Return the latest crashes, to be reported to the peers."""
-        latest = sorted(self.crashes.values(), key=lambda crash: -crash.called_ms)
-        reports: list[CrashReport] = []
-        parts_left = MAX_REPORTED_PARTS
-        due = [crash for crash in latest if self._is_report_due(now_ms, crash)]
-        for crash in due[:MAX_REPORTS]:
-            if len(crash.parts) <= parts_left:
-                reports.append(self._report(now_ms, crash))
-                parts_left -= len(crash.parts)
-        return reports
-
-    def merge(self, now_ms: float, reports: t.Iterable[CrashReport]) -> bool:
-        """Add what a peer has reported.
-
-        :return: whether parts of a crash that is new here have been served here, which
-            the peers should know.
-        """
-        has_news = False
-        for report in reports:
-            is_new = self._merge_crash(now_ms, report)
-            parts = [*report.parts, report.own_part]
-            if is_new and not self.served.keys().isdisjoint(parts):
-                has_news = True
-            answers = zip(parts, report.served_age_ms, report.served_events)
-            for part, age_ms, events in answers:
-                if part is not None and age_ms >= 0:
-                    self._note_served(part, Served(now_ms - age_ms, events))
-        return has_news
-
     def expire(self, now_ms: float) -> None:
         """Forget the crashes whose parts haven't been in any call for long."""
         for key, crash in list(self.crashes.items()):
             if now_ms - crash.called_ms > FORGET_MS:
                 del self.crashes[key]
 
-    def _merge_crash(self, now_ms: float, report: CrashReport) -> bool:
-        crash = Crash(
-            report.incarnation,
-            report.was_answering,
-            report.events,
-            frozenset(report.parts),
-            report.own_part,
-            now_ms - report.sent_age_ms,
-            now_ms - report.ended_age_ms,
-            now_ms - report.called_age_ms,
-        )
-        known = self.crashes.get(crash.key)
-        if known is not None:
-            known.called_ms = max(known.called_ms, crash.called_ms)
-            return False
-        if now_ms - crash.called_ms > FORGET_MS:
-            return False
-        self._add(crash)
-        return True
-
-    def _add(self, crash: Crash) -> None:
+    def add(self, crash: Crash) -> None:
+        """Remember a crash, and forget the ones called least recently if too many."""
         self.crashes.setdefault(crash.key, crash)
         while len(self.crashes) > 1 and self._is_full():
             oldest = min(self.crashes, key=lambda key: self.crashes[key].called_ms)
@@ -257,23 +201,8 @@
             return True
         return sum(len(one.parts) for one in self.crashes.values()) > MAX_SUSPECT_PARTS
 
-    def _report(self, now_ms: float, crash: Crash) -> CrashReport:
-        parts = sorted(crash.parts)
-        answers = [self.served.get(part) for part in (*parts, crash.own_part or "")]
-        return CrashReport(
-            crash.incarnation,
-            crash.was_answering,
-            crash.events,
-            round(now_ms - crash.sent_ms),
-            round(now_ms - crash.ended_ms),
-            round(now_ms - crash.called_ms),
-            parts,
-            crash.own_part,
-            [-1 if one is None else round(now_ms - one.served_ms) for one in answers],
-            [0 if one is None else one.events for one in answers],
-        )
-
-    def _note_served(self, part: str, answer: Served) -> None:
+    def note_served(self, part: str, answer: Served) -> None:
+        """Record how far an answer to a call with a part came, here or at a peer."""
         known = self.served.get(part)
         self.served[part] = answer if known is None else further(known, answer)
         self.served.move_to_end(part)
@@ -286,7 +215,8 @@
             return False
         return answer.served_ms > crash.ended_ms - SERVED_VALIDITY_MS
 
-    def _suspect_parts(self, crash: Crash) -> frozenset[str]:
+    def suspect_parts(self, crash: Crash) -> frozenset[str]:
+        """Return the shared parts of a lost call that no answer has cleared."""
         return frozenset(
             part for part in crash.parts if not self._was_cleared(part, crash)
         )
@@ -297,24 +227,19 @@
 
     def _is_open(self, crash: Crash) -> bool:
         """Return whether a crash makes anything in the prompt of its call suspect."""
-        return bool(self._suspect_parts(crash)) or self._is_own_part_suspect(crash)
+        return bool(self.suspect_parts(crash)) or self._is_own_part_suspect(crash)
 
     def _is_own_part_suspect(self, crash: Crash) -> bool:
         own_part = crash.own_part
         return own_part is not None and not self._was_cleared(own_part, crash)
 
-    def _is_report_due(self, now_ms: float, crash: Crash) -> bool:
-        if crash.was_answering or self._suspect_parts(crash):
-            return True
-        return now_ms - crash.ended_ms < REPEAT_REPORT_MS
-
     def _suspects_among(self, prompt: Prompt) -> t.Collection[str]:
         """Return those parts of a prompt that a crash makes suspect."""
         found: set[str] = set()
         if not self._is_concerned(prompt):
             return found
         for crash in self._open_crashes():
-            found |= self._suspect_parts(crash).intersection(prompt.shared)
+            found |= self.suspect_parts(crash).intersection(prompt.shared)
             if crash.own_part == prompt.own and self._is_own_part_suspect(crash):
                 found.add(t.cast(str, crash.own_part))
         return found
--- a/tests/gateway_breaks.py
+++ b/tests/gateway_breaks.py
@@ -28,8 +28,8 @@
         ),
         make(
             "a part that a peer has served stays suspect",
-            "gateway/suspects",
-            "self._note_served(part, Served(now_ms - age_ms, events))",
+            "gateway/crash_reports",
+            "suspects.note_served(part, Served(now_ms - age_ms, events))",
             "pass",
             f"{SHARED}::test_a_peer_that_has_served_a_part_clears_it",
         ),
--- a/tests/test_gateway_suspects.py
+++ b/tests/test_gateway_suspects.py
@@ -3,12 +3,12 @@
 import testtools
 from test_gateway_decisions import endpoint
 
+from dotterelplank.gateway import crash_reports
 from dotterelplank.gateway.crashes import SERVED_VALIDITY_MS, Prompt
 from dotterelplank.gateway.head_gaps import MIN_ANSWERS
 from dotterelplank.gateway.probes import Probes
 from dotterelplank.gateway.suspects import (
     MAX_CRASHES,
-    MAX_REPORTED_PARTS,
     MAX_SERVED_PARTS,
     MAX_SUSPECT_PARTS,
     Suspects,
@@ -239,7 +239,8 @@
         for number in range(2):
             at_ms = NOW_MS + 500.0 * number
             self._crash(at_ms)
-            there.merge(at_ms + 1.0, self.suspects.reports(at_ms + 1.0))
+            reports = crash_reports.make_reports(at_ms + 1.0, self.suspects)
+            crash_reports.merge(at_ms + 1.0, there, reports)
         judgement = there.judge(NOW_MS + 502.0, prompt(["sound"], "bad"))
         self.assertIs(Verdict.LIKELY, judgement.verdict)
 
@@ -253,7 +254,9 @@
         giver, taker = self.here, self.there
         if not from_here:
             giver, taker = taker, giver
-        return taker.merge(NOW_MS + age_ms, giver.reports(NOW_MS + age_ms))
+        now_ms = NOW_MS + age_ms
+        reports = crash_reports.make_reports(now_ms, giver)
+        return crash_reports.merge(now_ms, taker, reports)
 
     def test_crashes_of_two_entries_add_up(self):
         crashed(self.here, ["bad"])
@@ -264,7 +267,7 @@
         )
 
     def test_a_crash_with_many_parts_leaves_room_for_the_others(self):
-        many = [str(part) for part in range(MAX_REPORTED_PARTS + 1)]
+        many = [str(part) for part in range(crash_reports.MAX_REPORTED_PARTS + 1)]
         crashed(self.here, many, at_ms=NOW_MS + 2.0)
         crashed(self.here, ["bad"], name="e2")
         self._report(from_here=True)
