Refuse repeats of a call without a prompt that crashes servers

Cause: crashes were kept by the parts of prompts, and a call without any wasn't looked at, so the entry's own repeat and the caller's at another entry went to the next server.

A call without a prompt is now a part by itself, by a digest of its host, method, target and body, so the verdicts on own parts hold for it too.

--- a/src/dotterelplank/gateway/call_context.py
+++ b/src/dotterelplank/gateway/call_context.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import functools
+import hashlib
 import typing as t
 
 from .. import results
@@ -15,6 +17,7 @@
 from .tables import Route, Team
 
 MAX_LOGGED_PARTS: t.Final = 8
+DIGEST_BYTES: t.Final = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,10 +76,13 @@
     refusal_retry_ms: float | None = None
     failed_response: FailedResponse | None = None
 
-    @property
+    @functools.cached_property
     def prompt(self) -> Prompt:
-        """The parts of the call's prompt."""
-        return self.metadata.prompt
+        """The parts of the call's prompt; a call without any is a part by itself."""
+        prompt = self.metadata.prompt
+        if prompt.own is not None:
+            return prompt
+        return dataclasses.replace(prompt, own=_digest(self.route, self.call))
 
     @property
     def logged_parts(self) -> tuple[str, ...]:
@@ -88,3 +94,12 @@
         """The priorities of the team (by default the route's) and of the route."""
         team = self.team.priority if self.team is not None else None
         return (self.route.priority if team is None else team, self.route.priority)
+
+
+def _digest(route: Route, call: Call) -> str:
+    """Return a digest of a call, which only repeats of it share."""
+    found = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    # None of the first three contains a space or a line end.
+    found.update(b"%s %s %s\n" % (route.host.encode(), call.method, call.target))
+    found.update(call.body)
+    return found.hexdigest()
--- a/src/dotterelplank/gateway/quarantine.py
+++ b/src/dotterelplank/gateway/quarantine.py
@@ -116,8 +116,6 @@
         A lost connection alone is no proof: the endpoint must refuse a new one too, and
         must not have been about to leave.
         """
-        if context.prompt.own is None:
-            return
         if await is_listening(endpoint.ip, endpoint.port, CRASH_CHECK_TIMEOUT_S):
             return
         listed = self._state.directory.endpoints.get(endpoint.id)
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -20,6 +20,7 @@
 IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 DEADLY_PART = b"dead:40"
 SOUND_PART = b"50d:40"
+DEADLY_TARGET = b"/q/dead"
 MANY_SOUND_PARTS = tuple(b"50d%02x:40" % number for number in range(200))
 MAX_CRASHES = 3
 REFUSED_STATUS = 503
@@ -30,7 +31,7 @@
 
 @dataclasses.dataclass
 class CrashingServer(ServiceStandin):
-    """A server that ends when it begins to answer a call with the deadly part.
+    """A server that ends when it begins to answer a deadly call.
 
     :param sends_head: whether the head of that answer still leaves.
     :param sends_event: whether its first event leaves too.
@@ -62,9 +63,8 @@
 
     async def handle(self, call, exchange):
         """Answer one call, or crash."""
-        parts = (header(call.headers, b"x-prefix-hash") or b"").split(b",")
         has_crashed = sum(server.crashes for server in self.peers)
-        if DEADLY_PART not in parts or has_crashed >= self.max_crashes:
+        if not is_deadly(call) or has_crashed >= self.max_crashes:
             await asyncio.sleep(0.03)
             await super().handle(call, exchange)
             return
@@ -94,6 +94,12 @@
         await asyncio.sleep(0)
 
 
+def is_deadly(call):
+    """Return whether a call ends the server that begins to answer it."""
+    parts = (header(call.headers, b"x-prefix-hash") or b"").split(b",")
+    return DEADLY_PART in parts or call.target == DEADLY_TARGET
+
+
 def prefix(*parts):
     """Return the header that names a prompt's parts."""
     return [(b"x-prefix-hash", b",".join(parts))]
@@ -212,6 +218,29 @@
             found = self._run(self._spread_crashes, sends_head=sends_head)
             self._assert_calls_are_refused(found)
 
+    def test_repeats_of_a_deadly_call_without_a_prompt_stop_crashing_servers(self):
+        # A lookup without prompt parts took all servers of a plain service down: its
+        # repeats, by the entries and by its caller, were no evidence.
+        async def repeat(entries, servers):
+            statuses = []
+            for n in range(9):
+                statuses.append(await self._lookup(entries[n % 3], DEADLY_TARGET, n))
+                await asyncio.sleep(0.2)
+            sound = [
+                await self._lookup(entries[n % 3], b"/q/sound", n) for n in range(9)
+            ]
+            return sum(server.crashes for server in servers), statuses, sound
+
+        crashes, statuses, sound = self._run(repeat, sends_head=False)
+        self.assertLessEqual(crashes, MAX_CRASHES)
+        self.assertEqual([REFUSED_STATUS] * 5, statuses[-5:])
+        self.assertEqual([200] * 9, sound)
+
+    async def _lookup(self, entry, target, number):
+        name = b"lookup-%s-%d" % (target[3:], number)
+        response = await entry.call(target, call_id=name)
+        return response.status
+
     def test_they_stop_too_if_no_head_shows_which_call_was_answered(self):
         self._assert_calls_are_refused(
             self._run(self._spread_crashes, sends_head=False)
