Don't pass on an unframed stream without events as complete

What callers saw: a 200 with an empty stream, framed as whole, if a server ended after the head of an answer that names no length. Cause: such an answer ends with its connection, and an end between two events counts as complete; none at all counted too. The test failed before (an empty body, complete). Now it is a broken stream, which is resumed elsewhere or cut. An empty rest of a stream that its caller resumes stays complete.

--- a/src/dotterelplank/gateway/sender.py
+++ b/src/dotterelplank/gateway/sender.py
@@ -319,6 +319,8 @@
             return MayHaveRun(True, "the stream ended inside an event")
         if connection.has_marked_end:
             self._on_complete(context)
+        elif not _has_event(context):
+            return MayHaveRun(True, "the stream ended before its first event")
         exchange.finish()
         return Answered(head.status)
 
@@ -370,6 +372,11 @@
         return pool
 
 
+def _has_event(context: CallContext) -> bool:
+    """Return whether the caller has got any event, here or in an earlier call."""
+    return context.ttfb_ms is not None or context.metadata.resume_after is not None
+
+
 def _is_event_too_large(cursor: EventCursor) -> bool:
     """Return whether an event without an end shows that a stream is no answer."""
     size_bytes, parts = cursor.unfinished_bytes, cursor.unfinished_parts
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -40,7 +40,7 @@
     return data
 
 
-def break_off(framing, end, rest):
+def break_off(framing, end, rest, after=BROKEN_AFTER):
     """Return a responder that sends some events and ends the connection.
 
     :param end: ``close`` or ``reset``.
@@ -50,7 +50,7 @@
     async def respond(call, writer):
         length = len(WHOLE) if framing == "length" else framing
         writer.write(head(call.id, length))
-        for event in EVENTS[:BROKEN_AFTER]:
+        for event in EVENTS[:after]:
             writer.write(framed(framing, event))
         if rest:
             writer.write(framed(framing, rest))
@@ -153,6 +153,11 @@
         found = self._stream(break_off("none", "close", b""))
         self.assertEqual((b"".join(EVENTS[:BROKEN_AFTER]), True), found)
 
+    def test_a_stream_without_a_length_and_without_events_has_broken_off(self):
+        # Its caller got a complete stream that was empty.
+        found = self._stream(break_off("none", "close", b"", after=0), go_on(after=0))
+        self.assertEqual((WHOLE, True), found)
+
     def test_nothing_but_events_follows_a_stream_that_broke_off(self):
         for follow_up in (
             fail,
