Let only records of known services take an address

Cause: of two records with one address the newer one counts, whatever its service. The directory is now told the services of each table, and leaves other records out. The test failed before: no endpoint was left.

--- a/src/dotterelplank/gateway/directory.py
+++ b/src/dotterelplank/gateway/directory.py
@@ -99,6 +99,8 @@
         id; expire() removes it after a grace period.
     :param leaving: starts of servers that have said in an answer that they leave, the
         oldest first. Only a new start of a server undoes that.
+    :param services: names of the services that the configuration knows; None: it isn't
+        known yet.
     :param _newest_by_address: cache of _newest_at_addresses(); None: it is outdated.
     """
 
@@ -108,8 +110,14 @@
     updated_ms: float | None = None
     missing_since_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: dict[str, None] = dataclasses.field(default_factory=dict)
+    services: frozenset[str] | None = None
     _newest_by_address: dict[tuple[str, int], str] | None = None
 
+    def set_services(self, services: t.Iterable[str]) -> None:
+        """Replace the names of the services that the configuration knows."""
+        self.services = frozenset(services)
+        self._newest_by_address = None
+
     def note_leaving(self, incarnation: str) -> bool:
         """Record that a server has said that it leaves; return whether that is new."""
         if incarnation in self.leaving:
@@ -231,22 +239,27 @@
             for endpoint in self.endpoints.values()
             if endpoint.service == service
             and self.takes_calls(endpoint)
-            and newest[endpoint.ip, endpoint.port] == endpoint.id
+            and newest.get((endpoint.ip, endpoint.port)) == endpoint.id
         ]
 
     def _newest_at_addresses(self) -> t.Mapping[tuple[str, int], str]:
         """Return the id of the endpoint at each address whose record changed last.
 
-        Revisions tell which one is newer, as clocks of servers may be wrong.
+        Revisions tell which one is newer, as clocks of servers may be wrong. A record
+        of a service that the configuration doesn't know names no server.
         """
         if self._newest_by_address is None:
             by_age = sorted(self.endpoints, key=self.revisions.__getitem__)
             self._newest_by_address = {
                 (self.endpoints[name].ip, self.endpoints[name].port): name
                 for name in by_age
+                if self._is_known_service(self.endpoints[name].service)
             }
         return self._newest_by_address
 
+    def _is_known_service(self, service: str) -> bool:
+        return self.services is None or service in self.services
+
     def of_group(self, group: GroupKey) -> t.Sequence[Endpoint]:
         """Return the endpoints that are ranks of ``group``."""
         return [
--- a/src/dotterelplank/gateway/feed.py
+++ b/src/dotterelplank/gateway/feed.py
@@ -393,6 +393,7 @@
             return
         self._configuration = item
         self._state.table = table
+        self._state.directory.set_services(table.service_names)
         self._state.table_applied_ms = now_ms
         events.emit(
             log,
--- a/src/dotterelplank/gateway/tables.py
+++ b/src/dotterelplank/gateway/tables.py
@@ -145,6 +145,12 @@
             routes.sort(key=lambda route: -len(route.prefix))
         return by_host
 
+    @property
+    def service_names(self) -> t.Collection[str]:
+        """The names of all services, those that only routes name included."""
+        targets = (target for route in self.routes for target in route.targets)
+        return {*self.services, *(target.service for target in targets)}
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None``."""
         for route in self._routes_by_host.get(host.lower(), ()):
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -365,6 +365,19 @@
 
 
 class DirectoryTests(testtools.TestCase):
+    def test_a_record_of_an_unknown_service_takes_no_servers_address(self):
+        # A record of another writer kept the server at its address out of use.
+        found = directory(endpoint("e1", ip="h1"), endpoint("e2", ip="h2"))
+        found.set_services({"drafts", "orders"})
+        for number, service in ((6, "other"), (7, "orders")):
+            record = endpoint(service, service=service, ip=f"h{number - 5}")
+            found.apply(NOW_MS, EndpointChange(service, at(number), record))
+        names = [one.id for one in found.of_service("drafts")]
+        self.assertEqual(["e1"], names)
+        self.assertEqual([], found.of_service("other"))
+        found.set_services({"drafts", "orders", "other"})
+        self.assertEqual([], found.of_service("drafts"))
+
     def test_an_older_change_is_ignored(self):
         found = directory(endpoint("e1"))
         self.assertFalse(found.apply(NOW_MS, EndpointChange("e1", at(4), None)))
