--- a/src/dotterelplank/http1/server.py
+++ b/src/dotterelplank/http1/server.py
@@ -115,7 +115,7 @@
     """The connections of one listener, with their handler and settings.
 
     :param handler: answers a call.
-    :param connection_limits: returns the limits for a new connection.
+    :param connection_limits: returns the limits for the next call of a connection.
     :param on_refused: called for each call that couldn't be read, with the status of
         the response and the reason.
     """
@@ -162,11 +162,7 @@
     def __init__(self, server: Server) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._connection_limits = server.connection_limits()
         self._transport: asyncio.Transport | None = None
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._connection_limits.header_bytes
-        )
         self._timer: asyncio.TimerHandle | None = None
         self._request: h11.Request | None = None
         self._body = bytearray()
@@ -175,6 +171,7 @@
         self._is_refused = False
         self.writable = asyncio.Event()
         self.writable.set()
+        self._expect_call()
 
     @property
     def is_busy(self) -> bool:
@@ -192,6 +189,7 @@
         if self._is_refused:
             return
         if self._task is None and not self._has_input:
+            self._expect_call()
             self._start_timer(
                 self._connection_limits.header_timeout_s, self._on_head_timeout
             )
@@ -244,9 +242,12 @@
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             self.close()
             return
-        self._h11.start_next_cycle()
+        pipelined, _ = self._h11.trailing_data
+        self._expect_call()
         self._transport.resume_reading()
-        self._has_input = bool(self._h11.trailing_data[0])
+        self._has_input = bool(pipelined)
+        if self._has_input:
+            self._h11.receive_data(pipelined)
         timeout_s = self._connection_limits.idle_timeout_s
         on_timeout = self.close
         if self._has_input:
@@ -273,6 +274,13 @@
         else:
             self._transport.close()
 
+    def _expect_call(self) -> None:
+        """Prepare to read a call, within the limits that hold by now."""
+        self._connection_limits = self._server.connection_limits()
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._connection_limits.header_bytes
+        )
+
     def _process_input(self) -> None:
         """Parse what was received, a bounded part in one turn of the loop."""
         if self._task is not None:
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -9,6 +9,9 @@
 LIMITS = ConnectionLimits(
     header_bytes=2_000, body_bytes=1_000, header_timeout_s=0.3, idle_timeout_s=0.6
 )
+LARGE_LIMITS = ConnectionLimits(
+    header_bytes=8_000, body_bytes=5_000, header_timeout_s=0.3, idle_timeout_s=0.6
+)
 CALL = b"POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
 
 
@@ -20,12 +23,15 @@
         self.was_cancelled = False
         self.refused = []
         self.delay_s = 0.0
-        self.server = Server(self.handle, lambda: LIMITS, self.on_refused)
+        self.limits = LIMITS
+        self.server = Server(self.handle, lambda: self.limits, self.on_refused)
 
     def on_refused(self, status, why):
         self.refused.append(status)
 
     async def handle(self, call, exchange):
+        if call.target == b"/large":
+            self.limits = LARGE_LIMITS
         self.calls.append((call.method, call.target, call.body))
         try:
             await asyncio.sleep(self.delay_s)
@@ -116,6 +122,21 @@
         head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n"
         self.assertIn(b" 413 ", _send_parts(echo, head))
 
+    def test_the_next_call_of_a_connection_keeps_the_limits_of_by_then(self):
+        # A kept connection had the limits of its opening for good.
+        first = b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+        large = (
+            b"POST /next HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\nX: "
+            + b"x" * 6_000
+            + b"\r\n\r\n"
+            + b"y" * 4_000
+        )
+        for parts in ((first, large), (first + large,)):
+            echo = _Echo()
+            _send_parts(echo, *parts, pause_s=0.05)
+            self.assertEqual([], echo.refused)
+            self.assertEqual([b"/large", b"/next"], [call[1] for call in echo.calls])
+
     def test_a_slow_head_times_out(self):
         echo = _Echo()
         found = _send_parts(echo, b"GET / HT", wait_s=1.0)
