--- a/tests/gateway_breaks.py
+++ b/tests/gateway_breaks.py
@@ -14,6 +14,8 @@
 LEAVING = "tests/test_gateway_notices.py::DirectoryTests"
 PAUSES = "tests/test_gateway_notices.py::PauseTests"
 CRASHES = "tests/test_gateway_crashes.py::CrashTests"
+INTAKE = "tests/test_gateway_intake.py::IntakeTests"
+DIRECTORY = "tests/test_gateway_decisions.py::DirectoryTests"
 
 
 def table(make):
@@ -71,6 +73,45 @@
             f"{REPEATS}::"
             "test_repeats_are_refused_after_two_crashes_and_no_other_call_is",
         ),
+        make(
+            "a call without a prompt is no evidence",
+            "gateway/call_context",
+            "return dataclasses.replace(prompt, own=_digest(self.route, self.call))",
+            "return prompt",
+            f"{CRASHES}::"
+            "test_repeats_of_a_deadly_call_without_a_prompt_stop_crashing_servers",
+        ),
+        make(
+            "an answer whose end isn't marked clears its parts",
+            "gateway/quarantine",
+            "is_whole = attempt_result.is_end_marked",
+            "is_whole = True",
+            f"{CRASHES}::" "test_they_stop_too_if_the_end_of_the_answer_isn_t_marked",
+        ),
+        make(
+            "a stream without a length and without events is complete",
+            "gateway/sender",
+            "if not connection.has_marked_end and not _has_event(context):",
+            "if False:",
+            f"{STREAMS}::"
+            "test_a_stream_without_a_length_and_without_events_has_broken_off",
+        ),
+        make(
+            "a record of an unknown service takes an address",
+            "gateway/directory",
+            "return self.services is None or service in self.services",
+            "return True",
+            f"{DIRECTORY}::"
+            "test_a_record_of_an_unknown_service_takes_no_servers_address",
+        ),
+        make(
+            "a call that may run once is taken in a stop that it may outlast",
+            "gateway/intake",
+            "if not route.is_idempotent:",
+            "if False:",
+            f"{INTAKE}::"
+            "test_a_call_that_may_run_once_is_refused_if_it_may_outlast_a_stop",
+        ),
         make(
             "a server that leaves gets calls while its record comes again",
             "gateway/directory",
