--- a/review/lib_2/deployment.py
+++ b/review/lib_2/deployment.py
@@ -276,10 +276,19 @@
     record = Record(folder)
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     status = 2
+
+    async def play():
+        # All processes are ended if the case is told to stop.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await case(record, is_troubled)
+
     try:
-        status = asyncio.run(case(record, is_troubled))
+        status = asyncio.run(play())
     except CannotRun as error:
         record.write(f"the case can't run: {error}")
+    except asyncio.CancelledError:
+        record.write("the case was told to stop")
     except Exception as error:  # the case itself is at fault
         record.write(f"the case failed: {error!r}")
     record.write(f"exit status {status}")
